--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Targets of daisyhub. VENV may name a shared environment.
+VENV ?= .venv
+PYTHON ?= python3
+PY = PYTHONPATH=. $(VENV)/bin/python
+STAMP = $(VENV)/.requirements-stamp
+EXAMPLES ?= 1000
+SEED ?= 1
+
+.PHONY: demo test lint format bench prove
+
+$(STAMP): requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+	  -r requirements.txt
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PY) -m daisyhub.testing.demo
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+test: lint
+	$(PY) -m daisyhub.testing.runner
+
+bench: $(STAMP)
+	$(PY) -m benchmarks.hop
+
+prove: $(STAMP)
+	DAISYHUB_EXAMPLES=$(EXAMPLES) DAISYHUB_SEED=$(SEED) \
+	  $(PY) -m daisyhub.testing.runner --pattern='test_proof_*.py'
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, apart from the tests."""
--- /dev/null
+++ b/daisyhub/balancing/__init__.py
@@ -0,0 +1,16 @@
+"""Endpoints: what is known of them, and which one gets a request."""
+
+from daisyhub.balancing._balancers import LeastLoaded, RoundRobin
+from daisyhub.balancing._endpoint_table import (
+    EndpointNews,
+    EndpointState,
+    EndpointTable,
+)
+
+__all__ = [
+    "EndpointNews",
+    "EndpointState",
+    "EndpointTable",
+    "LeastLoaded",
+    "RoundRobin",
+]
--- /dev/null
+++ b/daisyhub/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command line, `daisyhub COMMAND`."""
+
+from daisyhub.cli._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/daisyhub/cli/_base.py
@@ -0,0 +1,156 @@
+"""What commands share: flags, the platform, output."""
+
+import abc
+import dataclasses
+import enum
+import getpass
+import json
+import pathlib
+from typing import Annotated
+
+from absl import flags
+
+from daisyhub.checks import Range, check_document
+from daisyhub.config import ConfigStore
+from daisyhub.connections import HttpClient
+from daisyhub.exceptions import DaisyhubError
+from daisyhub.platform import PlatformClient
+from daisyhub.process_flags import SETTINGS
+from daisyhub.settings import Address
+
+__all__ = ["Command", "Context", "ExitCode", "OperatorSettings", "UsageError"]
+
+_CONNECT_TIMEOUT_S = 2.0
+_TIMEOUT_S = 5.0
+_IDLE_S = 10.0
+
+_OUTPUT = flags.DEFINE_enum(
+    "output", "table", ["table", "json"], "How results are printed."
+)
+_TEAM = flags.DEFINE_string("team", "", "The team that makes the change.")
+_AUTHOR = flags.DEFINE_string(
+    "author", "", "Who makes the change; the user's name if not given."
+)
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the command line."""
+
+    OK = 0
+    INVALID = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNAVAILABLE = 4
+
+
+class UsageError(DaisyhubError):
+    """The command line's words are wrong."""
+
+    code = "usage"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorSettings:
+    """Settings of the command line.
+
+    Attributes:
+        platform_address: The platform's service.
+        key_hash_secret: Secret of the keyed hash of client keys, hex.
+        daemons: Operators' addresses of the daemons, by daemon id.
+    """
+
+    platform_address: Address
+    key_hash_secret: Annotated[str, Range(32, 256, "characters")]
+    daemons: dict[str, Address] = dataclasses.field(default_factory=dict)
+
+
+class Context:
+    """What a command gets: settings, clients and output."""
+
+    def __init__(self):
+        self.http = HttpClient(
+            connect_timeout_s=_CONNECT_TIMEOUT_S, idle_s=_IDLE_S
+        )
+        self._cfg: OperatorSettings | None = None
+
+    @property
+    def cfg(self) -> OperatorSettings:
+        """The operator's settings.
+
+        Raises:
+            UsageError: None were given.
+        """
+        if self._cfg is None:
+            if not SETTINGS.value:
+                raise UsageError("--settings=FILE is needed")
+            text = pathlib.Path(SETTINGS.value).read_text(encoding="utf-8")
+            self._cfg = check_document(text, OperatorSettings, SETTINGS.value)
+        return self._cfg
+
+    @property
+    def platform(self) -> PlatformClient:
+        """The platform's client."""
+        return PlatformClient(self.cfg.platform_address, self.http, _TIMEOUT_S)
+
+    @property
+    def store(self) -> ConfigStore:
+        """The configuration store."""
+        return ConfigStore(self.platform)
+
+    @property
+    def team(self) -> str:
+        """The team given.
+
+        Raises:
+            UsageError: None was given.
+        """
+        if not _TEAM.value:
+            raise UsageError("--team=NAME is needed")
+        return _TEAM.value
+
+    @property
+    def author(self) -> str:
+        """Who makes the change."""
+        return _AUTHOR.value or getpass.getuser()
+
+    def print_rows(self, rows: list[dict[str, object]]) -> None:
+        """Prints rows as a table, or as JSON."""
+        if _OUTPUT.value == "json":
+            print(json.dumps(rows, indent=2))
+            return
+        if not rows:
+            print("nothing to show")
+            return
+        names = list(rows[0])
+        cells = [names] + [
+            [_shown(row[name]) for name in names] for row in rows
+        ]
+        widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+        for line in cells:
+            padded = [
+                cell.ljust(width)
+                for cell, width in zip(line, widths, strict=True)
+            ]
+            print("  ".join(padded).rstrip())
+
+
+def _shown(value: object) -> str:
+    if isinstance(value, list | tuple):
+        return ",".join(map(str, value))
+    return str(value)
+
+
+class Command(abc.ABC):
+    """One command."""
+
+    name: str
+    usage: str
+    summary: str
+
+    @abc.abstractmethod
+    async def run(self, ctx: Context, args: list[str]) -> ExitCode:
+        """Runs the command with the words behind its name.
+
+        Raises:
+            DaisyhubError: With what went wrong.
+        """
--- /dev/null
+++ b/daisyhub/cli/_main.py
@@ -0,0 +1,76 @@
+"""Finds and runs the command."""
+
+import sys
+
+import anyio
+from absl import app
+
+from daisyhub.cli._base import Command, Context, ExitCode, UsageError
+from daisyhub.cli._config import ApplyCommand, AuditCommand, CheckCommand
+from daisyhub.cli._keys import KeyCommand
+from daisyhub.cli._status import StatusCommand
+from daisyhub.exceptions import (
+    ConfigConflictError,
+    DaisyhubError,
+    DocumentError,
+    PlatformUnavailableError,
+)
+
+__all__ = ["main"]
+
+COMMANDS: tuple[Command, ...] = (
+    CheckCommand(),
+    ApplyCommand(),
+    AuditCommand(),
+    KeyCommand(),
+    StatusCommand(),
+)
+_EXIT_CODES = (
+    (DocumentError, ExitCode.INVALID),
+    (UsageError, ExitCode.USAGE),
+    (ConfigConflictError, ExitCode.CONFLICT),
+    (PlatformUnavailableError, ExitCode.UNAVAILABLE),
+)
+
+
+def _usage() -> str:
+    lines = ["usage: daisyhub COMMAND [--flags]", "", "commands:"]
+    for command in COMMANDS:
+        lines.append(f"  {command.usage}")
+        lines.append(f"      {command.summary}")
+    lines += ["", "exit codes:"]
+    lines += [f"  {code.value}  {code.name.lower()}" for code in ExitCode]
+    return "\n".join(lines)
+
+
+async def _run_command(command: Command, args: list[str]) -> ExitCode:
+    ctx = Context()
+    try:
+        return await command.run(ctx, args)
+    finally:
+        await ctx.http.aclose()
+
+
+def _run(argv: list[str]) -> int:
+    words = argv[1:]
+    found = [c for c in COMMANDS if words and c.name == words[0]]
+    if not found:
+        print(_usage(), file=sys.stderr)
+        return ExitCode.USAGE
+    try:
+        return anyio.run(_run_command, found[0], words[1:])
+    except OSError as exc:
+        print(exc, file=sys.stderr)
+        return ExitCode.USAGE
+    except DaisyhubError as exc:
+        print(exc, file=sys.stderr)
+        for kind, code in _EXIT_CODES:
+            if isinstance(exc, kind):
+                return code
+        return ExitCode.INVALID
+
+
+def main() -> None:
+    """Runs the command line; exits with an `ExitCode`."""
+    sys.modules["__main__"].__doc__ = _usage()
+    app.run(_run)
--- /dev/null
+++ b/daisyhub/controllers/_endpoints.py
@@ -0,0 +1,136 @@
+"""Keeps the endpoint table: the platform's list, and probes of a share."""
+
+import hashlib
+import time
+from collections.abc import Callable
+
+import anyio
+
+from daisyhub.balancing import EndpointState, EndpointTable
+from daisyhub.base import Controller
+from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.controllers._peers import PeerController
+from daisyhub.exceptions import PlatformUnavailableError
+from daisyhub.filters._forward import news_from_headers
+from daisyhub.logs import get_logger
+from daisyhub.platform import PlatformClient
+from daisyhub.settings import DaemonSettings
+
+__all__ = ["EndpointController"]
+
+_PROBE_TIMEOUT_S = 1.0
+
+log = get_logger("endpoints")
+
+
+class EndpointController(Controller):
+    """Reads the platform's list and probes this daemon's share of it.
+
+    Each endpoint is watched by one live daemon of the failure domain, chosen
+    by rendezvous hashing; its news goes to the others in batches.
+
+    Args:
+        cfg: Settings of this daemon.
+        client: The platform.
+        http: Sends probes.
+        table: The table to keep.
+        peers: Tells live daemons, and takes news for them.
+    """
+
+    name = "endpoints"
+
+    def __init__(
+        self,
+        cfg: DaemonSettings,
+        client: PlatformClient,
+        http: HttpClient,
+        table: EndpointTable,
+        peers: PeerController,
+    ):
+        self._cfg = cfg
+        self._client = client
+        self._http = http
+        self._table = table
+        self._peers = peers
+
+    def status(self) -> dict[str, object]:
+        """Tells each endpoint's state."""
+        now_s = time.monotonic()
+        return {
+            state.endpoint_id: {
+                "pool": state.pool,
+                "health": state.health(now_s),
+                "load": state.load,
+                "weight_version": state.weight_version,
+                "incarnation": state.incarnation,
+                "cheap": state.cheap,
+            }
+            for state in self._table.all()
+        }
+
+    async def run(self) -> None:
+        """Reads and probes until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            timing = self._cfg.timing
+            tasks.start_soon(_repeat, timing.endpoint_poll_s, self._read_list)
+            tasks.start_soon(_repeat, timing.probe_s, self._probe_share)
+
+    async def _read_list(self) -> None:
+        try:
+            records = await self._client.list_endpoints(
+                self._cfg.failure_domain
+            )
+        except PlatformUnavailableError as exc:
+            log.debug("the endpoint list can't be read: {}", exc)
+            return
+        self._table.adopt_list(records)
+
+    async def _probe_share(self) -> None:
+        domain = {peer.daemon_id for peer in self._cfg.domain_peers}
+        live = domain.intersection(self._peers.live_peers())
+        live.add(self._cfg.daemon_id)
+        async with anyio.create_task_group() as tasks:
+            for state in self._table.all():
+                if _watcher_of(state.endpoint_id, live) == self._cfg.daemon_id:
+                    tasks.start_soon(self._probe, state)
+
+    async def _probe(self, state: EndpointState) -> None:
+        try:
+            answer = await self._http.request(
+                "GET", state.address, "/load", timeout_s=_PROBE_TIMEOUT_S
+            )
+        except RequestFailedError:
+            self._http.forget(state.address)
+            return
+        news = news_from_headers(state, answer.headers)
+        if _tells_news(state, news):
+            self._peers.add_news(news)
+        self._table.adopt_news(news)
+
+
+def _tells_news(state: EndpointState, news) -> bool:
+    """Whether peers must hear it: leaving, new weights, twice the load."""
+    if news.is_leaving != state.is_leaving:
+        return True
+    if news.weight_version > state.weight_version:
+        return True
+    return _load_level(news.load) != _load_level(state.reported_load)
+
+
+def _load_level(load: float) -> int:
+    """Quantises a load to powers of two."""
+    return int(max(0.0, load)).bit_length()
+
+
+def _watcher_of(endpoint_id: str, daemons: set[str]) -> str:
+    def weight(daemon_id: str) -> bytes:
+        text = f"{endpoint_id}\0{daemon_id}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return max(daemons, key=weight)
+
+
+async def _repeat(interval_s: float, work: Callable) -> None:
+    while True:
+        await work()
+        await anyio.sleep(interval_s)
--- /dev/null
+++ b/daisyhub/controllers/_peers.py
@@ -0,0 +1,197 @@
+"""Heartbeats and batched news between the daemons of a failure domain."""
+
+import dataclasses
+import time
+
+import anyio
+
+from daisyhub.accounting import UsageCounters
+from daisyhub.balancing import EndpointNews, EndpointTable
+from daisyhub.base import Controller
+from daisyhub.controllers._config import ConfigController
+from daisyhub.identity import KeyTable
+from daisyhub.logs import get_logger
+from daisyhub.peers import (
+    EndpointNewsBatch,
+    Envelope,
+    Heartbeat,
+    PeerNetwork,
+    UsageCopy,
+)
+from daisyhub.settings import DaemonSettings
+
+__all__ = ["PeerController"]
+
+_LIVE_TICKS = 4
+
+log = get_logger("peers")
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    incarnation: int = 0
+    heard_s: float = float("-inf")
+    is_leaving: bool = False
+    config_version: int = 0
+    withdrawn_keys: int = 0
+
+
+class PeerController(Controller):
+    """Tells peers what changed here, once a tick, and hears theirs.
+
+    Args:
+        cfg: Settings of this daemon.
+        incarnation: Start of this process, microseconds since the epoch.
+        network: The peer socket.
+        config: Where newer configurations go.
+        keys: Tells how many keys are withdrawn.
+        table: Where endpoint news goes.
+        counters: Usage to copy.
+    """
+
+    name = "peers"
+
+    def __init__(
+        self,
+        cfg: DaemonSettings,
+        incarnation: int,
+        network: PeerNetwork,
+        config: ConfigController,
+        keys: KeyTable,
+        table: EndpointTable,
+        counters: UsageCounters,
+    ):
+        self._cfg = cfg
+        self._incarnation = incarnation
+        self._network = network
+        self._config = config
+        self._keys = keys
+        self._table = table
+        self._counters = counters
+        self._peers: dict[str, _Peer] = {}
+        self._news: dict[str, EndpointNews] = {}
+        self._copies: dict[tuple[str, int, int], UsageCopy] = {}
+        self._is_leaving = False
+        self._wakeup = anyio.Event()
+        self._fetch_from: set[str] = set()
+
+    def status(self) -> dict[str, object]:
+        """Tells which peers are live and the version that each has."""
+        return {
+            "live": self.live_peers(),
+            "versions": {
+                daemon_id: peer.config_version
+                for daemon_id, peer in sorted(self._peers.items())
+            },
+        }
+
+    def live_peers(self) -> list[str]:
+        """Returns the peers heard of lately that aren't leaving."""
+        limit_s = time.monotonic() - _LIVE_TICKS * self._cfg.timing.peer_tick_s
+        return sorted(
+            daemon_id
+            for daemon_id, peer in self._peers.items()
+            if peer.heard_s >= limit_s and not peer.is_leaving
+        )
+
+    def domain_share(self) -> float:
+        """Returns this daemon's share of its domain's rates, 0 to 1."""
+        domain = {peer.daemon_id for peer in self._cfg.domain_peers}
+        return 1 / (1 + len(domain.intersection(self.live_peers())))
+
+    def usage_copies(self) -> list[UsageCopy]:
+        """Returns the last copies of peers' usage counts."""
+        return list(self._copies.values())
+
+    def drop_copies_before(self, window: int) -> None:
+        """Forgets copies of windows before `window`."""
+        for place in [p for p in self._copies if p[2] < window]:
+            del self._copies[place]
+
+    def add_news(self, news: EndpointNews) -> None:
+        """Notes endpoint news for the next tick; leaving goes at once."""
+        self._news[news.endpoint_id] = news
+        if news.is_leaving:
+            self.wake()
+
+    def wake(self) -> None:
+        """Makes the next tick come now."""
+        self._wakeup.set()
+
+    def set_leaving(self) -> None:
+        """Tells peers at once that this daemon is shutting down."""
+        self._is_leaving = True
+        self._send_tick()
+
+    def receive(self, envelope: Envelope, message: object) -> None:
+        """Takes one message of a peer; older incarnations are ignored."""
+        peer = self._peers.setdefault(envelope.sender, _Peer())
+        if envelope.incarnation < peer.incarnation:
+            return
+        peer.incarnation = envelope.incarnation
+        peer.heard_s = time.monotonic()
+        match message:
+            case Heartbeat():
+                self._on_heartbeat(envelope.sender, peer, message)
+            case EndpointNewsBatch():
+                for news in message.news:
+                    self._table.adopt_news(news)
+            case UsageCopy():
+                place = (message.daemon_id, message.epoch, message.window)
+                self._copies[place] = message
+
+    async def run(self) -> None:
+        """Sends a tick at each interval, or earlier when woken."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                with anyio.move_on_after(self._cfg.timing.peer_tick_s):
+                    await self._wakeup.wait()
+                self._wakeup = anyio.Event()
+                self._send_tick()
+                for daemon_id in sorted(self._fetch_from):
+                    tasks.start_soon(self._config.fetch_from_peer, daemon_id)
+                self._fetch_from.clear()
+
+    def _on_heartbeat(self, sender, peer: _Peer, beat: Heartbeat) -> None:
+        peer.is_leaving = beat.is_leaving
+        peer.config_version = beat.config_version
+        peer.withdrawn_keys = beat.withdrawn_keys
+        is_ahead = beat.config_version > self._config.version
+        if is_ahead or beat.withdrawn_keys > len(self._keys.withdrawn):
+            self._fetch_from.add(sender)
+            self.wake()
+
+    def _send_tick(self) -> None:
+        messages = [
+            Heartbeat(
+                incarnation=self._incarnation,
+                config_version=self._config.version,
+                withdrawn_keys=len(self._keys.withdrawn),
+                is_leaving=self._is_leaving,
+            )
+        ]
+        if self._news:
+            batch = EndpointNewsBatch(news=tuple(self._news.values()))
+            messages.append(batch)
+            self._news.clear()
+        for peer in self._cfg.peers:
+            if peer.failure_domain == self._cfg.failure_domain:
+                self._network.send(
+                    peer.daemon_id, *messages, *self._usage_messages()
+                )
+            else:
+                self._network.send(peer.daemon_id, messages[0])
+
+    def _usage_messages(self) -> list[UsageCopy]:
+        copies = []
+        for window in self._counters.windows():
+            part = self._counters.part(window)
+            copies.append(
+                UsageCopy(
+                    daemon_id=part.daemon_id,
+                    epoch=part.epoch,
+                    window=part.window,
+                    counts=part.counts,
+                )
+            )
+        return copies
--- /dev/null
+++ b/daisyhub/daemon.py
@@ -0,0 +1,267 @@
+"""The daemon: builds the parts, runs them, and shuts down gracefully."""
+
+import signal
+import sys
+import time
+
+import anyio
+from absl import app
+
+from daisyhub.accounting import UsageCounters
+from daisyhub.balancing import EndpointTable, LeastLoaded
+from daisyhub.base import Controller, Filter
+from daisyhub.connections import HttpClient
+from daisyhub.controllers import (
+    ConfigController,
+    EndpointController,
+    LotController,
+    NewsController,
+    PeerController,
+    UsageController,
+    WeightController,
+)
+from daisyhub.controllers._lot_seat import SeatTools
+from daisyhub.exceptions import DocumentError
+from daisyhub.filters import (
+    AccountFilter,
+    AdmissionCore,
+    AdmitFilter,
+    ForwardFilter,
+    IdempotencyFilter,
+    IdentifyFilter,
+    LotsFilter,
+    RouteFilter,
+    ValidateFilter,
+    build_chain,
+)
+from daisyhub.identity import KeyTable
+from daisyhub.logs import get_logger, set_up_logs
+from daisyhub.metrics import Metrics
+from daisyhub.peers import ConfigFetch, LotCall, PeerNetwork
+from daisyhub.platform import LeaseKeeper, PlatformClient
+from daisyhub.process_flags import SETTINGS
+from daisyhub.serving import CallersApp, HttpServer, OperatorsApp
+from daisyhub.settings import DaemonSettings, load_settings
+
+__all__ = ["Daemon", "main"]
+
+_US_PER_NS = 1000
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+log = get_logger("daemon")
+
+
+class Daemon:
+    """One `daisyhubd`.
+
+    Args:
+        cfg: Its settings.
+    """
+
+    def __init__(self, cfg: DaemonSettings):
+        self.cfg = cfg
+        self.incarnation = time.time_ns() // _US_PER_NS
+        self.metrics = Metrics()
+        self.keys = KeyTable(cfg.key_hash_secret)
+        self.table = EndpointTable()
+        self._build_clients()
+        self._build_controllers()
+        self._build_servers()
+        self._is_draining = False
+
+    @property
+    def process_id(self) -> str:
+        """Unique for this start of this daemon."""
+        return f"{self.cfg.daemon_id}/{self.incarnation}"
+
+    def _build_clients(self) -> None:
+        timing = self.cfg.timing
+        self.http = HttpClient(
+            connect_timeout_s=timing.connect_timeout_s,
+            idle_s=timing.connection_idle_s,
+        )
+        self.platform = PlatformClient(
+            self.cfg.platform_address, self.http, timing.platform_timeout_s
+        )
+        self.keeper = LeaseKeeper(self.platform, self.process_id, timing)
+        self.network = PeerNetwork(self.cfg, self.incarnation)
+        self.counters = UsageCounters(
+            self.cfg.daemon_id, self.incarnation, timing.usage_window_s
+        )
+
+    def _build_controllers(self) -> None:
+        cfg = self.cfg
+        self.config = ConfigController(self.platform, self.network, self.keys)
+        self.peers = PeerController(
+            cfg,
+            self.incarnation,
+            self.network,
+            self.config,
+            self.keys,
+            self.table,
+            self.counters,
+        )
+        self.endpoints = EndpointController(
+            cfg, self.platform, self.http, self.table, self.peers
+        )
+        self.weights = WeightController(
+            cfg, self.keeper, self.http, self.table, self.config
+        )
+        self.usage = UsageController(
+            cfg, self.platform, self.keeper, self.counters, self.peers
+        )
+        self.lots = LotController(self._seat_tools(), self.network)
+        self.news = NewsController(self.platform, cfg.timing)
+        self.news.add_listener("news/keys", self.config.on_withdrawn)
+        self.news.add_listener("news/config", self.config.on_head)
+        self.news.add_listener("news/weights/", self.weights.on_weights)
+        self.config.add_listener(self.peers.wake)
+        self.network.add_receiver(self.peers.receive)
+        self.network.add_callee(ConfigFetch, self.config.answer_fetch)
+        self.network.add_callee(LotCall, self.lots.answer_call)
+
+    def _seat_tools(self) -> SeatTools:
+        return SeatTools(
+            cfg=self.cfg,
+            client=self.platform,
+            keeper=self.keeper,
+            http=self.http,
+            table=self.table,
+            balancer=LeastLoaded(self.incarnation),
+            config=self.config,
+            counters=self.counters,
+            metrics=self.metrics,
+        )
+
+    @property
+    def controllers(self) -> tuple[Controller, ...]:
+        """All controllers."""
+        return (
+            self.news,
+            self.config,
+            self.peers,
+            self.endpoints,
+            self.weights,
+            self.usage,
+            self.lots,
+        )
+
+    def _filters(self) -> tuple[Filter, ...]:
+        return (
+            IdentifyFilter(self.keys),
+            RouteFilter(lambda: self.config.route_table),
+            ValidateFilter(self.cfg.limits),
+            AdmitFilter(
+                AdmissionCore(self.cfg.limits.concurrent_requests),
+                lambda: self.config.document,
+                self.peers.domain_share,
+            ),
+            LotsFilter(self.lots.serve),
+            IdempotencyFilter(self.platform, self.process_id),
+            AccountFilter(self.counters),
+            ForwardFilter(
+                self.table,
+                LeastLoaded(self.incarnation),
+                self.http,
+                self.cfg.limits,
+                self.metrics,
+            ),
+        )
+
+    def _build_servers(self) -> None:
+        cfg = self.cfg
+        self.callers_app = CallersApp(
+            build_chain(self._filters()),
+            self.keys,
+            self.metrics,
+            cfg.daemon_id,
+        )
+        self.callers_server = HttpServer(
+            self.callers_app, cfg.callers_address, cfg.timing.drain_limit_s
+        )
+        self.operators_server = HttpServer(
+            OperatorsApp(self.metrics, self.is_ready, self.status),
+            cfg.operators_address,
+        )
+
+    def is_ready(self) -> bool:
+        """Whether new requests should come here."""
+        return self.config.version > 0 and not self._is_draining
+
+    def status(self) -> dict[str, object]:
+        """Returns the state of every part in plain JSON values."""
+        parts = {part.name: part.status() for part in self.controllers}
+        return {
+            "daemon_id": self.cfg.daemon_id,
+            "failure_domain": self.cfg.failure_domain,
+            "incarnation": self.incarnation,
+            "is_ready": self.is_ready(),
+            "open_requests": self.callers_app.open_requests,
+            **parts,
+        }
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.network.run)
+            for controller in self.controllers:
+                tasks.start_soon(controller.run)
+            tasks.start_soon(self.callers_server.run_until_stopped)
+            tasks.start_soon(self.operators_server.run_until_stopped)
+            log.info("{} listens on {}", self.process_id, self._address)
+            with anyio.open_signal_receiver(
+                signal.SIGTERM, signal.SIGINT
+            ) as signals:
+                async for _ in signals:
+                    break
+            await self._shut_down()
+            tasks.cancel_scope.cancel()
+        await self.http.aclose()
+        self.network.close()
+
+    @property
+    def _address(self) -> str:
+        return str(self.cfg.callers_address)
+
+    async def _shut_down(self) -> None:
+        """Drains: not ready, no new connections, hand over, flush."""
+        log.info("shutting down, {} open", self.callers_app.open_requests)
+        self._is_draining = True
+        self.callers_app.is_draining = True
+        self.peers.set_leaving()
+        await anyio.sleep(self.cfg.timing.drain_notice_s)
+        await self.lots.release()
+        self.callers_server.stop()
+        while self.callers_app.open_requests or self._has_connections():
+            await anyio.sleep(0.05)
+        await self.usage.release()
+        await self.weights.release()
+        self.operators_server.stop()
+        log.info("shut down")
+
+    def _has_connections(self) -> bool:
+        return bool(self.callers_server.server_state.connections)
+
+
+def _run(argv: list[str]) -> int:
+    if len(argv) > 1 or not SETTINGS.value:
+        print("usage: daisyhubd --settings=FILE", file=sys.stderr)
+        return EXIT_SETTINGS
+    try:
+        cfg = load_settings(SETTINGS.value)
+    except (DocumentError, OSError) as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_SETTINGS
+    set_up_logs(cfg.log_format)
+    anyio.run(Daemon(cfg).run)
+    return EXIT_OK
+
+
+def main() -> None:
+    """Runs the daemon; exits with 0, or 2 if the settings are wrong."""
+    app.run(_run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/daisyhub/filters/_admit.py
@@ -0,0 +1,115 @@
+"""Admits, queues or refuses requests as the admission core decides."""
+
+import time
+from collections.abc import Callable
+
+import anyio
+
+from daisyhub.base import Filter, Handler
+from daisyhub.config import ClientAccount, Document
+from daisyhub.exceptions import Refusal
+from daisyhub.filters._admission_core import (
+    AdmissionCore,
+    Admit,
+    Arrive,
+    Depart,
+    Leave,
+    Shed,
+)
+from daisyhub.messages import Request, Response
+
+__all__ = ["AdmitFilter"]
+
+_DETAILS = {
+    "rate_limited": "the account's rate is used up",
+    "overloaded": "no place is free in time",
+}
+_OPEN_ACCOUNT = ClientAccount()
+
+
+class AdmitFilter(Filter):
+    """Carries out the decisions of an `AdmissionCore`.
+
+    Args:
+        core: The core.
+        get_document: Returns the document in force.
+        get_share: Returns this daemon's share of its domain's rates, 0 to 1.
+    """
+
+    name = "admit"
+
+    def __init__(
+        self,
+        core: AdmissionCore,
+        get_document: Callable[[], Document],
+        get_share: Callable[[], float],
+    ):
+        self._core = core
+        self._get_document = get_document
+        self._get_share = get_share
+        self._verdicts: dict[str, object] = {}
+        self._waiters: dict[str, anyio.Event] = {}
+
+    async def handle(self, req: Request, call_next: Handler) -> Response:
+        """Waits for a place, serves, and gives the place back."""
+        verdict = await self._wait_for_verdict(req)
+        if isinstance(verdict, Shed):
+            raise Refusal(
+                verdict.error,
+                _DETAILS[verdict.error.label],
+                retry_after_s=verdict.retry_after_s,
+            )
+        started_s = time.monotonic()
+        try:
+            return await call_next(req)
+        finally:
+            now_s = time.monotonic()
+            self._perform(
+                self._core.handle(
+                    Depart(req.request_id, now_s - started_s), now_s
+                )
+            )
+
+    async def _wait_for_verdict(self, req: Request) -> object:
+        account = self._get_document().client_accounts.get(
+            req.account, _OPEN_ACCOUNT
+        )
+        share = self._get_share()
+        event = Arrive(
+            request_id=req.request_id,
+            account=req.account,
+            weight=account.weight,
+            rate=account.requests_per_s * share,
+            burst=max(1, int(account.burst * share)),
+            deadline_s=req.deadline_s,
+        )
+        self._perform(self._core.handle(event, time.monotonic()))
+        verdict = self._verdicts.pop(req.request_id, None)
+        if verdict is not None:
+            return verdict
+        waiter = anyio.Event()
+        self._waiters[req.request_id] = waiter
+        try:
+            await waiter.wait()
+            return self._verdicts.pop(req.request_id)
+        except BaseException:
+            self._give_up(req)
+            raise
+        finally:
+            del self._waiters[req.request_id]
+
+    def _give_up(self, req: Request) -> None:
+        """Takes back a request whose caller went away while it waited."""
+        now_s = time.monotonic()
+        verdict = self._verdicts.pop(req.request_id, None)
+        event = Leave(req.request_id)
+        if isinstance(verdict, Admit):
+            event = Depart(req.request_id, 0.0)
+        self._perform(self._core.handle(event, now_s))
+
+    def _perform(self, actions: list[object]) -> None:
+        for action in actions:
+            self._verdicts[action.request_id] = action
+            waiter = self._waiters.get(action.request_id)
+            if waiter is not None:
+                waiter.set()
--- /dev/null
+++ b/daisyhub/filters/_forward.py
@@ -0,0 +1,323 @@
+"""Sends a request to an endpoint as the forward core decides."""
+
+import dataclasses
+import time
+from collections.abc import AsyncIterator
+
+import anyio
+
+from daisyhub.balancing import EndpointNews, EndpointState, EndpointTable
+from daisyhub.base import Balancer, Filter, Handler
+from daisyhub.connections import (
+    HttpAnswer,
+    HttpClient,
+    RequestFailedError,
+    StreamedAnswer,
+)
+from daisyhub.exceptions import ErrorCode, Ran, Refusal
+from daisyhub.filters._forward_core import (
+    AttemptAnswered,
+    AttemptFailed,
+    Begin,
+    Deliver,
+    ForwardCore,
+    ForwardPlan,
+    ForwardTick,
+    GiveUp,
+    RetryBudget,
+    StartAttempt,
+)
+from daisyhub.messages import Header, Request, Response
+from daisyhub.metrics import Metrics
+from daisyhub.settings import LimitSettings
+
+__all__ = ["ForwardFilter", "news_from_headers"]
+
+_REQUEST_HEADERS = frozenset(
+    {
+        b"accept",
+        b"accept-language",
+        b"content-type",
+        b"idempotency-key",
+        b"if-match",
+        b"if-modified-since",
+        b"if-none-match",
+    }
+)
+_ANSWER_HEADERS = frozenset(
+    {
+        b"cache-control",
+        b"content-language",
+        b"content-type",
+        b"etag",
+        b"last-modified",
+        b"location",
+        b"retry-after",
+    }
+)
+_NOT_RUN_HEADER = (b"endpoint-ran", b"no")
+_DETAILS = {
+    ErrorCode.NO_ENDPOINT: "no endpoint is live",
+    ErrorCode.ENDPOINT_FAILED: "the endpoint failed",
+    ErrorCode.ENDPOINT_TIMEOUT: "the endpoint did not answer in time",
+    ErrorCode.ANSWER_INCOMPLETE: "the endpoint's answer was not whole",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Outcome:
+    """What an attempt brought: an event for the core, and the answer."""
+
+    event: AttemptAnswered | AttemptFailed
+    answer: HttpAnswer | StreamedAnswer | None = None
+
+
+class ForwardFilter(Filter):
+    """The end of the chain.
+
+    Args:
+        table: Endpoints of this failure domain.
+        balancer: Chooses among them.
+        client: Sends requests.
+        limits: Bounds on answers.
+        metrics: Counts attempts.
+    """
+
+    name = "forward"
+
+    def __init__(
+        self,
+        table: EndpointTable,
+        balancer: Balancer,
+        client: HttpClient,
+        limits: LimitSettings,
+        metrics: Metrics,
+    ):
+        self._table = table
+        self._balancer = balancer
+        self._client = client
+        self._limits = limits
+        self._metrics = metrics
+        self._budget = RetryBudget()
+
+    async def handle(self, req: Request, call_next: Handler) -> Response:
+        """Sends the request; `call_next` serves requests without a route."""
+        if req.route is None:
+            return await call_next(req)
+        plan = ForwardPlan(
+            idempotent=req.route.idempotent,
+            deadline_s=req.deadline_s,
+            hedge_after_s=_hedge_after_s(req),
+        )
+        core = ForwardCore(plan, self._chooser(req.route.pool), self._budget)
+        if plan.hedge_after_s > 0:
+            outcome = await self._drive_hedged(req, core)
+        else:
+            outcome = await self._drive(req, core)
+        return _response(outcome.answer)
+
+    def _chooser(self, pool: str):
+        def choose(excluded: frozenset[str]) -> str | None:
+            now_s = time.monotonic()
+            return self._balancer.choose(
+                self._table.candidates(pool, now_s, excluded)
+            )
+
+        return choose
+
+    async def _drive(self, req: Request, core: ForwardCore) -> _Outcome:
+        """Runs attempts one after the other."""
+        outcome = None
+        actions = core.handle(Begin(), time.monotonic())
+        while isinstance(actions[0], StartAttempt):
+            outcome = await self._attempt(req, actions[0])
+            actions = core.handle(outcome.event, time.monotonic())
+        if isinstance(actions[0], GiveUp):
+            raise _refusal(actions[0])
+        return outcome
+
+    async def _drive_hedged(self, req: Request, core: ForwardCore) -> _Outcome:
+        """Runs attempts side by side; the first whole answer wins."""
+        outcomes: dict[int, _Outcome] = {}
+        send, receive = anyio.create_memory_object_stream[_Outcome](4)
+        final = None
+
+        async def run(action: StartAttempt) -> None:
+            await send.send(await self._attempt(req, action))
+
+        async with anyio.create_task_group() as tasks:
+            actions = core.handle(Begin(), time.monotonic())
+            while final is None:
+                for action in actions:
+                    if isinstance(action, StartAttempt):
+                        tasks.start_soon(run, action)
+                    else:
+                        final = action
+                if final is not None:
+                    break
+                event = await self._next_event(core, receive, outcomes)
+                actions = core.handle(event, time.monotonic())
+            tasks.cancel_scope.cancel()
+        send.close()
+        receive.close()
+        if isinstance(final, Deliver):
+            return outcomes[final.attempt]
+        raise _refusal(final)
+
+    async def _next_event(self, core, receive, outcomes) -> object:
+        wakeup_s = core.next_wakeup_s
+        wait_s = None
+        if wakeup_s is not None:
+            wait_s = max(0.0, wakeup_s - time.monotonic())
+        with anyio.move_on_after(wait_s):
+            outcome = await receive.receive()
+            outcomes[outcome.event.attempt] = outcome
+            return outcome.event
+        return ForwardTick()
+
+    async def _attempt(self, req: Request, action: StartAttempt) -> _Outcome:
+        """Sends the request to one endpoint and takes its news."""
+        state = self._table.get(action.endpoint_id)
+        if state is None:
+            return _failed(action, Ran.NOT_RUN)
+        self._table.note_sent(state.endpoint_id)
+        self._metrics.count("attempts", pool=state.pool)
+        failed = True
+        try:
+            answer = await self._send(req, state)
+            failed = False
+        except RequestFailedError as exc:
+            self._client.forget(state.address)
+            return _failed(
+                action,
+                exc.ran,
+                timed_out=exc.timed_out,
+                incomplete=exc.ran is Ran.RAN,
+            )
+        except anyio.get_cancelled_exc_class():
+            failed = False
+            raise
+        finally:
+            self._table.note_done(
+                state.endpoint_id, failed=failed, now_s=time.monotonic()
+            )
+        self._table.adopt_news(news_from_headers(state, answer.headers))
+        if _NOT_RUN_HEADER in answer.headers:
+            if isinstance(answer, StreamedAnswer):
+                await answer.aclose()
+            return _failed(action, Ran.NOT_RUN)
+        return _Outcome(AttemptAnswered(action.attempt), answer)
+
+    async def _send(
+        self, req: Request, state: EndpointState
+    ) -> HttpAnswer | StreamedAnswer:
+        target = f"{req.path}?{req.query}" if req.query else req.path
+        timeout_s = max(0.0, req.deadline_s - time.monotonic())
+        if req.route.answer == "stream":
+            return await self._client.open(
+                req.method,
+                state.address,
+                target,
+                headers=_endpoint_headers(req),
+                body=req.body,
+                timeout_s=timeout_s,
+                fresh=not req.route.idempotent,
+            )
+        return await self._client.request(
+            req.method,
+            state.address,
+            target,
+            headers=_endpoint_headers(req),
+            body=req.body,
+            timeout_s=timeout_s,
+            answer_bytes=self._limits.answer_bytes,
+            fresh=not req.route.idempotent,
+        )
+
+
+def _hedge_after_s(req: Request) -> float:
+    """Only whole answers to idempotent requests are hedged."""
+    if not req.route.idempotent or req.route.answer == "stream":
+        return 0.0
+    return req.route.hedge_after_s
+
+
+def _failed(
+    action: StartAttempt,
+    ran: Ran,
+    *,
+    timed_out: bool = False,
+    incomplete: bool = False,
+) -> _Outcome:
+    return _Outcome(
+        AttemptFailed(
+            attempt=action.attempt,
+            ran=ran,
+            timed_out=timed_out,
+            incomplete=incomplete,
+        )
+    )
+
+
+def _refusal(action: GiveUp) -> Refusal:
+    return Refusal(
+        action.error,
+        _DETAILS[action.error],
+        ran=action.ran,
+        retry_after_s=action.retry_after_s,
+    )
+
+
+def _endpoint_headers(req: Request) -> tuple[Header, ...]:
+    """Returns the allowed headers; a caller's key is never among them."""
+    headers = [item for item in req.headers if item[0] in _REQUEST_HEADERS]
+    headers.append((b"daisyhub-request-id", req.request_id.encode()))
+    if req.account:
+        headers.append((b"daisyhub-account", req.account.encode()))
+    return tuple(headers)
+
+
+def _response(answer: HttpAnswer | StreamedAnswer) -> Response:
+    headers = tuple(
+        item for item in answer.headers if item[0] in _ANSWER_HEADERS
+    )
+    tokens = _int_header(answer.headers, b"endpoint-tokens", 0)
+    if isinstance(answer, StreamedAnswer):
+        return Response(
+            status=answer.status,
+            headers=headers,
+            stream=_pass_through(answer),
+            tokens=tokens,
+        )
+    return Response(
+        status=answer.status, headers=headers, body=answer.body, tokens=tokens
+    )
+
+
+async def _pass_through(answer: StreamedAnswer) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in answer.chunks():
+            yield chunk
+    finally:
+        await answer.aclose()
+
+
+def _int_header(headers: tuple[Header, ...], name: bytes, default: int) -> int:
+    for key, value in headers:
+        if key == name and value.isdigit():
+            return int(value)
+    return default
+
+
+def news_from_headers(
+    state: EndpointState, headers: tuple[Header, ...]
+) -> EndpointNews:
+    """Reads the news that an endpoint's answer carries in its headers."""
+    return EndpointNews(
+        endpoint_id=state.endpoint_id,
+        incarnation=state.incarnation,
+        is_leaving=(b"endpoint-state", b"leaving") in headers,
+        load=_int_header(headers, b"endpoint-load", -1),
+        weight_version=_int_header(headers, b"endpoint-weight-version", -1),
+        capacity=_int_header(headers, b"endpoint-capacity", 0),
+    )
--- /dev/null
+++ b/daisyhub/filters/_lots.py
@@ -0,0 +1,49 @@
+"""Serves trainers' calls about lots."""
+
+import re
+from collections.abc import Awaitable, Callable
+
+from daisyhub.base import Filter, Handler
+from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.messages import Request, Response
+from daisyhub.peers import LotAnswer, LotCall
+
+__all__ = ["LotsFilter"]
+
+_LOT_PATH = re.compile(
+    r"/v1/lots/([A-Za-z0-9][A-Za-z0-9._-]{0,127})(?:/(pull|ack|close))?"
+)
+_JSON = (b"content-type", b"application/json")
+
+
+class LotsFilter(Filter):
+    """Turns `POST /v1/lots/...` into a `LotCall`.
+
+    Args:
+        serve: Serves the call here or at the daemon that holds the lot.
+    """
+
+    name = "lots"
+
+    def __init__(self, serve: Callable[[LotCall], Awaitable[LotAnswer]]):
+        self._serve = serve
+
+    async def handle(self, req: Request, call_next: Handler) -> Response:
+        """Serves lot calls; passes all else on."""
+        if req.route is not None:
+            return await call_next(req)
+        match = _LOT_PATH.fullmatch(req.path)
+        if match is None:
+            raise Refusal(ErrorCode.ROUTE_UNKNOWN, "not a path of a lot")
+        if req.method != "POST":
+            raise Refusal(ErrorCode.METHOD_NOT_ALLOWED, "lots take POST only")
+        call = LotCall(
+            lot_id=match.group(1),
+            verb=match.group(2) or "open",
+            account=req.account,
+            body=req.body,
+        )
+        answer = await self._serve(call)
+        return Response(
+            status=answer.status, headers=(_JSON,), body=answer.body
+        )
--- /dev/null
+++ b/daisyhub/filters/_validate.py
@@ -0,0 +1,71 @@
+"""Checks headers and body before anything is spent on a request."""
+
+import dataclasses
+
+from daisyhub.base import Filter, Handler
+from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.messages import Request, Response
+from daisyhub.settings import LimitSettings
+
+__all__ = ["ValidateFilter"]
+
+_SINGLE_HEADERS = (
+    b"content-length",
+    b"content-type",
+    b"daisyhub-timeout-ms",
+    b"idempotency-key",
+    b"transfer-encoding",
+)
+_IDEMPOTENCY_KEY_BYTES = 255
+
+
+class ValidateFilter(Filter):
+    """Bounds headers and body, and reads the body.
+
+    Args:
+        limits: Bounds on what is accepted.
+    """
+
+    name = "validate"
+
+    def __init__(self, limits: LimitSettings):
+        self._limits = limits
+
+    async def handle(self, req: Request, call_next: Handler) -> Response:
+        """Refuses what is too large, doubled or contradictory."""
+        size = sum(len(name) + len(value) for name, value in req.headers)
+        if size > self._limits.header_bytes:
+            raise Refusal(
+                ErrorCode.HEADERS_TOO_LARGE,
+                f"headers have {size} bytes, {self._limits.header_bytes}"
+                " are allowed",
+            )
+        self._check_headers(req)
+        body = await req.read_body(self._body_limit(req))
+        return await call_next(dataclasses.replace(req, body=body))
+
+    def _check_headers(self, req: Request) -> None:
+        for name in _SINGLE_HEADERS:
+            if len(req.header_values(name)) > 1:
+                shown = name.decode()
+                raise Refusal(
+                    ErrorCode.HEADER_INVALID, f"{shown} is given twice"
+                )
+        names = {name for name, _ in req.headers}
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise Refusal(
+                ErrorCode.HEADER_INVALID,
+                "content-length and transfer-encoding exclude each other",
+            )
+        for value in req.header_values(b"idempotency-key"):
+            if not 0 < len(value) <= _IDEMPOTENCY_KEY_BYTES:
+                raise Refusal(
+                    ErrorCode.HEADER_INVALID,
+                    "idempotency-key must have 1 to"
+                    f" {_IDEMPOTENCY_KEY_BYTES} bytes",
+                )
+
+    def _body_limit(self, req: Request) -> int:
+        if req.route is None:
+            return self._limits.body_bytes
+        return min(req.route.body_bytes, self._limits.body_bytes)
--- /dev/null
+++ b/daisyhub/identity/__init__.py
@@ -0,0 +1,11 @@
+"""Client keys: their form, their keyed hashes, and which are valid."""
+
+from daisyhub.identity._keys import (
+    KeyTable,
+    ParsedKey,
+    hash_secret,
+    new_key,
+    parse_key,
+)
+
+__all__ = ["KeyTable", "ParsedKey", "hash_secret", "new_key", "parse_key"]
--- /dev/null
+++ b/daisyhub/peers/__init__.py
@@ -0,0 +1,34 @@
+"""Messages between daemons."""
+
+from daisyhub.peers._messages import (
+    Call,
+    CallAnswer,
+    ConfigFetch,
+    ConfigParts,
+    EndpointNewsBatch,
+    Envelope,
+    Heartbeat,
+    LotAnswer,
+    LotCall,
+    UsageCopy,
+    decode_envelope,
+    encode_envelope,
+)
+from daisyhub.peers._network import PeerNetwork, PeerUnreachableError
+
+__all__ = [
+    "Call",
+    "CallAnswer",
+    "ConfigFetch",
+    "ConfigParts",
+    "EndpointNewsBatch",
+    "Envelope",
+    "Heartbeat",
+    "LotAnswer",
+    "LotCall",
+    "PeerNetwork",
+    "PeerUnreachableError",
+    "UsageCopy",
+    "decode_envelope",
+    "encode_envelope",
+]
--- /dev/null
+++ b/daisyhub/peers/_messages.py
@@ -0,0 +1,140 @@
+"""Typed messages between daemons, in MessagePack."""
+
+import msgspec
+
+from daisyhub.accounting import UsageCount
+from daisyhub.balancing import EndpointNews
+from daisyhub.config import ConfigHead
+
+__all__ = [
+    "Call",
+    "CallAnswer",
+    "ConfigFetch",
+    "ConfigParts",
+    "EndpointNewsBatch",
+    "Envelope",
+    "Heartbeat",
+    "LotAnswer",
+    "LotCall",
+    "UsageCopy",
+    "decode_envelope",
+    "encode_envelope",
+]
+
+
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag="hb"):
+    """Sent at each tick to the daemons of the same failure domain.
+
+    Attributes:
+        incarnation: Start of the process, microseconds since the epoch.
+        config_version: The version in force there.
+        withdrawn_keys: How many key ids it knows to be withdrawn.
+        is_leaving: Whether it is shutting down.
+    """
+
+    incarnation: int
+    config_version: int
+    withdrawn_keys: int
+    is_leaving: bool = False
+
+
+class EndpointNewsBatch(msgspec.Struct, frozen=True, kw_only=True, tag="en"):
+    """News of endpoints since the last tick."""
+
+    news: tuple[EndpointNews, ...]
+
+
+class UsageCopy(msgspec.Struct, frozen=True, kw_only=True, tag="uc"):
+    """Counts of one daemon, kept by peers in case it dies before it flushes.
+
+    Attributes:
+        daemon_id: Whose counts.
+        epoch: Incarnation of that daemon.
+        window: Start of the window, whole seconds since the epoch.
+        counts: Sums so far; a later copy replaces an earlier one.
+    """
+
+    daemon_id: str
+    epoch: int
+    window: int
+    counts: tuple[UsageCount, ...]
+
+
+class ConfigFetch(msgspec.Struct, frozen=True, kw_only=True, tag="cf"):
+    """Asks a peer for its head and for sections that aren't known here."""
+
+    known_digests: tuple[str, ...]
+
+
+class ConfigParts(msgspec.Struct, frozen=True, kw_only=True, tag="cp"):
+    """A head, the section texts asked for, and the withdrawn keys."""
+
+    head: ConfigHead
+    contents: dict[str, str]
+    withdrawn: tuple[str, ...]
+
+
+class LotCall(msgspec.Struct, frozen=True, kw_only=True, tag="lc"):
+    """A trainer's call, passed on to the daemon that holds the lot.
+
+    Attributes:
+        lot_id: The lot.
+        verb: `open`, `pull`, `ack` or `close`.
+        account: Client account of the trainer's key.
+        body: The call's JSON.
+    """
+
+    lot_id: str
+    verb: str
+    account: str
+    body: bytes
+
+
+class LotAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="la"):
+    """The holder's answer to a `LotCall`."""
+
+    status: int
+    body: bytes
+
+
+class Call(msgspec.Struct, frozen=True, kw_only=True, tag="call"):
+    """Asks for one answer; `call_id` is unique for the sender."""
+
+    call_id: int
+    content: ConfigFetch | LotCall
+
+
+class CallAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="answer"):
+    """Answers a call; without content the callee could not serve it."""
+
+    call_id: int
+    content: ConfigParts | LotAnswer | None
+
+
+Message = Heartbeat | EndpointNewsBatch | UsageCopy | Call | CallAnswer
+
+
+class Envelope(msgspec.Struct, frozen=True, kw_only=True):
+    """All messages of one sender to one receiver at one time."""
+
+    sender: str
+    incarnation: int
+    messages: tuple[Message, ...]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Returns the MessagePack form."""
+    return _encoder.encode(envelope)
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Reads the MessagePack form.
+
+    Raises:
+        msgspec.DecodeError: The bytes are no envelope.
+    """
+    return _decoder.decode(data)
--- /dev/null
+++ b/daisyhub/peers/_network.py
@@ -0,0 +1,174 @@
+"""The peer socket: batched messages and calls over ZeroMQ.
+
+Each daemon binds one PULL socket and connects one PUSH socket to each peer.
+A peer that can't be reached loses messages instead of queueing them for long.
+"""
+
+import itertools
+from collections.abc import Awaitable, Callable
+
+import anyio
+import msgspec
+import zmq
+import zmq.asyncio
+
+from daisyhub.exceptions import DaisyhubError
+from daisyhub.logs import get_logger
+from daisyhub.peers._messages import (
+    Call,
+    CallAnswer,
+    Envelope,
+    Message,
+    decode_envelope,
+    encode_envelope,
+)
+from daisyhub.settings import DaemonSettings
+
+__all__ = ["PeerNetwork", "PeerUnreachableError"]
+
+_QUEUE_MESSAGES = 64
+_LINGER_MS = 200
+
+log = get_logger("peers")
+
+Receiver = Callable[[Envelope, Message], None]
+Callee = Callable[[object], Awaitable[object]]
+
+
+class PeerUnreachableError(DaisyhubError):
+    """A peer did not answer a call; its effect is unknown."""
+
+    code = "peer_unreachable"
+
+
+class PeerNetwork:
+    """Sends and receives messages of one daemon.
+
+    Args:
+        cfg: Settings of this daemon.
+        incarnation: Start of this process, microseconds since the epoch.
+    """
+
+    def __init__(self, cfg: DaemonSettings, incarnation: int):
+        self._cfg = cfg
+        self._incarnation = incarnation
+        self._context = zmq.asyncio.Context()
+        self._sockets: dict[str, zmq.asyncio.Socket] = {}
+        self._receivers: list[Receiver] = []
+        self._callees: dict[type, Callee] = {}
+        self._call_ids = itertools.count(1)
+        self._answers: dict[int, object] = {}
+        self._waiters: dict[int, anyio.Event] = {}
+
+    def add_receiver(self, receiver: Receiver) -> None:
+        """Passes every message that isn't a call to `receiver`."""
+        self._receivers.append(receiver)
+
+    def add_callee(self, kind: type, callee: Callee) -> None:
+        """Lets `callee` answer calls whose content is a `kind`."""
+        self._callees[kind] = callee
+
+    def send(self, daemon_id: str, *messages: Message) -> bool:
+        """Hands messages to the socket; returns False if they were lost."""
+        sock = self._socket(daemon_id)
+        if sock is None or not messages:
+            return False
+        envelope = Envelope(
+            sender=self._cfg.daemon_id,
+            incarnation=self._incarnation,
+            messages=messages,
+        )
+        try:
+            zmq.Socket.send(sock, encode_envelope(envelope), zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        return True
+
+    async def call(
+        self, daemon_id: str, content: object, timeout_s: float
+    ) -> object:
+        """Asks a peer and waits for its answer.
+
+        Raises:
+            PeerUnreachableError: No answer came in time.
+        """
+        call_id = next(self._call_ids)
+        waiter = anyio.Event()
+        self._waiters[call_id] = waiter
+        try:
+            if not self.send(daemon_id, Call(call_id=call_id, content=content)):
+                raise PeerUnreachableError(f"{daemon_id} can't be reached")
+            with anyio.move_on_after(timeout_s):
+                await waiter.wait()
+            answer = self._answers.pop(call_id, None)
+            if answer is None:
+                raise PeerUnreachableError(f"{daemon_id} did not answer")
+            return answer
+        finally:
+            del self._waiters[call_id]
+
+    async def run(self) -> None:
+        """Receives until cancelled."""
+        sock = self._context.socket(zmq.PULL)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.bind(f"tcp://{self._cfg.peer_address}")
+        try:
+            async with anyio.create_task_group() as tasks:
+                while True:
+                    data = await sock.recv()
+                    self._receive(data, tasks)
+        finally:
+            sock.close()
+
+    def close(self) -> None:
+        """Closes every socket."""
+        self._context.destroy(linger=_LINGER_MS)
+
+    def _socket(self, daemon_id: str) -> zmq.asyncio.Socket | None:
+        sock = self._sockets.get(daemon_id)
+        if sock is not None:
+            return sock
+        for peer in self._cfg.peers:
+            if peer.daemon_id == daemon_id:
+                break
+        else:
+            return None
+        sock = self._context.socket(zmq.PUSH)
+        sock.setsockopt(zmq.LINGER, _LINGER_MS)
+        sock.setsockopt(zmq.SNDHWM, _QUEUE_MESSAGES)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
+        sock.connect(f"tcp://{peer.address}")
+        self._sockets[daemon_id] = sock
+        return sock
+
+    def _receive(self, data: bytes, tasks) -> None:
+        try:
+            envelope = decode_envelope(data)
+        except msgspec.DecodeError as exc:
+            log.warning("dropped an unreadable message: {}", exc)
+            return
+        for message in envelope.messages:
+            if isinstance(message, Call):
+                tasks.start_soon(self._answer, envelope.sender, message)
+            elif isinstance(message, CallAnswer):
+                self._take_answer(message)
+            else:
+                for receiver in self._receivers:
+                    receiver(envelope, message)
+
+    async def _answer(self, sender: str, message: Call) -> None:
+        callee = self._callees.get(type(message.content))
+        content = None
+        if callee is not None:
+            try:
+                content = await callee(message.content)
+            except DaisyhubError as exc:
+                log.warning("call from {} failed: {}", sender, exc)
+        self.send(sender, CallAnswer(call_id=message.call_id, content=content))
+
+    def _take_answer(self, message: CallAnswer) -> None:
+        waiter = self._waiters.get(message.call_id)
+        if waiter is None or message.content is None:
+            return
+        self._answers[message.call_id] = message.content
+        waiter.set()
--- /dev/null
+++ b/daisyhub/platform/_lease_keeper.py
@@ -0,0 +1,124 @@
+"""Runs lease cores against the platform's store."""
+
+import contextlib
+
+import anyio
+import msgspec
+
+from daisyhub.clocks import boot_time_s
+from daisyhub.exceptions import (
+    PlatformConflictError,
+    PlatformUnavailableError,
+)
+from daisyhub.platform._client import PlatformClient
+from daisyhub.platform._lease import (
+    LeaseCore,
+    LeaseRead,
+    LeaseRecord,
+    LeaseTick,
+    LeaseWriteDone,
+    LeaseWriteFailed,
+    LeaseWriteRefused,
+    ReadLease,
+    WriteLease,
+)
+from daisyhub.settings import TimingSettings
+
+__all__ = ["Lease", "LeaseKeeper"]
+
+_LEASE_PREFIX = "leases/"
+_RELEASE_TIMEOUT_S = 2.0
+
+
+class Lease:
+    """One lease that this process tries to hold."""
+
+    def __init__(self, name: str, core: LeaseCore, client: PlatformClient):
+        self.name = name
+        self._core = core
+        self._client = client
+
+    @property
+    def fencing(self) -> int:
+        """The fencing number; 0 while the lease isn't surely held."""
+        return self._core.fencing_if_held(boot_time_s())
+
+    def fencing_with_margin(self, extra_margin_s: float) -> int:
+        """Like `fencing`, but 0 already `extra_margin_s` before the end."""
+        return self._core.fencing_if_held(boot_time_s(), extra_margin_s)
+
+    @property
+    def seen_holder(self) -> str:
+        """Id of the holder last seen; empty if none is known."""
+        return self._core.seen_holder
+
+    async def run(self) -> None:
+        """Acquires and renews the lease until cancelled or released."""
+        while self._core.next_wakeup_s is not None:
+            delay_s = self._core.next_wakeup_s - boot_time_s()
+            await anyio.sleep(max(0.0, delay_s))
+            await self._feed(LeaseTick())
+
+    async def release(self) -> None:
+        """Gives the lease up and tells the store, if it answers."""
+        self._core.release()
+        with (
+            anyio.move_on_after(_RELEASE_TIMEOUT_S, shield=True),
+            contextlib.suppress(PlatformUnavailableError),
+        ):
+            await self._feed(LeaseTick())
+
+    async def _feed(self, event: object) -> None:
+        actions = self._core.handle(event, boot_time_s())
+        while actions:
+            event = await self._perform(actions[0])
+            actions = self._core.handle(event, boot_time_s())
+
+    async def _perform(self, action: object) -> object:
+        key = _LEASE_PREFIX + self.name
+        try:
+            match action:
+                case ReadLease():
+                    return await self._read(key)
+                case WriteLease():
+                    return await self._write(key, action)
+        except PlatformUnavailableError:
+            return LeaseWriteFailed(getattr(action, "write_id", 0))
+        raise TypeError(f"not a lease action: {action!r}")
+
+    async def _read(self, key: str) -> LeaseRead:
+        found = await self._client.get(key)
+        if found is None:
+            return LeaseRead(None, 0)
+        record = msgspec.convert(found.value, LeaseRecord)
+        return LeaseRead(record, found.version)
+
+    async def _write(self, key: str, action: WriteLease) -> object:
+        try:
+            version = await self._client.put(
+                key,
+                msgspec.to_builtins(action.record),
+                expected_version=action.expected_version,
+                write_id=f"{self._core.holder}.{action.write_id}",
+            )
+        except PlatformConflictError:
+            return LeaseWriteRefused(action.write_id)
+        return LeaseWriteDone(action.write_id, version)
+
+
+class LeaseKeeper:
+    """Makes leases for one process."""
+
+    def __init__(
+        self, client: PlatformClient, holder: str, timing: TimingSettings
+    ):
+        self._client = client
+        self._holder = holder
+        self._timing = timing
+
+    def new_lease(self, name: str) -> Lease:
+        """Returns a lease that isn't held yet."""
+        core = LeaseCore(
+            self._holder, self._timing.lease_term_s, self._timing.lease_margin_s
+        )
+        return Lease(name, core, self._client)
--- /dev/null
+++ b/daisyhub/rollouts/__init__.py
@@ -0,0 +1,53 @@
+"""Trainer lots: groups of samples, their versions, delivery once."""
+
+from daisyhub.rollouts._lot_core import (
+    CommitDone,
+    CommitPull,
+    Generate,
+    HandOver,
+    LotCore,
+    LotTick,
+    PullAcked,
+    PullAsked,
+    SampleFailed,
+    SampleReady,
+)
+from daisyhub.rollouts._lot_types import (
+    AckBody,
+    EngineAnswer,
+    Group,
+    LotSpec,
+    LotState,
+    OpenBody,
+    PullAnswer,
+    PullBody,
+    PullRecord,
+    Sample,
+    Span,
+    check_spans,
+)
+
+__all__ = [
+    "AckBody",
+    "CommitDone",
+    "CommitPull",
+    "EngineAnswer",
+    "Generate",
+    "Group",
+    "HandOver",
+    "LotCore",
+    "LotSpec",
+    "LotState",
+    "LotTick",
+    "OpenBody",
+    "PullAcked",
+    "PullAnswer",
+    "PullAsked",
+    "PullBody",
+    "PullRecord",
+    "Sample",
+    "SampleFailed",
+    "SampleReady",
+    "Span",
+    "check_spans",
+]
--- /dev/null
+++ b/daisyhub/rollouts/_lot_types.py
@@ -0,0 +1,146 @@
+"""Typed records of lots, on the wire and in the store."""
+
+from typing import Annotated
+
+import msgspec
+
+__all__ = [
+    "AckBody",
+    "EngineAnswer",
+    "Group",
+    "LotSpec",
+    "LotState",
+    "OpenBody",
+    "PullAnswer",
+    "PullBody",
+    "PullRecord",
+    "Sample",
+    "Span",
+    "check_spans",
+]
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+PullId = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+
+
+class Span(msgspec.Struct, frozen=True, kw_only=True):
+    """Tokens `start` to `end` (excluded) that one weight version produced."""
+
+    version: Count
+    start: Count
+    end: Count
+
+
+class Sample(msgspec.Struct, frozen=True, kw_only=True):
+    """One generated sample.
+
+    Attributes:
+        index: Its place in the group.
+        tokens: Token ids.
+        spans: The weight versions that produced them, in order.
+    """
+
+    index: int
+    tokens: tuple[int, ...]
+    spans: tuple[Span, ...]
+
+    @property
+    def oldest_version(self) -> int:
+        """The oldest weight version in the sample."""
+        return min(span.version for span in self.spans)
+
+
+class Group(msgspec.Struct, frozen=True, kw_only=True):
+    """All samples of one prompt."""
+
+    group: int
+    samples: tuple[Sample, ...]
+
+
+class EngineAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A model engine's answer to a generation request."""
+
+    tokens: tuple[int, ...]
+    spans: tuple[Span, ...] = ()
+
+
+class OpenBody(msgspec.Struct, frozen=True, kw_only=True):
+    """A trainer opens a lot; repeating it is harmless."""
+
+    lot_class: str
+    prompts: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
+
+
+class PullBody(msgspec.Struct, frozen=True, kw_only=True):
+    """A trainer asks for whole groups.
+
+    Attributes:
+        pull_id: A repeat under the same id gets the same samples.
+        version: The trainer's weight version now.
+        max_groups: At most this many groups.
+        wait_s: How long to wait for the first group.
+    """
+
+    pull_id: PullId
+    version: Count
+    max_groups: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 16
+    wait_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 10.0
+
+
+class AckBody(msgspec.Struct, frozen=True, kw_only=True):
+    """A trainer has taken the samples of a pull."""
+
+    pull_id: PullId
+
+
+class PullAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Whole groups; `remaining` counts those not handed over yet."""
+
+    pull_id: str
+    groups: tuple[Group, ...]
+    remaining: int
+
+
+class LotSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """What a lot consists of; never changes once it is open."""
+
+    lot_id: str
+    lot_class: str
+    account: str
+    pool: str
+    prompts: tuple[str, ...]
+    group_size: int
+    max_staleness: int
+    max_tokens: int
+    concurrency: int
+
+
+class PullRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Groups that were committed to a pull."""
+
+    groups: tuple[int, ...]
+    is_acked: bool = False
+
+
+class LotState(msgspec.Struct, frozen=True, kw_only=True):
+    """The lot's object in the store.
+
+    Attributes:
+        fencing: Fencing number of the holder that wrote it.
+        pulls: Pull id to its record.
+        is_closed: Whether the trainer closed the lot.
+    """
+
+    fencing: int
+    pulls: dict[str, PullRecord] = {}
+    is_closed: bool = False
+
+
+def check_spans(answer: EngineAnswer) -> bool:
+    """Whether spans cover the tokens, in order, without gap or overlap."""
+    end = 0
+    for span in answer.spans:
+        if span.start != end or span.end <= span.start:
+            return False
+        end = span.end
+    return bool(answer.tokens) and end == len(answer.tokens)
--- /dev/null
+++ b/daisyhub/serving/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP listeners for callers and for operators."""
+
+from daisyhub.serving._callers_app import CallersApp, OpenStreams
+from daisyhub.serving._operators_app import OperatorsApp
+from daisyhub.serving._server import HttpServer
+
+__all__ = ["CallersApp", "HttpServer", "OpenStreams", "OperatorsApp"]
--- /dev/null
+++ b/daisyhub/serving/_callers_app.py
@@ -0,0 +1,249 @@
+"""The ASGI app for callers and trainers."""
+
+import itertools
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from daisyhub.base import Handler
+from daisyhub.connections import RequestFailedError
+from daisyhub.exceptions import ErrorCode, Ran, Refusal
+from daisyhub.identity import KeyTable
+from daisyhub.logs import get_logger
+from daisyhub.messages import BodyReader, Request, Response
+from daisyhub.metrics import Metrics
+from daisyhub.problems import problem_response
+
+__all__ = ["CallersApp", "OpenStreams"]
+
+_DEFAULT_DEADLINE_S = 3600.0
+_MS_PER_S = 1000
+_MAX_TIMEOUT_DIGITS = 9
+_DEADLINE_HEADER = b"daisyhub-timeout-ms"
+
+log = get_logger("callers")
+
+Receive = Callable[[], Awaitable[dict]]
+Send = Callable[[dict], Awaitable[None]]
+
+
+class OpenStreams:
+    """Cancel scopes of open streams, by key id."""
+
+    def __init__(self, keys: KeyTable):
+        self._scopes: dict[str, set[anyio.CancelScope]] = {}
+        keys.add_listener(self.cut)
+
+    def add(self, key_id: str, scope: anyio.CancelScope) -> None:
+        """Notes an open stream."""
+        self._scopes.setdefault(key_id, set()).add(scope)
+
+    def remove(self, key_id: str, scope: anyio.CancelScope) -> None:
+        """Forgets a stream that ended."""
+        scopes = self._scopes.get(key_id, set())
+        scopes.discard(scope)
+        if not scopes:
+            self._scopes.pop(key_id, None)
+
+    def cut(self, key_id: str) -> None:
+        """Ends the streams of a key that is no longer valid."""
+        for scope in self._scopes.get(key_id, ()):
+            scope.cancel()
+
+
+class CallersApp:
+    """Turns ASGI calls into requests for the filter chain.
+
+    Args:
+        handler: The filter chain.
+        keys: Tells whether a key is still valid when a stream starts.
+        metrics: Counts answers.
+        daemon_id: Part of each request id.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        keys: KeyTable,
+        metrics: Metrics,
+        daemon_id: str,
+    ):
+        self._handler = handler
+        self._keys = keys
+        self._streams = OpenStreams(keys)
+        self._metrics = metrics
+        self._id_prefix = f"{daemon_id}-{time.time_ns() // 1000:x}"
+        self._numbers = itertools.count(1)
+        self.is_draining = False
+        self.open_requests = 0
+
+    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
+        """Serves one request."""
+        if scope["type"] != "http":
+            return
+        self.open_requests += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.open_requests -= 1
+
+    async def _serve(self, scope: dict, receive: Receive, send: Send) -> None:
+        request_id = f"{self._id_prefix}-{next(self._numbers)}"
+        started_s = time.monotonic()
+        key_id = ""
+        try:
+            req = _build_request(scope, receive, request_id, started_s)
+            resp = await self._handler(req)
+            key_id = _key_id_of(req)
+        except Refusal as exc:
+            self._metrics.count("refusals", code=exc.code)
+            resp = problem_response(exc, request_id)
+        except Exception:
+            log.exception("request {} failed", request_id)
+            exc = Refusal(
+                ErrorCode.INTERNAL, "an internal fault", ran=Ran.UNKNOWN
+            )
+            resp = problem_response(exc, request_id)
+        await self._answer(resp, key_id, request_id, scope, receive, send)
+        self._metrics.count("answers", status=str(resp.status))
+        self._metrics.observe_s("latency", time.monotonic() - started_s)
+
+    async def _answer(
+        self,
+        resp: Response,
+        key_id: str,
+        request_id: str,
+        scope: dict,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        headers = [*resp.headers, (b"daisyhub-request-id", request_id.encode())]
+        if self.is_draining:
+            headers.append((b"connection", b"close"))
+        if resp.stream is not None:
+            await self._answer_stream(resp, headers, key_id, receive, send)
+            return
+        has_length = resp.status not in (204, 304)
+        if has_length:
+            length = str(len(resp.body)).encode()
+            headers.append((b"content-length", length))
+        await send(_start(resp.status, headers))
+        body = resp.body if scope["method"] != "HEAD" else b""
+        await send({"type": "http.response.body", "body": body})
+
+    async def _answer_stream(
+        self, resp: Response, headers, key_id: str, receive, send
+    ) -> None:
+        """Passes chunks on; stops when the caller or its key is gone.
+
+        A stream that doesn't come to its end gets no final chunk, so that
+        the caller sees that it is cut.
+        """
+        is_whole = False
+        async with anyio.create_task_group() as tasks:
+            self._streams.add(key_id, tasks.cancel_scope)
+            try:
+                if key_id and not self._keys.is_valid(key_id):
+                    tasks.cancel_scope.cancel()
+                tasks.start_soon(_cancel_on_disconnect, receive, tasks)
+                await send(_start(resp.status, headers))
+                async for chunk in resp.stream:
+                    await send(_chunk(chunk, more=True))
+                is_whole = True
+            except RequestFailedError as exc:
+                log.info("a stream broke off: {}", exc)
+            finally:
+                self._streams.remove(key_id, tasks.cancel_scope)
+                with anyio.CancelScope(shield=True):
+                    await resp.stream.aclose()
+            tasks.cancel_scope.cancel()
+        if is_whole:
+            await send(_chunk(b"", more=False))
+            return
+        raise _StreamCutError
+
+
+class _StreamCutError(Exception):
+    """Makes the server close the connection without a final chunk."""
+
+
+def _start(status: int, headers: list) -> dict:
+    return {"type": "http.response.start", "status": status, "headers": headers}
+
+
+def _chunk(data: bytes, *, more: bool) -> dict:
+    return {"type": "http.response.body", "body": data, "more_body": more}
+
+
+async def _cancel_on_disconnect(receive: Receive, tasks) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    tasks.cancel_scope.cancel()
+
+
+def _build_request(
+    scope: dict, receive: Receive, request_id: str, started_s: float
+) -> Request:
+    headers = tuple(scope["headers"])
+    hosts = [value for name, value in headers if name == b"host"]
+    if len(hosts) != 1:
+        raise Refusal(ErrorCode.HEADER_INVALID, "exactly one host is needed")
+    host = hosts[0].decode("latin-1").lower().partition(":")[0]
+    return Request(
+        request_id=request_id,
+        method=scope["method"],
+        path=scope["raw_path"].decode("latin-1"),
+        query=scope["query_string"].decode("latin-1"),
+        host=host,
+        headers=headers,
+        read_body=_body_reader(headers, receive),
+        started_s=started_s,
+        deadline_s=started_s + _timeout_s(headers),
+    )
+
+
+def _timeout_s(headers) -> float:
+    for name, value in headers:
+        if name != _DEADLINE_HEADER:
+            continue
+        if not value.isdigit() or len(value) > _MAX_TIMEOUT_DIGITS:
+            raise Refusal(
+                ErrorCode.HEADER_INVALID,
+                "daisyhub-timeout-ms must be a whole number of milliseconds",
+            )
+        return int(value) / _MS_PER_S
+    return _DEFAULT_DEADLINE_S
+
+
+def _key_id_of(req: Request) -> str:
+    """Returns the key id of a request that was already let through."""
+    for value in req.header_values(b"authorization"):
+        return value.decode("latin-1").partition("dh_")[2].partition("_")[0]
+    return ""
+
+
+def _body_reader(headers, receive: Receive) -> BodyReader:
+    async def read_body(limit: int) -> bytes:
+        for name, value in headers:
+            if name == b"content-length" and int(value) > limit:
+                raise _too_large(limit)
+        chunks = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise Refusal(ErrorCode.BODY_INVALID, "the body broke off")
+            chunk = message.get("body", b"")
+            size += len(chunk)
+            if size > limit:
+                raise _too_large(limit)
+            chunks.append(chunk)
+            if not message.get("more_body", False):
+                return b"".join(chunks)
+
+    return read_body
+
+
+def _too_large(limit: int) -> Refusal:
+    return Refusal(ErrorCode.BODY_TOO_LARGE, f"the body exceeds {limit} bytes")
--- /dev/null
+++ b/daisyhub/serving/_operators_app.py
@@ -0,0 +1,69 @@
+"""The ASGI app for operators: health, readiness, metrics, status."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from daisyhub.metrics import Metrics
+
+__all__ = ["OperatorsApp"]
+
+_TEXT = b"text/plain; charset=utf-8"
+_JSON = b"application/json"
+
+
+class OperatorsApp:
+    """Serves `/healthz`, `/readyz`, `/metrics` and `/status`.
+
+    Args:
+        metrics: What `/metrics` shows.
+        is_ready: Whether new requests should come here.
+        get_status: Returns the daemon's status in plain JSON values.
+    """
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+        get_status: Callable[[], dict[str, object]],
+    ):
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._get_status = get_status
+
+    async def __call__(
+        self,
+        scope: dict,
+        receive: Callable[[], Awaitable[dict]],
+        send: Callable[[dict], Awaitable[None]],
+    ) -> None:
+        """Serves one request."""
+        if scope["type"] != "http":
+            return
+        status, content_type, body = self._answer(scope["path"])
+        headers = [
+            (b"content-type", content_type),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    def _answer(self, path: str) -> tuple[int, bytes, bytes]:
+        match path:
+            case "/healthz":
+                return 200, _TEXT, b"ok\n"
+            case "/readyz" if self._is_ready():
+                return 200, _TEXT, b"ready\n"
+            case "/readyz":
+                return 503, _TEXT, b"not ready\n"
+            case "/metrics":
+                return 200, _TEXT, self._metrics.render().encode()
+            case "/status":
+                return 200, _JSON, msgspec.json.encode(self._get_status())
+        return 404, _TEXT, b"not found\n"
--- /dev/null
+++ b/daisyhub/testing/caller.py
@@ -0,0 +1,149 @@
+"""A small caller for tests and the demo, over `HttpClient`."""
+
+import contextlib
+import dataclasses
+
+import anyio
+import msgspec
+
+from daisyhub.connections import HttpAnswer, HttpClient, RequestFailedError
+from daisyhub.settings import Address
+
+__all__ = ["Caller", "TrainerResult", "run_trainer"]
+
+_TIMEOUT_S = 30.0
+_OK = 200
+
+
+class Caller:
+    """Calls one daemon or fake.
+
+    Args:
+        address: Where to send requests.
+        key: The client key, or empty.
+    """
+
+    def __init__(self, address: Address, key: str = ""):
+        self.address = address
+        self.key = key
+        self.http = HttpClient(connect_timeout_s=2.0, idle_s=30.0)
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        value: object = None,
+        *,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        timeout_s: float = _TIMEOUT_S,
+        fresh: bool = False,
+    ) -> HttpAnswer:
+        """Sends one request with `value` as JSON."""
+        own = []
+        if self.key:
+            own.append((b"authorization", f"Bearer {self.key}".encode()))
+        body = b"" if value is None else msgspec.json.encode(value)
+        return await self.http.request(
+            method,
+            self.address,
+            target,
+            headers=(*own, *headers),
+            body=body,
+            timeout_s=timeout_s,
+            fresh=fresh,
+        )
+
+    async def json(self, method: str, target: str, value: object = None):
+        """Sends one request and returns the answer's JSON value."""
+        answer = await self.send(method, target, value)
+        return msgspec.json.decode(answer.body)
+
+    async def aclose(self) -> None:
+        """Closes idle connections."""
+        await self.http.aclose()
+
+
+@dataclasses.dataclass(slots=True)
+class TrainerResult:
+    """What a fake trainer got.
+
+    Attributes:
+        groups: Group number to its samples, as JSON values.
+        doubled: Groups that came more than once.
+        stale: Samples older than the bound.
+        mixed: Samples with more than one weight version.
+        idle_s: Time spent waiting for pulls.
+    """
+
+    groups: dict[int, list] = dataclasses.field(default_factory=dict)
+    doubled: int = 0
+    stale: int = 0
+    mixed: int = 0
+    idle_s: float = 0.0
+
+    def take(self, groups: list, version: int, max_staleness: int) -> None:
+        """Takes the groups of one pull."""
+        for group in groups:
+            if group["group"] in self.groups:
+                self.doubled += 1
+            self.groups[group["group"]] = group["samples"]
+            for sample in group["samples"]:
+                versions = {span["version"] for span in sample["spans"]}
+                self.stale += min(versions) < version - max_staleness
+                self.mixed += len(versions) > 1
+
+
+async def run_trainer(
+    callers: list[Caller],
+    lot_id: str,
+    lot_class: str,
+    prompts: list[str],
+    get_version,
+    *,
+    max_staleness: int,
+    deadline_s: float = 60.0,
+) -> TrainerResult:
+    """Opens a lot, pulls until every group came, acknowledges, and closes.
+
+    A call that fails is repeated, at the next daemon.
+
+    Args:
+        callers: One for each daemon.
+        lot_id: The lot.
+        lot_class: Its class.
+        prompts: One for each group.
+        get_version: Returns the trainer's weight version now.
+        max_staleness: The bound to check samples against.
+        deadline_s: Longest time for everything.
+    """
+    result = TrainerResult()
+    turn = 0
+
+    async def call(verb: str, value: object) -> dict:
+        nonlocal turn
+        target = f"/v1/lots/{lot_id}" + (f"/{verb}" if verb else "")
+        while True:
+            caller = callers[turn % len(callers)]
+            with contextlib.suppress(RequestFailedError):
+                answer = await caller.send("POST", target, value)
+                if answer.status == _OK:
+                    return msgspec.json.decode(answer.body)
+            turn += 1
+            await anyio.sleep(0.1)
+
+    with anyio.fail_after(deadline_s):
+        await call("", {"lot_class": lot_class, "prompts": prompts})
+        number = 0
+        while len(result.groups) < len(prompts):
+            number += 1
+            version = get_version()
+            pull_id = f"{lot_id}-{number}"
+            pull = {"pull_id": pull_id, "version": version, "wait_s": 5.0}
+            started_s = anyio.current_time()
+            answer = await call("pull", pull)
+            result.idle_s += anyio.current_time() - started_s
+            result.take(answer["groups"], version, max_staleness)
+            if answer["groups"]:
+                await call("ack", {"pull_id": pull_id})
+        await call("close", {})
+    return result
--- /dev/null
+++ b/daisyhub/testing/demo.py
@@ -0,0 +1,312 @@
+"""The whole path end to end, as separate processes on loopback."""
+
+import contextlib
+import json
+import signal
+import subprocess
+import sys
+import time
+
+import anyio
+
+from daisyhub.connections import RequestFailedError
+from daisyhub.testing.caller import Caller, run_trainer
+from daisyhub.testing.demo_config import DemoKeys, demo_document
+from daisyhub.testing.processes import HASH_KEY, Deployment
+
+__all__ = ["Demo", "DemoError"]
+
+_LOAD_CALLERS = 8
+_LOAD_S = 3.0
+_MS = 1000
+
+
+class DemoError(Exception):
+    """A step fell short."""
+
+
+def _check(is_met: bool, what: str) -> None:
+    if not is_met:
+        raise DemoError(what)
+
+
+class Demo:
+    """The steps of the demo, in order."""
+
+    def __init__(self):
+        self.deployment = Deployment()
+        self.keys = DemoKeys.make()
+        self.weight_version = 0
+
+    async def run(self) -> None:
+        """Runs every step; raises `DemoError` when one falls short."""
+        steps = (
+            ("start", self.start),
+            ("look-up", self.look_up),
+            ("filing", self.file_once),
+            ("trainer lot", self.train),
+            ("change", self.change),
+            ("usage", self.report_usage),
+            ("shutdown", self.shut_down),
+        )
+        for name, step in steps:
+            started_s = time.monotonic()
+            figures = await step()
+            took_s = time.monotonic() - started_s
+            print(f"{name:<12} {took_s:6.2f} s  {figures}", flush=True)
+
+    def _caller(self, daemon, key=None) -> Caller:
+        text = DemoKeys.text(key) if key is not None else ""
+        return Caller(daemon.address, text)
+
+    def _cli(self, *args: str) -> list[dict]:
+        command = [sys.executable, "-m", "daisyhub.cli", *args]
+        settings = self.deployment.folder / "operator.jsonc"
+        command += [f"--settings={settings}", "--output=json"]
+        done = subprocess.run(command, capture_output=True, check=False)
+        _check(done.returncode == 0, f"{args}: {done.stderr.decode()}")
+        return json.loads(done.stdout)
+
+    def _write_operator_settings(self) -> None:
+        platform = self.deployment.platform.address
+        settings = {
+            "platform_address": {"ip": platform.ip, "port": platform.port},
+            "key_hash_secret": HASH_KEY,
+            "daemons": {
+                d.name: {"ip": d.operators.ip, "port": d.operators.port}
+                for d in self.deployment.daemons()
+            },
+        }
+        path = self.deployment.folder / "operator.jsonc"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+
+    def _apply(self, document: dict) -> int:
+        path = self.deployment.folder / "config.jsonc"
+        path.write_text(json.dumps(document, indent=2), encoding="utf-8")
+        rows = self._cli("apply", str(path), "--team=platform")
+        return rows[0]["version"]
+
+    async def start(self) -> str:
+        """Starts all processes and applies the first configuration."""
+        await self.deployment.start()
+        self._write_operator_settings()
+        version = self._apply(demo_document(self.keys))
+        took_s = await self.deployment.wait_for_version(version)
+
+        def has_endpoints(status: dict) -> bool:
+            return len(status["endpoints"]) == 3
+
+        await self.deployment.wait_for_status(has_endpoints)
+        count = len(self.deployment.processes)
+        return f"{count} processes, version {version} in {took_s * _MS:.0f} ms"
+
+    async def look_up(self) -> str:
+        """Looks records up on a keyed and on an open route."""
+        times = []
+        for daemon in self.deployment.daemons():
+            caller = self._caller(daemon, self.keys.yard)
+            for number in range(25):
+                started_s = time.monotonic()
+                answer = await caller.send("GET", f"/records/{number}")
+                times.append(time.monotonic() - started_s)
+                _check(answer.status == 200, f"look-up: {answer}")
+                _check(b'"account":"yard"' in answer.body, f"{answer.body}")
+            opened = Caller(daemon.address)
+            answer = await opened.send("GET", "/open/page")
+            _check(answer.status == 200, f"open look-up: {answer}")
+            answer = await opened.send("GET", "/records/1")
+            _check(answer.status == 401, f"without a key: {answer}")
+            await caller.aclose()
+            await opened.aclose()
+        times.sort()
+        median_ms = times[len(times) // 2] * _MS
+        return f"{len(times)} look-ups, median {median_ms:.1f} ms"
+
+    async def file_once(self) -> str:
+        """Files with idempotency keys, each twice and at two daemons."""
+        daemons = self.deployment.daemons("busan")
+        first = self._caller(daemons[0], self.keys.archive)
+        second = self._caller(daemons[1], self.keys.archive)
+        for number in range(10):
+            header = ((b"idempotency-key", f"filing-{number}".encode()),)
+            value = f"record {number}"
+            one = await first.send("POST", "/filings", value, headers=header)
+            two = await second.send("POST", "/filings", value, headers=header)
+            _check(one.status == 201, f"filing: {one}")
+            _check(one.body == two.body, f"repeat differs: {two}")
+        filed = await self._filings("busan")
+        _check(len(filed) == 10, f"filed {len(filed)} times instead of 10")
+        await first.aclose()
+        await second.aclose()
+        return "10 filings, 20 requests, 10 runs"
+
+    async def _filings(self, domain: str) -> list[str]:
+        filed = []
+        for service in self.deployment.services(domain):
+            caller = Caller(service.address)
+            filed += await caller.json("GET", "/admin/filings")
+            await caller.aclose()
+        return filed
+
+    async def publish_weights(self, version: int) -> None:
+        """Publishes a weight version as a trainer does."""
+        caller = Caller(self.deployment.platform.address)
+        target = "/objects/news/weights/model"
+        query = f"expected={self.weight_version}&write_id=trainer-{version}"
+        await caller.send("PUT", f"{target}?{query}", {"version": version})
+        self.weight_version = version
+        await caller.aclose()
+
+    async def train(self) -> str:
+        """Runs a lot with a weight swap in the middle."""
+        callers = [
+            self._caller(daemon, self.keys.trainer)
+            for daemon in self.deployment.daemons()
+        ]
+        await self.publish_weights(1)
+
+        async def swap() -> None:
+            await anyio.sleep(0.3)
+            await self.publish_weights(2)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(swap)
+            result = await run_trainer(
+                callers,
+                "step-1",
+                "assess",
+                [f"board {number}" for number in range(24)],
+                lambda: self.weight_version,
+                max_staleness=2,
+            )
+        for caller in callers:
+            await caller.aclose()
+        _check(len(result.groups) == 24, f"{len(result.groups)} groups of 24")
+        sizes = {len(samples) for samples in result.groups.values()}
+        _check(sizes == {4}, f"group sizes {sizes}")
+        _check(not result.doubled, f"{result.doubled} groups came twice")
+        _check(not result.stale, f"{result.stale} samples were stale")
+        return (
+            f"24 groups of 4, {result.mixed} samples over two versions,"
+            f" idle {result.idle_s:.2f} s"
+        )
+
+    async def change(self) -> str:
+        """Withdraws a key and changes a route, and times both."""
+        daemons = self.deployment.daemons()
+        callers = [self._caller(d, self.keys.yard) for d in daemons]
+        started_s = time.monotonic()
+        self._cli("key", "withdraw", self.keys.yard.key_id)
+        withdrawn_s = await self._wait_for_answer(callers, "/records/1", 401)
+        withdrawn_s = time.monotonic() - started_s
+        document = demo_document(self.keys)
+        document["routes"]["open"]["path_prefix"] = "/public"
+        started_s = time.monotonic()
+        version = self._apply(document)
+        await self.deployment.wait_for_version(version)
+        changed_s = time.monotonic() - started_s
+        opened = [self._caller(d) for d in daemons]
+        await self._wait_for_answer(opened, "/open/page", 404)
+        await self._wait_for_answer(opened, "/public/page", 200)
+        rows = self._cli("audit")
+        versions = [row["version"] for row in rows]
+        _check(versions == list(range(1, version + 1)), f"audit: {versions}")
+        for caller in callers + opened:
+            await caller.aclose()
+        return (
+            f"key withdrawn in {withdrawn_s:.2f} s, version {version}"
+            f" everywhere in {changed_s:.2f} s, command line included"
+        )
+
+    async def _wait_for_answer(self, callers, target, status) -> None:
+        with anyio.fail_after(10):
+            for caller in callers:
+                while (await caller.send("GET", target)).status != status:
+                    await anyio.sleep(0.01)
+
+    async def report_usage(self) -> str:
+        """Waits until every request so far is reported, once."""
+        caller = Caller(self.deployment.platform.address)
+        expected = {"yard": 100, "archive": 10, "trainer": 96}
+        sums: dict[str, int] = {}
+        with anyio.move_on_after(20):
+            while sums != expected:
+                await anyio.sleep(0.2)
+                reports = await caller.json("GET", "/admin/usage")
+                bodies = {
+                    (r["failure_domain"], r["window"]): r["body"]
+                    for r in reports
+                }
+                sums = _sum_requests(bodies.values())
+        await caller.aclose()
+        _check(sums == expected, f"reported {sums}, expected {expected}")
+        _check(
+            len(
+                {(r["failure_domain"], r["window"], r["body"]) for r in reports}
+            )
+            == len(bodies),
+            "a window was reported with different figures",
+        )
+        return f"{len(bodies)} windows sealed, requests {sums}"
+
+    async def shut_down(self) -> str:
+        """Ends one daemon under load; no request may be cut."""
+        leaving, staying = self.deployment.daemons("busan")
+        tally = {"ok": 0, "cut": 0}
+        until_s = time.monotonic() + _LOAD_S
+
+        async def load() -> None:
+            targets = [leaving, staying]
+            caller = self._caller(targets[0], self.keys.archive)
+            while time.monotonic() < until_s:
+                try:
+                    answer = await caller.send("GET", "/records/7")
+                    tally["ok" if answer.status == 200 else "cut"] += 1
+                    headers = dict(answer.headers)
+                    if headers.get(b"connection") == b"close":
+                        # The balancer sees /readyz and sends no more here.
+                        caller.address = staying.address
+                except RequestFailedError:
+                    tally["cut"] += 1
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(_LOAD_CALLERS):
+                tasks.start_soon(load)
+            await anyio.sleep(1.0)
+            leaving.send_signal(signal.SIGTERM)
+        code = await anyio.to_thread.run_sync(leaving.wait)
+        _check(code == 0, f"exit code {code}")
+        _check(not tally["cut"], f"{tally['cut']} requests were cut")
+        return f"{tally['ok']} requests, 0 cut, exit code 0"
+
+
+def _sum_requests(bodies) -> dict[str, int]:
+    sums: dict[str, int] = {}
+    for body in bodies:
+        for count in json.loads(body)["counts"]:
+            account = count["account"]
+            sums[account] = sums.get(account, 0) + count["requests"]
+    return sums
+
+
+def main() -> int:
+    """Runs the demo; returns 0, or 1 when a step falls short."""
+    demo = Demo()
+    try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(demo.deployment.stop)
+            try:
+                anyio.run(demo.run)
+            except (DemoError, TimeoutError) as exc:
+                print(f"demo: failed: {exc!r}")
+                for process in demo.deployment.daemons():
+                    print(demo.deployment.log_of(process.name)[-2000:])
+                return 1
+    except KeyboardInterrupt:
+        return 1
+    print("demo: ok")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/daisyhub/testing/fake_engine.py
@@ -0,0 +1,138 @@
+"""A fake model engine: generation with weight versions, orders, load."""
+
+import hashlib
+
+import anyio
+import msgspec
+from absl import app, flags
+
+from daisyhub.logs import set_up_logs
+from daisyhub.testing.fake_app import Call, FakeApp, Reply, serve_fake
+
+__all__ = ["FakeEngine"]
+
+_TOKEN_S = flags.DEFINE_float("token_s", 0.002, "Seconds a token.")
+_SWAP_S = flags.DEFINE_float("swap_s", 0.05, "Seconds a weight swap.")
+_CAPACITY = flags.DEFINE_integer("capacity", 16, "Samples at one time.")
+_CHECKS_FENCING = flags.DEFINE_bool(
+    "checks_fencing", True, "Whether old fencing numbers are refused."
+)
+
+
+class _Prompt(msgspec.Struct, frozen=True, kw_only=True):
+    prompt: str
+    max_tokens: int
+    sample: int = 0
+
+
+class _Order(msgspec.Struct, frozen=True, kw_only=True):
+    kind: str
+    version: int
+    fencing: int
+
+
+class FakeEngine(FakeApp):
+    """Generates made-up tokens under the weight version of each moment.
+
+    `POST /admin/leave` makes it leaving; `GET /admin/orders` tells the
+    orders taken.
+    """
+
+    def __init__(
+        self,
+        token_s: float = 0.002,
+        swap_s: float = 0.05,
+        capacity: int = 16,
+        checks_fencing: bool = True,
+    ):
+        super().__init__()
+        self.token_s = token_s
+        self.swap_s = swap_s
+        self.capacity = capacity
+        self.checks_fencing = checks_fencing
+        self._version = 0
+        self._fencing = 0
+        self._running = 0
+        self._is_leaving = False
+        self._orders: list[_Order] = []
+
+    async def answer(self, call: Call) -> Reply:
+        """Serves one call."""
+        match call.path:
+            case "/generate" if self._is_leaving:
+                return self._reply(503, {}, (b"endpoint-ran", b"no"))
+            case "/generate":
+                return await self._generate(call.json(_Prompt))
+            case "/orders":
+                return await self._take_order(call.json(_Order))
+            case "/load":
+                return self._reply(200, {})
+            case "/admin/leave":
+                self._is_leaving = True
+                return self._reply(200, {})
+            case "/admin/orders":
+                return self._reply(200, self._orders)
+        return Reply(status=404)
+
+    def _reply(self, status: int, value: object, *headers) -> Reply:
+        state = b"leaving" if self._is_leaving else b"live"
+        news = (
+            (b"endpoint-load", str(self._running).encode()),
+            (b"endpoint-capacity", str(self.capacity).encode()),
+            (b"endpoint-weight-version", str(self._version).encode()),
+            (b"endpoint-state", state),
+        )
+        return Reply(status=status, value=value, headers=(*news, *headers))
+
+    async def _generate(self, prompt: _Prompt) -> Reply:
+        self._running += 1
+        try:
+            seed = f"{prompt.prompt}/{prompt.sample}".encode()
+            digest = hashlib.sha256(seed).digest()
+            count = 1 + digest[0] % prompt.max_tokens
+            versions = []
+            for _ in range(count):
+                await anyio.sleep(self.token_s)
+                versions.append(self._version)
+        finally:
+            self._running -= 1
+        tokens = [digest[i % len(digest)] for i in range(count)]
+        value = {"tokens": tokens, "spans": _spans(versions)}
+        return self._reply(
+            200, value, (b"endpoint-tokens", str(count).encode())
+        )
+
+    async def _take_order(self, order: _Order) -> Reply:
+        if self.checks_fencing and order.fencing < self._fencing:
+            return self._reply(409, {"fencing": self._fencing})
+        self._fencing = max(self._fencing, order.fencing)
+        self._orders.append(order)
+        await anyio.sleep(self.swap_s)
+        self._version = max(self._version, order.version)
+        return self._reply(200, {"version": self._version})
+
+
+def _spans(versions: list[int]) -> list[dict[str, int]]:
+    spans = []
+    for place, version in enumerate(versions):
+        if spans and spans[-1]["version"] == version:
+            spans[-1]["end"] = place + 1
+            continue
+        spans.append({"version": version, "start": place, "end": place + 1})
+    return spans
+
+
+def _run(_: list[str]) -> None:
+    set_up_logs("text")
+    serve_fake(
+        FakeEngine(
+            _TOKEN_S.value,
+            _SWAP_S.value,
+            _CAPACITY.value,
+            _CHECKS_FENCING.value,
+        )
+    )
+
+
+if __name__ == "__main__":
+    app.run(_run)
--- /dev/null
+++ b/daisyhub/testing/fake_platform.py
@@ -0,0 +1,116 @@
+"""A fake of the platform: objects, watches, endpoint lists, usage reports."""
+
+import anyio
+import msgspec
+from absl import app
+
+from daisyhub.logs import set_up_logs
+from daisyhub.platform import EndpointRecord, PlatformObject, UsageReport
+from daisyhub.testing.fake_app import Call, FakeApp, Reply, serve_fake
+
+__all__ = ["FakePlatform"]
+
+_VALUE_BYTES = 1_000_000
+
+
+class FakePlatform(FakeApp):
+    """Keeps everything in memory; counts its calls.
+
+    `PUT /admin/endpoints/DOMAIN` sets a list of `EndpointRecord`; `GET
+    /admin/usage` tells the reports taken; `GET /admin/calls` the calls.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self._objects: dict[str, PlatformObject] = {}
+        self._revision = 0
+        self._changed = anyio.Event()
+        self._endpoints: dict[str, list[EndpointRecord]] = {}
+        self._reports: list[UsageReport] = []
+        self._calls: dict[str, int] = {}
+
+    async def answer(self, call: Call) -> Reply:
+        """Serves one call."""
+        parts = call.path.strip("/").split("/", 1)
+        rest = parts[1] if len(parts) > 1 else ""
+        match parts[0]:
+            case "objects" if rest:
+                return self._on_object(rest, call)
+            case "objects":
+                return await self._on_list(call)
+            case "domains":
+                self._count("reads")
+                domain = rest.partition("/")[0]
+                return Reply(value=self._endpoints.get(domain, []))
+            case "usage":
+                self._count("writes")
+                return self._on_report(call.json(UsageReport))
+            case "admin":
+                return self._on_admin(rest, call)
+        return Reply(status=404)
+
+    def _count(self, kind: str) -> None:
+        self._calls[kind] = self._calls.get(kind, 0) + 1
+
+    def _on_object(self, key: str, call: Call) -> Reply:
+        found = self._objects.get(key)
+        if call.method == "GET":
+            self._count("reads")
+            return Reply(value=found) if found else Reply(status=404)
+        self._count("writes")
+        if len(call.body) > _VALUE_BYTES:
+            return Reply(status=413)
+        version = found.version if found else 0
+        if int(call.query["expected"]) != version:
+            return Reply(status=409, value={"version": version})
+        self._revision += 1
+        found = PlatformObject(
+            key=key,
+            version=version + 1,
+            revision=self._revision,
+            write_id=call.query["write_id"],
+            value=msgspec.json.decode(call.body),
+        )
+        self._objects[key] = found
+        self._changed.set()
+        self._changed = anyio.Event()
+        return Reply(value=msgspec.structs.replace(found, value=None))
+
+    async def _on_list(self, call: Call) -> Reply:
+        prefix = call.query.get("prefix", "")
+        after = int(call.query.get("after", "0"))
+        self._count("watches" if "wait" in call.query else "reads")
+        with anyio.move_on_after(float(call.query.get("wait", "0"))):
+            while not self._changed_since(prefix, after):
+                await self._changed.wait()
+        objects = self._changed_since(prefix, after)
+        return Reply(value={"revision": self._revision, "objects": objects})
+
+    def _changed_since(self, prefix: str, after: int) -> list[PlatformObject]:
+        return [
+            found
+            for key, found in sorted(self._objects.items())
+            if key.startswith(prefix) and found.revision > after
+        ]
+
+    def _on_report(self, report: UsageReport) -> Reply:
+        self._reports.append(report)
+        return Reply(value={})
+
+    def _on_admin(self, rest: str, call: Call) -> Reply:
+        if rest.startswith("endpoints/"):
+            domain = rest.partition("/")[2]
+            self._endpoints[domain] = call.json(list[EndpointRecord])
+            return Reply(value={})
+        if rest == "usage":
+            return Reply(value=self._reports)
+        return Reply(value=self._calls)
+
+
+def _run(_: list[str]) -> None:
+    set_up_logs("text")
+    serve_fake(FakePlatform())
+
+
+if __name__ == "__main__":
+    app.run(_run)
