Order endpoints within a budget, by one holder a failure domain

Cause: the platform must never get endpoint orders from two processes that both believe they are in charge, and the budget must hold while holders change.

Change: an order book, one object moved by conditional update, is written before an order is sent; a new holder writes it under its own fencing number and sends the pending orders again under the same ids. The lease is checked as the last step before the send, with a doubled margin where the interface ignores fencing. A controller that fails is started anew instead of ending the daemon: a missing field had ended both daemons of a domain in the first process test.

--- a/daisyhub/config/_document.py
+++ b/daisyhub/config/_document.py
@@ -114,14 +114,22 @@
     Attributes:
         kind: `engine` generates samples, `service` is a plain service.
         checks_fencing: Whether its endpoints refuse old fencing numbers.
+        orders: `automatic` lets daisyhub order endpoints, `manual` doesn't.
+        least: Smallest number of endpoints in one failure domain.
         budget: Largest number of endpoints in one failure domain.
+        target_load: Wanted share of the endpoints' capacity in use.
+        cheap_share: Largest share of endpoints that may be cheap.
         weight_loads_at_once: Engines of one failure domain that may load
             weights at the same time.
     """
 
     kind: Literal["engine", "service"]
     checks_fencing: bool = True
+    orders: Literal["automatic", "manual"] = "manual"
+    least: Annotated[int, Range(0, 100_000)] = 1
     budget: Annotated[int, Range(0, 100_000)] = 64
+    target_load: Annotated[float, Range(0.01, 1)] = 0.7
+    cheap_share: Annotated[float, Range(0, 1)] = 0.0
     weight_loads_at_once: Annotated[int, Range(1, 10_000)] = 8
 
 
--- a/daisyhub/controllers/__init__.py
+++ b/daisyhub/controllers/__init__.py
@@ -4,6 +4,7 @@
 from daisyhub.controllers._endpoints import EndpointController
 from daisyhub.controllers._lots import LotController
 from daisyhub.controllers._news import NewsController
+from daisyhub.controllers._orders import OrderController
 from daisyhub.controllers._peers import PeerController
 from daisyhub.controllers._usage import UsageController
 from daisyhub.controllers._weights import WeightController
@@ -13,6 +14,7 @@
     "EndpointController",
     "LotController",
     "NewsController",
+    "OrderController",
     "PeerController",
     "UsageController",
     "WeightController",
--- /dev/null
+++ b/daisyhub/controllers/_orders.py
@@ -0,0 +1,189 @@
+"""Orders endpoints for the pools of one failure domain."""
+
+import time
+import uuid
+
+import anyio
+import msgspec
+
+from daisyhub.balancing import EndpointTable
+from daisyhub.base import Controller
+from daisyhub.config import EndpointPool
+from daisyhub.controllers._config import ConfigController
+from daisyhub.exceptions import (
+    PlatformConflictError,
+    PlatformUnavailableError,
+)
+from daisyhub.logs import get_logger
+from daisyhub.platform import (
+    BookFailed,
+    BookLoaded,
+    BookRefused,
+    BookWritten,
+    EndpointSight,
+    LeaseKeeper,
+    LoadBook,
+    OrderAnswered,
+    OrderBook,
+    OrderCore,
+    OrderFailed,
+    OrderTick,
+    PlatformClient,
+    PoolDemand,
+    SendOrder,
+    WriteBook,
+)
+from daisyhub.settings import DaemonSettings
+
+__all__ = ["OrderController"]
+
+_TICK_S = 2.0
+
+log = get_logger("orders")
+
+
+class OrderController(Controller):
+    """Carries out the decisions of an `OrderCore` while in charge.
+
+    Args:
+        cfg: Settings of this daemon.
+        client: The platform.
+        keeper: Makes the lease.
+        table: The endpoints.
+        config: The pools and their budgets.
+    """
+
+    name = "orders"
+
+    def __init__(
+        self,
+        cfg: DaemonSettings,
+        client: PlatformClient,
+        keeper: LeaseKeeper,
+        table: EndpointTable,
+        config: ConfigController,
+    ):
+        self._cfg = cfg
+        self._client = client
+        self._table = table
+        self._config = config
+        self._lease = keeper.new_lease(f"orders/{cfg.failure_domain}")
+        self._core = OrderCore(cfg.failure_domain)
+
+    def status(self) -> dict[str, object]:
+        """Tells who is in charge and which orders are pending."""
+        return {
+            "fencing": self._lease.fencing,
+            "holder": self._lease.seen_holder,
+            "pending": [
+                f"{order.order_id}:{order.kind}:{order.pool}"
+                for order in self._core.pending
+            ],
+        }
+
+    async def run(self) -> None:
+        """Ticks the core until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._lease.run)
+            while True:
+                await anyio.sleep(_TICK_S)
+                demands = self._demands()
+                await self._feed(OrderTick(self._lease.fencing, demands))
+
+    async def release(self) -> None:
+        """Gives the duty up at shutdown."""
+        await self._lease.release()
+
+    def _demands(self) -> tuple[PoolDemand, ...]:
+        """Returns the pools that daisyhub orders endpoints for."""
+        if not self._lease.fencing:
+            return ()
+        pools = self._config.document.endpoint_pools
+        return tuple(
+            self._demand(name, pool)
+            for name, pool in sorted(pools.items())
+            if pool.orders == "automatic"
+        )
+
+    def _demand(self, name: str, pool: EndpointPool) -> PoolDemand:
+        sights = tuple(
+            EndpointSight(
+                endpoint_id=state.endpoint_id,
+                cheap=state.cheap,
+                is_leaving=state.is_leaving,
+                load=state.load,
+                capacity=state.capacity,
+            )
+            for state in self._table.all()
+            if state.pool == name
+        )
+        return PoolDemand(
+            pool=name,
+            endpoints=sights,
+            least=pool.least,
+            budget=pool.budget,
+            target_load=pool.target_load,
+            cheap_share=pool.cheap_share,
+        )
+
+    async def _feed(self, event: object) -> None:
+        actions = self._core.handle(event, time.monotonic())
+        while actions:
+            answer = await self._perform(actions.pop(0))
+            actions += self._core.handle(answer, time.monotonic())
+
+    async def _perform(self, action: object) -> object:
+        match action:
+            case LoadBook():
+                return await self._load()
+            case WriteBook():
+                return await self._write(action)
+            case SendOrder():
+                return await self._send(action)
+        raise TypeError(f"not an order action: {action!r}")
+
+    @property
+    def _book_key(self) -> str:
+        return f"orders/{self._cfg.failure_domain}"
+
+    async def _load(self) -> object:
+        try:
+            found = await self._client.get(self._book_key)
+        except PlatformUnavailableError:
+            return BookFailed()
+        if found is None:
+            return BookLoaded(OrderBook(), 0)
+        book = msgspec.convert(found.value, OrderBook)
+        return BookLoaded(book, found.version)
+
+    async def _write(self, action: WriteBook) -> object:
+        try:
+            version = await self._client.put(
+                self._book_key,
+                msgspec.to_builtins(action.book),
+                expected_version=action.expected_version,
+                write_id=uuid.uuid4().hex,
+            )
+        except PlatformConflictError:
+            return BookRefused()
+        except PlatformUnavailableError:
+            return BookFailed()
+        return BookWritten(version)
+
+    async def _send(self, action: SendOrder) -> object:
+        """Checks the lease as the last step, then sends."""
+        order = action.order
+        extra_s = self._cfg.timing.lease_margin_s
+        if self._cfg.orders_check_fencing:
+            extra_s = 0.0
+        if self._lease.fencing_with_margin(extra_s) != action.fencing:
+            return OrderFailed(order.order_id)
+        try:
+            endpoint_id = await self._client.send_order(
+                self._cfg.failure_domain, order, action.fencing
+            )
+        except PlatformUnavailableError as exc:
+            log.warning("order {} is in doubt: {}", order.order_id, exc)
+            return OrderFailed(order.order_id)
+        log.info("order {} {}: {}", order.order_id, order.kind, endpoint_id)
+        return OrderAnswered(order.order_id, endpoint_id)
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -16,6 +16,7 @@
     EndpointController,
     LotController,
     NewsController,
+    OrderController,
     PeerController,
     UsageController,
     WeightController,
@@ -46,6 +47,7 @@
 __all__ = ["Daemon", "main"]
 
 _US_PER_NS = 1000
+_CONTROLLER_PAUSE_S = 1.0
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 
@@ -108,6 +110,9 @@
         self.weights = WeightController(
             cfg, self.keeper, self.http, self.table, self.config
         )
+        self.orders = OrderController(
+            cfg, self.platform, self.keeper, self.table, self.config
+        )
         self.usage = UsageController(
             cfg, self.platform, self.keeper, self.counters, self.peers
         )
@@ -143,6 +148,7 @@
             self.peers,
             self.endpoints,
             self.weights,
+            self.orders,
             self.usage,
             self.lots,
         )
@@ -206,7 +212,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.network.run)
             for controller in self.controllers:
-                tasks.start_soon(controller.run)
+                tasks.start_soon(self._keep_running, controller)
             tasks.start_soon(self.callers_server.run_until_stopped)
             tasks.start_soon(self.operators_server.run_until_stopped)
             log.info("{} listens on {}", self.process_id, self._address)
@@ -220,6 +226,21 @@
         await self.http.aclose()
         self.network.close()
 
+    async def _keep_running(self, controller: Controller) -> None:
+        """Runs a controller; one that fails is started anew.
+
+        A fault in one part must not end the serving of requests.
+        """
+        while True:
+            try:
+                await controller.run()
+            except Exception:
+                log.exception("the controller {} failed", controller.name)
+                self.metrics.count("controller_failures", name=controller.name)
+            else:
+                return
+            await anyio.sleep(_CONTROLLER_PAUSE_S)
+
     @property
     def _address(self) -> str:
         return str(self.cfg.callers_address)
@@ -237,6 +258,7 @@
             await anyio.sleep(0.05)
         await self.usage.release()
         await self.weights.release()
+        await self.orders.release()
         self.operators_server.stop()
         log.info("shut down")
 
--- a/daisyhub/platform/__init__.py
+++ b/daisyhub/platform/__init__.py
@@ -2,6 +2,8 @@
 
 from daisyhub.platform._client import (
     EndpointRecord,
+    OrderReply,
+    OrderRequest,
     PlatformClient,
     PlatformObject,
     UsageReport,
@@ -18,8 +20,48 @@
     WriteLease,
 )
 from daisyhub.platform._lease_keeper import Lease, LeaseKeeper
+from daisyhub.platform._orders import (
+    BookFailed,
+    BookLoaded,
+    BookRefused,
+    BookWritten,
+    EndpointOrder,
+    LoadBook,
+    OrderAnswered,
+    OrderBook,
+    OrderCore,
+    OrderFailed,
+    OrderTick,
+    SendOrder,
+    WriteBook,
+)
+from daisyhub.platform._pool_sizing import (
+    EndpointSight,
+    PoolDemand,
+    PoolSizer,
+    Sizing,
+)
 
 __all__ = [
+    "OrderReply",
+    "OrderRequest",
+    "BookFailed",
+    "BookLoaded",
+    "BookRefused",
+    "BookWritten",
+    "EndpointOrder",
+    "LoadBook",
+    "OrderAnswered",
+    "OrderBook",
+    "OrderCore",
+    "OrderFailed",
+    "OrderTick",
+    "SendOrder",
+    "WriteBook",
+    "EndpointSight",
+    "PoolDemand",
+    "PoolSizer",
+    "Sizing",
     "EndpointRecord",
     "Lease",
     "LeaseCore",
--- a/daisyhub/platform/_client.py
+++ b/daisyhub/platform/_client.py
@@ -11,10 +11,13 @@
     PlatformConflictError,
     PlatformUnavailableError,
 )
+from daisyhub.platform._orders import EndpointOrder
 from daisyhub.settings import Address
 
 __all__ = [
     "EndpointRecord",
+    "OrderReply",
+    "OrderRequest",
     "PlatformClient",
     "PlatformObject",
     "UsageReport",
@@ -72,6 +75,19 @@
     cheap: bool = False
 
 
+class OrderRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """An order as it is sent; `fencing` is the sender's number."""
+
+    order: EndpointOrder
+    fencing: int
+
+
+class OrderReply(msgspec.Struct, frozen=True, kw_only=True):
+    """The endpoint that an order starts or stops."""
+
+    endpoint_id: str
+
+
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True):
     """A sealed usage window as it is reported.
 
@@ -177,6 +193,21 @@
         answer = await self._call("GET", f"/domains/{_quote(domain)}/endpoints")
         return _decode(answer, tuple[EndpointRecord, ...])
 
+    async def send_order(
+        self, domain: str, order: EndpointOrder, fencing: int
+    ) -> str:
+        """Orders an endpoint to start or stop; may be repeated.
+
+        Returns:
+            The endpoint's id, or empty if the platform refused the order.
+        """
+        body = msgspec.json.encode(OrderRequest(order=order, fencing=fencing))
+        target = f"/domains/{_quote(domain)}/orders"
+        answer = await self._call("POST", target, body=body)
+        if answer.status == _CONFLICT:
+            return ""
+        return _decode(answer, OrderReply).endpoint_id
+
     async def report_usage(self, report: UsageReport) -> None:
         """Hands over a sealed window; may be repeated."""
         body = msgspec.json.encode(report)
--- a/daisyhub/settings.py
+++ b/daisyhub/settings.py
@@ -104,6 +104,8 @@
         platform_address: The platform's service.
         key_hash_secret: Secret of the keyed hash of client keys, hex.
         peers: Other daemons known at the start.
+        orders_check_fencing: Whether the failure domain's interface for
+            ordering endpoints refuses old fencing numbers.
         data_folder: Folder for bulk data; empty for none.
         log_format: `text` or `json`.
         timing: Intervals and terms.
@@ -118,6 +120,7 @@
     platform_address: Address
     key_hash_secret: Annotated[str, Range(32, 256, "characters")]
     peers: tuple[PeerSettings, ...] = ()
+    orders_check_fencing: bool = True
     data_folder: str = ""
     log_format: Literal["text", "json"] = "text"
     timing: TimingSettings = TimingSettings()
--- a/daisyhub/testing/fake_platform.py
+++ b/daisyhub/testing/fake_platform.py
@@ -5,7 +5,13 @@
 from absl import app
 
 from daisyhub.logs import set_up_logs
-from daisyhub.platform import EndpointRecord, PlatformObject, UsageReport
+from daisyhub.platform import (
+    EndpointRecord,
+    OrderReply,
+    OrderRequest,
+    PlatformObject,
+    UsageReport,
+)
 from daisyhub.testing.fake_app import Call, FakeApp, Reply, serve_fake
 
 __all__ = ["FakePlatform"]
@@ -28,6 +34,8 @@
         self._endpoints: dict[str, list[EndpointRecord]] = {}
         self._reports: list[UsageReport] = []
         self._calls: dict[str, int] = {}
+        self._orders: dict[str, OrderRequest] = {}
+        self._highest_fencing: dict[str, int] = {}
 
     async def answer(self, call: Call) -> Reply:
         """Serves one call."""
@@ -38,6 +46,10 @@
                 return self._on_object(rest, call)
             case "objects":
                 return await self._on_list(call)
+            case "domains" if call.method == "POST":
+                self._count("writes")
+                domain = rest.partition("/")[0]
+                return self._on_order(domain, call.json(OrderRequest))
             case "domains":
                 self._count("reads")
                 domain = rest.partition("/")[0]
@@ -93,6 +105,36 @@
             if key.startswith(prefix) and found.revision > after
         ]
 
+    def _on_order(self, domain: str, request: OrderRequest) -> Reply:
+        """Takes an order once by its id; refuses old fencing numbers."""
+        order = request.order
+        name = order.endpoint_id or f"ordered-{order.order_id}"
+        if order.order_id in self._orders:
+            return Reply(value=OrderReply(endpoint_id=name))
+        if request.fencing < self._highest_fencing.get(domain, 0):
+            return Reply(status=409, value={})
+        self._highest_fencing[domain] = request.fencing
+        self._orders[order.order_id] = request
+        records = self._endpoints.setdefault(domain, [])
+        if order.kind == "start":
+            # No process is started: nothing listens at the record's port.
+            record = EndpointRecord(
+                endpoint_id=name,
+                pool=order.pool,
+                ip="127.0.0.1",
+                port=1,
+                cheap=order.cheap,
+            )
+            self._endpoints[domain] = [*records, record]
+        else:
+            self._endpoints[domain] = [
+                msgspec.structs.replace(r, state="leaving")
+                if r.endpoint_id == name
+                else r
+                for r in records
+            ]
+        return Reply(value=OrderReply(endpoint_id=name))
+
     def _on_report(self, report: UsageReport) -> Reply:
         self._reports.append(report)
         return Reply(value={})
@@ -104,6 +146,8 @@
             return Reply(value={})
         if rest == "usage":
             return Reply(value=self._reports)
+        if rest == "orders":
+            return Reply(value=list(self._orders.values()))
         return Reply(value=self._calls)
 
 
--- a/daisyhub/testing/processes.py
+++ b/daisyhub/testing/processes.py
@@ -14,8 +14,9 @@
 import anyio
 import msgspec
 
+from daisyhub.config import ConfigStore
 from daisyhub.connections import RequestFailedError
-from daisyhub.platform import EndpointRecord
+from daisyhub.platform import EndpointRecord, PlatformClient
 from daisyhub.settings import Address
 from daisyhub.testing.caller import Caller
 
@@ -134,6 +135,23 @@
         await caller.send("PUT", f"/admin/endpoints/{domain}", value)
         await caller.aclose()
 
+    async def apply(self, document: dict) -> int:
+        """Puts a document in force and waits until all daemons have it."""
+        caller = Caller(self.platform.address)
+        client = PlatformClient(self.platform.address, caller.http, 5.0)
+        store = ConfigStore(client)
+        head, _ = await store.read_head()
+        head = await store.apply(
+            document,
+            base_version=head.version,
+            author="test",
+            team="test",
+            at_s=0.0,
+        )
+        await caller.aclose()
+        await self.wait_for_version(head.version)
+        return head.version
+
     def start_daemon(self, name: str) -> None:
         """Starts a planned daemon, again if it ended before."""
         plan = self._plans[name]
