Let a daemon started without the platform take endpoints from peers

Cause: a new process test found that a daemon restarted while the platform is frozen hears the configuration from peers but serves nothing: the endpoint table came from the platform's list only (20 s without a look-up, before).

Change: with an empty table and no platform, a live daemon of the same failure domain is asked for its endpoints; the list replaces them later.

Also: broken cores were caught when the test ran alone and not within the whole suite. Hypothesis draws on constants of loaded modules, so a derandomized search changes with unrelated modules.

--- a/daisyhub/controllers/_endpoints.py
+++ b/daisyhub/controllers/_endpoints.py
@@ -13,7 +13,13 @@
 from daisyhub.exceptions import PlatformUnavailableError
 from daisyhub.filters._forward import news_from_headers
 from daisyhub.logs import get_logger
-from daisyhub.platform import PlatformClient
+from daisyhub.peers import (
+    EndpointFetch,
+    EndpointParts,
+    PeerNetwork,
+    PeerUnreachableError,
+)
+from daisyhub.platform import EndpointRecord, PlatformClient
 from daisyhub.settings import DaemonSettings
 
 __all__ = ["EndpointController"]
@@ -35,6 +41,7 @@
         http: Sends probes.
         table: The table to keep.
         peers: Tells live daemons, and takes news for them.
+        network: Reaches a peer when the platform can't be reached.
     """
 
     name = "endpoints"
@@ -46,12 +53,14 @@
         http: HttpClient,
         table: EndpointTable,
         peers: PeerController,
+        network: PeerNetwork,
     ):
         self._cfg = cfg
         self._client = client
         self._http = http
         self._table = table
         self._peers = peers
+        self._network = network
 
     def status(self) -> dict[str, object]:
         """Tells each endpoint's state."""
@@ -82,9 +91,32 @@
             )
         except PlatformUnavailableError as exc:
             log.debug("the endpoint list can't be read: {}", exc)
+            if not self._table.all():
+                await self._catch_up()
             return
         self._table.adopt_list(records)
 
+    async def _catch_up(self) -> None:
+        """Takes a peer's endpoints: a daemon that starts without the platform.
+
+        The platform's list replaces them as soon as it can be read.
+        """
+        domain = {peer.daemon_id for peer in self._cfg.domain_peers}
+        for daemon_id in domain.intersection(self._peers.live_peers()):
+            try:
+                parts = await self._network.call(
+                    daemon_id, EndpointFetch(), _PROBE_TIMEOUT_S
+                )
+            except PeerUnreachableError:
+                continue
+            self._table.adopt_list(parts.records)
+            return
+
+    async def answer_fetch(self, _: EndpointFetch) -> EndpointParts:
+        """Serves a peer's `EndpointFetch`."""
+        records = tuple(_record_of(state) for state in self._table.all())
+        return EndpointParts(records=records)
+
     async def _probe_share(self) -> None:
         domain = {peer.daemon_id for peer in self._cfg.domain_peers}
         live = domain.intersection(self._peers.live_peers())
@@ -108,6 +140,18 @@
         self._table.adopt_news(news)
 
 
+def _record_of(state: EndpointState) -> EndpointRecord:
+    return EndpointRecord(
+        endpoint_id=state.endpoint_id,
+        pool=state.pool,
+        ip=state.address.ip,
+        port=state.address.port,
+        state="leaving" if state.is_leaving else "live",
+        incarnation=state.incarnation,
+        cheap=state.cheap,
+    )
+
+
 def _tells_news(state: EndpointState, news) -> bool:
     """Whether peers must hear it: leaving, new weights, twice the load."""
     if news.is_leaving != state.is_leaving:
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -38,7 +38,12 @@
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger, set_up_logs
 from daisyhub.metrics import Metrics
-from daisyhub.peers import ConfigFetch, LotCall, PeerNetwork
+from daisyhub.peers import (
+    ConfigFetch,
+    EndpointFetch,
+    LotCall,
+    PeerNetwork,
+)
 from daisyhub.platform import LeaseKeeper, PlatformClient
 from daisyhub.process_flags import SETTINGS
 from daisyhub.serving import CallersApp, HttpServer, OperatorsApp
@@ -105,7 +110,12 @@
             self.counters,
         )
         self.endpoints = EndpointController(
-            cfg, self.platform, self.http, self.table, self.peers
+            cfg,
+            self.platform,
+            self.http,
+            self.table,
+            self.peers,
+            self.network,
         )
         self.weights = WeightController(
             cfg, self.keeper, self.http, self.table, self.config
@@ -124,6 +134,7 @@
         self.config.add_listener(self.peers.wake)
         self.network.add_receiver(self.peers.receive)
         self.network.add_callee(ConfigFetch, self.config.answer_fetch)
+        self.network.add_callee(EndpointFetch, self.endpoints.answer_fetch)
         self.network.add_callee(LotCall, self.lots.answer_call)
 
     def _seat_tools(self) -> SeatTools:
--- a/daisyhub/peers/_messages.py
+++ b/daisyhub/peers/_messages.py
@@ -5,13 +5,16 @@
 from daisyhub.accounting import UsageCount
 from daisyhub.balancing import EndpointNews
 from daisyhub.config import ConfigHead
+from daisyhub.platform import EndpointRecord
 
 __all__ = [
     "Call",
     "CallAnswer",
     "ConfigFetch",
     "ConfigParts",
+    "EndpointFetch",
     "EndpointNewsBatch",
+    "EndpointParts",
     "Envelope",
     "Heartbeat",
     "LotAnswer",
@@ -74,6 +77,16 @@
     withdrawn: tuple[str, ...]
 
 
+class EndpointFetch(msgspec.Struct, frozen=True, kw_only=True, tag="ef"):
+    """Asks a peer of the same failure domain for its endpoints."""
+
+
+class EndpointParts(msgspec.Struct, frozen=True, kw_only=True, tag="ep"):
+    """The endpoints that a daemon knows, as the platform would list them."""
+
+    records: tuple[EndpointRecord, ...]
+
+
 class LotCall(msgspec.Struct, frozen=True, kw_only=True, tag="lc"):
     """A trainer's call, passed on to the daemon that holds the lot.
 
@@ -101,14 +114,14 @@
     """Asks for one answer; `call_id` is unique for the sender."""
 
     call_id: int
-    content: ConfigFetch | LotCall
+    content: ConfigFetch | EndpointFetch | LotCall
 
 
 class CallAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="answer"):
     """Answers a call; without content the callee could not serve it."""
 
     call_id: int
-    content: ConfigParts | LotAnswer | None
+    content: ConfigParts | EndpointParts | LotAnswer | None
 
 
 Message = Heartbeat | EndpointNewsBatch | UsageCopy | Call | CallAnswer
--- a/daisyhub/platform/tests/test_proof_orders.py
+++ b/daisyhub/platform/tests/test_proof_orders.py
@@ -34,7 +34,7 @@
 from daisyhub.testing.proofs import find_failure, run_proof
 
 BUDGET = 5
-STEPS = ("turn", "turn", "turn", "tick", "act", "act", "act_lost", "kill")
+STEPS = ("turn", "turn", "turn", "turn", "tick", "act", "act_lost", "kill")
 
 
 class OrderMachine(RuleBasedStateMachine):
@@ -47,7 +47,6 @@
     def start(self):
         self.now_s = 0.0
         self.fencing = 0
-        self.holder = None
         self.book, self.version = OrderBook(), 0
         self.cores = [self.core_class("d"), self.core_class("d")]
         self.held = [0, 0]
@@ -80,7 +79,7 @@
             cheap_share=0.5,
         )
 
-    @rule(load=st.sampled_from([0.0, 8.0, 16.0]))
+    @rule(load=st.sampled_from([16.0, 8.0, 0.0]))
     def change_load(self, load):
         self.load = load
 
@@ -106,8 +105,8 @@
     def take_over(self, number):
         """The lease moves; the other still has actions in hand."""
         self.fencing += 1
-        self.holder = number
         self.held[number] = self.fencing
+        self.step(number, "turn")
 
     @rule(number=st.sampled_from([0, 1]), step=st.sampled_from(STEPS))
     def step(self, number, step):
--- a/daisyhub/testing/proofs.py
+++ b/daisyhub/testing/proofs.py
@@ -14,7 +14,8 @@
 
 CI_EXAMPLES = 60
 _STEPS = 60
-_BROKEN_EXAMPLES = 1000
+_BROKEN_EXAMPLES = 500
+_BROKEN_SEEDS = 12
 
 
 def run_proof(
@@ -46,12 +47,19 @@
     examples: int = _BROKEN_EXAMPLES,
     steps: int = _STEPS,
 ) -> BaseException | None:
-    """Runs a machine around a broken subclass; returns what it found."""
-    settings = _settings(examples, steps, derandomize=True, shrink=False)
-    try:
-        run_state_machine_as_test(machine, settings=settings)
-    except Exception as exc:  # noqa: BLE001 - any finding counts.
-        return exc
+    """Runs a machine around a broken subclass; returns what it found.
+
+    Hypothesis draws on constants of whatever modules are loaded, so one seed
+    may find nothing after an unrelated change: several are tried.
+    """
+    settings = _settings(examples, steps, derandomize=False, shrink=False)
+    for seed in range(_BROKEN_SEEDS):
+        try:
+            run_state_machine_as_test(
+                hypothesis.seed(seed)(machine), settings=settings
+            )
+        except Exception as exc:
+            return exc
     return None
 
 
