Decide usage in deterministic cores with numbered parts and a ledger

Cause: a window's part could be flushed once only, so a request that ended after the flush of its window was lost; copies stayed with peers for ever and went out whole at each tick; sealed parts and windows were listed whole, with cost growing with history; a clock that ran ahead could stop the reports. Change: counts are cut into numbered parts that never change. Each daemon has one object with its unsealed parts, two peers keep copies until they are sealed, and a ledger object changes by conditional update, sealing windows and marking the parts taken in one write. FlushCore and SealCore decide; the controller carries out. Reports are the ledger's bytes as stored. Ruled out: an object for each window and daemon (the object API has no delete, so lists grow for ever); cumulative counts by epoch (the ledger would need a number for each account and epoch, beyond a megabyte at thousands of accounts). Conclusion: no window has two figures under the faults of the machine.

--- /dev/null
+++ b/daisyhub/accounting/_flush_core.py
@@ -0,0 +1,191 @@
+"""Decides when a daemon writes its parts to the platform.
+
+Each daemon has one object with its parts that aren't sealed yet, and those
+of dead peers. The object is read before it is first written, so that parts
+of an earlier epoch stay. Wake-ups are on CLOCK_BOOTTIME; windows follow the
+wall clock, which may jump.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+from daisyhub.accounting._counters import UsageCounters
+from daisyhub.accounting._ledger import Marks
+from daisyhub.accounting._parts import PartId, PartStore, UsagePart, window_of
+from daisyhub.accounting._seal_core import CallFailed, LedgerRead, ReadLedger
+from daisyhub.base import Core
+
+__all__ = [
+    "FlushCore",
+    "FlushTick",
+    "ReadStore",
+    "StoreRead",
+    "StoreRefused",
+    "StoreWritten",
+    "WriteStore",
+]
+
+_COUNTS_PER_STORE = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FlushTick:
+    """Time has passed.
+
+    Attributes:
+        wall_s: The wall clock.
+        live: Incarnations of the live peers of the domain.
+        is_closing: Whether to flush now, with whatever was counted.
+    """
+
+    wall_s: float
+    live: Mapping[str, int]
+    is_closing: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreRead:
+    """This daemon's object; version 0 if there is none."""
+
+    store: PartStore
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreWritten:
+    """The write took effect as `version`."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreRefused:
+    """The object is at another version."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadStore:
+    """Action: read this daemon's object."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteStore:
+    """Action: write this daemon's object at `expected_version`."""
+
+    store: PartStore
+    expected_version: int
+
+
+class FlushCore(Core):
+    """Flushes at the end of each window.
+
+    Args:
+        counters: The parts.
+        retry_s: Pause after a failed call.
+    """
+
+    def __init__(self, counters: UsageCounters, retry_s: float):
+        self._counters = counters
+        self._retry_s = retry_s
+        self._stored: dict[PartId, UsagePart] = {}
+        self._version: int | None = None
+        self._marks: Marks | None = None
+        self._orphans: list[UsagePart] = []
+        self._pending = PartStore()
+        self._is_done = True
+        self._is_waiting = False
+        self._window_end_s = 0.0
+        self._next_s = 0.0
+
+    @property
+    def next_wakeup_s(self) -> float | None:
+        """When to send the next `FlushTick`."""
+        return None if self._is_waiting else self._next_s
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the last flush has ended well."""
+        return self._is_done
+
+    def handle(self, event: object, now_s: float) -> list[object]:
+        """Takes one event; returns reads and writes."""
+        match event:
+            case FlushTick():
+                return self._on_tick(event, now_s)
+            case LedgerRead():
+                return self._on_ledger(event, now_s)
+            case StoreRead():
+                self._version = event.version
+                self._stored = {p.part_id: p for p in event.store.parts}
+                self._counters.note_flushed(event.store.parts)
+                return self._write(now_s)
+            case StoreWritten():
+                return self._on_written(event, now_s)
+            case StoreRefused():
+                self._version = None
+                return [ReadStore()]
+            case CallFailed():
+                return self._on_failed(now_s)
+        raise TypeError(f"not a flush event: {event!r}")
+
+    def _on_tick(self, event: FlushTick, now_s: float) -> list[object]:
+        if self._is_waiting:
+            return []
+        if now_s < self._next_s and not event.is_closing:
+            return []
+        window = window_of(event.wall_s, self._counters.window_s)
+        end_wall_s = window + self._counters.window_s
+        self._window_end_s = now_s + end_wall_s - event.wall_s
+        self._counters.cut()
+        self._orphans = self._counters.orphans(event.live)
+        self._is_waiting = True
+        self._is_done = False
+        return [ReadLedger()]
+
+    def _on_ledger(self, event: LedgerRead, now_s: float) -> list[object]:
+        self._marks = Marks(event.ledger)
+        self._counters.forget(self._marks)
+        if self._version is None:
+            return [ReadStore()]
+        return self._write(now_s)
+
+    def _write(self, now_s: float) -> list[object]:
+        wanted = dict(self._stored)
+        for part in (*self._counters.own_parts(), *self._orphans):
+            wanted[part.part_id] = part
+        unsealed = [p for p in wanted.values() if p not in self._marks]
+        parts = _oldest(unsealed)
+        if {p.part_id for p in parts} == set(self._stored):
+            return self._end(now_s)
+        self._pending = PartStore(parts=parts)
+        return [WriteStore(self._pending, self._version)]
+
+    def _on_written(self, event: StoreWritten, now_s: float) -> list[object]:
+        self._version = event.version
+        self._stored = {p.part_id: p for p in self._pending.parts}
+        self._counters.note_flushed(self._pending.parts)
+        return self._end(now_s)
+
+    def _end(self, now_s: float) -> list[object]:
+        self._is_done = True
+        self._next_s = max(now_s, self._window_end_s)
+        self._is_waiting = False
+        return []
+
+    def _on_failed(self, now_s: float) -> list[object]:
+        self._version = None
+        self._is_waiting = False
+        self._next_s = now_s + self._retry_s
+        return []
+
+
+def _oldest(parts: list[UsagePart]) -> tuple[UsagePart, ...]:
+    """Returns the oldest parts that fit into an object."""
+    chosen = []
+    room = _COUNTS_PER_STORE
+    for part in sorted(parts, key=lambda p: (p.window, p.part_id)):
+        room -= len(part.counts)
+        if room < 0 and chosen:
+            break
+        chosen.append(part)
+    return tuple(chosen)
--- /dev/null
+++ b/daisyhub/accounting/tests/test_proof_usage.py
@@ -0,0 +1,416 @@
+"""Proof: usage is reported once, with one set of figures, and none is lost.
+
+Faults: kills, two holders at once, actions that are carried out long after
+they were decided, lost answers, writes that take effect late, outages, copies
+that are lost, late or doubled, peers that don't see each other, and wall
+clocks that jump.
+"""
+
+import types
+import unittest
+
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from daisyhub.accounting import (
+    CallFailed,
+    FlushCore,
+    FlushTick,
+    Ledger,
+    LedgerRead,
+    LedgerRefused,
+    LedgerWritten,
+    ListParts,
+    Marks,
+    PartsListed,
+    PartStore,
+    ReadLedger,
+    ReadStore,
+    ReportDone,
+    SealCore,
+    SealedWindow,
+    SealTick,
+    SendReport,
+    StoreRead,
+    StoreRefused,
+    StoreWritten,
+    UsageCounters,
+    WriteLedger,
+    WriteStore,
+)
+from daisyhub.testing.proofs import find_failure, run_proof
+
+WINDOW_S = 10.0
+GRACE_S = 2.0
+DAEMONS = ("d0", "d1", "d2")
+MOST_STARTS = 6
+HEAL_TURNS = 12
+
+
+class Oracle:
+    """What was served and reported, in plain sums."""
+
+    def __init__(self):
+        self.served = {}
+        self.lost = {}
+        self.sealed = {}
+        self.sums = {}
+        self.reported = {}
+
+    def on_sealed(self, ledger):
+        for report in ledger.unreported:
+            known = self.sealed.get(report.window)
+            assert known in (None, report.body), "a window was sealed twice"
+            if known is None:
+                self.sealed[report.window] = report.body
+                self.take(msgspec.json.decode(report.body, type=SealedWindow))
+
+    def take(self, window):
+        for count in window.counts:
+            add(self.sums, count.account, count.requests, count.tokens)
+            sealed = self.sums[count.account]
+            served = self.served[count.account]
+            assert sealed[0] <= served[0], "more was sealed than served"
+            assert sealed[1] <= served[1], "more was sealed than served"
+
+    def on_report(self, action):
+        known = self.reported.setdefault(action.window, action.body)
+        assert known == action.body, "a window has two figures"
+        sealed = self.sealed.get(action.window)
+        assert sealed == action.body, "reported, not sealed"
+
+    def check_end(self):
+        assert self.reported == self.sealed, "a sealed window isn't reported"
+        sums = dict(self.sums)
+        for requests, tokens, account in self.lost.values():
+            add(sums, account, requests, tokens)
+        assert sums == self.served, (sums, self.served, self.lost)
+
+
+def add(sums, account, requests, tokens):
+    old = sums.get(account, (0, 0))
+    sums[account] = (old[0] + requests, old[1] + tokens)
+
+
+class UsageMachine(RuleBasedStateMachine):
+    """Three daemons of one failure domain and the platform."""
+
+    flush_class = FlushCore
+    seal_class = SealCore
+
+    @initialize()
+    def start(self):
+        self.now_s = 1000.0
+        self.ledger, self.ledger_version = Ledger(), 0
+        self.stores = {name: (PartStore(), 0) for name in DAEMONS}
+        self.oracle = Oracle()
+        self.mail, self.late_writes, self.stalled = [], [], {}
+        self.fencing = 0
+        self.starts = dict.fromkeys(DAEMONS, 0)
+        self.daemons = {}
+        for name in DAEMONS:
+            self.start_daemon(name)
+
+    def start_daemon(self, name):
+        self.starts[name] += 1
+        counters = UsageCounters(name, self.starts[name], WINDOW_S)
+        self.daemons[name] = types.SimpleNamespace(
+            counters=counters,
+            flush=self.flush_class(counters, 1.0),
+            seal=self.seal_class("busan", WINDOW_S, GRACE_S, 1.0),
+            fencing=0,
+            offset_s=0.0,
+        )
+
+    def live(self, name):
+        return {n: self.starts[n] for n in DAEMONS if n != name}
+
+    @rule(
+        name=st.sampled_from(DAEMONS),
+        account=st.sampled_from(["yard", "archive"]),
+        copies=st.sampled_from(["sent", "sent", "kept"]),
+    )
+    def serve(self, name, account, copies):
+        daemon = self.daemons[name]
+        wall_s = self.now_s + daemon.offset_s
+        daemon.counters.add(account, 7, wall_s)
+        add(self.oracle.served, account, 1, 7)
+        if copies == "sent":
+            self.send_copies(name)
+
+    def send_copies(self, name):
+        counters = self.daemons[name].counters
+        for peer, usage in counters.tick(self.live(name)).items():
+            self.mail.append((peer, name, self.starts[name], usage))
+
+    @rule(how=st.sampled_from(["once", "once", "twice", "all", "drop"]))
+    def deliver(self, how):
+        if how == "drop" and self.mail:
+            self.mail.pop(0)
+            self.note_lost()
+        while self.mail and how != "drop":
+            item = self.mail.pop(0)
+            self.hear(*item)
+            if how == "twice":
+                self.mail.append(item)
+            if how != "all":
+                break
+
+    def hear(self, peer, sender, incarnation, usage):
+        counters = self.daemons[peer].counters
+        if usage.parts:
+            counters.hold(sender, usage.parts)
+        if usage.held_number:
+            counters.on_held(
+                sender, incarnation, usage.held_epoch, usage.held_number
+            )
+
+    @rule(seconds=st.sampled_from([1.1, 4.0, 13.0, 25.0]))
+    def pass_time(self, seconds):
+        self.now_s += seconds
+
+    @rule(
+        name=st.sampled_from(DAEMONS),
+        kind=st.sampled_from(["flush", "seal", "both", "both"]),
+        fault=st.sampled_from(
+            ["none"] * 5 + ["lose", "outage", "late", "stall", "blind"]
+        ),
+        at=st.integers(0, 5),
+    )
+    def take_turn(self, name, kind, fault, at):
+        """A window goes by; a daemon acts, one of its calls at fault."""
+        self.now_s += WINDOW_S + GRACE_S
+        if kind in ("flush", "both"):
+            self.run_core(name, "flush", fault, at)
+        if kind in ("seal", "both"):
+            self.take_lease(name)
+            self.run_core(name, "seal", fault, at)
+
+    def take_lease(self, name):
+        """The holder before is not told: both may act."""
+        if self.daemons[name].fencing != self.fencing or not self.fencing:
+            self.fencing += 1
+            self.daemons[name].fencing = self.fencing
+
+    def run_core(self, name, kind, fault="none", at=0):
+        if (name, kind) in self.stalled:
+            return
+        daemon = self.daemons[name]
+        wall_s = self.now_s + daemon.offset_s
+        event = SealTick(wall_s, daemon.fencing)
+        if kind == "flush":
+            live = {} if fault == "blind" else self.live(name)
+            event = FlushTick(wall_s, live)
+        self.feed(name, kind, event, fault, at)
+
+    def feed(self, name, kind, event, fault="none", at=0):
+        core = getattr(self.daemons[name], kind)
+        actions = core.handle(event, self.now_s)
+        step = 0
+        while actions:
+            if step == at and fault == "stall":
+                self.stalled[name, kind] = actions[0]
+                return
+            at_fault = fault if step == at else "none"
+            event = self.perform(name, actions[0], at_fault)
+            actions = core.handle(event, self.now_s)
+            step += 1
+
+    @rule(
+        name=st.sampled_from(DAEMONS), kind=st.sampled_from(["flush", "seal"])
+    )
+    def wake(self, name, kind):
+        """A frozen daemon carries out what it had decided."""
+        action = self.stalled.pop((name, kind), None)
+        if action is not None:
+            event = self.perform(name, action, "none")
+            self.feed(name, kind, event)
+
+    def perform(self, name, action, fault):
+        if fault == "late" and isinstance(action, WriteStore | WriteLedger):
+            self.late_writes.append((name, action))
+        if fault in ("late", "outage"):
+            return CallFailed()
+        event = self.take_effect(name, action)
+        return CallFailed() if fault == "lose" else event
+
+    def take_effect(self, name, action):
+        match action:
+            case ReadLedger():
+                return LedgerRead(self.ledger, self.ledger_version)
+            case ReadStore():
+                return StoreRead(*self.stores[name])
+            case ListParts():
+                stores = [store for store, _ in self.stores.values()]
+                return PartsListed(tuple(p for s in stores for p in s.parts))
+            case WriteStore():
+                return self.write_store(name, action)
+            case WriteLedger():
+                return self.write_ledger(action)
+            case SendReport():
+                self.oracle.on_report(action)
+                return ReportDone(action.window)
+        raise AssertionError(action)
+
+    def write_store(self, name, action):
+        version = self.stores[name][1]
+        if action.expected_version != version:
+            return StoreRefused()
+        self.stores[name] = (action.store, version + 1)
+        return StoreWritten(version + 1)
+
+    def write_ledger(self, action):
+        if action.expected_version not in (self.ledger_version, None):
+            return LedgerRefused()
+        self.ledger_version += 1
+        self.ledger = action.ledger
+        self.oracle.on_sealed(self.ledger)
+        return LedgerWritten(self.ledger_version)
+
+    @rule()
+    def late_write_arrives(self):
+        if self.late_writes:
+            self.take_effect(*self.late_writes.pop(0))
+            self.note_lost()
+
+    @rule(name=st.sampled_from(DAEMONS), at=st.sampled_from(["any", "flush"]))
+    def kill(self, name, at):
+        """Kills and restarts a daemon; perhaps around its flushes."""
+        if at == "any":
+            self.restart(name)
+            return
+        self.serve(name, "yard", "kept")
+        self.take_turn(name, "flush", "none", 0)
+        self.restart(name)
+        self.serve(name, "yard", "kept")
+        self.take_turn(name, "flush", "none", 0)
+
+    def restart(self, name):
+        if self.starts[name] >= MOST_STARTS:
+            return
+        counters = self.daemons[name].counters
+        counters.cut()
+        gone = counters.own_parts() + counters.orphans({})
+        self.stalled.pop((name, "flush"), None)
+        self.stalled.pop((name, "seal"), None)
+        self.start_daemon(name)
+        self.note_lost(gone)
+
+    @rule(
+        name=st.sampled_from(DAEMONS),
+        offset_s=st.sampled_from([-3.0, 3.0, -500.0, 500.0, 0.0]),
+    )
+    def jump_clock(self, name, offset_s):
+        self.daemons[name].offset_s = offset_s
+
+    def note_lost(self, gone=()):
+        """Counts parts as lost that were at a killed daemon only."""
+        self.gone = {
+            **getattr(self, "gone", {}),
+            **{part.part_id: part for part in gone},
+        }
+        marks, places = Marks(self.ledger), self.places()
+        for part_id, part in self.gone.items():
+            if part_id not in places and part not in marks:
+                for c in part.counts:
+                    key = (part_id, c.account)
+                    self.oracle.lost[key] = (c.requests, c.tokens, c.account)
+
+    def places(self):
+        """Returns the ids of parts that still are somewhere."""
+        found = []
+        for daemon in self.daemons.values():
+            found += daemon.counters.own_parts() + daemon.counters.orphans({})
+        for store, _ in self.stores.values():
+            found += store.parts
+        for _, _, _, usage in self.mail:
+            found += usage.parts
+        for _, action in self.late_writes:
+            found += getattr(action, "store", PartStore()).parts
+        for action in self.stalled.values():
+            found += getattr(action, "store", PartStore()).parts
+        return {part.part_id for part in found}
+
+    def teardown(self):
+        """All faults end; then everything that was kept is reported."""
+        if not hasattr(self, "oracle"):
+            return
+        while self.late_writes:
+            self.late_write_arrives()
+        for name, kind in list(self.stalled):
+            self.wake(name, kind)
+        self.deliver("all")
+        self.take_lease("d0")
+        for daemon in self.daemons.values():
+            daemon.offset_s = 0.0
+        for _ in range(HEAL_TURNS):
+            self.now_s += WINDOW_S
+            for name in DAEMONS:
+                self.run_core(name, "flush")
+            self.now_s += GRACE_S
+            self.run_core("d0", "seal")
+        self.oracle.check_end()
+
+
+class SealsAgain(SealCore):
+    """Broken: sealing doesn't look at what was sealed before."""
+
+    def _on_parts(self, event, now_s):
+        self._ledger = msgspec.structs.replace(self._ledger, marks=())
+        return super()._on_parts(event, now_s)
+
+
+class WritesBlindly(SealCore):
+    """Broken: the ledger is written whatever version it has."""
+
+    def _on_parts(self, event, now_s):
+        return [
+            WriteLedger(a.ledger, None, a.fencing)
+            if isinstance(a, WriteLedger)
+            else a
+            for a in super()._on_parts(event, now_s)
+        ]
+
+
+class ReportsUnconfirmed(SealCore):
+    """Broken: reports what it meant to seal though the write is in doubt."""
+
+    def _on_failed(self, now_s):
+        self._is_waiting = False
+        self._ledger, self._pending = self._pending, None
+        return []
+
+
+class ForgetsEarlierEpoch(FlushCore):
+    """Broken: a restarted daemon overwrites its object unread."""
+
+    def handle(self, event, now_s):
+        if isinstance(event, StoreRead):
+            event = StoreRead(PartStore(), event.version)
+        return super().handle(event, now_s)
+
+
+class LeavesOrphans(FlushCore):
+    """Broken: counts of dead daemons aren't flushed by their peers."""
+
+    def handle(self, event, now_s):
+        self._orphans = []
+        return super().handle(event, now_s)
+
+
+class UsageProof(unittest.TestCase):
+    def test_windows_are_reported_once_and_no_count_is_lost(self):
+        run_proof(UsageMachine, examples=150)
+
+    def test_the_machine_catches_broken_cores(self):
+        broken_cores = {
+            "seal_class": (SealsAgain, WritesBlindly, ReportsUnconfirmed),
+            "flush_class": (ForgetsEarlierEpoch, LeavesOrphans),
+        }
+        for part, classes in broken_cores.items():
+            for broken in classes:
+                with self.subTest(broken.__name__):
+                    machine = type("Machine", (UsageMachine,), {part: broken})
+                    found = find_failure(machine)
+                    self.assertIsInstance(found, AssertionError)
--- a/daisyhub/controllers/_peers.py
+++ b/daisyhub/controllers/_peers.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from daisyhub.accounting import UsageCounters
+from daisyhub.accounting import PeerUsage, UsageCounters
 from daisyhub.balancing import EndpointNews, EndpointTable
 from daisyhub.base import Controller
 from daisyhub.controllers._config import ConfigController
@@ -17,6 +17,7 @@
     Heartbeat,
     PeerNetwork,
     UsageCopy,
+    UsageHeld,
 )
 from daisyhub.settings import DaemonSettings
 
@@ -70,7 +71,6 @@
         self._counters = counters
         self._peers: dict[str, _Peer] = {}
         self._news: dict[str, EndpointNews] = {}
-        self._copies: dict[tuple[str, int, int], UsageCopy] = {}
         self._is_leaving = False
         self._wakeup = anyio.Event()
         self._fetch_from: set[str] = set()
@@ -99,14 +99,14 @@
         domain = {peer.daemon_id for peer in self._cfg.domain_peers}
         return 1 / (1 + len(domain.intersection(self.live_peers())))
 
-    def usage_copies(self) -> list[UsageCopy]:
-        """Returns the last copies of peers' usage counts."""
-        return list(self._copies.values())
-
-    def drop_copies_before(self, window: int) -> None:
-        """Forgets copies of windows before `window`."""
-        for place in [p for p in self._copies if p[2] < window]:
-            del self._copies[place]
+    def live_incarnations(self) -> dict[str, int]:
+        """Returns the incarnations of the live peers of this domain."""
+        domain = {peer.daemon_id for peer in self._cfg.domain_peers}
+        return {
+            daemon_id: self._peers[daemon_id].incarnation
+            for daemon_id in self.live_peers()
+            if daemon_id in domain
+        }
 
     def add_news(self, news: EndpointNews) -> None:
         """Notes endpoint news for the next tick; leaving goes at once."""
@@ -137,8 +137,14 @@
                 for news in message.news:
                     self._table.adopt_news(news)
             case UsageCopy():
-                place = (message.daemon_id, message.epoch, message.window)
-                self._copies[place] = message
+                self._counters.hold(envelope.sender, message.parts)
+            case UsageHeld():
+                self._counters.on_held(
+                    envelope.sender,
+                    envelope.incarnation,
+                    message.epoch,
+                    message.number,
+                )
 
     async def run(self) -> None:
         """Sends a tick at each interval, or earlier when woken."""
@@ -174,24 +180,23 @@
             batch = EndpointNewsBatch(news=tuple(self._news.values()))
             messages.append(batch)
             self._news.clear()
+        usage = self._counters.tick(self.live_incarnations())
         for peer in self._cfg.peers:
             if peer.failure_domain == self._cfg.failure_domain:
+                told = usage.get(peer.daemon_id, PeerUsage())
                 self._network.send(
-                    peer.daemon_id, *messages, *self._usage_messages()
+                    peer.daemon_id, *messages, *_usage_messages(told)
                 )
             else:
                 self._network.send(peer.daemon_id, messages[0])
 
-    def _usage_messages(self) -> list[UsageCopy]:
-        copies = []
-        for window in self._counters.windows():
-            part = self._counters.part(window)
-            copies.append(
-                UsageCopy(
-                    daemon_id=part.daemon_id,
-                    epoch=part.epoch,
-                    window=part.window,
-                    counts=part.counts,
-                )
-            )
-        return copies
+
+def _usage_messages(told: PeerUsage) -> list[UsageCopy | UsageHeld]:
+    messages = []
+    if told.parts:
+        messages.append(UsageCopy(parts=told.parts))
+    if told.held_number:
+        messages.append(
+            UsageHeld(epoch=told.held_epoch, number=told.held_number)
+        )
+    return messages
--- a/daisyhub/controllers/_usage.py
+++ b/daisyhub/controllers/_usage.py
@@ -1,4 +1,8 @@
-"""Flushes usage counts, seals windows once, and reports the sealed figures."""
+"""Flushes usage counts, seals windows once, and reports the sealed figures.
+
+The decisions are those of `FlushCore` and `SealCore`; this file only carries
+them out.
+"""
 
 import contextlib
 import uuid
@@ -7,14 +11,31 @@
 import msgspec
 
 from daisyhub.accounting import (
-    SealedWindow,
+    CallFailed,
+    FlushCore,
+    FlushTick,
+    Ledger,
+    LedgerRead,
+    LedgerRefused,
+    LedgerWritten,
+    ListParts,
+    PartsListed,
+    PartStore,
+    ReadLedger,
+    ReadStore,
+    ReportDone,
+    SealCore,
+    SealTick,
+    SendReport,
+    StoreRead,
+    StoreRefused,
+    StoreWritten,
     UsageCounters,
-    UsagePart,
-    seal_window,
-    window_of,
+    WriteLedger,
+    WriteStore,
 )
-from daisyhub.base import Controller
-from daisyhub.clocks import wall_time_s
+from daisyhub.base import Controller, Core
+from daisyhub.clocks import boot_time_s, wall_time_s
 from daisyhub.controllers._peers import PeerController
 from daisyhub.exceptions import (
     PlatformConflictError,
@@ -27,7 +48,7 @@
 __all__ = ["UsageController"]
 
 _STEP_S = 1.0
-_KEPT_WINDOWS = 64
+_CLOSING_FLUSHES = 3
 
 log = get_logger("usage")
 
@@ -40,7 +61,7 @@
         client: The platform.
         keeper: Makes the lease.
         counters: This daemon's counts.
-        peers: Copies of the counts of daemons that died.
+        peers: Tells which peers are live.
     """
 
     name = "usage"
@@ -58,129 +79,132 @@
         self._counters = counters
         self._peers = peers
         self._lease = keeper.new_lease(f"usage/{cfg.failure_domain}")
-        self._sealed: dict[int, SealedWindow] = {}
-        self._reported: set[int] = set()
-        self._is_loaded = False
+        timing = cfg.timing
+        self._step_s = min(_STEP_S, timing.usage_grace_s / 2)
+        self._flush_core = FlushCore(counters, self._step_s)
+        self._seal_core = SealCore(
+            cfg.failure_domain,
+            timing.usage_window_s,
+            timing.usage_grace_s,
+            self._step_s,
+        )
+        self._ledger_key = f"sealed/{cfg.failure_domain}"
+        self._store_prefix = f"usage/{cfg.failure_domain}/"
 
     def status(self) -> dict[str, object]:
         """Tells who is in charge and which window was sealed last."""
         return {
             "fencing": self._lease.fencing,
             "holder": self._lease.seen_holder,
-            "last_sealed": max(self._sealed, default=0),
-            "unflushed": self._counters.windows(),
+            "last_sealed": self._seal_core.last_sealed,
+            "unsealed_parts": self._counters.unsealed,
+            "held_parts": self._counters.held,
         }
 
     async def run(self) -> None:
         """Flushes, seals and reports until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._lease.run)
-            while True:
-                with contextlib.suppress(PlatformUnavailableError):
-                    await self._flush_ended()
-                    await self._work_in_charge()
-                await anyio.sleep(self._step_s)
+            tasks.start_soon(self._run_core, self._flush_core, self._flush_tick)
+            tasks.start_soon(self._run_core, self._seal_core, self._seal_tick)
 
     async def release(self) -> None:
         """Flushes everything and gives the duty up at shutdown."""
-        with contextlib.suppress(PlatformUnavailableError):
-            for window in self._counters.windows():
-                await self._flush(window)
+        for _ in range(_CLOSING_FLUSHES):
+            await self._feed(self._flush_core, self._flush_tick(True))
+            if self._flush_core.is_done:
+                break
+            await anyio.sleep(self._step_s)
         await self._lease.release()
 
-    @property
-    def _step_s(self) -> float:
-        return min(_STEP_S, self._cfg.timing.usage_grace_s / 2)
+    def _flush_tick(self, is_closing: bool = False) -> FlushTick:
+        live = self._peers.live_incarnations()
+        return FlushTick(wall_time_s(), live, is_closing)
+
+    def _seal_tick(self) -> SealTick:
+        return SealTick(wall_time_s(), self._lease.fencing)
+
+    async def _run_core(self, core: Core, make_tick) -> None:
+        while True:
+            await self._feed(core, make_tick())
+            await anyio.sleep(self._step_s)
+
+    async def _feed(self, core: Core, event: object) -> None:
+        actions = core.handle(event, boot_time_s())
+        while actions:
+            try:
+                event = await self._perform(actions[0])
+            except PlatformUnavailableError as exc:
+                log.warning("the platform failed: {}", exc)
+                event = CallFailed()
+            actions = core.handle(event, boot_time_s())
+
+    async def _perform(self, action: object) -> object:
+        match action:
+            case ReadLedger():
+                return await self._read(self._ledger_key, Ledger, LedgerRead)
+            case ReadStore():
+                return await self._read(self._store_key, PartStore, StoreRead)
+            case ListParts():
+                return await self._list_parts()
+            case WriteStore():
+                return await self._write_store(action)
+            case WriteLedger():
+                return await self._write_ledger(action)
+            case SendReport():
+                return await self._report(action)
+        raise TypeError(f"not a usage action: {action!r}")
 
     @property
-    def _domain(self) -> str:
-        return self._cfg.failure_domain
-
-    def _ended_window(self, grace_s: float) -> int:
-        """Returns the newest window that ended `grace_s` ago."""
-        length_s = self._cfg.timing.usage_window_s
-        return window_of(wall_time_s() - grace_s - length_s, length_s)
-
-    async def _flush_ended(self) -> None:
-        newest = self._ended_window(self._step_s)
-        for window in self._counters.windows():
-            if window <= newest:
-                await self._flush(window)
-
-    async def _flush(self, window: int) -> None:
-        part = self._counters.part(window)
-        key = f"usage/{self._domain}/{window:012d}/"
+    def _store_key(self) -> str:
+        return self._store_prefix + self._cfg.daemon_id
+
+    async def _read(self, key: str, kind: type, make_event) -> object:
+        found = await self._client.get(key)
+        if found is None:
+            return make_event(kind(), 0)
+        return make_event(msgspec.convert(found.value, kind), found.version)
+
+    async def _list_parts(self) -> PartsListed:
+        parts = []
+        for found in await self._client.list(self._store_prefix):
+            parts += msgspec.convert(found.value, PartStore).parts
+        return PartsListed(tuple(parts))
+
+    async def _write_store(self, action: WriteStore) -> object:
         with contextlib.suppress(PlatformConflictError):
-            await self._client.put(
-                f"{key}{part.daemon_id}-{part.epoch}",
-                msgspec.to_builtins(part),
-                expected_version=0,
-                write_id=uuid.uuid4().hex,
-            )
-        self._counters.drop(window)
-
-    async def _work_in_charge(self) -> None:
-        if not self._lease.fencing:
-            self._is_loaded = False
-            return
-        if not self._is_loaded:
-            await self._load_sealed()
-        window = self._ended_window(self._cfg.timing.usage_grace_s)
-        if window > max(self._sealed, default=0):
-            await self._seal(window)
-        for sealed_window in sorted(set(self._sealed) - self._reported):
-            await self._report(self._sealed[sealed_window])
-
-    async def _load_sealed(self) -> None:
-        found = await self._client.list(f"sealed/{self._domain}/")
-        self._sealed = {}
-        for item in found[-_KEPT_WINDOWS:]:
-            sealed = msgspec.convert(item.value, SealedWindow)
-            self._sealed[sealed.window] = sealed
-        self._is_loaded = True
-
-    async def _seal(self, window: int) -> None:
-        parts = await self._read_parts()
-        sealed = seal_window(self._domain, window, parts, self._sealed.values())
-        if not sealed.counts:
-            return
-        key = f"sealed/{self._domain}/{window:012d}"
-        if not self._lease.fencing:
-            return
-        try:
-            await self._client.put(
-                key,
-                msgspec.to_builtins(sealed),
-                expected_version=0,
-                write_id=uuid.uuid4().hex,
-            )
-        except PlatformConflictError:
-            self._is_loaded = False  # Another holder sealed it; use its bytes.
-            return
-        self._sealed[window] = sealed
-        log.info("window {} is sealed", window)
-
-    async def _read_parts(self) -> list[UsagePart]:
-        found = await self._client.list(f"usage/{self._domain}/")
-        parts = [msgspec.convert(item.value, UsagePart) for item in found]
-        for copy in self._peers.usage_copies():
-            parts.append(
-                UsagePart(
-                    daemon_id=copy.daemon_id,
-                    epoch=copy.epoch,
-                    window=copy.window,
-                    counts=copy.counts,
-                )
+            version = await self._put(
+                self._store_key, action.store, action.expected_version
             )
-        return parts
-
-    async def _report(self, sealed: SealedWindow) -> None:
-        if not self._lease.fencing:
-            return
-        body = msgspec.json.encode(sealed).decode()
-        await self._client.report_usage(
-            UsageReport(
-                failure_domain=self._domain, window=sealed.window, body=body
+            return StoreWritten(version)
+        return StoreRefused()
+
+    async def _write_ledger(self, action: WriteLedger) -> object:
+        if self._lease.fencing != action.fencing:
+            return CallFailed()
+        with contextlib.suppress(PlatformConflictError):
+            version = await self._put(
+                self._ledger_key, action.ledger, action.expected_version
             )
+            log.info("window {} is sealed", action.ledger.window)
+            return LedgerWritten(version)
+        return LedgerRefused()
+
+    async def _put(self, key: str, value: object, version: int) -> int:
+        return await self._client.put(
+            key,
+            msgspec.to_builtins(value),
+            expected_version=version,
+            write_id=uuid.uuid4().hex,
+        )
+
+    async def _report(self, action: SendReport) -> object:
+        report = UsageReport(
+            failure_domain=self._cfg.failure_domain,
+            window=action.window,
+            body=action.body,
         )
-        self._reported.add(sealed.window)
+        if self._lease.fencing != action.fencing:
+            return CallFailed()
+        await self._client.report_usage(report)
+        return ReportDone(action.window)
--- a/daisyhub/peers/__init__.py
+++ b/daisyhub/peers/__init__.py
@@ -11,6 +11,7 @@
     LotAnswer,
     LotCall,
     UsageCopy,
+    UsageHeld,
     decode_envelope,
     encode_envelope,
 )
@@ -29,6 +30,7 @@
     "PeerNetwork",
     "PeerUnreachableError",
     "UsageCopy",
+    "UsageHeld",
     "decode_envelope",
     "encode_envelope",
 ]
--- a/daisyhub/peers/_messages.py
+++ b/daisyhub/peers/_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from daisyhub.accounting import UsageCount
+from daisyhub.accounting import UsagePart
 from daisyhub.balancing import EndpointNews
 from daisyhub.config import ConfigHead
 
@@ -17,6 +17,7 @@
     "LotAnswer",
     "LotCall",
     "UsageCopy",
+    "UsageHeld",
     "decode_envelope",
     "encode_envelope",
 ]
@@ -45,19 +46,16 @@
 
 
 class UsageCopy(msgspec.Struct, frozen=True, kw_only=True, tag="uc"):
-    """Counts of one daemon, kept by peers in case it dies before it flushes.
+    """Usage parts, kept by peers in case their daemon dies unflushed."""
 
-    Attributes:
-        daemon_id: Whose counts.
-        epoch: Incarnation of that daemon.
-        window: Start of the window, whole seconds since the epoch.
-        counts: Sums so far; a later copy replaces an earlier one.
-    """
+    parts: tuple[UsagePart, ...]
+
+
+class UsageHeld(msgspec.Struct, frozen=True, kw_only=True, tag="uh"):
+    """Tells a peer that its parts up to `number` of `epoch` are kept."""
 
-    daemon_id: str
     epoch: int
-    window: int
-    counts: tuple[UsageCount, ...]
+    number: int
 
 
 class ConfigFetch(msgspec.Struct, frozen=True, kw_only=True, tag="cf"):
@@ -111,7 +109,9 @@
     content: ConfigParts | LotAnswer | None
 
 
-Message = Heartbeat | EndpointNewsBatch | UsageCopy | Call | CallAnswer
+Message = (
+    Heartbeat | EndpointNewsBatch | UsageCopy | UsageHeld | Call | CallAnswer
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True):
