Test usage over kills, frozen holders and lost answers

Change: three process tests, tests of sealing, parts as arrays, a fixed order, and a status field for the requests that no other process knows of. Ruled out: merging parts when they are flushed (a merged range of which a peer's copy was sealed in part could only be dropped or counted twice).

--- a/daisyhub/accounting/__init__.py
+++ b/daisyhub/accounting/__init__.py
@@ -19,6 +19,7 @@
     seal,
 )
 from daisyhub.accounting._parts import (
+    PartCount,
     PartStore,
     UsageCount,
     UsagePart,
@@ -50,6 +51,7 @@
     "LedgerWritten",
     "ListParts",
     "Marks",
+    "PartCount",
     "PartStore",
     "PartsListed",
     "PeerUsage",
--- a/daisyhub/accounting/_counters.py
+++ b/daisyhub/accounting/_counters.py
@@ -5,8 +5,8 @@
 
 from daisyhub.accounting._ledger import Marks
 from daisyhub.accounting._parts import (
+    PartCount,
     PartId,
-    UsageCount,
     UsagePart,
     window_of,
 )
@@ -64,11 +64,9 @@
 
     def cut(self) -> None:
         """Makes parts of all that was counted since the last cut."""
-        by_window: dict[int, list[UsageCount]] = {}
+        by_window: dict[int, list[PartCount]] = {}
         for (window, account), (requests, tokens) in sorted(self._open.items()):
-            count = UsageCount(
-                account=account, requests=requests, tokens=tokens
-            )
+            count = PartCount(account, requests, tokens)
             by_window.setdefault(window, []).append(count)
         self._open.clear()
         self._ticks = 0
@@ -103,7 +101,7 @@
         told, self._to_tell = self._to_tell, {}
         keepers = self._keepers(live)
         usage = {}
-        for peer in {*told, *keepers}:
+        for peer in sorted({*told, *keepers}):
             parts = ()
             if peer in keepers:
                 parts = self._parts_for((peer, live[peer]))
@@ -165,6 +163,16 @@
         """How many own parts aren't known to be sealed."""
         return len(self._own) + bool(self._open)
 
+    @property
+    def unkept_requests(self) -> int:
+        """How many requests neither the platform nor a peer knows of."""
+        kept = max(self._acknowledged.values(), default=0)
+        unkept = sum(requests for requests, _ in self._open.values())
+        for number, part in self._own.items():
+            if number > kept and number not in self._flushed:
+                unkept += sum(count.requests for count in part.counts)
+        return unkept
+
     @property
     def held(self) -> int:
         """How many parts of peers are kept here."""
--- a/daisyhub/accounting/_parts.py
+++ b/daisyhub/accounting/_parts.py
@@ -10,6 +10,7 @@
 import msgspec
 
 __all__ = [
+    "PartCount",
     "PartId",
     "PartStore",
     "UsageCount",
@@ -22,14 +23,22 @@
 
 
 class UsageCount(msgspec.Struct, frozen=True, kw_only=True):
-    """Sums for one client account."""
+    """Sums for one client account, as reported."""
 
     account: str
     requests: int = 0
     tokens: int = 0
 
 
-class UsagePart(msgspec.Struct, frozen=True, kw_only=True):
+class PartCount(msgspec.Struct, frozen=True, array_like=True):
+    """Sums for one client account in one part; short on the wire."""
+
+    account: str
+    requests: int = 0
+    tokens: int = 0
+
+
+class UsagePart(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A piece of what one daemon epoch counted in one window.
 
     Attributes:
@@ -44,7 +53,7 @@
     epoch: int
     number: int
     window: int
-    counts: tuple[UsageCount, ...]
+    counts: tuple[PartCount, ...]
 
     @property
     def part_id(self) -> PartId:
@@ -63,7 +72,7 @@
     return int(wall_s // length_s * length_s)
 
 
-def sum_counts(counts: Iterable[UsageCount]) -> tuple[UsageCount, ...]:
+def sum_counts(counts: Iterable[PartCount]) -> tuple[UsageCount, ...]:
     """Adds counts up by account, sorted by account."""
     requests: dict[str, int] = {}
     tokens: dict[str, int] = {}
--- /dev/null
+++ b/daisyhub/accounting/tests/test_ledger.py
@@ -0,0 +1,101 @@
+import unittest
+
+import msgspec
+
+from daisyhub.accounting import (
+    Ledger,
+    Marks,
+    PartCount,
+    SealedWindow,
+    UsageCounters,
+    UsagePart,
+    seal,
+)
+
+WINDOW_S = 60.0
+
+
+def part(number, window, daemon_id="a", epoch=1):
+    counts = (PartCount("yard", 1, 5),)
+    return UsagePart(
+        daemon_id=daemon_id,
+        epoch=epoch,
+        number=number,
+        window=window,
+        counts=counts,
+    )
+
+
+def figures(ledger):
+    """Returns window to (requests, late requests) of unreported windows."""
+    found = {}
+    for report in ledger.unreported:
+        sealed = msgspec.json.decode(report.body, type=SealedWindow)
+        late = sum(count.requests for count in sealed.late)
+        found[report.window] = (sum(c.requests for c in sealed.counts), late)
+    return found
+
+
+class SealTest(unittest.TestCase):
+    def test_after_an_outage_each_window_gets_its_own_counts(self):
+        parts = [part(1, 60), part(2, 120), part(3, 120), part(4, 240)]
+        ledger = seal("busan", Ledger(), parts, 180, WINDOW_S)
+        self.assertEqual(figures(ledger), {60: (1, 0), 120: (2, 0)})
+
+    def test_late_parts_go_into_the_next_window_as_such(self):
+        ledger = seal("busan", Ledger(), [part(2, 60)], 60, WINDOW_S)
+        parts = [part(1, 60), part(2, 60), part(3, 120)]
+        ledger = seal("busan", ledger, parts, 120, WINDOW_S, frozenset([60]))
+        self.assertEqual(figures(ledger), {120: (2, 1)})
+        self.assertIs(seal("busan", ledger, parts, 180, WINDOW_S), ledger)
+
+    def test_a_clock_far_ahead_holds_nothing_back(self):
+        ledger = seal("busan", Ledger(), [part(1, 86400)], 60, WINDOW_S)
+        self.assertEqual(figures(ledger), {60: (1, 1)})
+        ahead = seal("busan", ledger, [part(2, 60)], 86400, WINDOW_S)
+        after = seal("busan", ahead, [part(3, 120)], 120, WINDOW_S)
+        self.assertEqual(after.window, 86460)
+
+    def test_sealing_waits_while_reports_are_not_taken(self):
+        ledger = Ledger()
+        parts = [part(number, 60 * number) for number in range(1, 100)]
+        for _ in range(20):
+            ledger = seal("busan", ledger, parts, 6000, WINDOW_S)
+        self.assertEqual(len(ledger.unreported), 64)
+
+    def test_parts_of_forgotten_epochs_are_not_taken_again(self):
+        ledger = Ledger()
+        for epoch in range(1, 20):
+            parts = [part(1, 60 * epoch, epoch=epoch)]
+            done = frozenset(r.window for r in ledger.unreported)
+            ledger = seal("busan", ledger, parts, 60 * epoch, WINDOW_S, done)
+        self.assertEqual(len(ledger.marks), 8)
+        self.assertIn(part(1, 60, epoch=1), Marks(ledger))
+        self.assertNotIn(part(2, 60, epoch=19), Marks(ledger))
+
+
+class CountersTest(unittest.TestCase):
+    def test_peers_keep_copies_until_they_are_sealed(self):
+        live = {"b": 1, "c": 1, "d": 1}
+        a, b = UsageCounters("a", 1, WINDOW_S), UsageCounters("b", 1, WINDOW_S)
+        a.add("yard", 5, 61.0)
+        told = a.tick(live)
+        self.assertEqual(list(told), ["b", "c"])
+        b.hold("a", told["b"].parts)
+        back = b.tick({"a": 1})["a"]
+        a.on_held("b", 1, back.held_epoch, back.held_number)
+        self.assertEqual(a.unkept_requests, 0)
+        self.assertEqual(list(a.tick(live)), ["c"])
+        self.assertFalse(b.orphans({"a": 1}))
+        self.assertEqual(b.orphans({"a": 2}), list(told["b"].parts))
+        ledger = seal("busan", Ledger(), told["b"].parts, 60, WINDOW_S)
+        for counters in (a, b):
+            counters.forget(Marks(ledger))
+        self.assertEqual((a.unsealed, b.held), (0, 0))
+
+    def test_a_long_backlog_is_cut_more_rarely(self):
+        counters = UsageCounters("a", 1, WINDOW_S)
+        for second in range(3600):
+            counters.add("yard", 5, float(second))
+            counters.tick({})
+        self.assertLess(counters.unsealed, 800)
--- a/daisyhub/controllers/_usage.py
+++ b/daisyhub/controllers/_usage.py
@@ -98,6 +98,7 @@
             "holder": self._lease.seen_holder,
             "last_sealed": self._seal_core.last_sealed,
             "unsealed_parts": self._counters.unsealed,
+            "unkept_requests": self._counters.unkept_requests,
             "held_parts": self._counters.held,
         }
 
--- /dev/null
+++ b/daisyhub/controllers/tests/test_usage_failures.py
@@ -0,0 +1,133 @@
+"""Usage reports while daemons die or freeze and answers are lost."""
+
+import json
+import signal
+import unittest
+
+import anyio
+
+from daisyhub.testing.caller import Caller
+from daisyhub.testing.demo import Demo
+from daisyhub.testing.demo_config import DemoKeys, demo_document
+from daisyhub.testing.processes import Deployment
+
+WAIT_S = 30.0
+LEASE_TERM_S = 1.5
+FREEZE_S = 2.2
+TIMING = {
+    "usage_window_s": 1.0,
+    "usage_grace_s": 0.4,
+    "lease_term_s": LEASE_TERM_S,
+    "lease_margin_s": 0.3,
+    "platform_timeout_s": 0.5,
+}
+
+
+class UsageFailuresTest(unittest.TestCase):
+    def run_with(self, scenario, **timing):
+        demo = Demo()
+        demo.deployment.stop()
+        demo.deployment = Deployment(
+            ("busan",), 3, 0, 1, timing={**TIMING, **timing}
+        )
+        self.addCleanup(demo.deployment.stop)
+        self.deployment, self.key = demo.deployment, demo.keys.archive
+        self.served = 0
+
+        async def run():
+            await demo.deployment.start()
+            demo._write_operator_settings()
+            version = demo._apply(demo_document(demo.keys))
+            await demo.deployment.wait_for_version(version)
+            await scenario()
+
+        anyio.run(run)
+
+    async def look_up(self, daemon, count):
+        caller = Caller(daemon.address, DemoKeys.text(self.key))
+        for number in range(count):
+            answer = await caller.send("GET", f"/records/{number}")
+            self.served += answer.status == 200
+        await caller.aclose()
+
+    async def status_of(self, daemon):
+        caller = Caller(daemon.operators)
+        status = await caller.json("GET", "/status")
+        await caller.aclose()
+        return status["usage"]
+
+    async def platform(self, method, target, value=None):
+        caller = Caller(self.deployment.platform.address)
+        answer = await caller.send(method, target, value)
+        await caller.aclose()
+        return json.loads(answer.body)
+
+    async def check_reports(self):
+        """Waits until all is reported; no window may have two figures."""
+        self.assertGreater(self.served, 0)
+        found = 0
+        with anyio.move_on_after(WAIT_S):
+            while found != self.served:
+                await anyio.sleep(0.2)
+                reports = await self.platform("GET", "/admin/usage")
+                bodies = {}
+                for report in reports:
+                    known = bodies.setdefault(report["window"], report["body"])
+                    self.assertEqual(known, report["body"])
+                counts = [json.loads(b)["counts"] for b in bodies.values()]
+                found = sum(c["requests"] for cs in counts for c in cs)
+                self.assertLessEqual(found, self.served)
+        self.assertEqual(found, self.served)
+        return len(reports) - len(bodies)
+
+    def test_a_killed_daemons_unflushed_counts_are_reported(self):
+        async def scenario():
+            victim = self.deployment.daemons()[0]
+            await self.look_up(victim, 30)
+            with anyio.fail_after(WAIT_S):
+                while (await self.status_of(victim))["unkept_requests"]:
+                    await anyio.sleep(0.05)
+            victim.send_signal(signal.SIGKILL)
+            await self.check_reports()
+
+        self.run_with(scenario, usage_window_s=4.0)
+
+    def test_a_holder_that_wakes_up_after_its_term_changes_no_window(self):
+        async def scenario():
+            daemons = self.deployment.daemons()
+            for _ in range(2):
+                holder = await self.find_holder()
+                others = [d for d in daemons if d is not holder]
+                await self.look_up(holder, 10)
+                await anyio.sleep(TIMING["usage_window_s"])
+                holder.send_signal(signal.SIGSTOP)
+                until_s = anyio.current_time() + FREEZE_S
+                while anyio.current_time() < until_s:
+                    await self.look_up(others[0], 2)
+                holder.send_signal(signal.SIGCONT)
+                await self.look_up(others[1], 10)
+            await self.check_reports()
+
+        self.run_with(scenario)
+
+    async def find_holder(self):
+        with anyio.fail_after(WAIT_S):
+            while True:
+                for daemon in self.deployment.daemons():
+                    if (await self.status_of(daemon))["fencing"]:
+                        return daemon
+                await anyio.sleep(0.1)
+
+    def test_lost_answers_to_seals_and_reports_change_no_window(self):
+        async def scenario():
+            daemons = self.deployment.daemons()
+            for path, method in (("/objects/sealed", "PUT"), ("/usage", "")):
+                fault = {"kind": "lose", "path": path, "method": method}
+                await self.platform("POST", "/faults", {**fault, "count": 2})
+            for _ in range(2):
+                for daemon in daemons:
+                    await self.look_up(daemon, 10)
+                await anyio.sleep(TIMING["usage_window_s"])
+            self.assertGreaterEqual(await self.check_reports(), 2)
+
+        self.run_with(scenario)
