--- a/daisyhub/peers/__init__.py
+++ b/daisyhub/peers/__init__.py
@@ -13,6 +13,7 @@
     LotAnswer,
     LotCall,
     UsageCopy,
+    UsageHeld,
     decode_envelope,
     encode_envelope,
 )
@@ -33,6 +34,7 @@
     "PeerNetwork",
     "PeerUnreachableError",
     "UsageCopy",
+    "UsageHeld",
     "decode_envelope",
     "encode_envelope",
 ]
