Decide claims of idempotency keys in a deterministic core

Cause: the claim logic was mixed with I/O in the filter. A claim write whose effect stayed unknown left a stored claim that barred its key for good, though the request surely never ran; a final state that could not be stored lost the answer; waiting for the store could outlast the caller's deadline; an answer too large to keep was reported as "outcome unknown".

Change: `ClaimCore` takes typed events (asked, stored, conflict, write lost, found, read lost, ended, dropped, tick) and returns write, read, forward, replay, refuse or settled. Claims carry the attempt's id. What the process knows and the store doesn't is pending: repeats at this process are answered from it, a claim that surely never ran may be taken over here at once, and `ClaimController` settles the stored object once the store answers, which frees the key for all daemons. Pending claims are bounded (4096, 4 MB of answers). Store calls end at the caller's deadline. New code `answer_not_kept`: it ran, its answer is not kept.

Ruled out: taking over a claim of another daemon by age or by liveness news; a frozen daemon may still send. Such a claim stays unknown for good.

--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -26,6 +26,7 @@
     AccountFilter,
     AdmissionCore,
     AdmitFilter,
+    ClaimController,
     ForwardFilter,
     IdempotencyFilter,
     IdentifyFilter,
@@ -112,6 +113,7 @@
             cfg, self.platform, self.keeper, self.counters, self.peers
         )
         self.lots = LotController(self._seat_tools(), self.network)
+        self.claims = ClaimController(self.platform)
         self.news = NewsController(self.platform, cfg.timing)
         self.news.add_listener("news/keys", self.config.on_withdrawn)
         self.news.add_listener("news/config", self.config.on_head)
@@ -145,6 +147,7 @@
             self.weights,
             self.usage,
             self.lots,
+            self.claims,
         )
 
     def _filters(self) -> tuple[Filter, ...]:
@@ -158,7 +161,7 @@
                 self.peers.domain_share,
             ),
             LotsFilter(self.lots.serve),
-            IdempotencyFilter(self.platform, self.process_id),
+            IdempotencyFilter(self.claims),
             AccountFilter(self.counters),
             ForwardFilter(
                 self.table,
@@ -235,6 +238,7 @@
         self.callers_server.stop()
         while self.callers_app.open_requests or self._has_connections():
             await anyio.sleep(0.05)
+        await self.claims.release()
         await self.usage.release()
         await self.weights.release()
         self.operators_server.stop()
--- a/daisyhub/exceptions.py
+++ b/daisyhub/exceptions.py
@@ -53,6 +53,7 @@
     CLAIM_MISMATCH = ("claim_mismatch", 422)
     CLAIM_IN_PROGRESS = ("claim_in_progress", 409)
     OUTCOME_UNKNOWN = ("outcome_unknown", 409)
+    ANSWER_NOT_KEPT = ("answer_not_kept", 409)
     LOT_UNKNOWN = ("lot_unknown", 404)
     LOT_CONFLICT = ("lot_conflict", 409)
     LOT_ELSEWHERE = ("lot_elsewhere", 503)
