Prove forwarding: repeats, budget, deadlines, truthful refusals

Cause: the deadline was only kept by the client's time-out, a request that came after it was still sent, a pool with one endpoint could not repeat over a new connection, and the shell decided when a connection must be fresh.

Change: the core refuses at the deadline and tells when to wake it, `StartAttempt` says whether only a new connection will do, and a repeat goes to a tried endpoint, over a new connection, if there is no other. A stream that is dropped before its first chunk closes its connection.

Each of five broken versions is caught: repeating unknown outcomes, hedging requests that may run once, reporting open attempts as not run, no deadline, no budget.

Conclusion: within a daemon a request that may run once has at most one attempt that may have run, and repeats stay within 10 and a tenth of traffic.

--- a/daisyhub/filters/_forward.py
+++ b/daisyhub/filters/_forward.py
@@ -57,6 +57,7 @@
 )
 _NOT_RUN_HEADER = (b"endpoint-ran", b"no")
 _DETAILS = {
+    ErrorCode.DEADLINE_EXCEEDED: "the deadline passed before it was sent",
     ErrorCode.NO_ENDPOINT: "no endpoint is live",
     ErrorCode.ENDPOINT_FAILED: "the endpoint failed",
     ErrorCode.ENDPOINT_TIMEOUT: "the endpoint did not answer in time",
@@ -184,7 +185,7 @@
         self._metrics.count("attempts", pool=state.pool)
         failed = True
         try:
-            answer = await self._send(req, state)
+            answer = await self._send(req, state, fresh=action.fresh)
             failed = False
         except RequestFailedError as exc:
             self._client.forget(state.address)
@@ -209,7 +210,7 @@
         return _Outcome(AttemptAnswered(action.attempt), answer)
 
     async def _send(
-        self, req: Request, state: EndpointState
+        self, req: Request, state: EndpointState, *, fresh: bool
     ) -> HttpAnswer | StreamedAnswer:
         target = f"{req.path}?{req.query}" if req.query else req.path
         timeout_s = max(0.0, req.deadline_s - time.monotonic())
@@ -221,7 +222,7 @@
                 headers=_endpoint_headers(req),
                 body=req.body,
                 timeout_s=timeout_s,
-                fresh=not req.route.idempotent,
+                fresh=fresh,
             )
         return await self._client.request(
             req.method,
@@ -231,7 +232,7 @@
             body=req.body,
             timeout_s=timeout_s,
             answer_bytes=self._limits.answer_bytes,
-            fresh=not req.route.idempotent,
+            fresh=fresh,
         )
 
 
@@ -286,7 +287,7 @@
         return Response(
             status=answer.status,
             headers=headers,
-            stream=_pass_through(answer),
+            stream=_StreamBody(answer),
             tokens=tokens,
         )
     return Response(
@@ -294,12 +295,19 @@
     )
 
 
-async def _pass_through(answer: StreamedAnswer) -> AsyncIterator[bytes]:
-    try:
-        async for chunk in answer.chunks():
-            yield chunk
-    finally:
-        await answer.aclose()
+class _StreamBody(AsyncIterator[bytes]):
+    """Content passed through; `aclose` ends it even before the first chunk."""
+
+    def __init__(self, answer: StreamedAnswer):
+        self._answer = answer
+        self._chunks = answer.chunks()
+
+    async def __anext__(self) -> bytes:
+        return await anext(self._chunks)
+
+    async def aclose(self) -> None:
+        await self._chunks.aclose()
+        await self._answer.aclose()
 
 
 def _int_header(headers: tuple[Header, ...], name: bytes, default: int) -> int:
--- a/daisyhub/filters/_forward_core.py
+++ b/daisyhub/filters/_forward_core.py
@@ -2,7 +2,9 @@
 
 A request is sent again only if no byte of it left, the endpoint itself said
 that it did not run, or the route is idempotent. Retries and hedges come out
-of one budget, a tenth of the traffic and a small reserve.
+of one budget, a tenth of the traffic and a small reserve. A repeat goes to an
+endpoint that was not tried yet, or, if there is none, over a new connection
+to one that was: what was open before may have gone silent.
 """
 
 import dataclasses
@@ -29,6 +31,7 @@
 _MAX_ATTEMPTS = 3
 _RETRY_AFTER_S = 1.0
 _RANK = {Ran.NOT_RUN: 0, Ran.UNKNOWN: 1, Ran.RAN: 2}
+_NONE: frozenset[str] = frozenset()
 
 
 class RetryBudget:
@@ -93,10 +96,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Action: send the request to an endpoint."""
+    """Action: send the request to an endpoint.
+
+    Attributes:
+        attempt: Its number, from 1.
+        endpoint_id: The endpoint.
+        fresh: Whether only a new connection will do.
+    """
 
     attempt: int
     endpoint_id: str
+    fresh: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,8 +154,12 @@
 
     @property
     def next_wakeup_s(self) -> float | None:
-        """When to hedge, if an attempt is still open then."""
-        return self._hedge_at_s if self._open else None
+        """When to hedge or to give up, while an attempt is open."""
+        if self._is_over or not self._open:
+            return None
+        if self._hedge_at_s is None:
+            return self.plan.deadline_s
+        return min(self._hedge_at_s, self.plan.deadline_s)
 
     def handle(self, event: object, now_s: float) -> list[object]:
         """Takes one forward event; returns at most one action."""
@@ -164,24 +178,26 @@
         raise TypeError(f"not a forward event: {event!r}")
 
     def _on_begin(self, now_s: float) -> list[object]:
+        if now_s >= self.plan.deadline_s:
+            return [self._give_up(ErrorCode.DEADLINE_EXCEEDED)]
         self.budget.note_request()
-        actions = self._start()
-        if not actions:
+        endpoint_id = self.choose(_NONE)
+        if endpoint_id is None:
             return [self._give_up(ErrorCode.NO_ENDPOINT)]
         if self.plan.idempotent and self.plan.hedge_after_s > 0:
             self._hedge_at_s = now_s + self.plan.hedge_after_s
-        return actions
+        return self._start(endpoint_id, fresh=not self.plan.idempotent)
 
-    def _start(self) -> list[object]:
-        endpoint_id = self.choose(frozenset(self._tried))
-        if endpoint_id is None:
-            return []
+    def _start(self, endpoint_id: str, *, fresh: bool) -> list[object]:
         self._attempts += 1
         self._tried.add(endpoint_id)
         self._open.add(self._attempts)
-        return [StartAttempt(self._attempts, endpoint_id)]
+        return [StartAttempt(self._attempts, endpoint_id, fresh)]
 
     def _on_tick(self, now_s: float) -> list[object]:
+        if now_s >= self.plan.deadline_s and self._open:
+            self._worst = _worse(self._worst, Ran.UNKNOWN)
+            return [self._give_up(ErrorCode.ENDPOINT_TIMEOUT)]
         if self._hedge_at_s is None or now_s < self._hedge_at_s:
             return []
         self._hedge_at_s = None
@@ -190,17 +206,16 @@
     def _start_again(self, now_s: float) -> list[object]:
         if self._attempts >= _MAX_ATTEMPTS or now_s >= self.plan.deadline_s:
             return []
-        candidate = self.choose(frozenset(self._tried))
+        candidate = self.choose(frozenset(self._tried)) or self.choose(_NONE)
         if candidate is None or not self.budget.take():
             return []
-        return self._start()
+        return self._start(candidate, fresh=True)
 
     def _on_failed(self, event: AttemptFailed, now_s: float) -> list[object]:
         self._open.discard(event.attempt)
         self._timed_out |= event.timed_out
         self._incomplete |= event.incomplete
-        if _RANK[event.ran] > _RANK[self._worst]:
-            self._worst = event.ran
+        self._worst = _worse(self._worst, event.ran)
         may_repeat = self.plan.idempotent or event.ran is Ran.NOT_RUN
         actions = self._start_again(now_s) if may_repeat else []
         if actions or self._open:
@@ -222,3 +237,7 @@
             ran=self._worst,
             retry_after_s=_RETRY_AFTER_S if makes_sense else None,
         )
+
+
+def _worse(one: Ran, other: Ran) -> Ran:
+    return max(one, other, key=_RANK.__getitem__)
--- /dev/null
+++ b/daisyhub/filters/tests/test_proof_forward.py
@@ -0,0 +1,238 @@
+"""Proof: how often one daemon sends a request, and what it says of it.
+
+Many requests share one budget. Faults: attempts that fail before, while and
+after they run, late answers, time-outs, and no endpoints. The oracle keeps
+what each endpoint truly did.
+"""
+
+import unittest
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from daisyhub.exceptions import ErrorCode, Ran
+from daisyhub.filters import (
+    AttemptAnswered,
+    AttemptFailed,
+    Begin,
+    Deliver,
+    ForwardCore,
+    ForwardPlan,
+    ForwardTick,
+    GiveUp,
+    RetryBudget,
+    StartAttempt,
+)
+from daisyhub.testing.proofs import find_failure, run_proof
+
+SHARE, RESERVE = 0.1, 10
+# What the daemon sees of a failed attempt, and whether it truly ran.
+FAILURES = (
+    (Ran.NOT_RUN, False),
+    (Ran.UNKNOWN, False),
+    (Ran.UNKNOWN, True),
+    (Ran.RAN, True),
+)
+
+
+class Request:
+    """One request: its core, and what endpoints did with it."""
+
+    def __init__(self, core):
+        self.core = core
+        self.open = {}
+        self.runs, self.starts = 0, 0
+        self.final = None
+
+
+class ForwardMachine(RuleBasedStateMachine):
+    """Requests over three endpoints."""
+
+    core_class = ForwardCore
+    budget_class = RetryBudget
+
+    @initialize()
+    def start(self):
+        self.now_s = 0.0
+        self.budget = self.budget_class()
+        self.endpoints = {"e1", "e2", "e3"}
+        self.requests, self.repeats, self.count = [], 0, 0
+
+    def choose(self, excluded):
+        return min(self.endpoints - excluded, default=None)
+
+    def feed(self, request, event):
+        actions = request.core.handle(event, self.now_s)
+        assert len(actions) <= 1
+        for action in actions:
+            if isinstance(action, StartAttempt):
+                self.on_start(request, action)
+            else:
+                self.on_final(request, action)
+
+    def on_start(self, request, action):
+        plan = request.core.plan
+        assert self.now_s < plan.deadline_s
+        assert request.final is None
+        if not plan.idempotent:
+            assert not request.runs, "sent again though it ran"
+            assert not request.open, "sent twice at one time"
+            assert action.fresh, "sent over an unproven connection"
+        request.starts += 1
+        request.open[action.attempt] = False
+        self.repeats += request.starts > 1
+        if request.starts > 1:
+            assert action.fresh
+
+    def on_final(self, request, action):
+        assert request.final is None
+        request.final = action
+        if isinstance(action, Deliver):
+            return
+        assert isinstance(action, GiveUp)
+        if action.ran is Ran.NOT_RUN:
+            assert not request.runs, "refused as not run though it ran"
+            assert not any(request.open.values())
+            assert action.retry_after_s
+
+    @rule(
+        idempotent=st.booleans(),
+        hedge_after_s=st.sampled_from([0.0, 0.5]),
+        left_s=st.sampled_from([0.0, 0.4, 2.0, 2.0]),
+        burst=st.sampled_from([1, 3, 12]),
+        outcome=st.sampled_from([None, None, "answer", *FAILURES]),
+    )
+    def send(self, idempotent, hedge_after_s, left_s, burst, outcome):
+        """Callers send requests; perhaps all first attempts end alike."""
+        plan = ForwardPlan(
+            idempotent=idempotent,
+            deadline_s=self.now_s + left_s,
+            hedge_after_s=hedge_after_s,
+        )
+        for _ in range(burst):
+            self.count += 1
+            request = Request(self.core_class(plan, self.choose, self.budget))
+            self.requests.append(request)
+            self.feed(request, Begin())
+            if outcome and 1 in request.open:
+                self.end(request, 1, outcome)
+
+    def end(self, request, attempt, outcome):
+        if outcome != "answer":
+            self.fail(request, attempt, *outcome)
+            return
+        del request.open[attempt]
+        request.runs += 1
+        self.feed(request, AttemptAnswered(attempt))
+        assert request.final == Deliver(attempt)
+
+    def fail(self, request, attempt, ran, truly):
+        del request.open[attempt]
+        request.runs += truly
+        failed = AttemptFailed(attempt=attempt, ran=ran)
+        self.feed(request, failed)
+
+    @rule(data=st.data(), outcome=st.sampled_from(["answer", *FAILURES]))
+    def end_attempt(self, data, outcome):
+        waiting = [r for r in self.requests if r.open and r.final is None]
+        if not waiting:
+            return
+        request = data.draw(st.sampled_from(waiting))
+        attempt = data.draw(st.sampled_from(sorted(request.open)))
+        self.end(request, attempt, outcome)
+
+    @rule(data=st.data())
+    def run_in_secret(self, data):
+        """An endpoint runs a request; its answer is still to come."""
+        waiting = [r for r in self.requests if r.open and r.final is None]
+        if waiting:
+            request = data.draw(st.sampled_from(waiting))
+            request.open[max(request.open)] = True
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.5]))
+    def pass_time(self, seconds):
+        """Every core is woken when it asked for it."""
+        self.now_s += seconds
+        for request in self.requests:
+            wakeup_s = request.core.next_wakeup_s
+            if wakeup_s is not None and wakeup_s <= self.now_s:
+                self.feed(request, ForwardTick())
+
+    @rule(endpoints=st.sets(st.sampled_from(["e1", "e2", "e3"])))
+    def change_endpoints(self, endpoints):
+        self.endpoints = endpoints
+
+    @invariant()
+    def repeats_keep_to_the_budget(self):
+        if hasattr(self, "count"):
+            assert self.repeats <= RESERVE + SHARE * self.count
+
+    @invariant()
+    def no_request_outlives_its_deadline(self):
+        for request in getattr(self, "requests", ()):
+            if self.now_s > request.core.plan.deadline_s:
+                assert request.final is not None
+
+
+class RepeatsUnknown(ForwardCore):
+    """Broken: an unknown outcome counts as not run."""
+
+    def _on_failed(self, event, now_s):
+        if event.ran is Ran.UNKNOWN:
+            event = AttemptFailed(attempt=event.attempt, ran=Ran.NOT_RUN)
+        return super()._on_failed(event, now_s)
+
+
+class HedgesAll(ForwardCore):
+    """Broken: hedges requests that may run only once."""
+
+    def _on_begin(self, now_s):
+        actions = super()._on_begin(now_s)
+        self._hedge_at_s = now_s + 0.5
+        return actions
+
+
+class ForgetsOpenAttempts(ForwardCore):
+    """Broken: at the deadline, open attempts count as not run."""
+
+    def _on_tick(self, now_s):
+        if now_s >= self.plan.deadline_s:
+            return [self._give_up(ErrorCode.ENDPOINT_TIMEOUT)]
+        return super()._on_tick(now_s)
+
+
+class ForgetsDeadline(ForwardCore):
+    """Broken: waits for answers however long they take."""
+
+    @property
+    def next_wakeup_s(self):
+        return self._hedge_at_s if self._open else None
+
+
+class BoundlessBudget(RetryBudget):
+    """Broken: every retry is allowed."""
+
+    def take(self):
+        return True
+
+
+class ForwardProof(unittest.TestCase):
+    def test_repeats_refusals_and_deadlines(self):
+        run_proof(ForwardMachine, examples=150)
+
+    def test_the_machine_catches_broken_forwarding(self):
+        for broken in (
+            {"core_class": RepeatsUnknown},
+            {"core_class": HedgesAll},
+            {"core_class": ForgetsOpenAttempts},
+            {"core_class": ForgetsDeadline},
+            {"budget_class": BoundlessBudget},
+        ):
+            with self.subTest(str(broken)):
+                machine = type("Machine", (ForwardMachine,), broken)
+                self.assertIsInstance(find_failure(machine), AssertionError)
