Test filings against real processes that die and lose answers

Cause: at-most-once was proved on the core only.

Change: one test on real processes: a replay through the other daemon, an endpoint that files and loses the answer, one that truncates it, a store that takes a claim and loses its answer, and a daemon killed with SIGKILL while its filing runs, then started again. It counts the runs at the endpoint.

Conclusion: each filing ran at most once and each refusal told the truth. A claim that took effect unknown to its daemon is free for the other daemon once the store answers.

--- /dev/null
+++ b/daisyhub/filters/tests/test_process_requests.py
@@ -0,0 +1,141 @@
+"""Failures of real processes on the way of a request."""
+
+import contextlib
+import signal
+import unittest
+
+import anyio
+import msgspec
+
+from daisyhub.config import ConfigStore
+from daisyhub.connections import RequestFailedError
+from daisyhub.platform import PlatformClient
+from daisyhub.testing.caller import Caller
+from daisyhub.testing.demo_config import DemoKeys, demo_document
+from daisyhub.testing.processes import Deployment
+
+DOMAIN = "busan"
+
+
+class RequestFailures(unittest.IsolatedAsyncioTestCase):
+    """Two daemons before one service."""
+
+    async def asyncSetUp(self):
+        self.deployment = Deployment((DOMAIN,), 2, 0, 1)
+        self.addCleanup(self.deployment.stop)
+        await self.deployment.start()
+        self.keys = DemoKeys.make()
+        document = demo_document(self.keys)
+        document["routes"]["filings"]["timeout_s"] = 3.0
+        self.http = Caller(self.deployment.platform.address).http
+        platform = PlatformClient(
+            self.deployment.platform.address, self.http, 5.0
+        )
+        self.store = ConfigStore(platform)
+        head = await self.store.apply(
+            document, base_version=0, author="a", team="t", at_s=0.0
+        )
+        await self.deployment.wait_for_version(head.version)
+        self.daemons = self.deployment.daemons()
+        self.service = Caller(self.deployment.services()[0].address)
+
+    def caller(self, number, key=None):
+        text = DemoKeys.text(key or self.keys.archive)
+        return Caller(self.daemons[number].address, text)
+
+    async def file(self, number, body, timeout_s=10.0):
+        """Files `body` under its own idempotency key."""
+        headers = ((b"idempotency-key", body.encode()),)
+        return await self.caller(number).send(
+            "POST", "/filings", body, headers=headers, timeout_s=timeout_s
+        )
+
+    async def file_until(self, number, body, code):
+        """Repeats a filing until it is answered with a status or code."""
+        with anyio.fail_after(10):
+            while True:
+                answer = await self.file(number, body)
+                if code in (answer.status, problem(answer)[0]):
+                    return answer
+                await anyio.sleep(0.05)
+
+    async def runs_of(self, body):
+        filings = await self.service.json("GET", "/admin/filings")
+        return filings.count(msgspec.json.encode(body).decode())
+
+    async def fault(self, kind, **more):
+        fault = {"kind": kind, "path": "/filings", "count": 1, **more}
+        await self.service.json("POST", "/faults", fault)
+
+    async def test_filings_run_at_most_once(self):
+        await self.check_replay()
+        await self.check_lost_answer()
+        await self.check_truncated_answer()
+        await self.check_store_outage()
+        await self.check_killed_daemon()
+
+    async def check_replay(self):
+        first = await self.file(0, "plain")
+        again = await self.file(1, "plain")
+        self.assertEqual((first.status, first.body), (201, again.body))
+        self.assertEqual(await self.runs_of("plain"), 1)
+
+    async def check_lost_answer(self):
+        await self.fault("lose")
+        answer = await self.file(0, "lost")
+        self.assertEqual(problem(answer), ("endpoint_timeout", "unknown"))
+        for number in (0, 1):
+            answer = await self.file_until(number, "lost", "outcome_unknown")
+            self.assertEqual(problem(answer)[1], "unknown")
+        self.assertEqual(await self.runs_of("lost"), 1)
+
+    async def check_truncated_answer(self):
+        await self.fault("truncate")
+        answer = await self.file(0, "cut")
+        self.assertEqual(problem(answer), ("answer_incomplete", "ran"))
+        answer = await self.file(1, "cut")
+        self.assertEqual(problem(answer), ("answer_not_kept", "ran"))
+        self.assertEqual(await self.runs_of("cut"), 1)
+
+    async def check_store_outage(self):
+        """A claim that took effect unknown to the daemon frees itself."""
+        platform = Caller(self.deployment.platform.address)
+        fault = {"kind": "lose", "path": "/objects/claims", "method": "PUT"}
+        await platform.json("POST", "/faults", fault)
+        fault = {"kind": "hang", "path": "/objects/claims", "method": "GET"}
+        await platform.json("POST", "/faults", fault)
+        answer = await self.file(0, "outage")
+        self.assertEqual(problem(answer), ("claim_unavailable", "not_run"))
+        self.assertEqual(await self.runs_of("outage"), 0)
+        await platform.json("DELETE", "/faults")
+        await self.file_until(1, "outage", 201)
+        self.assertEqual(await self.runs_of("outage"), 1)
+
+    async def check_killed_daemon(self):
+        await self.fault("late", delay_s=60.0)
+        async with anyio.create_task_group() as tasks:
+
+            async def file():
+                with contextlib.suppress(RequestFailedError):
+                    await self.file(0, "killed")
+
+            tasks.start_soon(file)
+            with anyio.fail_after(10):
+                while not await self.runs_of("killed"):
+                    await anyio.sleep(0.02)
+            self.daemons[0].send_signal(signal.SIGKILL)
+            self.daemons[0].wait()
+        answer = await self.file(1, "killed")
+        self.assertEqual(problem(answer), ("outcome_unknown", "unknown"))
+        self.deployment.start_daemon(self.daemons[0].name)
+        await self.deployment.wait_until_up(self.deployment.daemons()[0])
+        await self.deployment.wait_for_version(1)
+        answer = await self.file(0, "killed")
+        self.assertEqual(problem(answer), ("outcome_unknown", "unknown"))
+        self.assertEqual(await self.runs_of("killed"), 1)
+
+
+def problem(answer):
+    """Returns the code and `ran` of an error answer."""
+    value = msgspec.json.decode(answer.body)
+    return value.get("code"), value.get("ran")
