--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -27,6 +27,7 @@
     AccountFilter,
     AdmissionCore,
     AdmitFilter,
+    ClaimController,
     ForwardFilter,
     IdempotencyFilter,
     IdentifyFilter,
@@ -127,6 +128,7 @@
             cfg, self.platform, self.keeper, self.counters, self.peers
         )
         self.lots = LotController(self._seat_tools(), self.network)
+        self.claims = ClaimController(self.platform)
         self.news = NewsController(self.platform, cfg.timing)
         self.news.add_listener("news/keys", self.config.on_withdrawn)
         self.news.add_listener("news/config", self.config.on_head)
@@ -162,6 +164,7 @@
             self.orders,
             self.usage,
             self.lots,
+            self.claims,
         )
 
     def _filters(self) -> tuple[Filter, ...]:
@@ -175,7 +178,7 @@
                 self.peers.domain_share,
             ),
             LotsFilter(self.lots.serve),
-            IdempotencyFilter(self.platform, self.process_id),
+            IdempotencyFilter(self.claims),
             AccountFilter(self.counters),
             ForwardFilter(
                 self.table,
@@ -267,6 +270,7 @@
         self.callers_server.stop()
         while self.callers_app.open_requests or self._has_connections():
             await anyio.sleep(0.05)
+        await self.claims.release()
         await self.usage.release()
         await self.weights.release()
         await self.orders.release()
