--- a/daisyhub/tests/test_outage_processes.py
+++ b/daisyhub/tests/test_outage_processes.py
@@ -4,6 +4,7 @@
 import unittest
 
 import anyio
+import msgspec
 
 from daisyhub.connections import RequestFailedError
 from daisyhub.testing.caller import Caller
@@ -27,6 +28,34 @@
 
         anyio.run(run)
 
+    def test_look_ups_go_on_and_filings_are_refused_as_not_run(self):
+        async def scenario(deployment, keys):
+            deployment.platform.send_signal(signal.SIGSTOP)
+            for daemon in deployment.daemons():
+                yard = Caller(daemon.address, DemoKeys.text(keys.yard))
+                answer = await yard.send("GET", "/records/1")
+                self.assertEqual(answer.status, 200)
+                archive = Caller(daemon.address, DemoKeys.text(keys.archive))
+                header = ((b"idempotency-key", b"one"),)
+                answer = await archive.send(
+                    "POST", "/filings", "a", headers=header
+                )
+                problem = msgspec.json.decode(answer.body)
+                self.assertEqual(problem["ran"], "not_run", problem)
+                self.assertIn(b"retry-after", dict(answer.headers))
+            deployment.platform.send_signal(signal.SIGCONT)
+            with anyio.fail_after(20):
+                while answer.status != 201:
+                    await anyio.sleep(0.2)
+                    answer = await archive.send(
+                        "POST", "/filings", "a", headers=header
+                    )
+            service = Caller(deployment.services()[0].address)
+            filed = await service.json("GET", "/admin/filings")
+            self.assertEqual(len(filed), 1)
+
+        self.run_with_deployment(scenario)
+
     def test_a_daemon_restarted_without_the_platform_learns_from_peers(self):
         async def scenario(deployment, keys):
             restarted = deployment.daemons()[0]
