Add a playground: the demo's processes, left up for a newcomer

Cause: a newcomer could watch the demo but not try a command; `make playground` leaves its processes up until Ctrl-C, with settings, document and logs under .demo/. The environment gets the commands `daisyhub` and `daisyhubd`.

--- a/Makefile
+++ b/Makefile
@@ -6,17 +6,22 @@
 EXAMPLES ?= 1000
 SEED ?= 1
 
-.PHONY: demo test lint format bench prove
+.PHONY: demo playground test lint format bench prove
 
 $(STAMP): requirements.txt
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
 	  -r requirements.txt
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+	  --no-deps --editable .
 	touch $(STAMP)
 
 demo: $(STAMP)
 	$(PY) -m daisyhub.testing.demo
 
+playground: $(STAMP)
+	$(PY) -m daisyhub.testing.playground
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/daisyhub/testing/demo.py
+++ b/daisyhub/testing/demo.py
@@ -12,7 +12,7 @@
 from daisyhub.connections import RequestFailedError
 from daisyhub.testing.caller import Caller, run_trainer
 from daisyhub.testing.demo_config import DemoKeys, demo_document
-from daisyhub.testing.processes import HASH_KEY, Deployment
+from daisyhub.testing.processes import Deployment
 
 __all__ = ["Demo", "DemoError"]
 
@@ -67,19 +67,6 @@
         _check(done.returncode == 0, f"{args}: {done.stderr.decode()}")
         return json.loads(done.stdout)
 
-    def _write_operator_settings(self) -> None:
-        platform = self.deployment.platform.address
-        settings = {
-            "platform_address": {"ip": platform.ip, "port": platform.port},
-            "key_hash_secret": HASH_KEY,
-            "daemons": {
-                d.name: {"ip": d.operators.ip, "port": d.operators.port}
-                for d in self.deployment.daemons()
-            },
-        }
-        path = self.deployment.folder / "operator.jsonc"
-        path.write_text(json.dumps(settings), encoding="utf-8")
-
     def _apply(self, document: dict) -> int:
         path = self.deployment.folder / "config.jsonc"
         path.write_text(json.dumps(document, indent=2), encoding="utf-8")
@@ -89,7 +76,7 @@
     async def start(self) -> str:
         """Starts all processes and applies the first configuration."""
         await self.deployment.start()
-        self._write_operator_settings()
+        self.deployment.write_operator_settings()
         version = self._apply(demo_document(self.keys))
         took_s = await self.deployment.wait_for_version(version)
 
--- a/daisyhub/testing/processes.py
+++ b/daisyhub/testing/processes.py
@@ -55,6 +55,7 @@
         engines_each: Fake engines in each.
         services_each: Fake services in each.
         timing: Overrides of `TimingSettings`, by name.
+        folder: Where settings and logs go; a temporary folder if empty.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         engines_each: int = 2,
         services_each: int = 1,
         timing: dict[str, float] | None = None,
+        folder: str = "",
     ):
         self.domains = domains
         self.daemons_each = daemons_each
@@ -71,14 +73,13 @@
         self.services_each = services_each
         self.timing = {**_FAST_TIMING, **(timing or {})}
         self.processes: dict[str, Process] = {}
-        self._folder = tempfile.TemporaryDirectory(prefix="daisyhub-")
+        self._temporary = None
+        if not folder:
+            self._temporary = tempfile.TemporaryDirectory(prefix="daisyhub-")
+            folder = self._temporary.name
+        self.folder = pathlib.Path(folder)
         self._next_ports: list[int] = []
 
-    @property
-    def folder(self) -> pathlib.Path:
-        """Where settings files and logs are."""
-        return pathlib.Path(self._folder.name)
-
     @property
     def platform(self) -> Process:
         """The fake platform."""
@@ -173,7 +174,23 @@
                 process.send_signal(signal.SIGKILL)
         for process in self.processes.values():
             process.wait()
-        self._folder.cleanup()
+        if self._temporary is not None:
+            self._temporary.cleanup()
+
+    def write_operator_settings(self) -> pathlib.Path:
+        """Writes settings for the command line; returns the file's path."""
+        platform = self.platform.address
+        settings = {
+            "platform_address": {"ip": platform.ip, "port": platform.port},
+            "key_hash_secret": HASH_KEY,
+            "daemons": {
+                d.name: {"ip": d.operators.ip, "port": d.operators.port}
+                for d in self.daemons()
+            },
+        }
+        path = self.folder / "operator.jsonc"
+        path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
+        return path
 
     def log_of(self, name: str) -> str:
         """Returns what a process wrote to its log."""
