--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -281,9 +281,23 @@
         return bool(self.callers_server.server_state.connections)
 
 
+_USAGE = """usage: daisyhubd --settings=FILE
+
+Serves callers and trainers until SIGTERM or SIGINT, then drains and ends.
+
+flags:
+  --settings=FILE  settings of this process, JSON with comments; every field
+                   is described in docs/CONFIGURATION.md
+
+exit codes:
+  0  ended after a graceful shutdown
+  2  wrong words or wrong settings; every fault is printed with its line
+"""
+
+
 def _run(argv: list[str]) -> int:
     if len(argv) > 1 or not SETTINGS.value:
-        print("usage: daisyhubd --settings=FILE", file=sys.stderr)
+        print(_USAGE, file=sys.stderr)
         return EXIT_SETTINGS
     try:
         cfg = load_settings(SETTINGS.value)
@@ -297,6 +311,7 @@
 
 def main() -> None:
     """Runs the daemon; exits with 0, or 2 if the settings are wrong."""
+    sys.modules["__main__"].__doc__ = _USAGE
     app.run(_run)
 
 
