Make admission answer at deadlines and cost the same at any size

Change: heaps by start tag, overload and deadline; a wake-up at the earliest deadline; idle accounts are forgotten; a shed request's token is returned; a stream holds its place and is counted at its end. Ruled out: tags for every request (taking one out of the queue needs a roll-back); moving tags without contention (idle accounts never become forgettable).

--- a/daisyhub/filters/__init__.py
+++ b/daisyhub/filters/__init__.py
@@ -3,6 +3,7 @@
 from daisyhub.filters._account import AccountFilter
 from daisyhub.filters._admission_core import (
     AdmissionCore,
+    AdmissionTick,
     Admit,
     Arrive,
     Depart,
@@ -33,6 +34,7 @@
 __all__ = [
     "AccountFilter",
     "AdmissionCore",
+    "AdmissionTick",
     "Admit",
     "AdmitFilter",
     "Arrive",
--- a/daisyhub/filters/_account.py
+++ b/daisyhub/filters/_account.py
@@ -1,8 +1,11 @@
 """Counts usage of served requests."""
 
+import dataclasses
+
 from daisyhub.accounting import UsageCounters
 from daisyhub.base import Filter, Handler
 from daisyhub.clocks import wall_time_s
+from daisyhub.filters._stream_end import StreamEnd
 from daisyhub.messages import Request, Response
 
 __all__ = ["AccountFilter"]
@@ -17,8 +20,20 @@
         self._counters = counters
 
     async def handle(self, req: Request, call_next: Handler) -> Response:
-        """Counts after the answer; a refusal isn't counted."""
+        """Counts after the answer, a stream at its end; no refusal."""
         resp = await call_next(req)
-        if req.account:
-            self._counters.add(req.account, resp.tokens, wall_time_s())
-        return resp
+        if not req.account:
+            return resp
+        if resp.stream is None:
+            self._count(req, resp)
+            return resp
+
+        def on_end(is_whole: bool) -> None:
+            if is_whole:
+                self._count(req, resp)
+
+        stream = StreamEnd(resp.stream, on_end)
+        return dataclasses.replace(resp, stream=stream)
+
+    def _count(self, req: Request, resp: Response) -> None:
+        self._counters.add(req.account, resp.tokens, wall_time_s())
--- a/daisyhub/filters/_admission_core.py
+++ b/daisyhub/filters/_admission_core.py
@@ -4,7 +4,9 @@
 daemon's places, requests wait in one queue for each account and are admitted
 by start-time fair queueing over the accounts' weights, so that a large
 account can't starve a small one. What can't be served in time is refused at
-once.
+once; when the queues are full, the account with the most waiting requests
+for its weight loses its newest. An event costs time with the logarithm of
+the number of accounts.
 """
 
 import collections
@@ -12,13 +14,23 @@
 
 from daisyhub.base import Core
 from daisyhub.exceptions import ErrorCode
-
-__all__ = ["AdmissionCore", "Admit", "Arrive", "Depart", "Leave", "Shed"]
+from daisyhub.filters._priority_map import PriorityMap
+
+__all__ = [
+    "AdmissionCore",
+    "AdmissionTick",
+    "Admit",
+    "Arrive",
+    "Depart",
+    "Leave",
+    "Shed",
+]
 
 _QUEUE_PER_PLACE = 2
 _FIRST_SERVICE_S = 0.05
 _SERVICE_SMOOTHING = 0.05
 _MIN_RETRY_S = 0.1
+_IDLE_CHECKS_PER_ARRIVAL = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,6 +69,11 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionTick:
+    """Time has passed."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admit:
     """Action: let the request go on."""
@@ -75,17 +92,47 @@
 
 @dataclasses.dataclass(slots=True)
 class _Account:
+    """State of one account.
+
+    Attributes:
+        name: The account.
+        weight: As of its last arrival.
+        rate: Tokens a second, as of its last arrival; 0 for no bound.
+        burst: Most tokens, as of its last arrival.
+        tokens: Requests that it may send at once.
+        refilled_s: When `tokens` held.
+        finish_tag: Virtual time when its last admission is paid for.
+        queue: Waiting requests by id, oldest first.
+    """
+
+    name: str
+    weight: int
+    rate: float
+    burst: int
     tokens: float
     refilled_s: float
     finish_tag: float = 0.0
-    queue: collections.deque = dataclasses.field(
-        default_factory=collections.deque
+    queue: collections.OrderedDict[str, Arrive] = dataclasses.field(
+        default_factory=collections.OrderedDict
     )
 
+    def refill(self, now_s: float) -> None:
+        """Adds the tokens gained since the last refill."""
+        gained = (now_s - self.refilled_s) * self.rate
+        self.tokens = min(self.burst, self.tokens + gained)
+        self.refilled_s = now_s
+
+    def take_token(self) -> None:
+        """Pays for one request, unless the rate has no bound."""
+        if self.rate > 0:
+            self.tokens -= 1
+
 
 class AdmissionCore(Core):
     """Admits at most `places` requests at one time.
 
+    Times are seconds on a monotonic clock.
+
     Args:
         places: Requests in service at one time.
     """
@@ -93,98 +140,162 @@
     def __init__(self, places: int):
         self.places = places
         self._accounts: dict[str, _Account] = {}
+        self._idle_checks: collections.deque[str] = collections.deque()
         self._in_service: set[str] = set()
-        self._waiting = 0
+        self._waiting: dict[str, _Account] = {}
+        self._waiting_weight = 0
+        self._start_tags = PriorityMap()
+        self._overload = PriorityMap()
+        self._deadlines = PriorityMap()
         self._virtual_time = 0.0
+        self._last_finish_tag = 0.0
         self._service_s = _FIRST_SERVICE_S
 
     @property
     def next_wakeup_s(self) -> float | None:
-        """None: deadlines of waiting requests are kept at each event."""
-        return None
+        """The earliest deadline of a waiting request."""
+        first = self._deadlines.first()
+        return first[0] if first else None
 
     @property
     def waiting(self) -> int:
         """How many requests wait."""
-        return self._waiting
+        return len(self._waiting)
+
+    @property
+    def known_accounts(self) -> int:
+        """How many accounts have state here."""
+        return len(self._accounts)
 
     def handle(self, event: object, now_s: float) -> list[object]:
         """Takes one admission event; returns `Admit` and `Shed` actions."""
+        actions = self._shed_expired(now_s)
         match event:
             case Arrive():
-                return self._on_arrive(event, now_s)
+                return actions + self._on_arrive(event, now_s)
             case Depart():
-                return self._on_depart(event, now_s)
+                return actions + self._on_depart(event)
             case Leave():
                 self._remove_waiting(event.request_id)
-                return []
+                return actions
+            case AdmissionTick():
+                return actions
         raise TypeError(f"not an admission event: {event!r}")
 
     def _on_arrive(self, event: Arrive, now_s: float) -> list[object]:
+        self._forget_idle(now_s)
         account = self._account(event, now_s)
-        missing_s = self._take_token(account, event, now_s)
-        if missing_s > 0:
+        if event.rate > 0 and account.tokens < 1:
+            missing_s = (1 - account.tokens) / event.rate
             return [_shed(event, ErrorCode.RATE_LIMITED, missing_s)]
         if len(self._in_service) < self.places and not self._waiting:
-            return [self._admit(account, event)]
+            account.take_token()
+            return [self._admit(event.request_id)]
         if event.deadline_s - now_s < self._expected_wait_s(account):
-            return [self._overloaded(event)]
-        account.queue.append(event)
-        self._waiting += 1
-        if self._waiting <= self.places * _QUEUE_PER_PLACE:
+            return [self._overloaded(event, account)]
+        account.take_token()
+        self._enqueue(account, event)
+        if len(self._waiting) <= self.places * _QUEUE_PER_PLACE:
             return []
-        return [self._shed_longest()]
+        return [self._shed_most_overloaded()]
 
     def _account(self, event: Arrive, now_s: float) -> _Account:
+        """Returns the account, refilled, with the newest limits."""
         account = self._accounts.get(event.account)
         if account is None:
-            account = _Account(tokens=event.burst, refilled_s=now_s)
+            account = _Account(
+                name=event.account,
+                weight=event.weight,
+                rate=event.rate,
+                burst=event.burst,
+                tokens=event.burst,
+                refilled_s=now_s,
+            )
             self._accounts[event.account] = account
+            self._idle_checks.append(event.account)
+        account.refill(now_s)
+        if account.weight != event.weight:
+            self._change_weight(account, event.weight)
+        account.rate = event.rate
+        account.burst = event.burst
+        account.tokens = min(account.tokens, event.burst)
         return account
 
-    def _take_token(self, account, event: Arrive, now_s: float) -> float:
-        """Takes one token; returns the seconds until there is one."""
-        if event.rate <= 0:
-            return 0.0
-        gained = (now_s - account.refilled_s) * event.rate
-        account.tokens = min(event.burst, account.tokens + gained)
-        account.refilled_s = now_s
-        if account.tokens < 1:
-            return (1 - account.tokens) / event.rate
-        account.tokens -= 1
-        return 0.0
+    def _change_weight(self, account: _Account, weight: int) -> None:
+        if account.queue:
+            self._waiting_weight += weight - account.weight
+        account.weight = weight
+        self._note_overload(account)
 
     def _expected_wait_s(self, account: _Account) -> float:
-        turns = (len(account.queue) + 1) / self.places
-        busy_accounts = 1 + sum(
-            1
-            for other in self._accounts.values()
-            if other.queue and other is not account
-        )
-        return turns * busy_accounts * self._service_s
-
-    def _overloaded(self, event: Arrive) -> Shed:
-        wait_s = self._service_s * (1 + self._waiting / self.places)
+        """Returns the wait for a new request's turn by the fair order."""
+        others = self._waiting_weight
+        if account.queue:
+            others -= account.weight
+        own_turns = len(account.queue) + 1
+        fair_turns = own_turns * (1 + others / account.weight)
+        turns = min(fair_turns, len(self._waiting) + 1)
+        return turns * self._service_s / self.places
+
+    def _overloaded(self, event: Arrive, account: _Account) -> Shed:
+        wait_s = self._service_s + self._expected_wait_s(account)
         return _shed(event, ErrorCode.OVERLOADED, wait_s)
 
-    def _shed_longest(self) -> Shed:
+    def _enqueue(self, account: _Account, event: Arrive) -> None:
+        if not account.queue:
+            self._waiting_weight += account.weight
+            start_tag = max(self._virtual_time, account.finish_tag)
+            self._start_tags.set(account.name, start_tag)
+        account.queue[event.request_id] = event
+        self._waiting[event.request_id] = account
+        self._deadlines.set(event.request_id, event.deadline_s)
+        self._note_overload(account)
+
+    def _remove_waiting(self, request_id: str) -> Arrive | None:
+        account = self._waiting.pop(request_id, None)
+        if account is None:
+            return None
+        event = account.queue.pop(request_id)
+        self._deadlines.discard(request_id)
+        if not account.queue:
+            self._waiting_weight -= account.weight
+            self._start_tags.discard(account.name)
+        self._note_overload(account)
+        if not self._waiting:
+            # Shares count while requests wait; the past is forgotten.
+            self._virtual_time = self._last_finish_tag
+        return event
+
+    def _note_overload(self, account: _Account) -> None:
+        if not account.queue:
+            self._overload.discard(account.name)
+            return
+        waiting_by_weight = len(account.queue) / account.weight
+        self._overload.set(account.name, -waiting_by_weight)
+
+    def _shed_most_overloaded(self) -> Shed:
         """Refuses the newest request of the account furthest over share."""
-        longest = max(
-            (account for account in self._accounts.values() if account.queue),
-            key=lambda account: len(account.queue) / account.queue[-1].weight,
-        )
-        event = longest.queue.pop()
-        self._waiting -= 1
-        return self._overloaded(event)
-
-    def _admit(self, account: _Account, event: Arrive) -> Admit:
-        start = max(self._virtual_time, account.finish_tag)
-        self._virtual_time = start
-        account.finish_tag = start + 1 / event.weight
-        self._in_service.add(event.request_id)
-        return Admit(event.request_id)
-
-    def _on_depart(self, event: Depart, now_s: float) -> list[object]:
+        account = self._accounts[self._overload.first()[1]]
+        return self._shed_waiting(next(reversed(account.queue)))
+
+    def _shed_waiting(self, request_id: str) -> Shed:
+        """Refuses a waiting request and gives its token back."""
+        account = self._waiting[request_id]
+        event = self._remove_waiting(request_id)
+        account.tokens = min(account.burst, account.tokens + 1)
+        return self._overloaded(event, account)
+
+    def _shed_expired(self, now_s: float) -> list[object]:
+        actions = []
+        while (first := self._deadlines.first()) and first[0] <= now_s:
+            actions.append(self._shed_waiting(first[1]))
+        return actions
+
+    def _admit(self, request_id: str) -> Admit:
+        self._in_service.add(request_id)
+        return Admit(request_id)
+
+    def _on_depart(self, event: Depart) -> list[object]:
         if event.request_id not in self._in_service:
             return []
         self._in_service.remove(event.request_id)
@@ -193,25 +304,32 @@
         )
         actions = []
         while self._waiting and len(self._in_service) < self.places:
-            account = min(
-                (a for a in self._accounts.values() if a.queue),
-                key=lambda a: max(self._virtual_time, a.finish_tag),
-            )
-            waiting = account.queue.popleft()
-            self._waiting -= 1
-            if waiting.deadline_s <= now_s:
-                actions.append(self._overloaded(waiting))
-                continue
-            actions.append(self._admit(account, waiting))
+            actions.append(self._admit_next())
         return actions
 
-    def _remove_waiting(self, request_id: str) -> None:
-        for account in self._accounts.values():
-            for event in account.queue:
-                if event.request_id == request_id:
-                    account.queue.remove(event)
-                    self._waiting -= 1
-                    return
+    def _admit_next(self) -> Admit:
+        start_tag, name = self._start_tags.first()
+        account = self._accounts[name]
+        request_id = next(iter(account.queue))
+        self._virtual_time = max(self._virtual_time, start_tag)
+        account.finish_tag = start_tag + 1 / account.weight
+        self._start_tags.set(name, account.finish_tag)
+        self._last_finish_tag = max(self._last_finish_tag, account.finish_tag)
+        self._remove_waiting(request_id)
+        return self._admit(request_id)
+
+    def _forget_idle(self, now_s: float) -> None:
+        """Looks at a few accounts, and forgets those that lose nothing."""
+        for _ in range(min(_IDLE_CHECKS_PER_ARRIVAL, len(self._idle_checks))):
+            name = self._idle_checks.popleft()
+            account = self._accounts[name]
+            account.refill(now_s)
+            is_full = account.rate <= 0 or account.tokens >= account.burst
+            is_paid = account.finish_tag <= self._virtual_time
+            if is_full and is_paid and not account.queue:
+                del self._accounts[name]
+                continue
+            self._idle_checks.append(name)
 
 
 def _shed(event: Arrive, error: ErrorCode, wait_s: float) -> Shed:
--- a/daisyhub/filters/_admit.py
+++ b/daisyhub/filters/_admit.py
@@ -1,5 +1,6 @@
 """Admits, queues or refuses requests as the admission core decides."""
 
+import dataclasses
 import time
 from collections.abc import Callable
 
@@ -10,12 +11,14 @@
 from daisyhub.exceptions import Refusal
 from daisyhub.filters._admission_core import (
     AdmissionCore,
+    AdmissionTick,
     Admit,
     Arrive,
     Depart,
     Leave,
     Shed,
 )
+from daisyhub.filters._stream_end import StreamEnd
 from daisyhub.messages import Request, Response
 
 __all__ = ["AdmitFilter"]
@@ -51,7 +54,7 @@
         self._waiters: dict[str, anyio.Event] = {}
 
     async def handle(self, req: Request, call_next: Handler) -> Response:
-        """Waits for a place, serves, and gives the place back."""
+        """Waits for a place, serves, and gives the place back at the end."""
         verdict = await self._wait_for_verdict(req)
         if isinstance(verdict, Shed):
             raise Refusal(
@@ -60,15 +63,22 @@
                 retry_after_s=verdict.retry_after_s,
             )
         started_s = time.monotonic()
-        try:
-            return await call_next(req)
-        finally:
+
+        def depart(_: bool = False) -> None:
             now_s = time.monotonic()
-            self._perform(
-                self._core.handle(
-                    Depart(req.request_id, now_s - started_s), now_s
-                )
-            )
+            event = Depart(req.request_id, now_s - started_s)
+            self._perform(self._core.handle(event, now_s))
+
+        try:
+            resp = await call_next(req)
+        except BaseException:
+            depart()
+            raise
+        if resp.stream is None:
+            depart()
+            return resp
+        stream = StreamEnd(resp.stream, depart)
+        return dataclasses.replace(resp, stream=stream)
 
     async def _wait_for_verdict(self, req: Request) -> object:
         account = self._get_document().client_accounts.get(
@@ -90,7 +100,7 @@
         waiter = anyio.Event()
         self._waiters[req.request_id] = waiter
         try:
-            await waiter.wait()
+            await self._wait_until_deadline(req, waiter)
             return self._verdicts.pop(req.request_id)
         except BaseException:
             self._give_up(req)
@@ -98,6 +108,14 @@
         finally:
             del self._waiters[req.request_id]
 
+    async def _wait_until_deadline(self, req: Request, waiter) -> None:
+        """Waits for a verdict; the core gives one at the deadline."""
+        while not waiter.is_set():
+            with anyio.move_on_after(req.deadline_s - time.monotonic()):
+                await waiter.wait()
+            actions = self._core.handle(AdmissionTick(), time.monotonic())
+            self._perform(actions)
+
     def _give_up(self, req: Request) -> None:
         """Takes back a request whose caller went away while it waited."""
         now_s = time.monotonic()
