--- a/daisyhub/controllers/_lot_seat.py
+++ b/daisyhub/controllers/_lot_seat.py
@@ -1,6 +1,7 @@
-"""One lot at its holder: the lease, the core, generation and commits."""
+"""One lot at its holder: feeds the core and carries its actions out."""
 
 import dataclasses
+import itertools
 import time
 
 import anyio
@@ -10,48 +11,70 @@
 from daisyhub.balancing import EndpointTable
 from daisyhub.base import Balancer
 from daisyhub.clocks import wall_time_s
-from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.connections import HttpClient
 from daisyhub.controllers._config import ConfigController
+from daisyhub.controllers._lot_engines import LotEngines
 from daisyhub.exceptions import (
     ErrorCode,
     PlatformConflictError,
     PlatformUnavailableError,
     Refusal,
 )
-from daisyhub.filters._forward import news_from_headers
 from daisyhub.logs import get_logger
 from daisyhub.metrics import Metrics
 from daisyhub.peers import LotAnswer, LotCall
 from daisyhub.platform import LeaseKeeper, PlatformClient
 from daisyhub.rollouts import (
+    AckAsked,
     AckBody,
-    CommitDone,
-    CommitPull,
-    EngineAnswer,
+    CancelSample,
+    CloseAsked,
+    CountUsage,
     Generate,
+    GiveUp,
     HandOver,
     LotCore,
+    LotReleased,
     LotSpec,
     LotState,
     LotTick,
-    PullAcked,
+    OpenAsked,
+    OpenBody,
+    ProgressAnswer,
     PullAnswer,
     PullAsked,
     PullBody,
-    Sample,
+    ReadState,
+    RefuseCall,
+    RefusedBecause,
     SampleFailed,
     SampleReady,
-    check_spans,
+    StateRead,
+    StateReadFailed,
+    TellProgress,
+    WriteDone,
+    WriteInDoubt,
+    WriteRefused,
+    WriteState,
 )
 from daisyhub.settings import DaemonSettings
 
 __all__ = ["LotSeat", "SeatTools", "decode_body"]
 
-_GENERATE_TIMEOUT_S = 300.0
 _RETRY_S = 1.0
+_CALL_WAIT_S = 5.0
+_RELEASE_WAIT_S = 2.0
 _IDLE_STEP_S = 1.0
-_COMMIT_RETRY_S = 0.2
+_SHORTEST_STEP_S = 0.005
+_LEASE_STEP_S = 0.02
 _OK = 200
+_REASONS = {
+    RefusedBecause.RELEASED: ErrorCode.LOT_ELSEWHERE,
+    RefusedBecause.PLATFORM: ErrorCode.PLATFORM_UNAVAILABLE,
+    RefusedBecause.CLOSED: ErrorCode.LOT_CONFLICT,
+    RefusedBecause.ACKED: ErrorCode.LOT_CONFLICT,
+    RefusedBecause.UNKNOWN_PULL: ErrorCode.LOT_CONFLICT,
+}
 
 log = get_logger("lots")
 
@@ -71,11 +94,22 @@
     metrics: Metrics
 
 
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    """A call that waits for the core's answer."""
+
+    event: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    answer: object = None
+
+
 class LotSeat:
     """Tries to hold one lot and serves it while it does.
 
+    The lease keeps other daemons from doing the same work; that groups are
+    delivered once rests on the core and the store alone.
+
     Attributes:
-        ready: Set once the seat is held and its state is read, or is over.
+        ready: Set once the lease was acquired, or the seat is over.
     """
 
     def __init__(self, spec: LotSpec, tools: SeatTools):
@@ -84,55 +118,55 @@
         self._tools = tools
         self._lease = tools.keeper.new_lease(f"lots/{spec.lot_id}")
         self._core: LotCore | None = None
-        self._state_version = 0
-        self._answers: dict[str, HandOver] = {}
-        self._waiters: dict[str, anyio.Event] = {}
+        self._engines = LotEngines(
+            spec, tools.table, tools.balancer, tools.http
+        )
+        self._own_id = ""
+        self._call_numbers = itertools.count(1)
+        self._waiters: dict[int, _Waiter] = {}
         self._wakeup = anyio.Event()
-        self._tasks = None
         self._is_over = False
 
     @property
-    def is_held(self) -> bool:
-        """Whether this daemon is surely in charge of the lot."""
-        return bool(
-            self._core is not None and self._lease.fencing and not self._is_over
-        )
+    def is_serving(self) -> bool:
+        """Whether calls may be served here."""
+        return self._core is not None and not self._is_over
 
     def status(self) -> dict[str, object]:
         """Tells the lot's progress."""
+        core = self._core
         return {
-            "held": self.is_held,
-            "remaining": self._core.remaining if self._core else None,
+            "held": self.is_serving,
+            "remaining": core.remaining if core else None,
+            "open_pulls": len(core.open_pulls) if core else None,
+            "dropped_stale": core.dropped_samples if core else None,
+            "dropped_spans": core.bad_answers if core else None,
             "fencing": self._lease.fencing,
         }
 
     async def run(self) -> None:
-        """Acquires the lease, then serves the lot until it is closed."""
+        """Acquires the lease, then serves the lot until it is over."""
         try:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 tasks.start_soon(self._lease.run)
-                await self._wait_for_lease()
-                await self._load()
-                self.ready.set()
-                await self._drive()
+                if await self._acquire():
+                    await self._drive()
                 tasks.cancel_scope.cancel()
-        except (PlatformUnavailableError, PlatformConflictError) as exc:
-            log.warning("lot {} is given up: {}", self.spec.lot_id, exc)
-        except BaseExceptionGroup as group:
-            known = (PlatformUnavailableError, PlatformConflictError)
-            _, rest = group.split(known)
-            if rest is not None:
-                raise rest from group
-            log.warning("lot {} is given up: {}", self.spec.lot_id, group)
         finally:
             self._is_over = True
             self.ready.set()
             for waiter in self._waiters.values():
-                waiter.set()
+                waiter.event.set()
+            await self._lease.release()
 
     async def release(self) -> None:
-        """Stops serving and gives the lease up."""
+        """Refuses waiting calls at once and gives the lease up."""
+        if self.is_serving:
+            self._feed(LotReleased())
+        with anyio.move_on_after(_RELEASE_WAIT_S):
+            while self.is_serving:
+                await anyio.sleep(_LEASE_STEP_S)
         self._is_over = True
         self._wakeup.set()
         await self._lease.release()
@@ -145,68 +179,57 @@
         """
         if call.account != self.spec.account:
             raise Refusal(ErrorCode.LOT_UNKNOWN, "there is no such lot")
-        match call.verb:
-            case "open":
-                return _json_answer({"remaining": self._core.remaining})
-            case "pull":
-                return await self._pull(decode_body(call.body, PullBody))
-            case "ack":
-                return await self._ack(decode_body(call.body, AckBody))
-            case "close":
-                return await self._close()
-        raise Refusal(ErrorCode.ROUTE_UNKNOWN, f"no verb {call.verb!r}")
-
-    async def _wait_for_lease(self) -> None:
-        while not self._lease.fencing:
-            await anyio.sleep(0.01)
-
-    async def _load(self) -> None:
-        """Reads the state and marks it with this holder's fencing number."""
-        found = await self._tools.client.get(self._state_key)
-        state = LotState(fencing=0)
-        if found is not None:
-            state = msgspec.convert(found.value, LotState)
-        self._state_version = found.version if found else 0
-        self._core = LotCore(self.spec, state)
-        await self._write_state(is_closed=state.is_closed)
+        if call.verb == "open":
+            self._check_opening(decode_body(call.body, OpenBody))
+        number = next(self._call_numbers)
+        waiter = self._waiters[number] = _Waiter()
+        try:
+            if self.is_serving:
+                self._feed(_event_of(call, number))
+                self._wakeup.set()
+                await waiter.event.wait()
+        finally:
+            del self._waiters[number]
+        return _answer_of(waiter.answer)
 
-    @property
-    def _state_key(self) -> str:
-        return f"lots/{self.spec.lot_id}/state"
+    def _check_opening(self, body: OpenBody) -> None:
+        """Refuses to open a lot again as another one."""
+        opened = (self.spec.lot_class, self.spec.prompts)
+        if (body.lot_class, body.prompts) != opened:
+            raise Refusal(
+                ErrorCode.LOT_CONFLICT,
+                "the lot was opened with another class or other prompts",
+            )
 
-    async def _write_state(self, *, is_closed: bool = False) -> None:
-        """Writes the pulls, again until the effect is known.
+    async def _acquire(self) -> bool:
+        """Waits for the lease; False if another holder keeps it."""
+        timing = self._tools.cfg.timing
+        patience_s = 2 * (timing.lease_term_s + timing.lease_margin_s)
+        with anyio.move_on_after(patience_s):
+            while not self._lease.fencing:
+                await anyio.sleep(_LEASE_STEP_S)
+        if not self._lease.fencing or self._is_over:
+            return False
+        self._own_id = self._lease.seen_holder
+        holder = f"{self._own_id}.{time.monotonic_ns()}"
+        self._core = LotCore(self.spec, holder)
+        self.ready.set()
+        return True
 
-        Raises:
-            PlatformConflictError: Another holder wrote; this one is deposed.
-        """
-        fencing = self._lease.fencing
-        state = LotState(
-            fencing=fencing, pulls=self._core.pulls, is_closed=is_closed
-        )
-        while True:
-            if not self._lease.fencing:
-                raise PlatformConflictError(self._state_key, 0)
-            try:
-                self._state_version = await self._tools.client.put(
-                    self._state_key,
-                    msgspec.to_builtins(state),
-                    expected_version=self._state_version,
-                    write_id=f"{fencing}.{time.monotonic_ns()}",
-                )
-            except PlatformUnavailableError:
-                await anyio.sleep(_COMMIT_RETRY_S)
-                continue
-            return
+    @property
+    def _is_deposed(self) -> bool:
+        """Whether another holder was seen; a lapse alone changes nothing."""
+        return self._lease.seen_holder not in ("", self._own_id)
 
     async def _drive(self) -> None:
         """Ticks the core at its wake-up times until the seat is over."""
-        while self._lease.fencing and not self._is_over:
-            self._feed(LotTick())
+        while not self._is_over:
+            self._feed(LotReleased() if self._is_deposed else LotTick())
             wakeup_s = self._core.next_wakeup_s
             wait_s = _IDLE_STEP_S
             if wakeup_s is not None:
-                wait_s = min(wait_s, max(0.005, wakeup_s - time.monotonic()))
+                left_s = wakeup_s - time.monotonic()
+                wait_s = min(wait_s, max(_SHORTEST_STEP_S, left_s))
             with anyio.move_on_after(wait_s):
                 await self._wakeup.wait()
             self._wakeup = anyio.Event()
@@ -216,129 +239,125 @@
             match action:
                 case Generate():
                     self._tasks.start_soon(self._generate, action)
-                case CommitPull():
-                    self._tasks.start_soon(self._commit, action)
-                case HandOver():
-                    self._hand_over(action)
-
-    async def _commit(self, action: CommitPull) -> None:
-        await self._write_state()
-        self._count(action)
-        self._feed(CommitDone(action.pull_id))
-
-    def _hand_over(self, action: HandOver) -> None:
-        waiter = self._waiters.get(action.pull_id)
-        if waiter is None:
-            return
-        self._answers[action.pull_id] = action
-        waiter.set()
-
-    async def _pull(self, body: PullBody) -> LotAnswer:
-        waiter = anyio.Event()
-        self._waiters[body.pull_id] = waiter
-        event = PullAsked(
-            pull_id=body.pull_id,
-            version=body.version,
-            max_groups=body.max_groups,
-            until_s=time.monotonic() + body.wait_s,
-        )
+                case CancelSample():
+                    self._engines.cancel(action.attempt)
+                case ReadState() | WriteState():
+                    self._tasks.start_soon(self._call_store, action)
+                case CountUsage():
+                    self._count(action)
+                case HandOver() | TellProgress() | RefuseCall():
+                    self._answer(action)
+                case GiveUp():
+                    log.info("lot {} is given up", self.spec.lot_id)
+                    self._is_over = True
+                    self._wakeup.set()
+
+    def _answer(self, action: HandOver | TellProgress | RefuseCall) -> None:
+        waiter = self._waiters.get(action.call)
+        if waiter is not None:
+            waiter.answer = action
+            waiter.event.set()
+
+    def _count(self, action: CountUsage) -> None:
+        for tokens in action.tokens:
+            self._tools.counters.add(self.spec.account, tokens, wall_time_s())
+
+    async def _generate(self, action: Generate) -> None:
+        answer = await self._engines.generate(action)
+        event = SampleFailed(action.attempt)
+        if answer is not None:
+            event = SampleReady(action.attempt, answer)
         self._feed(event)
         self._wakeup.set()
-        with anyio.move_on_after(body.wait_s + _RETRY_S):
-            await waiter.wait()
-        if self._waiters.get(body.pull_id) is waiter:
-            del self._waiters[body.pull_id]
-        answer = self._answers.pop(body.pull_id, None)
-        if answer is None:
-            raise Refusal(
-                ErrorCode.LOT_ELSEWHERE,
-                "the pull could not be committed",
-                retry_after_s=_RETRY_S,
-            )
-        return _json_answer(
-            PullAnswer(
-                pull_id=body.pull_id,
-                groups=answer.groups,
-                remaining=answer.remaining,
-            )
-        )
 
-    def _count(self, action: CommitPull) -> None:
-        """Counts the tokens of a committed pull; a repeat counts no more."""
-        for group in action.groups:
-            for sample in group.samples:
-                self._tools.counters.add(
-                    self.spec.account, len(sample.tokens), wall_time_s()
-                )
+    async def _call_store(self, action: ReadState | WriteState) -> None:
+        if isinstance(action, ReadState):
+            event = await self._read()
+        else:
+            event = await self._write(action)
+        self._feed(event)
+        self._wakeup.set()
 
-    async def _ack(self, body: AckBody) -> LotAnswer:
-        self._feed(PullAcked(body.pull_id))
-        return _json_answer({"remaining": self._core.remaining})
+    @property
+    def _state_key(self) -> str:
+        return f"lots/{self.spec.lot_id}/state"
 
-    async def _close(self) -> LotAnswer:
+    async def _read(self) -> StateRead | StateReadFailed:
         try:
-            await self._write_state(is_closed=True)
-        except PlatformConflictError as exc:
-            raise Refusal(
-                ErrorCode.LOT_ELSEWHERE,
-                "the lot moved to another daemon",
-                retry_after_s=_RETRY_S,
-            ) from exc
-        await self.release()
-        return _json_answer({"closed": True})
-
-    async def _generate(self, action: Generate) -> None:
-        answer = await self._ask_engine(action)
-        event = SampleFailed(action.attempt)
-        if answer is not None and check_spans(answer):
-            sample = Sample(
-                index=action.index, tokens=answer.tokens, spans=answer.spans
-            )
-            event = SampleReady(action.attempt, sample)
-        elif answer is not None:
-            self._tools.metrics.count("samples_dropped", reason="spans")
-        self._feed(event)
-        self._wakeup.set()
+            found = await self._tools.client.get(self._state_key)
+            if found is None:
+                return StateRead(LotState(), 0)
+            state = msgspec.convert(found.value, LotState)
+            return StateRead(state, found.version)
+        except (PlatformUnavailableError, msgspec.ValidationError) as exc:
+            log.warning("lot {} can't be read: {}", self.spec.lot_id, exc)
+            return StateReadFailed()
 
-    async def _ask_engine(self, action: Generate) -> EngineAnswer | None:
-        table = self._tools.table
-        now_s = time.monotonic()
-        endpoint_id = self._tools.balancer.choose(
-            table.candidates(self.spec.pool, now_s)
-        )
-        if endpoint_id is None:
-            return None
-        state = table.get(endpoint_id)
-        body = {
-            "prompt": self.spec.prompts[action.group],
-            "max_tokens": self.spec.max_tokens,
-            "sample": action.index,
-        }
-        table.note_sent(endpoint_id)
-        failed = True
+    async def _write(self, action: WriteState) -> object:
         try:
-            answer = await self._tools.http.request(
-                "POST",
-                state.address,
-                "/generate",
-                headers=((b"content-type", b"application/json"),),
-                body=msgspec.json.encode(body),
-                timeout_s=_GENERATE_TIMEOUT_S,
+            version = await self._tools.client.put(
+                self._state_key,
+                msgspec.to_builtins(action.state),
+                expected_version=action.expected_version,
+                write_id=action.write_id,
             )
-            failed = answer.status != _OK
-        except RequestFailedError as exc:
-            log.debug("generation failed: {}", exc)
-            self._tools.http.forget(state.address)
-            return None
-        finally:
-            table.note_done(endpoint_id, failed=failed, now_s=time.monotonic())
-        table.adopt_news(news_from_headers(state, answer.headers))
-        if failed:
-            return None
-        try:
-            return msgspec.json.decode(answer.body, type=EngineAnswer)
-        except msgspec.DecodeError:
-            return None
+        except PlatformConflictError:
+            return WriteRefused(action.write_id)
+        except PlatformUnavailableError:
+            return WriteInDoubt(action.write_id)
+        return WriteDone(action.write_id, version)
+
+
+def _event_of(call: LotCall, number: int) -> object:
+    until_s = time.monotonic() + _CALL_WAIT_S
+    match call.verb:
+        case "open":
+            return OpenAsked(call=number, until_s=until_s)
+        case "close":
+            return CloseAsked(call=number, until_s=until_s)
+        case "ack":
+            body = decode_body(call.body, AckBody)
+            return AckAsked(call=number, pull_id=body.pull_id, until_s=until_s)
+        case "pull":
+            body = decode_body(call.body, PullBody)
+            return PullAsked(
+                call=number,
+                pull_id=body.pull_id,
+                version=body.version,
+                max_groups=body.max_groups,
+                until_s=time.monotonic() + body.wait_s,
+                acks=body.acks,
+            )
+    raise Refusal(ErrorCode.ROUTE_UNKNOWN, f"no verb {call.verb!r}")
+
+
+def _answer_of(action: object) -> LotAnswer:
+    """Returns the trainer's answer; raises `Refusal` if it is one."""
+    match action:
+        case HandOver():
+            return _json_answer(
+                PullAnswer(
+                    pull_id=action.pull_id,
+                    groups=action.groups,
+                    remaining=action.remaining,
+                )
+            )
+        case TellProgress():
+            return _json_answer(
+                ProgressAnswer(
+                    remaining=action.remaining,
+                    open_pulls=action.open_pulls,
+                    closed=action.is_closed,
+                )
+            )
+    reason = RefusedBecause.RELEASED
+    if isinstance(action, RefuseCall):
+        reason = action.reason
+    error = _REASONS[reason]
+    is_final = error is ErrorCode.LOT_CONFLICT
+    raise Refusal(
+        error, reason.value, retry_after_s=None if is_final else _RETRY_S
+    )
 
 
 def decode_body(body: bytes, kind: type):
--- a/daisyhub/controllers/_lots.py
+++ b/daisyhub/controllers/_lots.py
@@ -1,7 +1,6 @@
 """Holds trainer lots, or passes calls on to the daemon that holds them."""
 
 import contextlib
-import dataclasses
 
 import anyio
 import msgspec
@@ -12,9 +11,9 @@
     SeatTools,
     decode_body,
 )
+from daisyhub.controllers._lot_specs import LotSpecStore
 from daisyhub.exceptions import (
     ErrorCode,
-    PlatformConflictError,
     PlatformUnavailableError,
     Refusal,
 )
@@ -25,7 +24,7 @@
     PeerNetwork,
     PeerUnreachableError,
 )
-from daisyhub.platform import LeaseRecord
+from daisyhub.platform import LeaseRecord, PlatformObject
 from daisyhub.problems import problem_body
 from daisyhub.rollouts import LotSpec, OpenBody
 
@@ -34,17 +33,12 @@
 _FORWARD_TIMEOUT_S = 65.0
 _TAKE_WAIT_S = 2.0
 _RETRY_S = 1.0
+_SEATS_TO_START = 1024
+_KNOWN_HOLDERS = 4096
 
 log = get_logger("lots")
 
 
-@dataclasses.dataclass(slots=True)
-class _Seats:
-    """Seats by lot id, and the task group that runs them."""
-
-    by_lot: dict[str, LotSeat] = dataclasses.field(default_factory=dict)
-
-
 class LotController(Controller):
     """Serves trainers' calls.
 
@@ -58,16 +52,19 @@
     def __init__(self, tools: SeatTools, network: PeerNetwork):
         self._tools = tools
         self._network = network
-        self._seats = _Seats()
+        self._specs = LotSpecStore(tools.client)
+        self._seats: dict[str, LotSeat] = {}
+        self._holders: dict[str, str] = {}
+        self._is_released = False
         self._new_seats, self._to_run = anyio.create_memory_object_stream[
             LotSeat
-        ](1024)
+        ](_SEATS_TO_START)
 
     def status(self) -> dict[str, object]:
         """Tells the lots held here."""
         return {
             lot_id: seat.status()
-            for lot_id, seat in sorted(self._seats.by_lot.items())
+            for lot_id, seat in sorted(self._seats.items())
         }
 
     async def run(self) -> None:
@@ -77,9 +74,11 @@
                 tasks.start_soon(self._run_seat, seat)
 
     async def release(self) -> None:
-        """Gives every lot up at shutdown."""
-        for seat in list(self._seats.by_lot.values()):
-            await seat.release()
+        """Gives every lot up at shutdown; waiting calls end at once."""
+        self._is_released = True
+        async with anyio.create_task_group() as tasks:
+            for seat in list(self._seats.values()):
+                tasks.start_soon(seat.release)
 
     async def serve(self, call: LotCall) -> LotAnswer:
         """Serves a trainer's call here or at the lot's holder.
@@ -88,12 +87,13 @@
             Refusal: With the final answer for the trainer.
         """
         try:
-            seat = self._seats.by_lot.get(call.lot_id)
-            if seat is None:
-                answer = await self._ask_holder(call)
-                if answer is not None:
-                    return answer
-                seat = await self._take_seat(call)
+            seat = self._seats.get(call.lot_id)
+            if seat is not None and seat.is_serving:
+                return await seat.serve(call)
+            answer = await self._ask_holder(call)
+            if answer is not None:
+                return answer
+            seat = await self._take_seat(call)
             return await self._serve_here(seat, call)
         except PlatformUnavailableError as exc:
             raise Refusal(
@@ -104,71 +104,95 @@
 
     async def answer_call(self, call: LotCall) -> LotAnswer:
         """Serves a call that a peer passed on; never passes it further."""
-        seat = self._seats.by_lot.get(call.lot_id)
-        if seat is None:
+        seat = self._seats.get(call.lot_id)
+        if seat is None or not seat.is_serving:
             return _elsewhere_answer()
         try:
-            return await self._serve_here(seat, call)
+            return await seat.serve(call)
         except Refusal as exc:
+            if exc.error is ErrorCode.LOT_ELSEWHERE:
+                return _elsewhere_answer()
             return LotAnswer(
-                status=exc.error.status, body=problem_body(exc, call.lot_id)
+                status=exc.error.status,
+                body=problem_body(exc, call.lot_id),
+                retry_after_s=exc.retry_after_s,
             )
 
     async def _serve_here(self, seat: LotSeat, call: LotCall) -> LotAnswer:
         with anyio.move_on_after(_TAKE_WAIT_S):
             await seat.ready.wait()
-        if not seat.is_held:
-            raise Refusal(
-                ErrorCode.LOT_ELSEWHERE,
-                "the lot is being taken over",
-                retry_after_s=_RETRY_S,
-            )
+        if not seat.is_serving:
+            raise _being_taken()
         return await seat.serve(call)
 
     async def _ask_holder(self, call: LotCall) -> LotAnswer | None:
-        """Returns the holder's answer, or None if no holder answers."""
-        found = await self._tools.client.get(f"leases/lots/{call.lot_id}")
-        if found is None:
-            return None
-        holder = msgspec.convert(found.value, LeaseRecord).holder
-        daemon_id = holder.partition("/")[0]
+        """Returns the holder's answer, or None if no holder answers.
+
+        While the platform is down, the holder last seen is asked.
+        """
+        key = f"leases/lots/{call.lot_id}"
+        found = None
+        try:
+            found = await self._tools.client.get(key)
+            daemon_id = _holder_of(found)
+        except PlatformUnavailableError:
+            if call.lot_id not in self._holders:
+                raise
+            daemon_id = self._holders[call.lot_id]
         if not daemon_id or daemon_id == self._tools.cfg.daemon_id:
             return None
-        with contextlib.suppress(PeerUnreachableError):
-            answer = await self._network.call(
-                daemon_id, call, _FORWARD_TIMEOUT_S
-            )
-            if answer.status != ErrorCode.LOT_ELSEWHERE.status:
-                return answer
-        return None
+        self._note_holder(call.lot_id, daemon_id)
+        answer = None
+        async with anyio.create_task_group() as tasks:
+            if found is not None:
+                tasks.start_soon(self._watch, found, tasks.cancel_scope)
+            with contextlib.suppress(PeerUnreachableError):
+                answer = await self._network.call(
+                    daemon_id, call, _FORWARD_TIMEOUT_S
+                )
+            tasks.cancel_scope.cancel()
+        if answer is None or answer.is_elsewhere:
+            return None
+        return answer
+
+    def _note_holder(self, lot_id: str, daemon_id: str) -> None:
+        if len(self._holders) >= _KNOWN_HOLDERS:
+            self._holders.clear()
+        self._holders[lot_id] = daemon_id
+
+    async def _watch(self, lease: PlatformObject, scope) -> None:
+        """Cancels `scope` once a lease wasn't renewed for a whole term."""
+        timing = self._tools.cfg.timing
+        version = lease.version
+        while True:
+            await anyio.sleep(timing.lease_term_s + timing.lease_margin_s)
+            with contextlib.suppress(PlatformUnavailableError):
+                found = await self._tools.client.get(lease.key)
+                if found is None or found.version == version:
+                    scope.cancel()
+                    return
+                version = found.version
 
     async def _take_seat(self, call: LotCall) -> LotSeat:
         spec = await self._find_spec(call)
         if spec.account != call.account:
             raise _unknown_lot()
-        seat = self._seats.by_lot.get(call.lot_id)
+        if self._is_released:
+            raise _being_taken()
+        seat = self._seats.get(call.lot_id)
         if seat is None:
             seat = LotSeat(spec, self._tools)
-            self._seats.by_lot[call.lot_id] = seat
+            self._seats[call.lot_id] = seat
             await self._new_seats.send(seat)
         return seat
 
     async def _find_spec(self, call: LotCall) -> LotSpec:
-        key = f"lots/{call.lot_id}/spec"
-        found = await self._tools.client.get(key)
-        if found is not None:
-            return msgspec.convert(found.value, LotSpec)
+        spec = await self._specs.find(call.lot_id)
+        if spec is not None:
+            return spec
         if call.verb != "open":
             raise _unknown_lot()
-        spec = self._new_spec(call)
-        with contextlib.suppress(PlatformConflictError):
-            await self._tools.client.put(
-                key,
-                msgspec.to_builtins(spec),
-                expected_version=0,
-                write_id=f"{call.lot_id}-spec",
-            )
-        return spec
+        return await self._specs.create(self._new_spec(call))
 
     def _new_spec(self, call: LotCall) -> LotSpec:
         body = decode_body(call.body, OpenBody)
@@ -186,19 +210,37 @@
             max_staleness=lot_class.max_staleness,
             max_tokens=lot_class.max_tokens,
             concurrency=lot_class.concurrency,
+            spare_samples=lot_class.spare_samples,
         )
 
     async def _run_seat(self, seat: LotSeat) -> None:
         try:
             await seat.run()
         finally:
-            if self._seats.by_lot.get(seat.spec.lot_id) is seat:
-                del self._seats.by_lot[seat.spec.lot_id]
+            if self._seats.get(seat.spec.lot_id) is seat:
+                del self._seats[seat.spec.lot_id]
+
+
+def _holder_of(found: PlatformObject | None) -> str:
+    if found is None:
+        return ""
+    holder = msgspec.convert(found.value, LeaseRecord).holder
+    return holder.partition("/")[0]
 
 
 def _unknown_lot() -> Refusal:
     return Refusal(ErrorCode.LOT_UNKNOWN, "there is no such lot")
 
 
+def _being_taken() -> Refusal:
+    return Refusal(
+        ErrorCode.LOT_ELSEWHERE,
+        "the lot is being taken over",
+        retry_after_s=_RETRY_S,
+    )
+
+
 def _elsewhere_answer() -> LotAnswer:
-    return LotAnswer(status=ErrorCode.LOT_ELSEWHERE.status, body=b"")
+    return LotAnswer(
+        status=ErrorCode.LOT_ELSEWHERE.status, body=b"", is_elsewhere=True
+    )
--- a/daisyhub/filters/_lots.py
+++ b/daisyhub/filters/_lots.py
@@ -1,5 +1,6 @@
 """Serves trainers' calls about lots."""
 
+import math
 import re
 from collections.abc import Awaitable, Callable
 
@@ -44,6 +45,10 @@
             body=req.body,
         )
         answer = await self._serve(call)
+        headers = [_JSON]
+        if answer.retry_after_s is not None:
+            seconds = max(1, math.ceil(answer.retry_after_s))
+            headers.append((b"retry-after", str(seconds).encode()))
         return Response(
-            status=answer.status, headers=(_JSON,), body=answer.body
+            status=answer.status, headers=tuple(headers), body=answer.body
         )
--- a/daisyhub/peers/_messages.py
+++ b/daisyhub/peers/_messages.py
@@ -91,10 +91,19 @@
 
 
 class LotAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="la"):
-    """The holder's answer to a `LotCall`."""
+    """The holder's answer to a `LotCall`.
+
+    Attributes:
+        status: HTTP status.
+        body: JSON.
+        retry_after_s: When to ask again, if the call was refused.
+        is_elsewhere: Whether the daemon doesn't hold the lot.
+    """
 
     status: int
     body: bytes
+    retry_after_s: float | None = None
+    is_elsewhere: bool = False
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True, tag="call"):
--- a/daisyhub/rollouts/_lot_core.py
+++ b/daisyhub/rollouts/_lot_core.py
@@ -1,177 +1,117 @@
 """One lot decided by a deterministic core.
 
-A slot is (group, index). A pull is committed to the store before its samples
-are handed over, so that a deposed holder can't deliver. A repeat of a pull
-gets the same samples. If a new holder doesn't have them, the repeat tells
-that the trainer never took them, and the groups are committed anew.
+A slot is (group, index). The lot's object in the store maps pull ids to
+groups; the map only grows, each version is written on top of the one before,
+and a group stands under one pull for good. Samples are handed over only
+after the map that names them is known to be stored. So any number of holders
+may serve a lot at any time without delivering a group under two pulls; the
+lease only saves work. A repeat of a pull gets its own groups again, generated
+anew if the samples are gone or stale.
 """
 
-import dataclasses
+import msgspec
 
 from daisyhub.base import Core
+from daisyhub.rollouts._lot_events import (
+    AckAsked,
+    CloseAsked,
+    CountUsage,
+    GiveUp,
+    HandOver,
+    LotReleased,
+    LotTick,
+    OpenAsked,
+    PullAsked,
+    ReadState,
+    RefuseCall,
+    RefusedBecause,
+    SampleFailed,
+    SampleReady,
+    StateRead,
+    StateReadFailed,
+    TellProgress,
+    WriteDone,
+    WriteInDoubt,
+    WriteRefused,
+    WriteState,
+)
 from daisyhub.rollouts._lot_types import (
-    Group,
     LotSpec,
     LotState,
     PullRecord,
     Sample,
+    check_spans,
 )
+from daisyhub.rollouts._slot_table import SlotTable
 
-__all__ = [
-    "CommitDone",
-    "CommitPull",
-    "Generate",
-    "HandOver",
-    "LotCore",
-    "LotTick",
-    "PullAcked",
-    "PullAsked",
-    "SampleFailed",
-    "SampleReady",
-]
-
-_RETRY_PAUSE_S = 0.2
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LotTick:
-    """Time has passed."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SampleReady:
-    """Attempt `attempt` produced a sample with spans."""
-
-    attempt: int
-    sample: Sample
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SampleFailed:
-    """Attempt `attempt` produced nothing that may be used."""
-
-    attempt: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PullAsked:
-    """The trainer asks for groups; `until_s` ends its wait."""
-
-    pull_id: str
-    version: int
-    max_groups: int
-    until_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PullAcked:
-    """The trainer has taken the samples of a pull."""
-
-    pull_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CommitDone:
-    """The state that names this pull's groups is in the store."""
-
-    pull_id: str
+__all__ = ["LotCore"]
 
+_STORE_PAUSE_S = 0.2
+_IDLE_S = 900.0
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Generate:
-    """Action: ask an engine for one sample of a group's prompt."""
-
-    attempt: int
-    group: int
-    index: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CommitPull:
-    """Action: write the core's `pulls`, then send `CommitDone`."""
-
-    pull_id: str
-    groups: tuple[Group, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HandOver:
-    """Action: answer the pull; without groups nothing was ready."""
-
-    pull_id: str
-    groups: tuple[Group, ...]
-    remaining: int
-
-
-@dataclasses.dataclass(slots=True)
-class _Slot:
-    attempt: int = 0
-    sample: Sample | None = None
-    retry_at_s: float = 0.0
-
-    @property
-    def is_pending(self) -> bool:
-        return self.sample is None and not self.attempt
+LotCall = PullAsked | OpenAsked | AckAsked | CloseAsked
 
 
 class LotCore(Core):
-    """Decides about one lot while its holder is in charge.
+    """Decides about one lot at one holder.
 
     Args:
         spec: What the lot consists of.
-        state: The store's state at take-over.
+        holder: Unique for each time that a holder takes the lot.
     """
 
-    def __init__(self, spec: LotSpec, state: LotState):
+    def __init__(self, spec: LotSpec, holder: str):
         self.spec = spec
-        self.state = state
-        self._pulls = dict(state.pulls)
-        self._slots: dict[tuple[int, int], _Slot] = {}
-        self._running: dict[int, tuple[int, int]] = {}
-        self._attempts = 0
-        self._kept: dict[str, tuple[Group, ...]] = {}
-        self._asked: dict[str, PullAsked] = {}
-        self._committing: str | None = None
-        self._chosen: tuple[Group, ...] = ()
-        self._taken: set[int] = set()
-        self.dropped_samples = 0
-        self._add_missing_slots()
-
-    def _add_missing_slots(self) -> None:
-        for record in self._pulls.values():
-            self._taken.update(record.groups)
-        for group in range(len(self.spec.prompts)):
-            if group in self._taken:
-                continue
-            for index in range(self.spec.group_size):
-                self._slots.setdefault((group, index), _Slot())
-
-    @property
-    def next_wakeup_s(self) -> float | None:
-        """When a wait of a pull ends or a failed slot may be tried again."""
-        times = [asked.until_s for asked in self._asked.values()]
-        if len(self._running) < self.spec.concurrency:
-            times += [
-                s.retry_at_s for s in self._slots.values() if s.is_pending
-            ]
-        return min(times, default=None)
+        self.holder = holder
+        self.bad_answers = 0
+        self._slots = SlotTable(spec)
+        self._state: LotState | None = None
+        self._version = 0
+        self._owned: set[int] = set()
+        self._calls: dict[int, LotCall] = {}
+        self._acks: set[str] = set()
+        self._wants_close = False
+        self._must_read = True
+        self._write: WriteState | None = None
+        self._writes = 0
+        self._unbilled: dict[str, CountUsage] = {}
+        self._is_waiting = False
+        self._store_at_s = 0.0
+        self._touched_s: float | None = None
+        self._is_released = False
+        self.is_over = False
 
     @property
     def remaining(self) -> int:
         """Groups that no committed pull names."""
-        return len(self.spec.prompts) - len(self._taken)
+        return len(self.spec.prompts) - len(self._owned)
 
     @property
-    def is_done(self) -> bool:
-        """Whether every group was handed over and acknowledged."""
-        return not self.remaining and all(
-            record.is_acked for record in self._pulls.values()
-        )
+    def dropped_samples(self) -> int:
+        """Samples dropped because they were too old."""
+        return self._slots.dropped_samples
+
+    @property
+    def open_pulls(self) -> tuple[str, ...]:
+        """Pulls that aren't acknowledged."""
+        if self._state is None:
+            return ()
+        pulls = self._state.pulls.items()
+        return tuple(key for key, record in pulls if not record.is_acked)
 
     @property
-    def pulls(self) -> dict[str, PullRecord]:
-        """The pulls committed so far."""
-        return dict(self._pulls)
+    def next_wakeup_s(self) -> float | None:
+        """When a wait ends, or something may be tried again."""
+        if self.is_over:
+            return None
+        times = [call.until_s for call in self._calls.values()]
+        if self._slots.next_retry_s is not None:
+            times.append(self._slots.next_retry_s)
+        if not self._is_waiting and (self._write or self._must_read):
+            times.append(self._store_at_s)
+        if self._touched_s is not None:
+            times.append(self._touched_s + _IDLE_S)
+        return min(times, default=None)
 
     def handle(self, event: object, now_s: float) -> list[object]:
         """Takes one lot event; returns lot actions."""
@@ -180,137 +120,305 @@
             case LotTick():
                 pass
             case SampleReady():
-                self._on_ready(event)
+                actions += self._on_ready(event, now_s)
             case SampleFailed():
-                self._on_failed(event, now_s)
-            case PullAsked():
-                actions += self._on_asked(event)
-            case PullAcked():
-                self._on_acked(event)
-            case CommitDone():
-                actions += self._on_committed(event)
+                self._slots.fail(event.attempt, now_s)
+            case PullAsked() | OpenAsked() | AckAsked() | CloseAsked():
+                self._on_call(event, now_s)
+            case StateRead():
+                actions += self._on_read(event)
+            case WriteDone():
+                actions += self._on_written(event)
+            case StateReadFailed() | WriteRefused() | WriteInDoubt():
+                self._on_store_trouble(event, now_s)
+            case LotReleased():
+                self._is_released = True
             case _:
                 raise TypeError(f"not a lot event: {event!r}")
-        actions += self._start_samples(now_s)
-        actions += self._serve_pulls(now_s)
+        return actions + self._go_on(now_s)
+
+    def _go_on(self, now_s: float) -> list[object]:
+        """Does what is possible now."""
+        if self.is_over:
+            return self._refuse_all(RefusedBecause.RELEASED)
+        if self._is_idle(now_s) or self._is_released:
+            return self._wind_up(now_s)
+        actions = self._serve_calls(now_s)
+        actions += self._talk_to_store(now_s)
+        if self._state is not None and not self._wants_close:
+            actions += self._slots.start(now_s)
         return actions
 
-    def _on_ready(self, event: SampleReady) -> None:
-        place = self._running.pop(event.attempt, None)
-        slot = self._slots.get(place)
-        if slot is None or slot.attempt != event.attempt:
-            return
-        slot.attempt = 0
-        slot.sample = event.sample
+    def _is_idle(self, now_s: float) -> bool:
+        if self._touched_s is None:
+            self._touched_s = now_s
+        return not self._calls and now_s - self._touched_s >= _IDLE_S
+
+    def _wind_up(self, now_s: float) -> list[object]:
+        """Refuses calls at once; waits only for a write in flight."""
+        self._is_released = True
+        actions = self._refuse_all(RefusedBecause.RELEASED)
+        actions += self._slots.forget(range(len(self.spec.prompts)))
+        if self._is_waiting or self._write is not None or self._unbilled:
+            return actions + self._talk_to_store(now_s)
+        self.is_over = True
+        return [*actions, GiveUp()]
+
+    def _refuse_all(self, reason: RefusedBecause) -> list[object]:
+        refused = [RefuseCall(number, reason) for number in self._calls]
+        self._calls.clear()
+        return refused
+
+    def _on_call(self, call: LotCall, now_s: float) -> None:
+        self._touched_s = now_s
+        self._calls[call.call] = call
+        match call:
+            case PullAsked():
+                self._acks.update(call.acks)
+            case AckAsked():
+                self._acks.add(call.pull_id)
+            case CloseAsked():
+                self._wants_close = True
+
+    def _on_ready(self, event: SampleReady, now_s: float) -> list[object]:
+        place = self._slots.place_of(event.attempt)
+        if place is None:
+            return []
+        if not check_spans(event.answer):
+            self.bad_answers += 1
+            self._slots.fail(event.attempt, now_s)
+            return []
+        answer = event.answer
+        sample = Sample(
+            index=place[1], tokens=answer.tokens, spans=answer.spans
+        )
+        return self._slots.finish(event.attempt, sample)
 
-    def _on_failed(self, event: SampleFailed, now_s: float) -> None:
-        place = self._running.pop(event.attempt, None)
-        slot = self._slots.get(place)
-        if slot is None or slot.attempt != event.attempt:
-            return
-        slot.attempt = 0
-        slot.retry_at_s = now_s + _RETRY_PAUSE_S
+    def _on_read(self, event: StateRead) -> list[object]:
+        self._is_waiting = False
+        self._must_read = False
+        return self._adopt(event.state, event.version)
 
-    def _on_asked(self, event: PullAsked) -> list[object]:
-        record = self._pulls.get(event.pull_id)
-        if record is None or event.pull_id == self._committing:
-            self._asked[event.pull_id] = event
+    def _on_written(self, event: WriteDone) -> list[object]:
+        write = self._write
+        if write is None or event.write_id != write.write_id:
             return []
-        kept = self._kept.get(event.pull_id)
-        oldest = event.version - self.spec.max_staleness
-        if kept is not None and _oldest_version(kept) >= oldest:
-            return [HandOver(event.pull_id, kept, self.remaining)]
-        if record.is_acked:
-            return [HandOver(event.pull_id, (), self.remaining)]
-        # The samples died with an earlier holder, or are stale by now. The
-        # trainer asks again, so it never took them.
-        self._kept.pop(event.pull_id, None)
-        del self._pulls[event.pull_id]
-        self._taken.difference_update(record.groups)
-        self._add_missing_slots()
-        self._asked[event.pull_id] = event
-        return []
-
-    def _on_acked(self, event: PullAcked) -> None:
-        record = self._pulls.get(event.pull_id)
-        if record is None or event.pull_id == self._committing:
+        self._is_waiting = False
+        self._write = None
+        return self._adopt(write.state, event.version)
+
+    def _on_store_trouble(self, event: object, now_s: float) -> None:
+        """Reads again after a refusal; sends a write in doubt again.
+
+        The same id and expected version make a repeated write harmless: at
+        most one of the copies takes effect.
+        """
+        write_id = self._write.write_id if self._write else ""
+        if getattr(event, "write_id", write_id) != write_id:
             return
-        self._pulls[event.pull_id] = PullRecord(
-            groups=record.groups, is_acked=True
-        )
-        self._kept.pop(event.pull_id, None)
-
-    def _on_committed(self, event: CommitDone) -> list[object]:
-        if event.pull_id != self._committing:
+        self._is_waiting = False
+        self._store_at_s = now_s + _STORE_PAUSE_S
+        if isinstance(event, WriteRefused):
+            self._write = None
+            self._must_read = True
+            self._store_at_s = now_s
+
+    def _adopt(self, state: LotState, version: int) -> list[object]:
+        """Takes over what is stored; it goes before anything kept here."""
+        if self._state is not None and version < self._version:
             return []
-        self._committing = None
-        self._kept[event.pull_id] = self._chosen
-        self._asked.pop(event.pull_id, None)
-        return [HandOver(event.pull_id, self._chosen, self.remaining)]
+        is_first = self._state is None
+        self._state = state
+        self._version = version
+        actions = self._bill()
+        done = []
+        for record in state.pulls.values():
+            is_own = record.commit_id.startswith(f"{self.holder}.")
+            is_new = not self._owned.issuperset(record.groups)
+            self._owned.update(record.groups)
+            if record.is_acked or (is_new and not is_own):
+                done += record.groups
+        actions += self._slots.forget(done)
+        if is_first:
+            every = range(len(self.spec.prompts))
+            self._slots.want(g for g in every if g not in self._owned)
+        if state.is_closed:
+            actions += self._on_closed()
+        return actions
 
-    def _start_samples(self, now_s: float) -> list[object]:
+    def _bill(self) -> list[object]:
+        """Counts each of the own commits that took effect, once."""
+        stored = {r.commit_id for r in self._state.pulls.values()}
+        counted = [u for key, u in self._unbilled.items() if key in stored]
+        self._unbilled.clear()
+        return counted
+
+    def _on_closed(self) -> list[object]:
         actions = []
-        for place, slot in self._slots.items():
-            if len(self._running) >= self.spec.concurrency:
-                break
-            if not slot.is_pending or now_s < slot.retry_at_s:
-                continue
-            self._attempts += 1
-            slot.attempt = self._attempts
-            self._running[self._attempts] = place
-            actions.append(Generate(self._attempts, *place))
-        return actions
+        for call in list(self._calls.values()):
+            if isinstance(call, CloseAsked | AckAsked):
+                actions.append(self._tell(call))
+        self._is_released = True
+        return actions + self._refuse_all(RefusedBecause.CLOSED)
+
+    def _tell(self, call: LotCall) -> TellProgress:
+        del self._calls[call.call]
+        return TellProgress(
+            call.call, self.remaining, self.open_pulls, self._state.is_closed
+        )
+
+    def _refuse(self, call: LotCall, reason: RefusedBecause) -> RefuseCall:
+        del self._calls[call.call]
+        return RefuseCall(call.call, reason)
 
-    def _serve_pulls(self, now_s: float) -> list[object]:
+    def _serve_calls(self, now_s: float) -> list[object]:
         actions = []
-        for asked in list(self._asked.values()):
-            if self._committing is not None:
-                break
-            ready = self._fresh_groups(asked)
-            if ready:
-                actions.append(self._commit(asked, ready))
-            elif now_s >= asked.until_s or not self.remaining:
-                del self._asked[asked.pull_id]
-                actions.append(HandOver(asked.pull_id, (), self.remaining))
+        for call in list(self._calls.values()):
+            if self._state is not None:
+                actions += self._serve(call, now_s)
+            if call.call in self._calls and now_s >= call.until_s:
+                actions.append(self._end_wait(call))
         return actions
 
-    def _fresh_groups(self, asked: PullAsked) -> list[int]:
-        """Returns whole groups within the staleness bound; drops the stale."""
-        oldest = asked.version - self.spec.max_staleness
-        ready = []
-        for group in range(len(self.spec.prompts)):
-            if len(ready) == asked.max_groups:
+    def _serve(self, call: LotCall, now_s: float) -> list[object]:
+        match call:
+            case OpenAsked():
+                return [self._tell(call)]
+            case PullAsked():
+                return self._serve_pull(call, now_s)
+            case AckAsked():
+                return self._serve_ack(call)
+        return []
+
+    def _serve_ack(self, call: AckAsked) -> list[object]:
+        record = self._state.pulls.get(call.pull_id)
+        if record is None:
+            return [self._refuse(call, RefusedBecause.UNKNOWN_PULL)]
+        return [self._tell(call)] if record.is_acked else []
+
+    def _serve_pull(self, call: PullAsked, now_s: float) -> list[object]:
+        record = self._state.pulls.get(call.pull_id)
+        if record is None:
+            return []
+        if record.is_acked:
+            return [self._refuse(call, RefusedBecause.ACKED)]
+        self._slots.want(record.groups, is_repeat=True)
+        oldest = call.version - self.spec.max_staleness
+        # Checks every group, so that all stale samples are replaced at once.
+        fresh = [
+            self._slots.is_fresh(group, oldest, now_s)
+            for group in record.groups
+        ]
+        if not all(fresh):
+            return []
+        return [self._hand_over(call, record.groups)]
+
+    def _hand_over(self, call: PullAsked, groups: tuple[int, ...]) -> HandOver:
+        del self._calls[call.call]
+        return HandOver(
+            call.call,
+            call.pull_id,
+            tuple(self._slots.group(group) for group in groups),
+            self.remaining,
+        )
+
+    def _end_wait(self, call: LotCall) -> object:
+        """Ends a call whose time is over with a true answer."""
+        is_pull = isinstance(call, PullAsked)
+        if not is_pull or self._state is None or self._write is not None:
+            return self._refuse(call, RefusedBecause.PLATFORM)
+        return self._hand_over(call, ())
+
+    def _talk_to_store(self, now_s: float) -> list[object]:
+        if self._is_waiting or now_s < self._store_at_s:
+            return []
+        if self._write is None and not self._must_read:
+            self._write = self._next_write(now_s)
+        if self._write is None and not self._must_read:
+            return []
+        self._is_waiting = True
+        return [self._write or ReadState()]
+
+    def _next_write(self, now_s: float) -> WriteState | None:
+        """Puts all that waits to be stored into one write."""
+        if self._is_released:
+            return None
+        acked = self._newly_acked()
+        chosen = self._choose(now_s)
+        is_closing = self._wants_close and not self._state.is_closed
+        if not (acked or chosen or is_closing):
+            return None
+        self._writes += 1
+        write_id = f"{self.holder}.{self._writes}"
+        if chosen:
+            self._unbilled[write_id] = self._usage(chosen)
+        added = {
+            pull_id: PullRecord(groups=groups, commit_id=write_id)
+            for pull_id, groups in chosen.items()
+        }
+        state = LotState(
+            pulls={**self._state.pulls, **acked, **added},
+            is_closed=self._wants_close,
+        )
+        return WriteState(write_id, state, self._version)
+
+    def _newly_acked(self) -> dict[str, PullRecord]:
+        """Returns the records that acknowledgements change.
+
+        They are kept until the store has them; unknown ones are dropped.
+        """
+        pulls = self._state.pulls
+        self._acks = {
+            pull_id
+            for pull_id in self._acks
+            if pull_id in pulls and not pulls[pull_id].is_acked
+        }
+        return {
+            pull_id: msgspec.structs.replace(pulls[pull_id], is_acked=True)
+            for pull_id in self._acks
+        }
+
+    def _choose(self, now_s: float) -> dict[str, tuple[int, ...]]:
+        """Returns whole, fresh groups for each pull that waits for its first.
+
+        Of two calls with the same pull id the one with the newer version
+        counts.
+        """
+        waiting: dict[str, PullAsked] = {}
+        for call in self._calls.values():
+            if not isinstance(call, PullAsked):
+                continue
+            known = waiting.get(call.pull_id)
+            if known is None or known.version < call.version:
+                waiting[call.pull_id] = call
+        free = [g for g in self._slots.whole_groups if g not in self._owned]
+        chosen = {}
+        for pull_id, call in waiting.items():
+            if pull_id in self._state.pulls:
+                continue
+            groups = self._fresh_groups(call, free, now_s)
+            if groups:
+                chosen[pull_id] = groups
+                free = [g for g in free if g not in groups]
+        return chosen
+
+    def _fresh_groups(
+        self, call: PullAsked, free: list[int], now_s: float
+    ) -> tuple[int, ...]:
+        oldest = call.version - self.spec.max_staleness
+        fresh = []
+        for group in free:
+            if len(fresh) == call.max_groups:
                 break
-            if group not in self._taken and self._is_fresh(group, oldest):
-                ready.append(group)
-        return ready
-
-    def _is_fresh(self, group: int, oldest: int) -> bool:
-        is_whole = True
-        for index in range(self.spec.group_size):
-            slot = self._slots[(group, index)]
-            if slot.sample is None:
-                is_whole = False
-            elif slot.sample.oldest_version < oldest:
-                slot.sample = None
-                self.dropped_samples += 1
-                is_whole = False
-        return is_whole
-
-    def _commit(self, asked: PullAsked, groups: list[int]) -> CommitPull:
-        self._chosen = tuple(self._take_group(group) for group in groups)
-        self._pulls[asked.pull_id] = PullRecord(groups=tuple(groups))
-        self._taken.update(groups)
-        self._committing = asked.pull_id
-        return CommitPull(asked.pull_id, self._chosen)
-
-    def _take_group(self, group: int) -> Group:
-        places = [(group, index) for index in range(self.spec.group_size)]
-        samples = tuple(self._slots.pop(place).sample for place in places)
-        return Group(group=group, samples=samples)
-
-
-def _oldest_version(groups: tuple[Group, ...]) -> int:
-    return min(
-        sample.oldest_version for group in groups for sample in group.samples
-    )
+            if self._slots.is_fresh(group, oldest, now_s):
+                fresh.append(group)
+        return tuple(fresh)
+
+    def _usage(self, chosen: dict[str, tuple[int, ...]]) -> CountUsage:
+        groups = tuple(g for part in chosen.values() for g in part)
+        tokens = tuple(
+            len(sample.tokens)
+            for group in groups
+            for sample in self._slots.group(group).samples
+        )
+        return CountUsage(groups, tokens)
--- a/daisyhub/rollouts/_lot_types.py
+++ b/daisyhub/rollouts/_lot_types.py
@@ -8,9 +8,11 @@
     "AckBody",
     "EngineAnswer",
     "Group",
+    "MAX_GROUPS",
     "LotSpec",
     "LotState",
     "OpenBody",
+    "ProgressAnswer",
     "PullAnswer",
     "PullBody",
     "PullRecord",
@@ -21,6 +23,9 @@
 
 Count = Annotated[int, msgspec.Meta(ge=0)]
 PullId = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+# With one group a pull, the longest ids and these many groups, the lot's
+# object in the store stays under a megabyte.
+MAX_GROUPS = 4096
 
 
 class Span(msgspec.Struct, frozen=True, kw_only=True):
@@ -68,23 +73,28 @@
     """A trainer opens a lot; repeating it is harmless."""
 
     lot_class: str
-    prompts: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
+    prompts: Annotated[
+        tuple[str, ...], msgspec.Meta(min_length=1, max_length=MAX_GROUPS)
+    ]
 
 
 class PullBody(msgspec.Struct, frozen=True, kw_only=True):
     """A trainer asks for whole groups.
 
     Attributes:
-        pull_id: A repeat under the same id gets the same samples.
+        pull_id: Its groups never change; the trainer repeats the id until it
+            gets groups.
         version: The trainer's weight version now.
         max_groups: At most this many groups.
         wait_s: How long to wait for the first group.
+        acks: Earlier pulls whose samples the trainer has taken.
     """
 
     pull_id: PullId
     version: Count
-    max_groups: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 16
+    max_groups: Annotated[int, msgspec.Meta(ge=1, le=MAX_GROUPS)] = 16
     wait_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 10.0
+    acks: tuple[PullId, ...] = ()
 
 
 class AckBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,6 +111,21 @@
     remaining: int
 
 
+class ProgressAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Answers open, ack and close.
+
+    Attributes:
+        remaining: Groups that no pull names yet.
+        open_pulls: Pulls that aren't acknowledged; a trainer that restarted
+            repeats those whose samples it doesn't have.
+        closed: Whether the lot is closed.
+    """
+
+    remaining: int
+    open_pulls: tuple[str, ...] = ()
+    closed: bool = False
+
+
 class LotSpec(msgspec.Struct, frozen=True, kw_only=True):
     """What a lot consists of; never changes once it is open."""
 
@@ -113,12 +138,20 @@
     max_staleness: int
     max_tokens: int
     concurrency: int
+    spare_samples: int = 0
 
 
 class PullRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Groups that were committed to a pull."""
+    """Groups that were committed to a pull; they never change.
+
+    Attributes:
+        groups: The groups.
+        commit_id: Id of the write that first named them.
+        is_acked: Whether the trainer has taken the samples.
+    """
 
     groups: tuple[int, ...]
+    commit_id: str = ""
     is_acked: bool = False
 
 
@@ -126,12 +159,10 @@
     """The lot's object in the store.
 
     Attributes:
-        fencing: Fencing number of the holder that wrote it.
-        pulls: Pull id to its record.
+        pulls: Pull id to its record; records are added, never removed.
         is_closed: Whether the trainer closed the lot.
     """
 
-    fencing: int
     pulls: dict[str, PullRecord] = {}
     is_closed: bool = False
 
--- /dev/null
+++ b/daisyhub/rollouts/_slot_table.py
@@ -0,0 +1,181 @@
+"""The samples of a lot's groups and the attempts to generate them."""
+
+import dataclasses
+import heapq
+from collections.abc import Iterable
+
+from daisyhub.rollouts._lot_events import CancelSample, Generate
+from daisyhub.rollouts._lot_types import Group, LotSpec, Sample
+
+__all__ = ["SlotTable"]
+
+_RETRY_PAUSE_S = 0.2
+_ATTEMPTS_AT_ONCE = 2
+_RANK_REPEAT = 0
+_RANK_FIRST = 1
+
+
+@dataclasses.dataclass(slots=True)
+class _Slot:
+    """One sample's place; `is_queued` while it waits for an attempt."""
+
+    sample: Sample | None = None
+    attempts: set[int] = dataclasses.field(default_factory=set)
+    is_queued: bool = False
+
+
+class SlotTable:
+    """Decides which samples to generate, the oldest groups first.
+
+    Args:
+        spec: What the lot consists of.
+    """
+
+    def __init__(self, spec: LotSpec):
+        self.spec = spec
+        self.dropped_samples = 0
+        self._groups: dict[int, list[_Slot]] = {}
+        self._missing: dict[int, int] = {}
+        self._running: dict[int, tuple[int, int]] = {}
+        self._queue: list[tuple[int, int, int]] = []
+        self._later: list[tuple[float, int, int, int]] = []
+        self._last_attempt = 0
+
+    @property
+    def next_retry_s(self) -> float | None:
+        """When a failed sample may be tried again."""
+        if not self._later or self._is_full:
+            return None
+        return self._later[0][0]
+
+    @property
+    def _is_full(self) -> bool:
+        return len(self._running) >= self.spec.concurrency
+
+    @property
+    def whole_groups(self) -> list[int]:
+        """Groups that have all samples, oldest first."""
+        return sorted(g for g, missing in self._missing.items() if not missing)
+
+    def want(self, groups: Iterable[int], *, is_repeat: bool = False) -> None:
+        """Generates what these groups miss; repeats go first."""
+        rank = _RANK_REPEAT if is_repeat else _RANK_FIRST
+        size = self.spec.group_size
+        for group in groups:
+            if group in self._groups:
+                continue
+            self._groups[group] = [_Slot() for _ in range(size)]
+            self._missing[group] = size
+            for index in range(size):
+                self._push(rank, group, index)
+
+    def forget(self, groups: Iterable[int]) -> list[CancelSample]:
+        """Drops groups with their samples and attempts."""
+        cancelled = []
+        for group in groups:
+            self._missing.pop(group, None)
+            for slot in self._groups.pop(group, ()):
+                cancelled += self._cancel_attempts(slot)
+        return cancelled
+
+    def start(self, now_s: float) -> list[Generate]:
+        """Starts attempts while the lot's concurrency allows it."""
+        while self._later and self._later[0][0] <= now_s:
+            _, rank, group, index = heapq.heappop(self._later)
+            self._push(rank, group, index)
+        started = []
+        while self._queue and not self._is_full:
+            _, group, index = heapq.heappop(self._queue)
+            slot = self._slot(group, index)
+            if slot is None or not slot.is_queued:
+                continue
+            slot.is_queued = False
+            started.append(self._attempt(slot, group, index))
+        if not self._queue and self.spec.spare_samples:
+            started += self._start_spares()
+        return started
+
+    def finish(self, attempt: int, sample: Sample) -> list[CancelSample]:
+        """Keeps the first whole sample of a slot; cancels other attempts."""
+        place = self._running.pop(attempt, None)
+        slot = self._slot(*place) if place else None
+        if slot is None or attempt not in slot.attempts:
+            return []
+        slot.attempts.discard(attempt)
+        slot.sample = sample
+        slot.is_queued = False
+        self._missing[place[0]] -= 1
+        return self._cancel_attempts(slot)
+
+    def place_of(self, attempt: int) -> tuple[int, int] | None:
+        """Returns the group and index of a running attempt."""
+        return self._running.get(attempt)
+
+    def fail(self, attempt: int, now_s: float) -> None:
+        """Ends an attempt without a sample; tries again after a pause."""
+        place = self._running.pop(attempt, None)
+        slot = self._slot(*place) if place else None
+        if slot is None:
+            return
+        slot.attempts.discard(attempt)
+        if slot.sample is None and not slot.attempts:
+            self._try_later(*place, now_s)
+
+    def is_fresh(self, group: int, oldest_version: int, now_s: float) -> bool:
+        """Whether a group is whole; drops its samples that are too old."""
+        for index, slot in enumerate(self._groups.get(group, ())):
+            if slot.sample is None:
+                continue
+            if slot.sample.oldest_version < oldest_version:
+                slot.sample = None
+                self._missing[group] += 1
+                self.dropped_samples += 1
+                self._try_later(group, index, now_s)
+        return self._missing.get(group) == 0
+
+    def group(self, group: int) -> Group:
+        """Returns a whole group."""
+        slots = self._groups[group]
+        return Group(group=group, samples=tuple(s.sample for s in slots))
+
+    def _slot(self, group: int, index: int) -> _Slot | None:
+        slots = self._groups.get(group)
+        return slots[index] if slots else None
+
+    def _push(self, rank: int, group: int, index: int) -> None:
+        slot = self._slot(group, index)
+        if slot is None or slot.sample is not None or slot.attempts:
+            return
+        slot.is_queued = True
+        heapq.heappush(self._queue, (rank, group, index))
+
+    def _try_later(self, group: int, index: int, now_s: float) -> None:
+        entry = (now_s + _RETRY_PAUSE_S, _RANK_REPEAT, group, index)
+        heapq.heappush(self._later, entry)
+
+    def _attempt(self, slot: _Slot, group: int, index: int) -> Generate:
+        others = tuple(sorted(slot.attempts))
+        self._last_attempt += 1
+        slot.attempts.add(self._last_attempt)
+        self._running[self._last_attempt] = (group, index)
+        return Generate(self._last_attempt, group, index, others)
+
+    def _start_spares(self) -> list[Generate]:
+        """Starts second attempts for groups that miss only a few samples."""
+        started = []
+        for group, missing in sorted(self._missing.items()):
+            if not 0 < missing <= self.spec.spare_samples:
+                continue
+            for index, slot in enumerate(self._groups[group]):
+                if self._is_full:
+                    return started
+                if 0 < len(slot.attempts) < _ATTEMPTS_AT_ONCE:
+                    started.append(self._attempt(slot, group, index))
+        return started
+
+    def _cancel_attempts(self, slot: _Slot) -> list[CancelSample]:
+        cancelled = [CancelSample(number) for number in sorted(slot.attempts)]
+        for number in slot.attempts:
+            self._running.pop(number, None)
+        slot.attempts.clear()
+        return cancelled
--- a/daisyhub/testing/caller.py
+++ b/daisyhub/testing/caller.py
@@ -73,6 +73,7 @@
         stale: Samples older than the bound.
         mixed: Samples with more than one weight version.
         idle_s: Time spent waiting for pulls.
+        repeats: Calls that had to be repeated.
     """
 
     groups: dict[int, list] = dataclasses.field(default_factory=dict)
@@ -80,6 +81,7 @@
     stale: int = 0
     mixed: int = 0
     idle_s: float = 0.0
+    repeats: int = 0
 
     def take(self, groups: list, version: int, max_staleness: int) -> None:
         """Takes the groups of one pull."""
@@ -102,10 +104,12 @@
     *,
     max_staleness: int,
     deadline_s: float = 60.0,
+    call_timeout_s: float = _TIMEOUT_S,
 ) -> TrainerResult:
     """Opens a lot, pulls until every group came, acknowledges, and closes.
 
-    A call that fails is repeated, at the next daemon.
+    A call that fails is repeated, at the next daemon. A pull keeps its id
+    until it brings groups; a repeat tells the version of that moment.
 
     Args:
         callers: One for each daemon.
@@ -115,35 +119,50 @@
         get_version: Returns the trainer's weight version now.
         max_staleness: The bound to check samples against.
         deadline_s: Longest time for everything.
+        call_timeout_s: Longest wait for one answer.
     """
     result = TrainerResult()
     turn = 0
 
-    async def call(verb: str, value: object) -> dict:
+    async def call(verb: str, make_value) -> dict:
         nonlocal turn
         target = f"/v1/lots/{lot_id}" + (f"/{verb}" if verb else "")
         while True:
             caller = callers[turn % len(callers)]
             with contextlib.suppress(RequestFailedError):
-                answer = await caller.send("POST", target, value)
+                answer = await caller.send(
+                    "POST", target, make_value(), timeout_s=call_timeout_s
+                )
                 if answer.status == _OK:
                     return msgspec.json.decode(answer.body)
             turn += 1
+            result.repeats += 1
             await anyio.sleep(0.1)
 
+    async def pull(pull_id: str) -> bool:
+        version = 0
+
+        def ask() -> dict:
+            nonlocal version
+            version = get_version()
+            return {"pull_id": pull_id, "version": version, "wait_s": 5.0}
+
+        started_s = anyio.current_time()
+        answer = await call("pull", ask)
+        result.idle_s += anyio.current_time() - started_s
+        result.take(answer["groups"], version, max_staleness)
+        if answer["groups"]:
+            await call("ack", lambda: {"pull_id": pull_id})
+        return bool(answer["groups"])
+
     with anyio.fail_after(deadline_s):
-        await call("", {"lot_class": lot_class, "prompts": prompts})
+        opening = {"lot_class": lot_class, "prompts": prompts}
+        opened = await call("", lambda: opening)
+        for pull_id in opened["open_pulls"]:
+            while not await pull(pull_id):
+                pass
         number = 0
         while len(result.groups) < len(prompts):
-            number += 1
-            version = get_version()
-            pull_id = f"{lot_id}-{number}"
-            pull = {"pull_id": pull_id, "version": version, "wait_s": 5.0}
-            started_s = anyio.current_time()
-            answer = await call("pull", pull)
-            result.idle_s += anyio.current_time() - started_s
-            result.take(answer["groups"], version, max_staleness)
-            if answer["groups"]:
-                await call("ack", {"pull_id": pull_id})
-        await call("close", {})
+            number += await pull(f"{lot_id}-{number + 1}")
+        await call("close", dict)
     return result
