Measure slopes of tables, cores, messages, calls and daemons

Cause: the capacity page needs costs by size that anyone can repeat.

Change: make slopes measures each cost at four sizes or more and fits a line. Processor time is the process's own; wall time only for the spread of a configuration. Plots get their packages through a stamp of their own.

Ruled out: counting a daemon's socket bytes through /proc/PID/io, which misses send and recv; message sizes come from the codec instead.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,18 @@
 prove: $(STAMP)
 	DAISYHUB_EXAMPLES=$(EXAMPLES) DAISYHUB_SEED=$(SEED) \
 	  $(PY) -m daisyhub.testing.runner --pattern='test_proof_*.py'
+
+REPORTS_STAMP = $(VENV)/.requirements-reports-stamp
+
+.PHONY: slopes measure
+
+$(REPORTS_STAMP): requirements-reports.txt $(STAMP)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+	  -r requirements-reports.txt
+	touch $(REPORTS_STAMP)
+
+slopes: $(STAMP)
+	$(PY) -m benchmarks.slopes
+
+measure: $(REPORTS_STAMP)
+	$(PY) -m benchmarks.measure
--- /dev/null
+++ b/benchmarks/slope_cores.py
@@ -0,0 +1,331 @@
+"""Slopes of the decision cores: lots, admission, usage, leases."""
+
+import time
+from collections.abc import Iterator
+
+import msgspec
+
+from benchmarks.slope_tools import (
+    Slope,
+    memory_bytes,
+    points,
+    processor_us,
+)
+from daisyhub.accounting import UsageCounters, UsagePart, seal_window
+from daisyhub.filters import AdmissionCore
+from daisyhub.filters._admission_core import Admit, Arrive, Depart
+from daisyhub.platform import LeaseCore
+from daisyhub.platform._lease import (
+    LeaseRead,
+    LeaseTick,
+    LeaseWriteDone,
+    LeaseWriteRefused,
+    ReadLease,
+)
+from daisyhub.rollouts import (
+    CommitDone,
+    CommitPull,
+    EngineAnswer,
+    Generate,
+    LotCore,
+    LotSpec,
+    LotState,
+    PullAcked,
+    PullAsked,
+    Sample,
+    SampleReady,
+)
+from daisyhub.rollouts._lot_types import Span
+
+__all__ = ["core_slopes"]
+
+_SLOTS = (64, 256, 1024, 2048)
+_GROUP_SIZE = 8
+_GROUPS_A_PULL = 8
+_CONCURRENCY = 128
+_TOKENS = 32
+_ANSWER_TOKENS = (100, 400, 1600, 6400)
+_VOCABULARY = 100_000
+_ACCOUNTS = (8, 64, 512, 2048)
+_DAEMONS = (1, 4, 9, 28)
+_ACCOUNTS_SEALED = 64
+_CANDIDATES = (1, 4, 9, 28)
+_LEASE_S = 600.0
+_WINDOW_S = 60.0
+_US_PER_S = 1e6
+
+
+def _spec(slots: int) -> LotSpec:
+    return LotSpec(
+        lot_id="lot",
+        lot_class="assess",
+        account="trainer",
+        pool="model",
+        prompts=tuple(f"prompt {n}" for n in range(slots // _GROUP_SIZE)),
+        group_size=_GROUP_SIZE,
+        max_staleness=2,
+        max_tokens=_TOKENS,
+        concurrency=_CONCURRENCY,
+    )
+
+
+def _sample(index: int) -> Sample:
+    spans = (Span(version=1, start=0, end=_TOKENS),)
+    return Sample(index=index, tokens=tuple(range(_TOKENS)), spans=spans)
+
+
+class _LotRun:
+    """Runs a whole lot through its core; counts events and bytes written."""
+
+    def __init__(self, slots: int):
+        self.core = LotCore(_spec(slots), LotState(fencing=1))
+        self.events = 0
+        self.commit_bytes = 0
+        self._pulls = 0
+
+    def feed(self, event: object) -> list[object]:
+        self.events += 1
+        # The seat asks for the next wake-up after each event.
+        actions = self.core.handle(event, float(self.events))
+        _ = self.core.next_wakeup_s
+        return actions
+
+    def run(self) -> "_LotRun":
+        waiting = self._ask()
+        while waiting:
+            action = waiting.pop(0)
+            match action:
+                case Generate():
+                    ready = SampleReady(action.attempt, _sample(action.index))
+                    waiting += self.feed(ready)
+                case CommitPull():
+                    waiting += self._commit(action)
+        return self
+
+    def _ask(self) -> list[object]:
+        self._pulls += 1
+        event = PullAsked(
+            pull_id=f"pull-{self._pulls:08d}",
+            version=1,
+            max_groups=_GROUPS_A_PULL,
+            until_s=1e9,
+        )
+        return self.feed(event)
+
+    def _commit(self, action: CommitPull) -> list[object]:
+        state = LotState(fencing=1, pulls=self.core.pulls)
+        self.commit_bytes += len(msgspec.json.encode(state))
+        actions = self.feed(CommitDone(action.pull_id))
+        actions += self.feed(PullAcked(action.pull_id))
+        if self.core.remaining:
+            actions += self._ask()
+        return actions
+
+
+def _lot_us(slots: int) -> float:
+    run = _LotRun(slots)
+    started_s = time.process_time()
+    run.run()
+    return (time.process_time() - started_s) * _US_PER_S / slots
+
+
+def _lot_commit_bytes(slots: int) -> float:
+    return float(_LotRun(slots).run().commit_bytes)
+
+
+def _full_lot(slots: int) -> LotCore:
+    """Returns a lot whose samples are all there and none was pulled."""
+    run = _LotRun(slots)
+    waiting = run.feed(PullAcked("none"))
+    while waiting:
+        action = waiting.pop(0)
+        waiting += run.feed(SampleReady(action.attempt, _sample(action.index)))
+    return run.core
+
+
+def _answer_json(tokens: int) -> bytes:
+    """Returns an engine's answer as it comes over the wire."""
+    ids = tuple((7919 * n) % _VOCABULARY for n in range(tokens))
+    span = Span(version=1, start=0, end=tokens)
+    return msgspec.json.encode(EngineAnswer(tokens=ids, spans=(span,)))
+
+
+def _decode(data: bytes) -> EngineAnswer:
+    return msgspec.json.decode(data, type=EngineAnswer)
+
+
+def _decode_us(tokens: int) -> float:
+    data = _answer_json(tokens)
+    return processor_us(lambda: _decode(data))
+
+
+def _encode_us(tokens: int) -> float:
+    answer = _decode(_answer_json(tokens))
+    return processor_us(lambda: msgspec.json.encode(answer))
+
+
+def _kept_bytes(tokens: int) -> float:
+    data = _answer_json(tokens)
+    return memory_bytes(lambda: _decode(data))
+
+
+def _arrive(number: int, accounts: int) -> Arrive:
+    return Arrive(
+        request_id=str(number),
+        account=f"account-{number % accounts}",
+        weight=1,
+        rate=0,
+        burst=1,
+        deadline_s=1e9,
+    )
+
+
+def _admission_us(accounts: int) -> float:
+    """Cost of one request while a place is free only after each departure."""
+    core = AdmissionCore(64)
+    count = max(2000, accounts * 2)
+    admitted = []
+    started_s = time.process_time()
+    for number in range(count):
+        actions = core.handle(_arrive(number, accounts), 0.0)
+        admitted += [a.request_id for a in actions if isinstance(a, Admit)]
+        if len(admitted) >= 1 and core.waiting > 100:
+            actions = core.handle(Depart(admitted.pop(0), 0.01), 0.0)
+            admitted += [a.request_id for a in actions if isinstance(a, Admit)]
+    return (time.process_time() - started_s) / count * _US_PER_S
+
+
+def _parts(daemons: int, accounts: int) -> list[UsagePart]:
+    parts = []
+    for number in range(daemons):
+        counters = UsageCounters(f"daemon-{number}", 1, _WINDOW_S)
+        for account in range(accounts):
+            counters.add(f"account-{account}", 100, 30.0)
+        parts.append(counters.part(0))
+    return parts
+
+
+def _seal_us(daemons: int) -> float:
+    parts = _parts(daemons, _ACCOUNTS_SEALED)
+    return processor_us(lambda: seal_window("busan", 0, parts, ()))
+
+
+def _seal_accounts_us(accounts: int) -> float:
+    parts = _parts(4, accounts)
+    return processor_us(lambda: seal_window("busan", 0, parts, ()))
+
+
+def _sealed_bytes(accounts: int) -> float:
+    sealed = seal_window("busan", 0, _parts(28, accounts), ())
+    return len(msgspec.json.encode(sealed))
+
+
+class _LeaseStore:
+    """One lease object and the calls that it took."""
+
+    def __init__(self):
+        self.version = 0
+        self.record = None
+        self.reads = 0
+        self.writes = 0
+
+    def perform(self, action: object) -> object:
+        if isinstance(action, ReadLease):
+            self.reads += 1
+            return LeaseRead(self.record, self.version)
+        self.writes += 1
+        if action.expected_version != self.version:
+            return LeaseWriteRefused(action.write_id)
+        self.version += 1
+        self.record = action.record
+        return LeaseWriteDone(action.write_id, self.version)
+
+
+def _lease_calls(candidates: int) -> _LeaseStore:
+    store = _LeaseStore()
+    cores = [LeaseCore(f"d{n}", 6.0, 1.0) for n in range(candidates)]
+    now_s = 0.0
+    while now_s < _LEASE_S:
+        core = min(cores, key=lambda c: c.next_wakeup_s)
+        now_s = max(now_s, core.next_wakeup_s)
+        actions = core.handle(LeaseTick(), now_s)
+        while actions:
+            actions = core.handle(store.perform(actions[0]), now_s)
+    return store
+
+
+def core_slopes() -> Iterator[Slope]:
+    """Yields every slope of this module."""
+
+    def slope(name, per, unit, sizes, measure, repeats=3) -> Slope:
+        found = points(sizes, measure, repeats)
+        return Slope(name=name, per=per, unit=unit, points=found)
+
+    yield slope("lot, whole, per sample", "slot", "us", _SLOTS, _lot_us)
+    yield slope(
+        "lot memory, 32 tokens a sample",
+        "slot",
+        "bytes",
+        _SLOTS,
+        lambda n: memory_bytes(lambda: _full_lot(n)),
+        1,
+    )
+    yield slope(
+        "lot commits, sum", "slot", "bytes", _SLOTS, _lot_commit_bytes, 1
+    )
+    yield slope("sample decoded", "token", "us", _ANSWER_TOKENS, _decode_us)
+    yield slope("sample encoded", "token", "us", _ANSWER_TOKENS, _encode_us)
+    yield slope("sample kept", "token", "bytes", _ANSWER_TOKENS, _kept_bytes, 1)
+    yield slope("admission", "account", "us", _ACCOUNTS, _admission_us)
+    yield slope(
+        "window sealed, 64 accounts", "daemon", "us", _DAEMONS, _seal_us
+    )
+    yield slope(
+        "window sealed, 4 daemons",
+        "account",
+        "us",
+        _ACCOUNTS,
+        _seal_accounts_us,
+    )
+    yield slope(
+        "sealed window, 28 daemons",
+        "account",
+        "bytes",
+        (8, 64, 256, 512),
+        _sealed_bytes,
+        1,
+    )
+    yield slope(
+        "sealed window kept, 28 daemons",
+        "account",
+        "bytes",
+        (8, 64, 256, 512),
+        lambda n: memory_bytes(
+            lambda: seal_window("busan", 0, _parts(28, n), ())
+        ),
+        1,
+    )
+    yield slope(
+        "usage copy kept, one daemon and window",
+        "account",
+        "bytes",
+        (8, 64, 256, 512),
+        lambda n: memory_bytes(lambda: _parts(1, n)),
+        1,
+    )
+    yield slope(
+        "lease reads a second",
+        "candidate",
+        "1/s",
+        _CANDIDATES,
+        lambda n: _lease_calls(n).reads / _LEASE_S,
+        1,
+    )
+    yield slope(
+        "lease writes a second",
+        "candidate",
+        "1/s",
+        _CANDIDATES,
+        lambda n: _lease_calls(n).writes / _LEASE_S,
+        1,
+    )
--- /dev/null
+++ b/benchmarks/slope_peers.py
@@ -0,0 +1,155 @@
+"""Cost of messages between daemons over real sockets, by number of peers.
+
+Two processes for each size: one daemon's peer network under test, and one
+that holds the networks of all its peers. Each side sends a heartbeat to the
+other at every tick; the peers' sends are spread evenly over the tick, as they
+are among daemons that started at different times. The process under test
+reports its own processor time, the input and output thread included.
+"""
+
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+
+import anyio
+
+from benchmarks.slope_ports import free_ports
+from benchmarks.slope_tools import Point, Slope
+from daisyhub.peers import Heartbeat, PeerNetwork
+from daisyhub.settings import Address, DaemonSettings, PeerSettings
+
+__all__ = ["peer_slopes"]
+
+_PEERS = (1, 3, 9, 27)
+_REPEATS = 3
+_TICK_S = 0.5
+_SETTLE_S = 1.5
+_RUN_S = 5.0
+_MS = 1000
+_TESTED = "tested"
+_LOOPBACK = "127.0.0.1"
+
+
+def _address(port: int) -> Address:
+    return Address(ip=_LOOPBACK, port=port)
+
+
+def _settings(name: str, port: int, peers: dict[str, int]) -> DaemonSettings:
+    return DaemonSettings(
+        daemon_id=name,
+        failure_domain="busan",
+        callers_address=_address(port),
+        operators_address=_address(port),
+        peer_address=_address(port),
+        platform_address=_address(port),
+        key_hash_secret="5f" * 32,
+        peers=tuple(
+            PeerSettings(
+                daemon_id=peer,
+                failure_domain="busan",
+                address=_address(peer_port),
+            )
+            for peer, peer_port in peers.items()
+        ),
+    )
+
+
+async def _tick(network: PeerNetwork, peers: list[str], offset_s: float):
+    await anyio.sleep(offset_s)
+    beat = Heartbeat(incarnation=1, config_version=1, withdrawn_keys=0)
+    while True:
+        for peer in peers:
+            network.send(peer, beat)
+        await anyio.sleep(_TICK_S)
+
+
+async def _run_tested(ports: list[int]) -> None:
+    """Prints the processor time of one tick, milliseconds."""
+    peers = {f"peer-{n}": port for n, port in enumerate(ports[1:])}
+    network = PeerNetwork(_settings(_TESTED, ports[0], peers), 1)
+    heard = 0
+
+    def receive(envelope, message) -> None:
+        nonlocal heard
+        heard += 1
+
+    network.add_receiver(receive)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(network.run)
+        tasks.start_soon(_tick, network, list(peers), 0.0)
+        await anyio.sleep(_SETTLE_S)
+        heard = 0
+        started_s = time.process_time()
+        await anyio.sleep(_RUN_S)
+        used_s = time.process_time() - started_s
+        expected = len(peers) * _RUN_S / _TICK_S
+        print(json.dumps([used_s / _RUN_S * _TICK_S * _MS, heard / expected]))
+        tasks.cancel_scope.cancel()
+    network.close()
+
+
+async def _run_peers(ports: list[int]) -> None:
+    count = len(ports) - 1
+    async with anyio.create_task_group() as tasks:
+        for number, port in enumerate(ports[1:]):
+            cfg = _settings(f"peer-{number}", port, {_TESTED: ports[0]})
+            network = PeerNetwork(cfg, 1)
+            tasks.start_soon(network.run)
+            offset_s = _TICK_S * number / count
+            tasks.start_soon(_tick, network, [_TESTED], offset_s)
+        await anyio.sleep_forever()
+
+
+def _start(role: str, ports: list[int]) -> subprocess.Popen:
+    command = [sys.executable, "-m", "benchmarks.slope_peers", role]
+    return subprocess.Popen(
+        [*command, json.dumps(ports)], stdout=subprocess.PIPE
+    )
+
+
+def _measure_once() -> list[float]:
+    """Returns the cost of a tick at every size, measured side by side."""
+    tested, others = [], []
+    try:
+        for count in _PEERS:
+            ports = free_ports(count + 1)
+            others.append(_start("peers", ports))
+            tested.append(_start(_TESTED, ports))
+        outputs = [process.communicate()[0] for process in tested]
+    finally:
+        for process in others:
+            process.kill()
+            process.communicate()
+    costs = []
+    for output in outputs:
+        cost_ms, share_heard = json.loads(output)
+        if share_heard < 0.9:
+            raise SystemExit(f"only {share_heard:.2f} of the messages arrived")
+        costs.append(cost_ms)
+    return costs
+
+
+def peer_slopes() -> Iterator[Slope]:
+    """Yields the cost of one tick by the number of peers."""
+    runs = [_measure_once() for _ in range(_REPEATS)]
+    yield Slope(
+        name="peer tick, a message to and from each peer",
+        per="peer",
+        unit="ms",
+        points=tuple(
+            Point.of(count, [run[place] for run in runs])
+            for place, count in enumerate(_PEERS)
+        ),
+    )
+
+
+def main() -> None:
+    """Runs one of the two processes."""
+    run = _run_tested if sys.argv[1] == _TESTED else _run_peers
+    anyio.run(run, json.loads(sys.argv[2]))
+
+
+if __name__ == "__main__":
+    main()
