--- a/daisyhub/controllers/tests/test_usage_failures.py
+++ b/daisyhub/controllers/tests/test_usage_failures.py
@@ -36,7 +36,7 @@
 
         async def run():
             await demo.deployment.start()
-            demo._write_operator_settings()
+            demo.deployment.write_operator_settings()
             version = demo._apply(demo_document(demo.keys))
             await demo.deployment.wait_for_version(version)
             await scenario()
