Let only the first two live daemons of a domain try for a duty

Cause: every daemon polled every duty's lease.

Change: candidates are the first two live daemons by rendezvous hash; others stand by, ask nothing and forget what they saw, since it is too old to count from. A holder keeps what it holds. Lots aren't affected.

Ruled out: a longer polling interval (take-overs would take as much longer).

--- a/daisyhub/controllers/_usage.py
+++ b/daisyhub/controllers/_usage.py
@@ -78,7 +78,7 @@
         self._client = client
         self._counters = counters
         self._peers = peers
-        self._lease = keeper.new_lease(f"usage/{cfg.failure_domain}")
+        self._lease = keeper.new_duty(f"usage/{cfg.failure_domain}")
         timing = cfg.timing
         self._step_s = min(_STEP_S, timing.usage_grace_s / 2)
         self._flush_core = FlushCore(counters, self._step_s)
--- a/daisyhub/controllers/_weights.py
+++ b/daisyhub/controllers/_weights.py
@@ -62,7 +62,7 @@
         self._http = http
         self._table = table
         self._config = config
-        self._lease = keeper.new_lease(f"weights/{cfg.failure_domain}")
+        self._lease = keeper.new_duty(f"weights/{cfg.failure_domain}")
         self._wanted: dict[str, int] = {}
         self._busy: set[str] = set()
         self._wakeup = anyio.Event()
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -45,7 +45,7 @@
     LotCall,
     PeerNetwork,
 )
-from daisyhub.platform import LeaseKeeper, PlatformClient
+from daisyhub.platform import LeaseKeeper, PlatformClient, rank_candidates
 from daisyhub.process_flags import SETTINGS
 from daisyhub.serving import CallersApp, HttpServer, OperatorsApp
 from daisyhub.settings import DaemonSettings, load_settings
@@ -54,6 +54,7 @@
 
 _US_PER_NS = 1000
 _CONTROLLER_PAUSE_S = 1.0
+_CANDIDATES = 2
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 
@@ -110,6 +111,7 @@
             self.table,
             self.counters,
         )
+        self.keeper.set_candidate_rule(self._is_candidate)
         self.endpoints = EndpointController(
             cfg,
             self.platform,
@@ -139,6 +141,13 @@
         self.network.add_callee(EndpointFetch, self.endpoints.answer_fetch)
         self.network.add_callee(LotCall, self.lots.answer_call)
 
+    def _is_candidate(self, duty: str) -> bool:
+        """Whether this daemon is among the first for a duty of its domain."""
+        domain = {peer.daemon_id for peer in self.cfg.domain_peers}
+        live = domain.intersection(self.peers.live_peers())
+        ranked = rank_candidates(duty, [self.cfg.daemon_id, *live])
+        return self.cfg.daemon_id in ranked[:_CANDIDATES]
+
     def _seat_tools(self) -> SeatTools:
         return SeatTools(
             cfg=self.cfg,
--- a/daisyhub/platform/__init__.py
+++ b/daisyhub/platform/__init__.py
@@ -19,7 +19,11 @@
     ReadLease,
     WriteLease,
 )
-from daisyhub.platform._lease_keeper import Lease, LeaseKeeper
+from daisyhub.platform._lease_keeper import (
+    Lease,
+    LeaseKeeper,
+    rank_candidates,
+)
 from daisyhub.platform._orders import (
     BookFailed,
     BookLoaded,
@@ -77,4 +81,5 @@
     "ReadLease",
     "UsageReport",
     "WriteLease",
+    "rank_candidates",
 ]
--- a/daisyhub/platform/_lease.py
+++ b/daisyhub/platform/_lease.py
@@ -44,7 +44,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseTick:
-    """Time has passed."""
+    """Time has passed.
+
+    Attributes:
+        is_candidate: Whether this process should try to take the lease. One
+            that doesn't asks the store nothing, but keeps what it holds.
+    """
+
+    is_candidate: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +112,7 @@
         self.term_s = term_s
         self.margin_s = margin_s
         self._wanted = True
+        self._is_candidate = True
         self._fencing = 0
         self._valid_until_s = float("-inf")
         self._seen_version: int | None = None
@@ -140,6 +148,7 @@
         """Takes one lease event; returns `ReadLease` or `WriteLease`."""
         match event:
             case LeaseTick():
+                self._is_candidate = event.is_candidate
                 return self._on_tick(now_s)
             case LeaseRead():
                 return self._on_read(event, now_s)
@@ -152,6 +161,8 @@
     def _on_tick(self, now_s: float) -> list[object]:
         if self._is_waiting:
             return []
+        if not self._is_candidate and not self._is_own():
+            return self._stand_by(now_s)
         if self._seen_version is None:
             return self._ask()
         if self._is_own():
@@ -163,6 +174,13 @@
             return self._write(self.holder, self._next_fencing(), now_s)
         return self._ask()
 
+    def _stand_by(self, now_s: float) -> list[object]:
+        """Forgets what was seen: it is too old once this one may try."""
+        self._seen_version = None
+        self._seen_record = None
+        self._next_s = now_s + self.term_s / _RENEWALS_PER_TERM
+        return []
+
     def _is_own(self) -> bool:
         record = self._seen_record
         return record is not None and record.holder == self.holder
--- a/daisyhub/platform/_lease_keeper.py
+++ b/daisyhub/platform/_lease_keeper.py
@@ -1,6 +1,8 @@
 """Runs lease cores against the platform's store."""
 
 import contextlib
+import hashlib
+from collections.abc import Callable, Iterable
 
 import anyio
 import msgspec
@@ -24,19 +26,29 @@
 )
 from daisyhub.settings import TimingSettings
 
-__all__ = ["Lease", "LeaseKeeper"]
+__all__ = ["Lease", "LeaseKeeper", "rank_candidates"]
 
 _LEASE_PREFIX = "leases/"
 _RELEASE_TIMEOUT_S = 2.0
 
 
+CandidateRule = Callable[[str], bool]
+
+
 class Lease:
     """One lease that this process tries to hold."""
 
-    def __init__(self, name: str, core: LeaseCore, client: PlatformClient):
+    def __init__(
+        self,
+        name: str,
+        core: LeaseCore,
+        client: PlatformClient,
+        is_candidate: CandidateRule,
+    ):
         self.name = name
         self._core = core
         self._client = client
+        self._is_candidate = is_candidate
 
     @property
     def fencing(self) -> int:
@@ -57,7 +69,7 @@
         while self._core.next_wakeup_s is not None:
             delay_s = self._core.next_wakeup_s - boot_time_s()
             await anyio.sleep(max(0.0, delay_s))
-            await self._feed(LeaseTick())
+            await self._feed(LeaseTick(self._is_candidate(self.name)))
 
     async def release(self) -> None:
         """Gives the lease up and tells the store, if it answers."""
@@ -115,10 +127,43 @@
         self._client = client
         self._holder = holder
         self._timing = timing
+        self._candidate_rule: CandidateRule = _always
+
+    def set_candidate_rule(self, rule: CandidateRule) -> None:
+        """Sets which duties this process tries to take."""
+        self._candidate_rule = rule
 
     def new_lease(self, name: str) -> Lease:
-        """Returns a lease that isn't held yet."""
-        core = LeaseCore(
+        """Returns a lease that this process tries to take, not held yet."""
+        return Lease(name, self._new_core(), self._client, _always)
+
+    def new_duty(self, name: str) -> Lease:
+        """Returns the lease of a duty that only candidates try to take."""
+
+        def is_candidate(duty: str) -> bool:
+            return self._candidate_rule(duty)
+
+        return Lease(name, self._new_core(), self._client, is_candidate)
+
+    def _new_core(self) -> LeaseCore:
+        return LeaseCore(
             self._holder, self._timing.lease_term_s, self._timing.lease_margin_s
         )
-        return Lease(name, core, self._client)
+
+
+def _always(_: str) -> bool:
+    return True
+
+
+def rank_candidates(duty: str, daemons: Iterable[str]) -> list[str]:
+    """Returns daemons in the order in which they should try for a duty.
+
+    Rendezvous hashing spreads duties, and a daemon that comes or goes moves
+    few of them.
+    """
+
+    def weight(daemon_id: str) -> bytes:
+        text = f"{duty}\0{daemon_id}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return sorted(daemons, key=weight, reverse=True)
--- a/daisyhub/platform/tests/test_proof_lease.py
+++ b/daisyhub/platform/tests/test_proof_lease.py
@@ -61,7 +61,7 @@
         number=st.sampled_from(PROCESSES),
         step=st.sampled_from(
             ["turn", "turn", "turn", "late", "late"]
-            + ["tick", "send", "hear", "lose", "restart", "leave"]
+            + ["tick", "send", "hear", "lose", "restart", "leave", "stand_by"]
         ),
     )
     def act(self, number, step):
@@ -69,6 +69,7 @@
         steps = {
             "turn": self.take_turn,
             "tick": self.tick,
+            "stand_by": self.stand_by,
             "send": self.reach_store,
             "late": self.take_late_turn,
             "hear": self.hear,
@@ -81,6 +82,10 @@
     def tick(self, number):
         self.feed(number, LeaseTick())
 
+    def stand_by(self, number):
+        """A tick of a process that isn't a candidate now."""
+        self.feed(number, LeaseTick(is_candidate=False))
+
     def take_turn(self, number):
         """One process ticks and hears all answers at once."""
         while self.answers[number]:
