Accept and adopt configurations by deterministic cores

Cause: a conditional update whose answer was lost while another team moved the head was applied a second time; a base version other than the newest was refused whole; one listener that raised ended the daemon; a store that answered with a lower revision stopped the news; a failed fetch was never tried again.

Change: AcceptanceCore carries a change through (three-way merge entry by entry, owners, audit entry of the head before it is moved, lost answers resolved by the audit entry of the version). AdoptionCore decides what to fetch from whom and what to put in force. NewsCore lists anew after a lower revision and delivers again what a listener could not take. Sections are cut into parts by entry, so that a change of one entry moves one part, and no value comes near the platform's limit. Refusals and key withdrawals go into the audit trail. Heartbeats carry a digest of the withdrawn keys.

Ruled out: comparing numbers of withdrawn keys only; resolving a lost answer by reading the head alone, since another team may have moved it since.

Conclusion: an accepted change has one version and one audit entry, and spreads through the store alone or through peers alone.

--- a/daisyhub/config/__init__.py
+++ b/daisyhub/config/__init__.py
@@ -1,5 +1,20 @@
 """The shared configuration document: its sections, checks and versions."""
 
+from daisyhub.config._acceptance import AcceptanceCore, ChangeRequest
+from daisyhub.config._adoption import (
+    AdoptionCore,
+    AdoptionTick,
+    FetchFailed,
+    FetchFromPeer,
+    FetchParts,
+    HeadHeard,
+    PartsFetched,
+    PeerFetched,
+    PeerHeard,
+    PutInForce,
+    WithdrawKeys,
+    WithdrawnHeard,
+)
 from daisyhub.config._document import (
     SECTION_NAMES,
     ClientAccount,
@@ -11,27 +26,65 @@
     check_config,
     empty_document,
 )
-from daisyhub.config._store import (
+from daisyhub.config._merge import (
+    MergeResult,
+    changed_sections,
+    merge_sections,
+)
+from daisyhub.config._parts import (
+    PartsError,
+    Sections,
+    build_snapshot,
+    join_sections,
+    split_sections,
+)
+from daisyhub.config._records import (
     ConfigHead,
-    ConfigStore,
+    RefusedChange,
     SectionRef,
     Snapshot,
+    WithdrawnKey,
     WithdrawnKeys,
 )
+from daisyhub.config._store import ConfigStore
 
 __all__ = [
     "SECTION_NAMES",
+    "AcceptanceCore",
+    "AdoptionCore",
+    "AdoptionTick",
+    "ChangeRequest",
     "ClientAccount",
     "ClientKey",
     "ConfigHead",
     "ConfigStore",
     "Document",
     "EndpointPool",
+    "FetchFailed",
+    "FetchFromPeer",
+    "FetchParts",
+    "HeadHeard",
     "LotClass",
+    "MergeResult",
+    "PartsError",
+    "PartsFetched",
+    "PeerFetched",
+    "PeerHeard",
+    "PutInForce",
+    "RefusedChange",
     "Route",
     "SectionRef",
+    "Sections",
     "Snapshot",
+    "WithdrawKeys",
+    "WithdrawnHeard",
+    "WithdrawnKey",
     "WithdrawnKeys",
+    "build_snapshot",
+    "changed_sections",
     "check_config",
     "empty_document",
+    "join_sections",
+    "merge_sections",
+    "split_sections",
 ]
--- a/daisyhub/config/_store.py
+++ b/daisyhub/config/_store.py
@@ -1,98 +1,65 @@
 """Configuration in the platform's store: one head, sections by digest.
 
-The head names a version and, for each section, the digest of its content.
-Section objects never change, so a daemon fetches only sections whose digest
-is new to it. Only the head is moved, by conditional update.
+The head names a version and, for each section, the digests of its parts.
+Parts never change, so a daemon fetches only parts whose digest is new to it.
+Only the head is moved, by conditional update. Decisions are those of
+`AcceptanceCore`; this module carries its actions out.
 """
 
-import dataclasses
-import hashlib
 import json
 import uuid
+from collections.abc import Iterable
 
+import anyio
 import msgspec
 
-from daisyhub.config._document import SECTION_NAMES, Document
-from daisyhub.exceptions import ConfigConflictError, PlatformConflictError
-
-__all__ = [
-    "ConfigHead",
-    "ConfigStore",
-    "SectionRef",
-    "Snapshot",
-    "WithdrawnKeys",
-]
+from daisyhub.config._acceptance import (
+    AcceptanceCore,
+    AuditRead,
+    AuditWritten,
+    BeginChange,
+    ChangeAccepted,
+    ChangeInDoubt,
+    ChangeRefused,
+    ChangeRequest,
+    HeadRead,
+    HeadWriteRefused,
+    HeadWritten,
+    PartsRead,
+    PartsWritten,
+    ReadAudit,
+    ReadHead,
+    ReadParts,
+    RefusalWritten,
+    StoreFailed,
+    WriteAudit,
+    WriteHead,
+    WriteParts,
+    WriteRefusal,
+)
+from daisyhub.config._document import check_config
+from daisyhub.config._parts import Sections, join_sections
+from daisyhub.config._records import (
+    ConfigHead,
+    RefusedChange,
+    WithdrawnKey,
+    WithdrawnKeys,
+)
+from daisyhub.exceptions import (
+    PlatformConflictError,
+    PlatformUnavailableError,
+)
+
+__all__ = ["ConfigStore"]
 
 HEAD_KEY = "news/config"
 WITHDRAWN_KEY = "news/keys"
-SECTION_PREFIX = "config/section/"
-AUDIT_PREFIX = "audit/"
-
-
-class SectionRef(msgspec.Struct, frozen=True, kw_only=True):
-    """Name and content digest (SHA-256, hex) of a section."""
-
-    name: str
-    digest: str
-
-
-class ConfigHead(msgspec.Struct, frozen=True, kw_only=True):
-    """The configuration in force.
-
-    Attributes:
-        version: Rises by one with each accepted change.
-        sections: One reference for each section.
-        author: Who made the change.
-        team: The team whose sections were changed.
-        changed: Names of the changed sections.
-        at_s: Wall-clock time of the change, seconds since the epoch.
-        write_id: Unique id of the change.
-    """
-
-    version: int = 0
-    sections: tuple[SectionRef, ...] = ()
-    author: str = ""
-    team: str = ""
-    changed: tuple[str, ...] = ()
-    at_s: float = 0.0
-    write_id: str = ""
-
-
-class WithdrawnKeys(msgspec.Struct, frozen=True, kw_only=True):
-    """Key ids that are no longer valid; the set only grows."""
-
-    key_ids: tuple[str, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Snapshot:
-    """A head with the document that it names.
-
-    Attributes:
-        head: The head.
-        contents: Section digest to the section's JSON text.
-        document: The checked document.
-    """
-
-    head: ConfigHead
-    contents: dict[str, str]
-    document: Document
-
-
-def section_text(value: object) -> str:
-    """Returns the canonical JSON text of a section."""
-    return json.dumps(value, sort_keys=True, separators=(",", ":"))
-
-
-def digest_of(text: str) -> str:
-    """Returns the SHA-256 of a section's text, hex."""
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
-def document_of(head: ConfigHead, contents: dict[str, str]) -> Document:
-    """Builds the document of a head that was checked before it was stored."""
-    raw = {ref.name: json.loads(contents[ref.digest]) for ref in head.sections}
-    return msgspec.convert(raw, Document)
+PART_PREFIX = "config/part/"
+AUDIT_PREFIX = "audit/version/"
+REFUSED_PREFIX = "audit/refused/"
+WITHDRAWN_PREFIX = "audit/key/"
+_WITHDRAW_TRIES = 20
+_PAUSE_S = 0.05
 
 
 class ConfigStore:
@@ -108,165 +75,227 @@
             return ConfigHead(), 0
         return msgspec.convert(found.value, ConfigHead), found.version
 
-    async def read_contents(
-        self, head: ConfigHead, known: dict[str, str]
-    ) -> dict[str, str]:
-        """Returns the texts of a head's sections, fetching unknown ones."""
+    async def read_version(self, version: int) -> ConfigHead | None:
+        """Returns the head that a version had, or None if there is none."""
+        if version == 0:
+            return ConfigHead()
+        found = await self._client.get(_audit_key(version))
+        if found is not None:
+            return msgspec.convert(found.value, ConfigHead)
+        head, _ = await self.read_head()
+        return head if head.version == version else None
+
+    async def read_parts(self, digests: Iterable[str]) -> dict[str, str]:
+        """Returns the texts of parts; parts that aren't there are left out."""
         contents = {}
-        for ref in head.sections:
-            if ref.digest in known:
-                contents[ref.digest] = known[ref.digest]
-                continue
-            found = await self._client.get(SECTION_PREFIX + ref.digest)
-            if found is None:
-                raise PlatformConflictError(SECTION_PREFIX + ref.digest, 0)
-            contents[ref.digest] = found.value
+        for digest in digests:
+            found = await self._client.get(PART_PREFIX + digest)
+            if found is not None and isinstance(found.value, str):
+                contents[digest] = found.value
         return contents
 
+    async def read_sections(self, head: ConfigHead) -> Sections:
+        """Returns a head's sections.
+
+        Raises:
+            PartsError: A part is missing or damaged.
+        """
+        return join_sections(head, await self.read_parts(sorted(head.digests)))
+
     async def apply(
         self,
-        sections: dict[str, object],
+        sections: Sections | None,
         *,
         base_version: int,
         author: str,
         team: str,
         at_s: float,
+        revert_to: int = 0,
     ) -> ConfigHead:
-        """Replaces whole sections on top of `base_version`.
+        """Carries a team's change of whole sections over to the head.
 
         Args:
-            sections: Section name to its new plain JSON value.
+            sections: Section name to its entries; None with `revert_to`.
             base_version: The version that the team started from.
             author: Who makes the change.
             team: The author's team.
             at_s: Wall-clock time, seconds since the epoch.
+            revert_to: The version whose sections to put in force again.
+
+        Returns:
+            The head with the change; the one in force if nothing changed.
 
         Raises:
-            ConfigConflictError: A section was changed since `base_version`,
-                or belongs to another team.
+            ConfigConflictError: Another team changed the same entries, or a
+                section belongs to another team.
+            DocumentError: The merged document has faults.
+            PlatformUnavailableError: The message tells whether the change
+                may have taken effect.
         """
+        req = ChangeRequest(
+            sections=sections,
+            base_version=base_version,
+            revert_to=revert_to,
+            author=author,
+            team=team,
+            at_s=at_s,
+            write_id=uuid.uuid4().hex,
+        )
+        core = AcceptanceCore(req, _check_sections)
+        action = core.handle(BeginChange(), 0.0)[0]
         while True:
-            head, object_version = await self.read_head()
-            await self._record_audit(head)
-            await self._check_owners(head, sections, team)
-            self._check_base(head, sections, base_version)
-            new_head = self._next_head(head, sections, author, team, at_s)
-            if not new_head.changed:
-                return head
-            for name in new_head.changed:
-                await self._write_section(section_text(sections[name]))
-            try:
-                await self._client.put(
-                    HEAD_KEY,
-                    msgspec.to_builtins(new_head),
-                    expected_version=object_version,
-                    write_id=new_head.write_id,
-                )
-            except PlatformConflictError:
-                continue
-            await self._record_audit(new_head)
-            return new_head
-
-    async def withdraw_key(self, key_id: str) -> None:
-        """Adds a key id to the withdrawn set."""
-        while True:
-            found = await self._client.get(WITHDRAWN_KEY)
-            known = ()
-            if found is not None:
-                known = msgspec.convert(found.value, WithdrawnKeys).key_ids
-            if key_id in known:
-                return
-            record = WithdrawnKeys(key_ids=(*known, key_id))
-            try:
-                await self._client.put(
-                    WITHDRAWN_KEY,
-                    msgspec.to_builtins(record),
-                    expected_version=found.version if found else 0,
-                    write_id=uuid.uuid4().hex,
-                )
-            except PlatformConflictError:
-                continue
-            return
-
-    async def read_audit(self) -> list[ConfigHead]:
-        """Returns every accepted change, oldest first."""
-        head, _ = await self.read_head()
-        await self._record_audit(head)
-        entries = await self._client.list(AUDIT_PREFIX)
-        found = [msgspec.convert(entry.value, ConfigHead) for entry in entries]
-        return sorted(found, key=lambda entry: entry.version)
+            match action:
+                case ChangeAccepted():
+                    return action.head
+                case ChangeRefused():
+                    raise action.error
+                case ChangeInDoubt():
+                    raise PlatformUnavailableError(_in_doubt(action, req))
+            await anyio.sleep(core.pause_s)
+            event = await self._perform(action)
+            action = core.handle(event, 0.0)[0]
+
+    async def _perform(self, action: object) -> object:
+        try:
+            return await self._carry_out(action)
+        except PlatformUnavailableError as exc:
+            return StoreFailed(str(exc))
+
+    async def _carry_out(self, action: object) -> object:
+        match action:
+            case ReadHead():
+                return HeadRead(*await self.read_head())
+            case ReadAudit(version):
+                found = await self._client.get(_audit_key(version))
+                if found is None:
+                    return AuditRead(version, None)
+                head = msgspec.convert(found.value, ConfigHead)
+                return AuditRead(version, head)
+            case ReadParts(digests):
+                return PartsRead(await self.read_parts(digests))
+            case WriteParts(contents):
+                for digest, text in contents.items():
+                    await self._create(PART_PREFIX + digest, text)
+                return PartsWritten()
+            case WriteAudit(head):
+                await self._create_audit(head)
+                return AuditWritten(head.version)
+            case WriteHead(head, expected_version):
+                return await self._write_head(head, expected_version)
+            case WriteRefusal(record):
+                key = REFUSED_PREFIX + record.write_id
+                await self._create(key, msgspec.to_builtins(record))
+                return RefusalWritten()
+        raise TypeError(f"not an acceptance action: {action!r}")
+
+    async def _write_head(self, head, expected_version) -> object:
+        try:
+            await self._client.put(
+                HEAD_KEY,
+                msgspec.to_builtins(head),
+                expected_version=expected_version,
+                write_id=head.write_id,
+            )
+        except PlatformConflictError:
+            return HeadWriteRefused()
+        return HeadWritten()
 
-    async def _write_section(self, text: str) -> None:
-        key = SECTION_PREFIX + digest_of(text)
+    async def _create(self, key: str, value: object) -> None:
+        """Creates an object; one that is there already stays."""
         try:
             await self._client.put(
-                key, text, expected_version=0, write_id=uuid.uuid4().hex
+                key, value, expected_version=0, write_id=uuid.uuid4().hex
             )
         except PlatformConflictError:
-            return  # The same content is already there.
+            return
 
-    async def _record_audit(self, head: ConfigHead) -> None:
+    async def _create_audit(self, head: ConfigHead) -> None:
         """Creates the audit entry of a head unless it is there.
 
         Whoever moves the head next creates the entry that a failed process
         left out, so that every accepted change has exactly one.
         """
-        if head.version == 0:
-            return
+        if head.version:
+            key = _audit_key(head.version)
+            await self._create(key, msgspec.to_builtins(head))
+
+    async def withdraw_key(
+        self, key_id: str, *, author: str = "", at_s: float = 0.0
+    ) -> None:
+        """Adds a key id to the withdrawn set, and notes who did it.
+
+        Raises:
+            PlatformUnavailableError: It may or may not be withdrawn.
+        """
+        for _ in range(_WITHDRAW_TRIES):
+            if await self._try_withdraw(key_id):
+                entry = WithdrawnKey(key_id=key_id, author=author, at_s=at_s)
+                await self._create(
+                    WITHDRAWN_PREFIX + key_id, msgspec.to_builtins(entry)
+                )
+                return
+            await anyio.sleep(_PAUSE_S)
+        raise PlatformUnavailableError(f"key {key_id}: others write")
+
+    async def _try_withdraw(self, key_id: str) -> bool:
+        known, version = await self.read_withdrawn()
+        if key_id in known:
+            return True
+        record = WithdrawnKeys(key_ids=(*known, key_id))
         try:
             await self._client.put(
-                f"{AUDIT_PREFIX}{head.version:012d}",
-                msgspec.to_builtins(head),
-                expected_version=0,
-                write_id=head.write_id,
+                WITHDRAWN_KEY,
+                msgspec.to_builtins(record),
+                expected_version=version,
+                write_id=uuid.uuid4().hex,
             )
         except PlatformConflictError:
-            return
+            return False
+        return True
 
-    async def _check_owners(self, head, sections, team) -> None:
-        digests = {ref.name: ref.digest for ref in head.sections}
-        if "owners" not in digests:
-            return
-        found = await self._client.get(SECTION_PREFIX + digests["owners"])
-        owners = json.loads(found.value)
-        for name in sections:
-            unchanged = digests.get(name) == digest_of(
-                section_text(sections[name])
-            )
-            if unchanged or team in owners.get(name, [team]):
-                continue
-            raise ConfigConflictError(
-                f"section {name!r} belongs to {owners[name]}, not to {team!r}"
-            )
+    async def read_withdrawn(self) -> tuple[tuple[str, ...], int]:
+        """Returns the withdrawn key ids and their object's version."""
+        found = await self._client.get(WITHDRAWN_KEY)
+        if found is None:
+            return (), 0
+        return msgspec.convert(
+            found.value, WithdrawnKeys
+        ).key_ids, found.version
 
-    def _check_base(self, head, sections, base_version) -> None:
-        if head.version == base_version:
-            return
-        raise ConfigConflictError(
-            f"version {head.version} is in force, the change of"
-            f" {sorted(sections)} starts from {base_version}"
-        )
+    async def read_audit(self) -> list[ConfigHead]:
+        """Returns every accepted change, oldest first."""
+        head, _ = await self.read_head()
+        await self._create_audit(head)
+        found = await self._read_all(AUDIT_PREFIX, ConfigHead)
+        return sorted(found, key=lambda entry: entry.version)
 
-    def _next_head(self, head, sections, author, team, at_s) -> ConfigHead:
-        digests = {ref.name: ref.digest for ref in head.sections}
-        new_digests = dict(digests)
-        for name, value in sections.items():
-            new_digests[name] = digest_of(section_text(value))
-        changed = tuple(
-            name
-            for name in SECTION_NAMES
-            if name in sections and digests.get(name) != new_digests[name]
-        )
-        refs = tuple(
-            SectionRef(name=name, digest=digest)
-            for name, digest in sorted(new_digests.items())
-        )
-        return ConfigHead(
-            version=head.version + 1,
-            sections=refs,
-            author=author,
-            team=team,
-            changed=changed,
-            at_s=at_s,
-            write_id=uuid.uuid4().hex,
-        )
+    async def read_refused(self) -> list[RefusedChange]:
+        """Returns every refused change, oldest first."""
+        found = await self._read_all(REFUSED_PREFIX, RefusedChange)
+        return sorted(found, key=lambda entry: entry.at_s)
+
+    async def read_withdrawals(self) -> list[WithdrawnKey]:
+        """Returns every key withdrawal, oldest first."""
+        found = await self._read_all(WITHDRAWN_PREFIX, WithdrawnKey)
+        return sorted(found, key=lambda entry: entry.at_s)
+
+    async def _read_all(self, prefix: str, kind: type) -> list:
+        entries = await self._client.list(prefix)
+        return [msgspec.convert(entry.value, kind) for entry in entries]
+
+
+def _audit_key(version: int) -> str:
+    return f"{AUDIT_PREFIX}{version:012d}"
+
+
+def _check_sections(sections: Sections) -> None:
+    check_config(json.dumps(sections, indent=1), "merged document")
+
+
+def _in_doubt(action: ChangeInDoubt, req: ChangeRequest) -> str:
+    if not action.is_sent:
+        return f"the change has no effect: {action.reason}"
+    return (
+        f"the change may have taken effect: {action.reason};"
+        f" look for the write id {req.write_id} in `daisyhub audit`"
+    )
--- a/daisyhub/controllers/_config.py
+++ b/daisyhub/controllers/_config.py
@@ -3,19 +3,31 @@
 import time
 from collections.abc import Callable
 
+import anyio
 import msgspec
 
 from daisyhub.base import Controller
 from daisyhub.config import (
+    AdoptionCore,
+    AdoptionTick,
     ConfigHead,
     ConfigStore,
     Document,
+    FetchFailed,
+    FetchFromPeer,
+    FetchParts,
+    HeadHeard,
+    PartsFetched,
+    PeerFetched,
+    PeerHeard,
+    PutInForce,
     Snapshot,
+    WithdrawKeys,
+    WithdrawnHeard,
     WithdrawnKeys,
     empty_document,
 )
-from daisyhub.config._store import digest_of, document_of
-from daisyhub.exceptions import DaisyhubError
+from daisyhub.exceptions import PlatformUnavailableError
 from daisyhub.filters import RouteTable
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger
@@ -30,6 +42,7 @@
 __all__ = ["ConfigController"]
 
 _FETCH_TIMEOUT_S = 2.0
+_PLATFORM = ""
 
 log = get_logger("config")
 
@@ -38,6 +51,7 @@
     """Adopts configurations from the platform and from peers.
 
     Nothing is adopted from disk, so that a restarted daemon can't fall back.
+    What to adopt and to fetch is decided by `AdoptionCore`.
 
     Args:
         client: The platform.
@@ -53,20 +67,32 @@
         self._store = ConfigStore(client)
         self._network = network
         self._keys = keys
-        self._snapshot: Snapshot | None = None
+        self._core = AdoptionCore()
         self._table: RouteTable | None = None
-        self._adopted_s = 0.0
         self._listeners: list[Callable[[], None]] = []
+        self._fetches: list[FetchFromPeer | FetchParts] = []
+        self._wakeup = anyio.Event()
 
     @property
     def version(self) -> int:
         """The version in force; 0 before the first."""
-        return self._snapshot.head.version if self._snapshot else 0
+        return self._core.version
+
+    @property
+    def withdrawn_count(self) -> int:
+        """How many keys are known to be withdrawn."""
+        return len(self._core.withdrawn)
+
+    @property
+    def withdrawn_digest(self) -> str:
+        """Digest of the withdrawn key ids."""
+        return self._core.withdrawn_digest
 
     @property
     def document(self) -> Document:
         """The document in force; an empty one before the first."""
-        return self._snapshot.document if self._snapshot else empty_document()
+        snapshot = self._core.snapshot
+        return snapshot.document if snapshot else empty_document()
 
     @property
     def route_table(self) -> RouteTable | None:
@@ -81,75 +107,101 @@
         """Tells the version in force."""
         return {
             "version": self.version,
-            "withdrawn_keys": len(self._keys.withdrawn),
+            "withdrawn_keys": self.withdrawn_count,
         }
 
     async def run(self) -> None:
-        """Has nothing to do: news and peers drive it."""
+        """Carries fetches out, again when they failed."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for fetch in self._fetches:
+                    tasks.start_soon(self._fetch, fetch)
+                self._fetches = []
+                with anyio.move_on_after(self._pause_s()):
+                    await self._wakeup.wait()
+                self._wakeup = anyio.Event()
+                self._feed(AdoptionTick())
+
+    def _pause_s(self) -> float | None:
+        due_s = self._core.next_wakeup_s
+        return None if due_s is None else max(0.0, due_s - time.monotonic())
 
     async def on_head(self, found: PlatformObject) -> None:
         """Takes a head from the platform's watch."""
-        head = msgspec.convert(found.value, ConfigHead)
-        if head.version <= self.version:
-            return
-        contents = await self._store.read_contents(head, self._known_contents())
-        self.adopt(head, contents)
+        self._feed(HeadHeard(msgspec.convert(found.value, ConfigHead)))
 
     async def on_withdrawn(self, found: PlatformObject) -> None:
         """Takes the withdrawn keys from the platform's watch."""
         record = msgspec.convert(found.value, WithdrawnKeys)
-        self._withdraw(record.key_ids)
+        self._feed(WithdrawnHeard(record.key_ids))
 
-    async def fetch_from_peer(self, daemon_id: str) -> None:
-        """Takes what a peer has and this daemon lacks."""
-        fetch = ConfigFetch(known_digests=tuple(self._known_contents()))
-        try:
-            parts = await self._network.call(daemon_id, fetch, _FETCH_TIMEOUT_S)
-        except PeerUnreachableError as exc:
-            log.info("no configuration from {}: {}", daemon_id, exc)
-            return
-        self._withdraw(parts.withdrawn)
-        contents = {**self._known_contents(), **parts.contents}
-        if all(ref.digest in contents for ref in parts.head.sections):
-            self.adopt(parts.head, contents)
+    def on_peer(self, heard: PeerHeard) -> None:
+        """Takes what a peer's heartbeat tells."""
+        self._feed(heard)
 
     async def answer_fetch(self, fetch: ConfigFetch) -> ConfigParts:
         """Serves a peer's `ConfigFetch`."""
-        head = self._snapshot.head if self._snapshot else ConfigHead()
+        snapshot = self._core.snapshot
         known = set(fetch.known_digests)
         contents = {
             digest: text
-            for digest, text in self._known_contents().items()
+            for digest, text in self._core.known_contents.items()
             if digest not in known
         }
         return ConfigParts(
-            head=head, contents=contents, withdrawn=self._keys.withdrawn
+            head=snapshot.head if snapshot else ConfigHead(),
+            contents=contents,
+            withdrawn=tuple(sorted(self._core.withdrawn)),
         )
 
-    def adopt(self, head: ConfigHead, contents: dict[str, str]) -> bool:
-        """Puts a head in force if it is higher; returns whether it was."""
-        if head.version <= self.version:
-            return False
-        own = {ref.digest: contents[ref.digest] for ref in head.sections}
-        for digest, text in own.items():
-            if digest_of(text) != digest:
-                raise DaisyhubError(f"section {digest} is damaged")
-        document = document_of(head, own)
-        self._snapshot = Snapshot(head=head, contents=own, document=document)
-        self._table = RouteTable(document)
-        self._keys.replace_keys(document.keys)
-        self._adopted_s = time.monotonic()
-        log.info("version {} is in force", head.version)
+    def _feed(self, event: object) -> None:
+        due_s = self._core.next_wakeup_s
+        for action in self._core.handle(event, time.monotonic()):
+            match action:
+                case WithdrawKeys(key_ids):
+                    self._keys.withdraw(key_ids)
+                    log.info("{} keys are withdrawn", len(key_ids))
+                    self._tell()
+                case PutInForce(snapshot):
+                    self._put_in_force(snapshot)
+                case FetchParts() | FetchFromPeer():
+                    self._fetches.append(action)
+        if self._fetches or due_s != self._core.next_wakeup_s:
+            self._wakeup.set()
+
+    def _put_in_force(self, snapshot: Snapshot) -> None:
+        self._table = RouteTable(snapshot.document)
+        self._keys.replace_keys(snapshot.document.keys)
+        log.info("version {} is in force", snapshot.head.version)
         self._tell()
-        return True
 
-    def _withdraw(self, key_ids: tuple[str, ...]) -> None:
-        if self._keys.withdraw(key_ids):
-            log.info("{} keys are withdrawn", len(self._keys.withdrawn))
-            self._tell()
+    async def _fetch(self, fetch: FetchFromPeer | FetchParts) -> None:
+        if isinstance(fetch, FetchParts):
+            self._feed(await self._fetch_parts(fetch))
+        else:
+            self._feed(await self._fetch_from_peer(fetch))
 
-    def _known_contents(self) -> dict[str, str]:
-        return self._snapshot.contents if self._snapshot else {}
+    async def _fetch_parts(self, fetch: FetchParts) -> object:
+        try:
+            return PartsFetched(await self._store.read_parts(fetch.digests))
+        except PlatformUnavailableError as exc:
+            log.info("no parts from the platform: {}", exc)
+            return FetchFailed(_PLATFORM)
+
+    async def _fetch_from_peer(self, fetch: FetchFromPeer) -> object:
+        call = ConfigFetch(known_digests=fetch.known_digests)
+        try:
+            parts = await self._network.call(
+                fetch.daemon_id, call, _FETCH_TIMEOUT_S
+            )
+        except PeerUnreachableError as exc:
+            log.info("no configuration from {}: {}", fetch.daemon_id, exc)
+            return FetchFailed(fetch.daemon_id)
+        if not isinstance(parts, ConfigParts):
+            return FetchFailed(fetch.daemon_id)
+        return PeerFetched(
+            fetch.daemon_id, parts.head, parts.contents, parts.withdrawn
+        )
 
     def _tell(self) -> None:
         for listener in self._listeners:
--- a/daisyhub/controllers/_news.py
+++ b/daisyhub/controllers/_news.py
@@ -1,10 +1,21 @@
 """Watches the platform for news: configuration, withdrawn keys, weights."""
 
+import time
 from collections.abc import Awaitable, Callable
 
 import anyio
 
 from daisyhub.base import Controller
+from daisyhub.controllers._news_core import (
+    DeliverNews,
+    DeliveryFailed,
+    NewsBegin,
+    NewsCore,
+    NewsDelivered,
+    WatchAnswered,
+    WatchFailed,
+    WatchNews,
+)
 from daisyhub.exceptions import PlatformUnavailableError
 from daisyhub.logs import get_logger
 from daisyhub.platform import PlatformClient, PlatformObject
@@ -13,7 +24,6 @@
 __all__ = ["NewsController"]
 
 NEWS_PREFIX = "news/"
-_RETRY_S = 0.5
 
 log = get_logger("news")
 
@@ -33,37 +43,57 @@
     def __init__(self, client: PlatformClient, timing: TimingSettings):
         self._client = client
         self._timing = timing
-        self._listeners: list[tuple[str, Listener]] = []
-        self._revision = 0
-        self._is_connected = False
+        self._prefixes: list[str] = []
+        self._listeners: list[Listener] = []
+        self._core = NewsCore((), timing.watch_wait_s)
 
     def add_listener(self, prefix: str, listener: Listener) -> None:
-        """Calls `listener` with each changed object under `prefix`."""
-        self._listeners.append((prefix, listener))
+        """Calls `listener` with each changed object under `prefix`.
+
+        An object may come twice or in an earlier state. Listeners that are
+        added first hear first. One that raises is called again later.
+        """
+        self._prefixes.append(prefix)
+        self._listeners.append(listener)
+        self._core = NewsCore(tuple(self._prefixes), self._timing.watch_wait_s)
 
     def status(self) -> dict[str, object]:
         """Tells whether the platform answers."""
-        return {"platform": self._is_connected, "revision": self._revision}
+        return {
+            "platform": self._core.is_connected,
+            "revision": self._core.revision,
+            "undelivered": self._core.undelivered,
+        }
 
     async def run(self) -> None:
         """Watches until cancelled."""
+        event = NewsBegin()
         while True:
-            try:
-                await self._watch_once()
-                self._is_connected = True
-            except PlatformUnavailableError as exc:
-                self._is_connected = False
-                log.warning("the platform does not answer: {}", exc)
-                await anyio.sleep(_RETRY_S)
-
-    async def _watch_once(self) -> None:
-        # The first watch lists what is there and does not wait.
-        wait_s = self._timing.watch_wait_s if self._is_connected else 0.0
-        revision, objects = await self._client.watch(
-            NEWS_PREFIX, after_revision=self._revision, wait_s=wait_s
-        )
-        for found in objects:
-            for prefix, listener in self._listeners:
-                if found.key.startswith(prefix):
-                    await listener(found)
-        self._revision = max(self._revision, revision)
+            for action in self._core.handle(event, time.monotonic()):
+                match action:
+                    case DeliverNews():
+                        await self._deliver(action)
+                    case WatchNews():
+                        event = await self._watch(action)
+
+    async def _deliver(self, action: DeliverNews) -> None:
+        event = NewsDelivered(action.listener, action.found)
+        try:
+            await self._listeners[action.listener](action.found)
+        except Exception as exc:  # noqa: BLE001 - others must hear theirs.
+            log.warning("{} can't be taken: {!r}", action.found.key, exc)
+            event = DeliveryFailed(action.listener, action.found)
+        self._core.handle(event, time.monotonic())
+
+    async def _watch(self, action: WatchNews) -> object:
+        await anyio.sleep(action.pause_s)
+        try:
+            revision, objects = await self._client.watch(
+                NEWS_PREFIX,
+                after_revision=action.after_revision,
+                wait_s=action.wait_s,
+            )
+        except PlatformUnavailableError as exc:
+            log.warning("the platform does not answer: {}", exc)
+            return WatchFailed()
+        return WatchAnswered(revision, objects)
--- a/daisyhub/controllers/_peers.py
+++ b/daisyhub/controllers/_peers.py
@@ -8,6 +8,7 @@
 from daisyhub.accounting import UsageCounters
 from daisyhub.balancing import EndpointNews, EndpointTable
 from daisyhub.base import Controller
+from daisyhub.config import PeerHeard
 from daisyhub.controllers._config import ConfigController
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger
@@ -73,7 +74,6 @@
         self._copies: dict[tuple[str, int, int], UsageCopy] = {}
         self._is_leaving = False
         self._wakeup = anyio.Event()
-        self._fetch_from: set[str] = set()
 
     def status(self) -> dict[str, object]:
         """Tells which peers are live and the version that each has."""
@@ -142,32 +142,33 @@
 
     async def run(self) -> None:
         """Sends a tick at each interval, or earlier when woken."""
-        async with anyio.create_task_group() as tasks:
-            while True:
-                with anyio.move_on_after(self._cfg.timing.peer_tick_s):
-                    await self._wakeup.wait()
-                self._wakeup = anyio.Event()
-                self._send_tick()
-                for daemon_id in sorted(self._fetch_from):
-                    tasks.start_soon(self._config.fetch_from_peer, daemon_id)
-                self._fetch_from.clear()
+        while True:
+            with anyio.move_on_after(self._cfg.timing.peer_tick_s):
+                await self._wakeup.wait()
+            self._wakeup = anyio.Event()
+            self._send_tick()
 
     def _on_heartbeat(self, sender, peer: _Peer, beat: Heartbeat) -> None:
         peer.is_leaving = beat.is_leaving
         peer.config_version = beat.config_version
         peer.withdrawn_keys = beat.withdrawn_keys
-        is_ahead = beat.config_version > self._config.version
-        if is_ahead or beat.withdrawn_keys > len(self._keys.withdrawn):
-            self._fetch_from.add(sender)
-            self.wake()
+        self._config.on_peer(
+            PeerHeard(
+                sender,
+                beat.config_version,
+                beat.withdrawn_keys,
+                beat.withdrawn_digest,
+            )
+        )
 
     def _send_tick(self) -> None:
         messages = [
             Heartbeat(
                 incarnation=self._incarnation,
                 config_version=self._config.version,
-                withdrawn_keys=len(self._keys.withdrawn),
+                withdrawn_keys=self._config.withdrawn_count,
                 is_leaving=self._is_leaving,
+                withdrawn_digest=self._config.withdrawn_digest,
             )
         ]
         if self._news:
--- a/daisyhub/messages.py
+++ b/daisyhub/messages.py
@@ -1,9 +1,11 @@
 """The request and the answer as they pass through the filter chain."""
 
 import dataclasses
+import typing
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-from daisyhub.config import Route
+if typing.TYPE_CHECKING:
+    from daisyhub.config import Route
 
 __all__ = ["Header", "Request", "Response"]
 
@@ -42,7 +44,7 @@
     deadline_s: float
     account: str = ""
     key_id: str = ""
-    route: Route | None = None
+    route: "Route | None" = None
     body: bytes = b""
 
     def header_values(self, name: bytes) -> list[bytes]:
--- a/daisyhub/peers/_messages.py
+++ b/daisyhub/peers/_messages.py
@@ -30,12 +30,14 @@
         config_version: The version in force there.
         withdrawn_keys: How many key ids it knows to be withdrawn.
         is_leaving: Whether it is shutting down.
+        withdrawn_digest: Digest of these key ids.
     """
 
     incarnation: int
     config_version: int
     withdrawn_keys: int
     is_leaving: bool = False
+    withdrawn_digest: str = ""
 
 
 class EndpointNewsBatch(msgspec.Struct, frozen=True, kw_only=True, tag="en"):
