Keep connections for real, and never one that is in doubt

Cause: the client never kept a connection: the exchange was not closed after the last chunk, so every request opened a new one. Kept ones would have let through bytes read beyond an answer as the next request's answer, an answer with another request's id was delivered, dropped idle connections were not closed, and the platform's client had to run into every silent connection one by one. The server's sockets had no TCP_NODELAY, which costs 40 ms on kept connections (20 requests/s over one).

Change: `Connection` carries one request at a time and is kept only after a whole answer with nothing read or readable behind it. Any failure, time-out or cancellation closes it and all idle ones of the origin that haven't proven themselves since the request was sent. An answer that names another `daisyhub-request-id` than the one sent is refused as unknown. Connections idle for too long are swept. The first byte is noted in the stream instead of httpcore's trace. The server sets TCP_NODELAY.

Ruled out: the pool of httpcore (it scans all connections at each step).

Conclusion: a client with kept connections; what an endpoint crosses without naming the request's id can't be told from the right answer.

--- a/daisyhub/connections/__init__.py
+++ b/daisyhub/connections/__init__.py
@@ -3,9 +3,9 @@
 from daisyhub.connections._client import (
     HttpAnswer,
     HttpClient,
-    RequestFailedError,
     StreamedAnswer,
 )
+from daisyhub.connections._connection import RequestFailedError
 
 __all__ = [
     "HttpAnswer",
--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -2,48 +2,33 @@
 
 One request is on a connection at a time. A connection on which anything went
 wrong, timed out or was cancelled is closed and never used again, so that no
-late answer can reach another request.
+late answer can reach another request. Such a failure also puts the origin's
+idle connections in doubt: something between the ends may have lost track of
+all that were open, so only those that proved themselves since are kept.
 """
 
-import contextlib
 import dataclasses
 import time
 from collections.abc import AsyncIterator
 
 import anyio
 import httpcore
-from httpcore import AnyIOBackend
 
-from daisyhub.exceptions import DaisyhubError, Ran
+from daisyhub.connections._connection import (
+    Connection,
+    RequestFailedError,
+    connect,
+    mapped_errors,
+)
+from daisyhub.exceptions import Ran
 from daisyhub.messages import Header
 from daisyhub.settings import Address
 
-__all__ = [
-    "HttpAnswer",
-    "HttpClient",
-    "RequestFailedError",
-    "StreamedAnswer",
-]
+__all__ = ["HttpAnswer", "HttpClient", "StreamedAnswer"]
 
-_FIRST_BYTE_EVENT = "http11.send_request_headers.started"
-_CLOSE_TIMEOUT_S = 0.5
-
-
-class RequestFailedError(DaisyhubError):
-    """No whole answer came.
-
-    Attributes:
-        ran: NOT_RUN only if no byte of the request left; else UNKNOWN, or
-            RAN if the head of an answer came.
-        timed_out: Whether a time-out ended the request.
-    """
-
-    code = "request_failed"
-
-    def __init__(self, detail: str, *, ran: Ran, timed_out: bool = False):
-        super().__init__(detail)
-        self.ran = ran
-        self.timed_out = timed_out
+_REQUEST_ID_HEADER = b"daisyhub-request-id"
+_NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE"})
+_NO_BODY_STATUSES = frozenset({204, 304})
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,56 +40,6 @@
     body: bytes
 
 
-@dataclasses.dataclass(slots=True)
-class _Connection:
-    """An open connection and when it last carried a whole answer."""
-
-    http: httpcore.AsyncHTTPConnection
-    idle_since_s: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """How far a request got; the trace of httpcore sets it."""
-
-    first_byte_left: bool = False
-    head_came: bool = False
-
-    async def trace(self, event: str, _: object) -> None:
-        if event == _FIRST_BYTE_EVENT:
-            self.first_byte_left = True
-
-    @property
-    def ran(self) -> Ran:
-        if self.head_came:
-            return Ran.RAN
-        return Ran.UNKNOWN if self.first_byte_left else Ran.NOT_RUN
-
-
-@contextlib.contextmanager
-def _mapped_errors(address: Address, progress: _Progress, deadline_s: float):
-    """Ends the block at the deadline; turns every fault into one error."""
-    try:
-        with anyio.CancelScope(deadline=deadline_s) as scope:
-            yield
-    except (
-        httpcore.NetworkError,
-        httpcore.ProtocolError,
-        httpcore.TimeoutException,
-    ) as exc:
-        raise RequestFailedError(
-            f"{address}: {type(exc).__name__} {exc}".rstrip(),
-            ran=progress.ran,
-            timed_out=isinstance(exc, httpcore.TimeoutException),
-        ) from exc
-    if scope.cancelled_caught:
-        raise RequestFailedError(
-            f"{address} gave no whole answer in time",
-            ran=progress.ran,
-            timed_out=True,
-        )
-
-
 class StreamedAnswer:
     """The head of an answer, and its content in chunks.
 
@@ -113,15 +48,14 @@
         headers: Names in lower case.
     """
 
-    def __init__(self, *, client, conn, address, answer, deadline_s):
+    def __init__(self, *, client, conn, address, answer, timing):
         self.status: int = answer.status
         self.headers: tuple[Header, ...] = _lower(answer.headers)
         self._client = client
         self._conn = conn
         self._address = address
         self._answer = answer
-        self._deadline_s = deadline_s
-        self._progress = _Progress(first_byte_left=True, head_came=True)
+        self._timing = timing
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the content; returns only if it is whole.
@@ -129,20 +63,34 @@
         Raises:
             RequestFailedError: The content broke off, or time ran out.
         """
-        parts = self._answer.aiter_stream()
+        parts = aiter(self._answer.stream)
         while True:
             chunk = None
-            with _mapped_errors(
-                self._address, self._progress, self._deadline_s
+            with mapped_errors(
+                self._address,
+                lambda: self._conn.ran,
+                self._timing.deadline_s,
             ):
                 chunk = await anext(parts, None)
             if chunk is None:
+                # Ends the exchange; the connection is idle from here on.
+                await self._answer.aclose()
                 return
             yield chunk
 
     async def aclose(self) -> None:
         """Keeps the connection if all was read, else closes it."""
-        await self._client.finish(self._address, self._conn)
+        await self._client.finish(
+            self._address, self._conn, self._timing.started_s
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Timing:
+    """When an exchange started and must end, on anyio's clock."""
+
+    started_s: float
+    deadline_s: float
 
 
 class HttpClient:
@@ -156,8 +104,9 @@
     def __init__(self, *, connect_timeout_s: float, idle_s: float):
         self._connect_timeout_s = connect_timeout_s
         self._idle_s = idle_s
-        self._idle: dict[Address, list[_Connection]] = {}
-        self._backend = AnyIOBackend()
+        self._idle: dict[Address, list[Connection]] = {}
+        self._doomed: list[Connection] = []
+        self._sweep_at_s = 0.0
 
     async def request(
         self,
@@ -230,98 +179,143 @@
         Raises:
             RequestFailedError: No head came.
         """
+        started_s = time.monotonic()
         deadline_s = anyio.current_time() + timeout_s
-        conn = await self._take(address, fresh)
-        progress = _Progress()
+        timing = _Timing(started_s, deadline_s)
+        conn = await self._take(address, fresh, deadline_s)
+        conn.begin()
         try:
-            with _mapped_errors(address, progress, deadline_s):
-                answer = await self._send(
-                    conn, method, address, target, headers, body, progress
-                )
-                progress.head_came = True
-                self._check_framing(answer, method)
+            with mapped_errors(address, lambda: conn.ran, deadline_s):
+                req = _request(method, address, target, headers, body)
+                answer = await conn.http.handle_async_request(req)
+                conn.head_came = True
+            _check_echo(answer, headers)
+            _check_framing(answer, method)
         except BaseException:
-            await _close(conn)
+            await self._discard(address, conn, started_s)
             raise
         return StreamedAnswer(
             client=self,
             conn=conn,
             address=address,
             answer=answer,
-            deadline_s=deadline_s,
+            timing=timing,
         )
 
-    async def finish(self, address: Address, conn: "_Connection") -> None:
+    async def finish(
+        self, address: Address, conn: Connection, started_s: float
+    ) -> None:
         """Keeps a connection after a whole answer, else closes it."""
         if not conn.http.is_idle():
-            await _close(conn)
+            await self._discard(address, conn, started_s)
+            return
+        if not conn.is_reusable():
+            await conn.aclose()
             return
         conn.idle_since_s = time.monotonic()
         self._idle.setdefault(address, []).append(conn)
+        await self._sweep(conn.idle_since_s)
 
     async def aclose(self) -> None:
         """Closes every idle connection."""
-        for conns in self._idle.values():
-            for conn in conns:
-                await _close(conn)
-        self._idle.clear()
+        for address in list(self._idle):
+            self.forget(address)
+        await self._close_doomed()
 
     def forget(self, address: Address) -> None:
         """Drops the idle connections of an address; they are in doubt."""
-        self._idle.pop(address, None)
-
-    async def _take(self, address: Address, fresh: bool) -> _Connection:
-        conns = self._idle.get(address, [])
-        oldest_s = time.monotonic() - self._idle_s
-        while conns and not fresh:
+        self._doomed += self._idle.pop(address, [])
+
+    async def _discard(
+        self, address: Address, conn: Connection, started_s: float
+    ) -> None:
+        """Closes a connection, and those idle since before its request."""
+        kept = []
+        for other in self._idle.pop(address, []):
+            is_proven = other.idle_since_s >= started_s
+            (kept if is_proven else self._doomed).append(other)
+        if kept:
+            self._idle[address] = kept
+        await conn.aclose()
+        await self._close_doomed()
+
+    async def _close_doomed(self) -> None:
+        while self._doomed:
+            await self._doomed.pop().aclose()
+
+    async def _sweep(self, now_s: float) -> None:
+        """Closes connections that have been idle for too long."""
+        if now_s < self._sweep_at_s:
+            return
+        self._sweep_at_s = now_s + self._idle_s
+        for address, conns in list(self._idle.items()):
+            recent = [c for c in conns if self._is_recent(c, now_s)]
+            self._doomed += [c for c in conns if c not in recent]
+            if recent:
+                self._idle[address] = recent
+            else:
+                del self._idle[address]
+        await self._close_doomed()
+
+    def _is_recent(self, conn: Connection, now_s: float) -> bool:
+        return conn.idle_since_s >= now_s - self._idle_s
+
+    async def _take(
+        self, address: Address, fresh: bool, deadline_s: float
+    ) -> Connection:
+        # Other tasks may replace the list while this one closes.
+        while not fresh and (conns := self._idle.get(address)):
             conn = conns.pop()
-            is_recent = conn.idle_since_s >= oldest_s
-            if is_recent and not conn.http.has_expired():
+            if self._is_recent(conn, time.monotonic()) and conn.is_reusable():
                 return conn
-            await _close(conn)
-        origin = httpcore.Origin(b"http", address.ip.encode(), address.port)
-        return _Connection(
-            httpcore.AsyncHTTPConnection(
-                origin, network_backend=self._backend, keepalive_expiry=None
+            await conn.aclose()
+        with mapped_errors(address, lambda: Ran.NOT_RUN, deadline_s):
+            return await connect(address, self._connect_timeout_s)
+
+
+def _request(
+    method: str,
+    address: Address,
+    target: str,
+    headers: tuple[Header, ...],
+    body: bytes,
+) -> httpcore.Request:
+    own = [(b"host", str(address).encode())]
+    if body or method not in _NO_BODY_METHODS:
+        own.append((b"content-length", str(len(body)).encode()))
+    return httpcore.Request(
+        method,
+        httpcore.URL(
+            scheme=b"http",
+            host=address.ip.encode(),
+            port=address.port,
+            target=target.encode(),
+        ),
+        headers=[*own, *headers],
+        content=body,
+    )
+
+
+def _check_echo(answer: httpcore.Response, sent: tuple[Header, ...]) -> None:
+    """Refuses an answer that names another request than the one sent."""
+    own = [value for name, value in sent if name == _REQUEST_ID_HEADER]
+    if not own:
+        return
+    for name, value in answer.headers:
+        if name.lower() == _REQUEST_ID_HEADER and value != own[0]:
+            raise RequestFailedError(
+                "the answer belongs to another request", ran=Ran.UNKNOWN
             )
-        )
-
-    async def _send(
-        self, conn, method, address, target, headers, body, progress
-    ) -> httpcore.Response:
-        own = [(b"host", str(address).encode())]
-        if body or method not in ("GET", "HEAD", "DELETE"):
-            own.append((b"content-length", str(len(body)).encode()))
-        req = httpcore.Request(
-            method,
-            httpcore.URL(
-                scheme=b"http",
-                host=address.ip.encode(),
-                port=address.port,
-                target=target.encode(),
-            ),
-            headers=[*own, *headers],
-            content=body,
-            extensions={
-                "timeout": {"connect": self._connect_timeout_s},
-                "trace": progress.trace,
-            },
-        )
-        return await conn.http.handle_async_request(req)
-
-    def _check_framing(self, answer: httpcore.Response, method: str) -> None:
-        """Refuses answers whose end could not be told from a cut."""
-        if method == "HEAD" or answer.status in (204, 304):
-            return
-        names = {name.lower() for name, _ in answer.headers}
-        if b"content-length" in names or b"transfer-encoding" in names:
-            return
-        raise RequestFailedError("the answer has no length", ran=Ran.RAN)
 
 
-async def _close(conn: _Connection) -> None:
-    with anyio.move_on_after(_CLOSE_TIMEOUT_S, shield=True):
-        await conn.http.aclose()
+def _check_framing(answer: httpcore.Response, method: str) -> None:
+    """Refuses answers whose end could not be told from a cut."""
+    if method == "HEAD" or answer.status in _NO_BODY_STATUSES:
+        return
+    names = {name.lower() for name, _ in answer.headers}
+    if b"content-length" in names or b"transfer-encoding" in names:
+        return
+    raise RequestFailedError("the answer has no length", ran=Ran.RAN)
 
 
 def _lower(headers) -> tuple[Header, ...]:
--- /dev/null
+++ b/daisyhub/connections/_connection.py
@@ -0,0 +1,140 @@
+"""One HTTP connection, and how far the request on it got."""
+
+import contextlib
+
+import anyio
+import httpcore
+from httpcore import AnyIOBackend, AsyncNetworkStream
+
+from daisyhub.exceptions import DaisyhubError, Ran
+from daisyhub.settings import Address
+
+__all__ = ["Connection", "RequestFailedError", "connect", "mapped_errors"]
+
+_CLOSE_TIMEOUT_S = 0.5
+_BACKEND = AnyIOBackend()
+
+
+class RequestFailedError(DaisyhubError):
+    """No whole answer came.
+
+    Attributes:
+        ran: NOT_RUN only if no byte of the request left; else UNKNOWN, or
+            RAN if the head of an answer came.
+        timed_out: Whether a time-out ended the request.
+    """
+
+    code = "request_failed"
+
+    def __init__(self, detail: str, *, ran: Ran, timed_out: bool = False):
+        super().__init__(detail)
+        self.ran = ran
+        self.timed_out = timed_out
+
+
+class _Wire(AsyncNetworkStream):
+    """A network stream that notes when the first byte leaves."""
+
+    def __init__(self, stream: AsyncNetworkStream):
+        self.has_sent = False
+        self.stream = stream
+        self.read = stream.read
+        self.aclose = stream.aclose
+        self.get_extra_info = stream.get_extra_info
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        self.has_sent = True
+        await self.stream.write(buffer, timeout)
+
+
+class Connection:
+    """An open connection; carries one request at a time.
+
+    Attributes:
+        http: The protocol on it.
+        idle_since_s: Monotonic time at which it last ended a whole answer.
+        head_came: Whether the present request's answer has begun.
+    """
+
+    def __init__(self, address: Address, stream: AsyncNetworkStream):
+        origin = httpcore.Origin(b"http", address.ip.encode(), address.port)
+        self._wire = _Wire(stream)
+        self.http = httpcore.AsyncHTTP11Connection(origin, stream=self._wire)
+        self.idle_since_s = 0.0
+        self.head_came = False
+
+    def begin(self) -> None:
+        """Notes that a new request starts."""
+        self._wire.has_sent = False
+        self.head_came = False
+
+    @property
+    def ran(self) -> Ran:
+        """What can be said of the present request if it fails now."""
+        if self.head_came:
+            return Ran.RAN
+        return Ran.UNKNOWN if self._wire.has_sent else Ran.NOT_RUN
+
+    def is_reusable(self) -> bool:
+        """Whether the last answer was whole and nothing came after it.
+
+        Bytes after an answer would be taken for the next request's answer.
+        httpcore doesn't look at those that it has read already, so this
+        looks into h11's buffer and anyio's queue.
+        """
+        if not self.http.is_idle() or self.http.has_expired():
+            return False
+        if self.http._h11_state.trailing_data[0]:
+            return False
+        protocol = getattr(self._wire.stream._stream, "_protocol", None)
+        return not getattr(protocol, "read_queue", None)
+
+    async def aclose(self) -> None:
+        """Closes it, whatever goes on."""
+        with anyio.move_on_after(_CLOSE_TIMEOUT_S, shield=True):
+            with contextlib.suppress(Exception):
+                await self.http.aclose()
+
+
+async def connect(address: Address, timeout_s: float) -> Connection:
+    """Opens a connection.
+
+    Raises:
+        httpcore.ConnectError: It was refused.
+        httpcore.ConnectTimeout: It took too long.
+    """
+    stream = await _BACKEND.connect_tcp(address.ip, address.port, timeout_s)
+    return Connection(address, stream)
+
+
+@contextlib.contextmanager
+def mapped_errors(address: Address, get_ran, deadline_s: float):
+    """Ends the block at the deadline; turns every fault into one error.
+
+    Args:
+        address: The peer, for the error's text.
+        get_ran: Returns what can be said of the request if it fails now.
+        deadline_s: When to end, on anyio's clock.
+
+    Raises:
+        RequestFailedError: The block failed or took too long.
+    """
+    try:
+        with anyio.CancelScope(deadline=deadline_s) as scope:
+            yield
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ) as exc:
+        raise RequestFailedError(
+            f"{address}: {type(exc).__name__} {exc}".rstrip(),
+            ran=get_ran(),
+            timed_out=isinstance(exc, httpcore.TimeoutException),
+        ) from exc
+    if scope.cancelled_caught:
+        raise RequestFailedError(
+            f"{address} gave no whole answer in time",
+            ran=get_ran(),
+            timed_out=True,
+        )
--- /dev/null
+++ b/daisyhub/connections/tests/test_whole_answers.py
@@ -0,0 +1,164 @@
+"""Every request gets the whole answer to itself, or an error.
+
+Seeded fuzz of interleavings over real sockets: many tasks share a client,
+the server misbehaves, and requests are cancelled at any moment.
+"""
+
+import contextlib
+import os
+import random
+import unittest
+from unittest import mock
+
+import anyio
+
+from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.connections import _client as client_module
+from daisyhub.connections._connection import Connection
+from daisyhub.connections.tests.hostile_server import (
+    BEHAVIOURS,
+    GOOD,
+    HostileServer,
+    body_of,
+)
+from daisyhub.exceptions import Ran
+from daisyhub.settings import Address
+
+TASKS = 12
+REQUESTS = int(os.environ.get("DAISYHUB_EXAMPLES", "60")) * 10
+SEED = int(os.environ.get("DAISYHUB_SEED", "1"))
+# Most requests are answered well, so that connections are kept and shared.
+MIX = (*BEHAVIOURS, *GOOD * 4)
+
+
+class Fuzz:
+    """One client with many tasks before one server."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.server = HostileServer()
+        self.client = HttpClient(connect_timeout_s=2.0, idle_s=0.2)
+        self.wrong, self.whole, self.failed = [], 0, 0
+        self.left, self.fresh = REQUESTS, set()
+
+    async def run(self):
+        port = await self.server.start()
+        self.address = Address(ip="127.0.0.1", port=port)
+        try:
+            async with anyio.create_task_group() as tasks:
+                for number in range(TASKS):
+                    tasks.start_soon(self.send_all, number)
+        finally:
+            await self.client.aclose()
+            await self.server.stop()
+
+    async def send_all(self, number):
+        while self.left > 0:
+            self.left -= 1
+            request_id = f"t{number}r{self.left}"
+            behaviour = self.random.choice(MIX)
+            cancel_s = self.random.choice([9, 9, 9, 0.0005, 0.002])
+            with anyio.move_on_after(cancel_s):
+                await self.send(request_id, behaviour)
+
+    async def send(self, request_id, behaviour):
+        method = self.random.choice(["GET", "GET", "POST", "HEAD"])
+        is_fresh = self.random.random() < 0.1
+        if is_fresh:
+            self.fresh.add(request_id)
+        try:
+            answer = await self.client.request(
+                method,
+                self.address,
+                f"/{request_id}/{behaviour}",
+                headers=((b"daisyhub-request-id", request_id.encode()),),
+                timeout_s=0.05,
+                fresh=is_fresh,
+            )
+        except RequestFailedError:
+            self.failed += 1
+            return
+        self.whole += 1
+        is_empty = method == "HEAD" or answer.status in (204, 304)
+        expected = b"" if is_empty else body_of(request_id)
+        if answer.body != expected:
+            self.wrong.append((request_id, behaviour, answer.body[:20]))
+
+
+async def run_fuzz(seed):
+    fuzz = Fuzz(seed)
+    await fuzz.run()
+    return fuzz
+
+
+class WholeAnswers(unittest.IsolatedAsyncioTestCase):
+    def test_each_request_gets_its_own_whole_answer(self):
+        fuzz = anyio.run(run_fuzz, SEED)
+        self.assertEqual(fuzz.wrong, [])
+        self.assertEqual(fuzz.server.faults, [])
+        self.assertFalse(fuzz.fresh & fuzz.server.reused)
+        self.assertGreater(fuzz.whole, REQUESTS / 4)
+        self.assertGreater(fuzz.failed, REQUESTS / 20)
+        self.assertGreater(len(fuzz.server.reused), REQUESTS / 10)
+
+    def test_the_fuzz_catches_clients_that_trust_a_connection(self):
+        def is_idle(conn):
+            return conn.http.is_idle()
+
+        with (
+            mock.patch.object(Connection, "is_reusable", is_idle),
+            mock.patch.object(client_module, "_check_echo", lambda *_: None),
+        ):
+            fuzz = anyio.run(run_fuzz, SEED)
+        self.assertTrue(fuzz.wrong or fuzz.server.faults)
+
+    async def asyncSetUp(self):
+        self.server = HostileServer()
+        port = await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.address = Address(ip="127.0.0.1", port=port)
+        self.client = HttpClient(connect_timeout_s=2.0, idle_s=60.0)
+        self.addAsyncCleanup(self.client.aclose)
+
+    async def get(self, target, timeout_s=5.0, **more):
+        return await self.client.request(
+            "GET", self.address, target, timeout_s=timeout_s, **more
+        )
+
+    async def test_one_time_out_frees_it_of_all_silent_connections(self):
+        async with anyio.create_task_group() as tasks:
+            for number in range(5):
+                tasks.start_soon(self.get, f"/r{number}/late")
+        self.assertEqual(self.server.connections, 5)
+        self.server.silence()
+        with self.assertRaises(RequestFailedError) as caught:
+            await self.get("/silent/ok", timeout_s=0.1)
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
+        answer = await self.get("/again/ok")
+        self.assertEqual(answer.body, body_of("again"))
+        self.assertEqual(self.server.connections, 6)
+
+    async def test_what_may_run_once_takes_a_new_connection(self):
+        for number in range(3):
+            await self.get(f"/r{number}/ok", fresh=True)
+        self.assertEqual(self.server.connections, 3)
+        self.assertFalse(self.server.reused)
+
+    async def test_a_refused_connection_says_not_run(self):
+        await self.server.stop()
+        with self.assertRaises(RequestFailedError) as caught:
+            await self.get("/r/ok")
+        self.assertEqual(caught.exception.ran, Ran.NOT_RUN)
+
+    async def test_a_stream_that_breaks_off_is_no_whole_answer(self):
+        for behaviour in ("cut", "cut_chunked"):
+            answer = await self.client.open(
+                "GET", self.address, f"/r/{behaviour}", timeout_s=5.0
+            )
+            with self.assertRaises(RequestFailedError):
+                async for _ in answer.chunks():
+                    pass
+            await answer.aclose()
+            with contextlib.suppress(RequestFailedError):
+                await self.get("/r2/ok")
+            self.assertFalse(self.server.faults)
--- a/daisyhub/serving/_server.py
+++ b/daisyhub/serving/_server.py
@@ -50,6 +50,10 @@
             backlog=_BACKLOG,
             reuse_port=False,
         )
+        # Accepted sockets inherit it. asyncio sets it only on sockets whose
+        # protocol number is given, which these are not; without it, the head
+        # and the content of an answer wait for each other's acknowledgement.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await self.serve(sockets=[sock])
 
     def stop(self) -> None:
