Use lent shares of account limits in the daemon

Cause: the share of a limit was 1 / live daemons at each of them. Change: RateShares measures demand at arrivals and drives ShareCore from the peers' tick; asks and grants ride on the tick's batch. Unused: domain_share, removed. Ruled out: a timer of its own for shares (wake-ups cost more than bytes). Conclusion: an account at one of three daemons gets over half of its limit there instead of a third.

--- a/daisyhub/accounting/__init__.py
+++ b/daisyhub/accounting/__init__.py
@@ -25,6 +25,7 @@
     UsagePart,
     window_of,
 )
+from daisyhub.accounting._rate_shares import RateShares
 from daisyhub.accounting._seal_core import (
     CallFailed,
     LedgerRead,
@@ -65,6 +66,7 @@
     "PartStore",
     "PartsListed",
     "PeerUsage",
+    "RateShares",
     "ReadLedger",
     "ReadStore",
     "ReportDone",
--- /dev/null
+++ b/daisyhub/accounting/_rate_shares.py
@@ -0,0 +1,76 @@
+"""This daemon's shares of the accounts' limits, from measured demand."""
+
+import math
+
+from daisyhub.accounting._share_core import (
+    AskHeard,
+    GrantHeard,
+    SendAsk,
+    SendGrant,
+    ShareCore,
+    ShareTick,
+)
+
+__all__ = ["RateShares"]
+
+_SMOOTHING = 0.5
+_FORGET_BELOW_PER_S = 0.01
+
+
+class RateShares:
+    """Measures demand, and asks and lends through a `ShareCore`.
+
+    Args:
+        core: The core.
+        started_s: When measuring starts, on the core's clock.
+    """
+
+    def __init__(self, core: ShareCore, started_s: float):
+        self._core = core
+        self._ticked_s = started_s
+        self._arrivals: dict[str, int] = {}
+        self._limits: dict[str, float] = {}
+        self._rates: dict[str, float] = {}
+
+    def share(self, account: str, limit_per_s: float, now_s: float) -> float:
+        """Counts an arrival and returns the usable share of the limit."""
+        self._arrivals[account] = self._arrivals.get(account, 0) + 1
+        self._limits[account] = limit_per_s
+        return self._core.share(account, now_s)
+
+    def seen_shares(self, now_s: float) -> dict[str, float]:
+        """Returns the shares of accounts that were seen lately."""
+        return {
+            account: self._core.share(account, now_s)
+            for account in sorted(self._rates)
+        }
+
+    def tick(
+        self, live: tuple[str, ...], now_s: float
+    ) -> list[SendAsk | SendGrant]:
+        """Returns what to send to peers."""
+        self._measure(now_s)
+        wanted = {account: self._wanted(account) for account in self._rates}
+        return self._core.handle(ShareTick(wanted, live), now_s)
+
+    def hear(self, event: AskHeard | GrantHeard, now_s: float) -> None:
+        """Takes a peer's ask or grant."""
+        self._core.handle(event, now_s)
+
+    def _measure(self, now_s: float) -> None:
+        passed_s = now_s - self._ticked_s
+        if passed_s <= 0:
+            return
+        arrivals, self._arrivals = self._arrivals, {}
+        self._ticked_s = now_s
+        for account in {**self._rates, **arrivals}:
+            now_rate = arrivals.get(account, 0) / passed_s
+            rate = self._rates.get(account, now_rate)
+            rate += _SMOOTHING * (now_rate - rate)
+            self._rates[account] = rate
+            if rate < _FORGET_BELOW_PER_S:
+                del self._rates[account], self._limits[account]
+
+    def _wanted(self, account: str) -> int:
+        used = self._rates[account] / self._limits[account]
+        return math.ceil(used * self._core.total)
--- a/daisyhub/controllers/_peers.py
+++ b/daisyhub/controllers/_peers.py
@@ -5,9 +5,18 @@
 
 import anyio
 
-from daisyhub.accounting import PeerUsage, UsageCounters
+from daisyhub.accounting import (
+    AskHeard,
+    GrantHeard,
+    PeerUsage,
+    RateShares,
+    SendAsk,
+    SendGrant,
+    UsageCounters,
+)
 from daisyhub.balancing import EndpointNews, EndpointTable
 from daisyhub.base import Controller
+from daisyhub.clocks import boot_time_s
 from daisyhub.controllers._config import ConfigController
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger
@@ -16,6 +25,8 @@
     Envelope,
     Heartbeat,
     PeerNetwork,
+    RateAsk,
+    RateGrant,
     UsageCopy,
     UsageHeld,
 )
@@ -48,6 +59,7 @@
         keys: Tells how many keys are withdrawn.
         table: Where endpoint news goes.
         counters: Usage to copy.
+        shares: Shares of the accounts' limits.
     """
 
     name = "peers"
@@ -61,6 +73,7 @@
         keys: KeyTable,
         table: EndpointTable,
         counters: UsageCounters,
+        shares: RateShares,
     ):
         self._cfg = cfg
         self._incarnation = incarnation
@@ -69,6 +82,7 @@
         self._keys = keys
         self._table = table
         self._counters = counters
+        self._shares = shares
         self._peers: dict[str, _Peer] = {}
         self._news: dict[str, EndpointNews] = {}
         self._is_leaving = False
@@ -79,6 +93,7 @@
         """Tells which peers are live and the version that each has."""
         return {
             "live": self.live_peers(),
+            "rate_shares": self._shares.seen_shares(boot_time_s()),
             "versions": {
                 daemon_id: peer.config_version
                 for daemon_id, peer in sorted(self._peers.items())
@@ -94,11 +109,6 @@
             if peer.heard_s >= limit_s and not peer.is_leaving
         )
 
-    def domain_share(self) -> float:
-        """Returns this daemon's share of its domain's rates, 0 to 1."""
-        domain = {peer.daemon_id for peer in self._cfg.domain_peers}
-        return 1 / (1 + len(domain.intersection(self.live_peers())))
-
     def live_incarnations(self) -> dict[str, int]:
         """Returns the incarnations of the live peers of this domain."""
         domain = {peer.daemon_id for peer in self._cfg.domain_peers}
@@ -138,6 +148,9 @@
                     self._table.adopt_news(news)
             case UsageCopy():
                 self._counters.hold(envelope.sender, message.parts)
+            case RateAsk() | RateGrant():
+                event = _share_event(envelope.sender, message)
+                self._shares.hear(event, boot_time_s())
             case UsageHeld():
                 self._counters.on_held(
                     envelope.sender,
@@ -180,12 +193,17 @@
             batch = EndpointNewsBatch(news=tuple(self._news.values()))
             messages.append(batch)
             self._news.clear()
-        usage = self._counters.tick(self.live_incarnations())
+        live = self.live_incarnations()
+        usage = self._counters.tick(live)
+        rates = self._shares.tick(tuple(live), boot_time_s())
         for peer in self._cfg.peers:
             if peer.failure_domain == self._cfg.failure_domain:
                 told = usage.get(peer.daemon_id, PeerUsage())
                 self._network.send(
-                    peer.daemon_id, *messages, *_usage_messages(told)
+                    peer.daemon_id,
+                    *messages,
+                    *_usage_messages(told),
+                    *_rate_messages(peer.daemon_id, rates),
                 )
             else:
                 self._network.send(peer.daemon_id, messages[0])
@@ -200,3 +218,27 @@
             UsageHeld(epoch=told.held_epoch, number=told.held_number)
         )
     return messages
+
+
+def _rate_messages(
+    daemon_id: str, actions: list[SendAsk | SendGrant]
+) -> list[RateAsk | RateGrant]:
+    messages = []
+    for action in actions:
+        if action.peer != daemon_id:
+            continue
+        fields = {"incarnation": action.incarnation, "stamp_s": action.stamp_s}
+        if isinstance(action, SendAsk):
+            messages.append(RateAsk(wants=action.wants, **fields))
+        else:
+            messages.append(RateGrant(grants=action.grants, **fields))
+    return messages
+
+
+def _share_event(
+    sender: str, message: RateAsk | RateGrant
+) -> AskHeard | GrantHeard:
+    head = (sender, message.incarnation, message.stamp_s)
+    if isinstance(message, RateAsk):
+        return AskHeard(*head, message.wants)
+    return GrantHeard(*head, message.grants)
--- a/daisyhub/controllers/tests/test_usage_failures.py
+++ b/daisyhub/controllers/tests/test_usage_failures.py
@@ -37,7 +37,10 @@
         async def run():
             await demo.deployment.start()
             demo._write_operator_settings()
-            version = demo._apply(demo_document(demo.keys))
+            document = demo_document(demo.keys)
+            limits = {"requests_per_s": 60.0, "burst": 60}
+            document["client_accounts"]["archive"] |= limits
+            version = demo._apply(document)
             await demo.deployment.wait_for_version(version)
             await scenario()
 
@@ -118,6 +121,22 @@
                         return daemon
                 await anyio.sleep(0.1)
 
+    def test_an_account_at_one_daemon_borrows_its_peers_shares(self):
+        async def scenario():
+            daemon = self.deployment.daemons()[0]
+            with anyio.fail_after(WAIT_S):
+                while (await self.share_at(daemon)) <= 0.5:
+                    await self.look_up(daemon, 20)
+            await self.check_reports()
+
+        self.run_with(scenario)
+
+    async def share_at(self, daemon):
+        caller = Caller(daemon.operators)
+        status = await caller.json("GET", "/status")
+        await caller.aclose()
+        return status["peers"]["rate_shares"].get("archive", 0.0)
+
     def test_lost_answers_to_seals_and_reports_change_no_window(self):
         async def scenario():
             daemons = self.deployment.daemons()
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -7,9 +7,10 @@
 import anyio
 from absl import app
 
-from daisyhub.accounting import UsageCounters
+from daisyhub.accounting import RateShares, ShareCore, UsageCounters
 from daisyhub.balancing import EndpointTable, LeastLoaded
 from daisyhub.base import Controller, Filter
+from daisyhub.clocks import boot_time_s
 from daisyhub.connections import HttpClient
 from daisyhub.controllers import (
     ConfigController,
@@ -89,6 +90,15 @@
         self.counters = UsageCounters(
             self.cfg.daemon_id, self.incarnation, timing.usage_window_s
         )
+        started_s = boot_time_s()
+        share_core = ShareCore(
+            self.incarnation,
+            1 + len(self.cfg.domain_peers),
+            timing.lease_term_s,
+            timing.lease_margin_s,
+            started_s,
+        )
+        self.shares = RateShares(share_core, started_s)
 
     def _build_controllers(self) -> None:
         cfg = self.cfg
@@ -101,6 +111,7 @@
             self.keys,
             self.table,
             self.counters,
+            self.shares,
         )
         self.endpoints = EndpointController(
             cfg, self.platform, self.http, self.table, self.peers
@@ -155,7 +166,7 @@
             AdmitFilter(
                 AdmissionCore(self.cfg.limits.concurrent_requests),
                 lambda: self.config.document,
-                self.peers.domain_share,
+                self.shares,
             ),
             LotsFilter(self.lots.serve),
             IdempotencyFilter(self.platform, self.process_id),
--- a/daisyhub/filters/_admit.py
+++ b/daisyhub/filters/_admit.py
@@ -6,7 +6,9 @@
 
 import anyio
 
+from daisyhub.accounting import RateShares
 from daisyhub.base import Filter, Handler
+from daisyhub.clocks import boot_time_s
 from daisyhub.config import ClientAccount, Document
 from daisyhub.exceptions import Refusal
 from daisyhub.filters._admission_core import (
@@ -36,7 +38,7 @@
     Args:
         core: The core.
         get_document: Returns the document in force.
-        get_share: Returns this daemon's share of its domain's rates, 0 to 1.
+        shares: This daemon's shares of the accounts' limits.
     """
 
     name = "admit"
@@ -45,11 +47,11 @@
         self,
         core: AdmissionCore,
         get_document: Callable[[], Document],
-        get_share: Callable[[], float],
+        shares: RateShares,
     ):
         self._core = core
         self._get_document = get_document
-        self._get_share = get_share
+        self._shares = shares
         self._verdicts: dict[str, object] = {}
         self._waiters: dict[str, anyio.Event] = {}
 
@@ -84,7 +86,9 @@
         account = self._get_document().client_accounts.get(
             req.account, _OPEN_ACCOUNT
         )
-        share = self._get_share()
+        share = self._shares.share(
+            req.account, account.requests_per_s, boot_time_s()
+        )
         event = Arrive(
             request_id=req.request_id,
             account=req.account,
--- a/daisyhub/peers/_messages.py
+++ b/daisyhub/peers/_messages.py
@@ -16,6 +16,8 @@
     "Heartbeat",
     "LotAnswer",
     "LotCall",
+    "RateAsk",
+    "RateGrant",
     "UsageCopy",
     "UsageHeld",
     "decode_envelope",
@@ -109,8 +111,37 @@
     content: ConfigParts | LotAnswer | None
 
 
+class RateAsk(msgspec.Struct, frozen=True, kw_only=True, tag="ra"):
+    """Asks to borrow parts of accounts' limits.
+
+    Attributes:
+        incarnation: Of the asker.
+        stamp_s: The asker's clock; the grant repeats both.
+        wants: Accounts and quanta.
+    """
+
+    incarnation: int
+    stamp_s: float
+    wants: tuple[tuple[str, int], ...]
+
+
+class RateGrant(msgspec.Struct, frozen=True, kw_only=True, tag="rg"):
+    """Lends parts of accounts' limits, in answer to a `RateAsk`."""
+
+    incarnation: int
+    stamp_s: float
+    grants: tuple[tuple[str, int], ...]
+
+
 Message = (
-    Heartbeat | EndpointNewsBatch | UsageCopy | UsageHeld | Call | CallAnswer
+    Heartbeat
+    | EndpointNewsBatch
+    | UsageCopy
+    | UsageHeld
+    | RateAsk
+    | RateGrant
+    | Call
+    | CallAnswer
 )
 
 
