Measure service by route, account class and the worst-served account

Cause: metrics had one latency for all, and nothing by account. Change: a filter records latency and refusals by route and class, service beside attempts by pool, and each account's latency in small buckets, of which only the worst-served are shown; sealed and late usage are counted; series are bounded. Ruled out: a histogram of 20 KB for each account and route.

--- a/daisyhub/controllers/_usage.py
+++ b/daisyhub/controllers/_usage.py
@@ -25,6 +25,7 @@
     ReadStore,
     ReportDone,
     SealCore,
+    SealedWindow,
     SealTick,
     SendReport,
     StoreRead,
@@ -42,6 +43,7 @@
     PlatformUnavailableError,
 )
 from daisyhub.logs import get_logger
+from daisyhub.metrics import Metrics
 from daisyhub.platform import LeaseKeeper, PlatformClient, UsageReport
 from daisyhub.settings import DaemonSettings
 
@@ -62,6 +64,7 @@
         keeper: Makes the lease.
         counters: This daemon's counts.
         peers: Tells which peers are live.
+        metrics: Counts sealed and late usage.
     """
 
     name = "usage"
@@ -73,11 +76,14 @@
         keeper: LeaseKeeper,
         counters: UsageCounters,
         peers: PeerController,
+        metrics: Metrics,
     ):
         self._cfg = cfg
         self._client = client
         self._counters = counters
         self._peers = peers
+        self._metrics = metrics
+        self._counted_window = -1
         self._lease = keeper.new_lease(f"usage/{cfg.failure_domain}")
         timing = cfg.timing
         self._step_s = min(_STEP_S, timing.usage_grace_s / 2)
@@ -188,9 +194,23 @@
                 self._ledger_key, action.ledger, action.expected_version
             )
             log.info("window {} is sealed", action.ledger.window)
+            self._count_sealed(action.ledger)
             return LedgerWritten(version)
         return LedgerRefused()
 
+    def _count_sealed(self, ledger: Ledger) -> None:
+        for report in ledger.unreported:
+            if report.window <= self._counted_window:
+                continue
+            self._counted_window = report.window
+            window = msgspec.json.decode(report.body, type=SealedWindow)
+            for name, counts in (
+                ("usage_sealed_requests", window.counts),
+                ("usage_late_requests", window.late),
+            ):
+                requests = sum(count.requests for count in counts)
+                self._metrics.count(name, requests)
+
     async def _put(self, key: str, value: object, version: int) -> int:
         return await self._client.put(
             key,
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -31,6 +31,7 @@
     IdempotencyFilter,
     IdentifyFilter,
     LotsFilter,
+    MeasureFilter,
     RouteFilter,
     ValidateFilter,
     build_chain,
@@ -120,7 +121,12 @@
             cfg, self.keeper, self.http, self.table, self.config
         )
         self.usage = UsageController(
-            cfg, self.platform, self.keeper, self.counters, self.peers
+            cfg,
+            self.platform,
+            self.keeper,
+            self.counters,
+            self.peers,
+            self.metrics,
         )
         self.lots = LotController(self._seat_tools(), self.network)
         self.news = NewsController(self.platform, cfg.timing)
@@ -162,6 +168,7 @@
         return (
             IdentifyFilter(self.keys),
             RouteFilter(lambda: self.config.route_table),
+            MeasureFilter(self.metrics, lambda: self.config.document),
             ValidateFilter(self.cfg.limits),
             AdmitFilter(
                 AdmissionCore(self.cfg.limits.concurrent_requests),
--- a/daisyhub/filters/__init__.py
+++ b/daisyhub/filters/__init__.py
@@ -28,6 +28,7 @@
 from daisyhub.filters._idempotency import IdempotencyFilter
 from daisyhub.filters._identify import IdentifyFilter
 from daisyhub.filters._lots import LotsFilter
+from daisyhub.filters._measure import MeasureFilter
 from daisyhub.filters._route import RouteFilter, RouteTable
 from daisyhub.filters._validate import ValidateFilter
 
@@ -53,6 +54,7 @@
     "IdentifyFilter",
     "Leave",
     "LotsFilter",
+    "MeasureFilter",
     "RetryBudget",
     "RouteFilter",
     "RouteTable",
