--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -7,9 +7,10 @@
 import anyio
 from absl import app
 
-from daisyhub.accounting import UsageCounters
+from daisyhub.accounting import RateShares, ShareCore, UsageCounters
 from daisyhub.balancing import EndpointTable, LeastLoaded
 from daisyhub.base import Controller, Filter
+from daisyhub.clocks import boot_time_s
 from daisyhub.connections import HttpClient
 from daisyhub.controllers import (
     ConfigController,
@@ -32,6 +33,7 @@
     IdempotencyFilter,
     IdentifyFilter,
     LotsFilter,
+    MeasureFilter,
     RouteFilter,
     ValidateFilter,
     build_chain,
@@ -98,6 +100,15 @@
         self.counters = UsageCounters(
             self.cfg.daemon_id, self.incarnation, timing.usage_window_s
         )
+        started_s = boot_time_s()
+        share_core = ShareCore(
+            self.incarnation,
+            1 + len(self.cfg.domain_peers),
+            timing.lease_term_s,
+            timing.lease_margin_s,
+            started_s,
+        )
+        self.shares = RateShares(share_core, started_s)
 
     def _build_controllers(self) -> None:
         cfg = self.cfg
@@ -110,6 +121,7 @@
             self.keys,
             self.table,
             self.counters,
+            self.shares,
         )
         self.keeper.set_candidate_rule(self._is_candidate)
         self.endpoints = EndpointController(
@@ -127,7 +139,12 @@
             cfg, self.platform, self.keeper, self.table, self.config
         )
         self.usage = UsageController(
-            cfg, self.platform, self.keeper, self.counters, self.peers
+            cfg,
+            self.platform,
+            self.keeper,
+            self.counters,
+            self.peers,
+            self.metrics,
         )
         self.lots = LotController(self._seat_tools(), self.network)
         self.claims = ClaimController(self.platform)
@@ -180,11 +197,12 @@
         return (
             IdentifyFilter(self.keys),
             RouteFilter(lambda: self.config.route_table),
+            MeasureFilter(self.metrics, lambda: self.config.document),
             ValidateFilter(self.cfg.limits),
             AdmitFilter(
                 AdmissionCore(self.cfg.limits.concurrent_requests),
                 lambda: self.config.document,
-                self.peers.domain_share,
+                self.shares,
             ),
             LotsFilter(self.lots.serve),
             IdempotencyFilter(self.claims),
