--- /dev/null
+++ b/benchmarks/measure/__main__.py
@@ -0,0 +1,167 @@
+"""Runs every measure and writes tables and plots.
+
+`python -m benchmarks.measure [FOLDER]` writes `tables.md` and one plot for
+each measure, to docs/measures by default. Results depend on the seeds alone.
+"""
+
+import dataclasses
+import pathlib
+import statistics
+import sys
+import time
+from collections.abc import Callable
+
+from benchmarks.measure.lookups import LookupPolicy, run_lookups
+from benchmarks.measure.lots import LotPolicy, has_spares, run_lots
+from benchmarks.measure.plots import draw
+from benchmarks.measure.usage import UsagePolicy, run_usage
+from benchmarks.measure.workloads import SITES, Site
+
+__all__ = ["Cell", "Row", "main"]
+
+_SEEDS = range(1, 6)
+_FOLDER = "docs/measures"
+_DEFAULT_PLACES = 512
+
+_LOOKUPS = (
+    LookupPolicy(name="as built, 512 places", places=_DEFAULT_PLACES),
+    LookupPolicy(name="6 places"),
+    LookupPolicy(name="6 places, first come first served", is_fair=False),
+    LookupPolicy(name="6 places, round robin", is_least_loaded=False),
+    LookupPolicy(name="6 places, no hedging", hedges=False),
+    LookupPolicy(name="6 places, servers of all domains", is_site_wide=True),
+    LookupPolicy(
+        name="6 places, all domains, round robin",
+        is_site_wide=True,
+        is_least_loaded=False,
+    ),
+    LookupPolicy(
+        name="6 places, all domains, no hedging",
+        is_site_wide=True,
+        hedges=False,
+    ),
+    LookupPolicy(name="6 places, cheap servers too", uses_cheap=True),
+    LookupPolicy(
+        name="6 places, all domains, cheap too",
+        is_site_wide=True,
+        uses_cheap=True,
+    ),
+)
+_LOTS = (
+    LotPolicy(name="as built"),
+    LotPolicy(name="round robin", is_least_loaded=False),
+    LotPolicy(name="groups restart", keeps_samples=False),
+    LotPolicy(name="time-out 30 s", timeout_s=30.0),
+    LotPolicy(name="engines of all domains", is_site_wide=True),
+    LotPolicy(
+        name="all domains, round robin",
+        is_site_wide=True,
+        is_least_loaded=False,
+    ),
+    LotPolicy(
+        name="all domains, groups restart",
+        is_site_wide=True,
+        keeps_samples=False,
+    ),
+    LotPolicy(
+        name="all domains, time-out 30 s", is_site_wide=True, timeout_s=30.0
+    ),
+    LotPolicy(
+        name="all domains, 30 s, staleness 1",
+        is_site_wide=True,
+        timeout_s=30.0,
+        max_staleness=1,
+    ),
+    LotPolicy(
+        name="all domains, 30 s, staleness 4",
+        is_site_wide=True,
+        timeout_s=30.0,
+        max_staleness=4,
+    ),
+)
+_SPARES = LotPolicy(
+    name="all domains, 30 s, 1 spare",
+    is_site_wide=True,
+    timeout_s=30.0,
+    spare_samples=1,
+)
+_USAGE = (
+    UsagePolicy(name="as built: copies, 64 windows read back"),
+    UsagePolicy(name="no copies", copies=False),
+    UsagePolicy(name="copies, all windows read back", kept=1_000_000),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cell:
+    """Median, lowest and highest of a figure over the seeds."""
+
+    median: float
+    low: float
+    high: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Row:
+    """One policy at one site."""
+
+    site: str
+    policy: str
+    cells: dict[str, Cell]
+
+
+def _rows(policies, run: Callable, sites: tuple[Site, ...]) -> list[Row]:
+    return [_row(site, p, run) for site in sites for p in policies]
+
+
+def _row(site: Site, policy, run: Callable) -> Row:
+    results = [run(site, policy, seed) for seed in _SEEDS]
+    cells = {}
+    for field in dataclasses.fields(results[0]):
+        values = [getattr(result, field.name) for result in results]
+        cells[field.name] = Cell(
+            statistics.median(values), min(values), max(values)
+        )
+    return Row(site=site.name, policy=policy.name, cells=cells)
+
+
+def _table(title: str, rows: list[Row]) -> str:
+    names = list(rows[0].cells)
+    lines = [
+        f"### {title}",
+        "",
+        "| site | policy | " + " | ".join(names) + " |",
+        "| --- | --- |" + " --- |" * len(names),
+    ]
+    for row in rows:
+        shown = " | ".join(
+            f"{c.median:.3f} ({c.low:.3f} to {c.high:.3f})"
+            for c in row.cells.values()
+        )
+        lines.append(f"| {row.site} | {row.policy} | {shown} |")
+    return "\n".join(lines) + "\n"
+
+
+def main() -> None:
+    """Writes the tables and the plots."""
+    folder = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else _FOLDER)
+    folder.mkdir(parents=True, exist_ok=True)
+    started_s = time.monotonic()
+    lots = _LOTS + ((_SPARES,) if has_spares() else ())
+    parts = {
+        "Look-ups": _rows(_LOOKUPS, run_lookups, SITES),
+        "Lots": _rows(lots, run_lots, SITES),
+        "Usage": _rows(_USAGE, run_usage, SITES[:1]),
+    }
+    tables = [_table(title, rows) for title, rows in parts.items()]
+    text = "\n".join(tables)
+    if not has_spares():
+        text += "\nSpare samples: the lot core doesn't know them yet.\n"
+    (folder / "tables.md").write_text(text, encoding="utf-8")
+    draw(parts, folder)
+    print(text)
+    print(f"took {time.monotonic() - started_s:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
