Serve requests of which a part has come before connections close

Cause: at the end of the drain notice every connection without a request in service was closed, also one whose next request had come in part, or still lay unread in the kernel.

Change: `HttpServer.shutdown` waits, at most 1 s, until no connection has unread bytes or a part of a request's head; nothing is awaited between the last check and the closing.

Conclusion: only a request that is on the network at the very moment of closing can still be cut; HTTP/1.1 has no word against that.

--- a/daisyhub/serving/_server.py
+++ b/daisyhub/serving/_server.py
@@ -1,6 +1,8 @@
 """A uvicorn server without its own signal handling and timer."""
 
+import asyncio
 import contextlib
+import select
 import socket
 
 import anyio
@@ -12,6 +14,8 @@
 
 _BACKLOG = 1024
 _KEEP_ALIVE_S = 75
+_LAST_REQUESTS_S = 1.0
+_LAST_REQUESTS_PAUSE_S = 0.01
 
 
 class HttpServer(uvicorn.Server):
@@ -69,3 +73,33 @@
     async def main_loop(self) -> None:
         """Waits for `stop` without a timer."""
         await self._stop.wait()
+
+    async def shutdown(self, sockets=None) -> None:
+        """Closes idle connections once nothing of a request waits on them."""
+        with anyio.move_on_after(_LAST_REQUESTS_S):
+            while self._has_unread() or self._has_part_of_request():
+                await asyncio.sleep(_LAST_REQUESTS_PAUSE_S)
+        # Nothing is awaited between the check and the closing in there.
+        await super().shutdown(sockets)
+
+    def _has_unread(self) -> bool:
+        """Whether the kernel holds bytes of a connection."""
+        poll = select.poll()
+        for conn in self.server_state.connections:
+            sock = conn.transport.get_extra_info("socket")
+            if sock is not None and sock.fileno() >= 0:
+                poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def _has_part_of_request(self) -> bool:
+        """Whether a connection may have sent a part of a request's head.
+
+        After an answer, uvicorn's timer runs until the next byte comes. A new
+        connection without any request counts as well.
+        """
+        return any(
+            (conn.cycle is None or conn.cycle.response_complete)
+            and conn.timeout_keep_alive_task is None
+            and not conn.transport.is_closing()
+            for conn in self.server_state.connections
+        )
