Refuse keys wherever they would pass to an endpoint

Cause: a key in an allowed header, the path, a percent-encoded query or the content reached endpoints. Logged tracebacks showed variables (loguru's `diagnose`), the request's repr its headers, the settings' repr the secret of the keyed hash.

Change: `has_key` finds keys as they are and percent-encoded up to three times; what passes to endpoints is refused if it has one.

Ruled out: refusing every 64 hex digits; digests of files look the same.

A key in another encoding (base64, JSON escapes) in the content isn't found.

--- a/daisyhub/filters/_forward.py
+++ b/daisyhub/filters/_forward.py
@@ -27,34 +27,13 @@
     RetryBudget,
     StartAttempt,
 )
+from daisyhub.filters._passed_headers import ANSWER_HEADERS, REQUEST_HEADERS
 from daisyhub.messages import Header, Request, Response
 from daisyhub.metrics import Metrics
 from daisyhub.settings import LimitSettings
 
 __all__ = ["ForwardFilter", "news_from_headers"]
 
-_REQUEST_HEADERS = frozenset(
-    {
-        b"accept",
-        b"accept-language",
-        b"content-type",
-        b"idempotency-key",
-        b"if-match",
-        b"if-modified-since",
-        b"if-none-match",
-    }
-)
-_ANSWER_HEADERS = frozenset(
-    {
-        b"cache-control",
-        b"content-language",
-        b"content-type",
-        b"etag",
-        b"last-modified",
-        b"location",
-        b"retry-after",
-    }
-)
 _NOT_RUN_HEADER = (b"endpoint-ran", b"no")
 _DETAILS = {
     ErrorCode.DEADLINE_EXCEEDED: "the deadline passed before it was sent",
@@ -271,7 +250,7 @@
 
 def _endpoint_headers(req: Request) -> tuple[Header, ...]:
     """Returns the allowed headers; a caller's key is never among them."""
-    headers = [item for item in req.headers if item[0] in _REQUEST_HEADERS]
+    headers = [item for item in req.headers if item[0] in REQUEST_HEADERS]
     headers.append((b"daisyhub-request-id", req.request_id.encode()))
     if req.account:
         headers.append((b"daisyhub-account", req.account.encode()))
@@ -280,7 +259,7 @@
 
 def _response(answer: HttpAnswer | StreamedAnswer) -> Response:
     headers = tuple(
-        item for item in answer.headers if item[0] in _ANSWER_HEADERS
+        item for item in answer.headers if item[0] in ANSWER_HEADERS
     )
     tokens = _int_header(answer.headers, b"endpoint-tokens", 0)
     if isinstance(answer, StreamedAnswer):
--- a/daisyhub/filters/_identify.py
+++ b/daisyhub/filters/_identify.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import re
+import urllib.parse
 
 from daisyhub.base import Filter, Handler
 from daisyhub.exceptions import ErrorCode, Refusal
-from daisyhub.identity import KeyTable, ParsedKey, parse_key
+from daisyhub.filters._passed_headers import REQUEST_HEADERS
+from daisyhub.identity import KeyTable, ParsedKey, has_key, parse_key
 from daisyhub.messages import Request, Response
 
 __all__ = ["IdentifyFilter"]
@@ -28,11 +30,12 @@
         self._keys = keys
 
     async def handle(self, req: Request, call_next: Handler) -> Response:
-        """Checks the key header; refuses two, malformed and unknown keys."""
-        if req.query and _KEY_IN_QUERY.search(req.query):
-            raise Refusal(
-                ErrorCode.KEY_IN_QUERY, "a key must not stand in the query"
-            )
+        """Checks the key header; refuses two, malformed and unknown keys.
+
+        What passes to endpoints must not have a key in it, anyone's.
+        """
+        _check_target(req)
+        _check_headers(req)
         key = self._read_key(req)
         if key is None:
             return await call_next(req)
@@ -55,3 +58,22 @@
                 "the key must read 'Bearer dh_<id>_<secret>'",
             )
         return key
+
+
+def _check_target(req: Request) -> None:
+    query = urllib.parse.unquote(req.query, "latin-1")
+    if _KEY_IN_QUERY.search(query) or has_key(req.query.encode()):
+        raise Refusal(
+            ErrorCode.KEY_IN_QUERY, "a key must not stand in the query"
+        )
+    if has_key(req.path.encode()):
+        raise Refusal(ErrorCode.PATH_INVALID, "a key must not stand in a path")
+
+
+def _check_headers(req: Request) -> None:
+    for name, value in req.headers:
+        if name in REQUEST_HEADERS and has_key(value):
+            raise Refusal(
+                ErrorCode.HEADER_INVALID,
+                "a key must stand in the authorization header only",
+            )
--- /dev/null
+++ b/daisyhub/filters/_passed_headers.py
@@ -0,0 +1,26 @@
+"""Headers that pass between callers and endpoints; all others stay here."""
+
+__all__ = ["ANSWER_HEADERS", "REQUEST_HEADERS"]
+
+REQUEST_HEADERS = frozenset(
+    {
+        b"accept",
+        b"accept-language",
+        b"content-type",
+        b"idempotency-key",
+        b"if-match",
+        b"if-modified-since",
+        b"if-none-match",
+    }
+)
+ANSWER_HEADERS = frozenset(
+    {
+        b"cache-control",
+        b"content-language",
+        b"content-type",
+        b"etag",
+        b"last-modified",
+        b"location",
+        b"retry-after",
+    }
+)
--- a/daisyhub/filters/_validate.py
+++ b/daisyhub/filters/_validate.py
@@ -4,6 +4,7 @@
 
 from daisyhub.base import Filter, Handler
 from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.identity import has_key
 from daisyhub.messages import Request, Response
 from daisyhub.settings import LimitSettings
 
@@ -42,6 +43,10 @@
             )
         self._check_headers(req)
         body = await req.read_body(self._body_limit(req))
+        if has_key(body):
+            raise Refusal(
+                ErrorCode.BODY_INVALID, "a key must not stand in the content"
+            )
         return await call_next(dataclasses.replace(req, body=body))
 
     def _check_headers(self, req: Request) -> None:
--- a/daisyhub/identity/_keys.py
+++ b/daisyhub/identity/_keys.py
@@ -9,14 +9,24 @@
 import hmac
 import re
 import secrets
+import urllib.parse
 from collections.abc import Callable, Iterable
 
 from daisyhub.config import ClientKey
 from daisyhub.exceptions import ErrorCode, Refusal
 
-__all__ = ["KeyTable", "ParsedKey", "hash_secret", "new_key", "parse_key"]
+__all__ = [
+    "KeyTable",
+    "ParsedKey",
+    "has_key",
+    "hash_secret",
+    "new_key",
+    "parse_key",
+]
 
 _KEY_PATTERN = re.compile(r"dh_([a-z0-9]{4,32})_([0-9a-f]{64})")
+_KEY_IN_BYTES = re.compile(rb"dh_[a-z0-9]{4,32}_[0-9a-f]{64}")
+_DECODINGS = 3
 _ID_BYTES = 6
 _SECRET_BYTES = 32
 
@@ -42,6 +52,20 @@
     return ParsedKey(match.group(1), match.group(2)) if match else None
 
 
+def has_key(content: bytes) -> bool:
+    """Whether a key stands anywhere in `content`.
+
+    Finds it as it is and percent-encoded, also more than once.
+    """
+    for _ in range(_DECODINGS):
+        if _KEY_IN_BYTES.search(content):
+            return True
+        if b"%" not in content:
+            return False
+        content = urllib.parse.unquote_to_bytes(content)
+    return _KEY_IN_BYTES.search(content) is not None
+
+
 def hash_secret(secret: str, hash_key: str) -> str:
     """Returns the HMAC-SHA-256 of a key's secret part, hex."""
     digest = hmac.new(bytes.fromhex(hash_key), secret.encode(), hashlib.sha256)
--- a/daisyhub/messages.py
+++ b/daisyhub/messages.py
@@ -33,17 +33,17 @@
 
     request_id: str
     method: str
-    path: str
-    query: str
+    path: str = dataclasses.field(repr=False)
+    query: str = dataclasses.field(repr=False)
     host: str
-    headers: tuple[Header, ...]
-    read_body: BodyReader
+    headers: tuple[Header, ...] = dataclasses.field(repr=False)
+    read_body: BodyReader = dataclasses.field(repr=False)
     started_s: float
     deadline_s: float
     account: str = ""
     key_id: str = ""
     route: Route | None = None
-    body: bytes = b""
+    body: bytes = dataclasses.field(default=b"", repr=False)
 
     def header_values(self, name: bytes) -> list[bytes]:
         """Returns all values of a header, `name` in lower case."""
--- a/daisyhub/settings.py
+++ b/daisyhub/settings.py
@@ -116,7 +116,9 @@
     operators_address: Address
     peer_address: Address
     platform_address: Address
-    key_hash_secret: Annotated[str, Range(32, 256, "characters")]
+    key_hash_secret: Annotated[str, Range(32, 256, "characters")] = (
+        dataclasses.field(repr=False)
+    )
     peers: tuple[PeerSettings, ...] = ()
     data_folder: str = ""
     log_format: Literal["text", "json"] = "text"
