Keep the endpoint table right under lagging lists and late news

Cause: an entry that a list lacked for a moment lost its counts and came back fresh; news of an incarnation not yet known was dropped, so that an endpoint heard to be leaving got work once the list showed it; open requests to an earlier incarnation were forgotten; `candidates` sorted all endpoints at each request.

Change: the highest incarnation known to be leaving is kept for every endpoint, known or not; news of a newer incarnation ends the earlier one; an entry that the list lacks gets no work after 5 s and is forgotten without open requests; an empty list tells nothing. Lists per pool are built when something changes. Operators' drain orders come through `news/drain/`.

Ruled out: dropping at once what a list lacks (a list may lack entries for a moment), and keeping it while it answers (a deregistered endpoint would get work for good).

Conclusion: what is heard to be leaving, by any way and in any order, gets no new work from then on.

--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -2,12 +2,16 @@
 
 from daisyhub.balancing._balancers import LeastLoaded, RoundRobin
 from daisyhub.balancing._endpoint_table import (
+    DRAIN_PREFIX,
+    DrainOrder,
     EndpointNews,
     EndpointState,
     EndpointTable,
 )
 
 __all__ = [
+    "DRAIN_PREFIX",
+    "DrainOrder",
     "EndpointNews",
     "EndpointState",
     "EndpointTable",
--- a/daisyhub/balancing/_balancers.py
+++ b/daisyhub/balancing/_balancers.py
@@ -42,6 +42,6 @@
             return None
         picked = candidates
         if len(candidates) > _CHOICES:
-            picked = self._random.sample(list(candidates), _CHOICES)
+            picked = self._random.sample(candidates, _CHOICES)
         best = min(picked, key=lambda s: (s.load / s.capacity, s.endpoint_id))
         return best.endpoint_id
--- a/daisyhub/balancing/_endpoint_table.py
+++ b/daisyhub/balancing/_endpoint_table.py
@@ -1,8 +1,8 @@
 """What a daemon knows of its failure domain's endpoints.
 
-News comes from the platform's lagging list, from endpoints' own answers and
-from peers. For one incarnation, `leaving` is final: only a higher incarnation
-makes an endpoint usable again.
+News comes from the platform's lagging list, from endpoints' own answers, from
+operators and from peers, late, twice or in any order. For one incarnation,
+`leaving` is final: only a higher incarnation makes an endpoint usable again.
 """
 
 import dataclasses
@@ -13,10 +13,33 @@
 from daisyhub.base import EndpointView
 from daisyhub.settings import Address
 
-__all__ = ["EndpointNews", "EndpointState", "EndpointTable"]
+__all__ = [
+    "DRAIN_PREFIX",
+    "DrainOrder",
+    "EndpointNews",
+    "EndpointState",
+    "EndpointTable",
+]
 
+DRAIN_PREFIX = "news/drain/"
 _FAILURES_TO_SUSPECT = 3
 _SUSPECT_S = 2.0
+_ABSENT_S = 5.0
+_MOST_LEFT = 20_000
+
+
+class DrainOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An operator's order to give an endpoint no new work.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: The order holds up to this incarnation.
+        author: Who gave it.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    author: str = ""
 
 
 class EndpointNews(msgspec.Struct, frozen=True, kw_only=True):
@@ -61,6 +84,7 @@
     failures: int = 0
     suspect_until_s: float = 0.0
     is_leaving: bool = False
+    absent_since_s: float | None = None
 
     @property
     def load(self) -> float:
@@ -81,7 +105,11 @@
 
     def __init__(self):
         self._endpoints: dict[str, EndpointState] = {}
-        self._gone: dict[str, int] = {}
+        # The highest incarnation that is known to be leaving or gone.
+        self._left: dict[str, int] = {}
+        # Endpoints that may get work, by pool and id.
+        self._usable: dict[str, list[EndpointState]] = {}
+        self._suspects: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._endpoints)
@@ -94,54 +122,67 @@
         """Returns every endpoint, by id."""
         return [self._endpoints[key] for key in sorted(self._endpoints)]
 
-    def adopt_list(self, records) -> None:
+    def adopt_list(self, records, now_s: float = 0.0) -> None:
         """Takes over the platform's list of `EndpointRecord`.
 
-        An entry that the list no longer has is dropped; its incarnation is
-        remembered while it was leaving, so that an older list can't bring it
-        back.
+        The list may lag behind an earlier one, and may lack entries for a
+        moment: an entry that it lacks gets no new work once it was lacking
+        for some seconds, and is forgotten when no request is open. An empty
+        list tells nothing.
         """
-        seen = set()
+        records = list(records)
+        if not records:
+            return
+        seen = {record.endpoint_id for record in records}
         for record in records:
-            seen.add(record.endpoint_id)
             self._adopt_record(record)
-        for endpoint_id in set(self._endpoints) - seen:
-            state = self._endpoints.pop(endpoint_id)
-            if state.is_leaving:
-                self._gone[endpoint_id] = state.incarnation
+        for endpoint_id in self._endpoints.keys() - seen:
+            self._note_absent(self._endpoints[endpoint_id], now_s)
+        self._build_usable(now_s)
 
     def _adopt_record(self, record) -> None:
         known = self._endpoints.get(record.endpoint_id)
         if known is not None and record.incarnation < known.incarnation:
             return
         if known is None or record.incarnation > known.incarnation:
-            known = EndpointState(
-                endpoint_id=record.endpoint_id,
-                pool=record.pool,
-                address=Address(ip=record.ip, port=record.port),
-                incarnation=record.incarnation,
-                cheap=record.cheap,
-            )
+            known = _new_state(record, known)
             self._endpoints[record.endpoint_id] = known
-        gone = self._gone.get(record.endpoint_id, 0)
-        if record.state == "leaving" or record.incarnation <= gone:
-            known.is_leaving = True
+            self._suspects.discard(record.endpoint_id)
+        known.absent_since_s = None
+        if record.state == "leaving":
+            self._note_left(record.endpoint_id, record.incarnation)
+        left = self._left.get(record.endpoint_id, 0)
+        known.is_leaving = known.is_leaving or record.incarnation <= left
+
+    def _note_absent(self, state: EndpointState, now_s: float) -> None:
+        if state.absent_since_s is None:
+            state.absent_since_s = now_s
+        if _is_gone(state, now_s) and not state.own_requests:
+            del self._endpoints[state.endpoint_id]
+            self._suspects.discard(state.endpoint_id)
+
+    def _note_left(self, endpoint_id: str, incarnation: int) -> None:
+        """Remembers it, the endpoint known or not; the newest are kept."""
+        known = self._left.pop(endpoint_id, 0)
+        self._left[endpoint_id] = max(known, incarnation)
+        if len(self._left) > _MOST_LEFT:
+            del self._left[next(iter(self._left))]
 
     def adopt_news(self, news: EndpointNews) -> bool:
         """Takes one news; returns whether it changed what others must know.
 
-        News of an unknown endpoint that is leaving is kept for later.
+        News of a newer incarnation than the known one tells that the known
+        one is gone. News of an unknown endpoint is kept for later.
         """
         known = self._endpoints.get(news.endpoint_id)
+        gone = news.incarnation if news.is_leaving else news.incarnation - 1
+        if gone > self._left.get(news.endpoint_id, 0):
+            self._note_left(news.endpoint_id, gone)
         if known is None:
-            if news.is_leaving:
-                gone = self._gone.get(news.endpoint_id, 0)
-                self._gone[news.endpoint_id] = max(gone, news.incarnation)
             return False
+        is_new = self._note_leaving(known)
         if news.incarnation != known.incarnation:
-            return False
-        is_new = news.is_leaving and not known.is_leaving
-        known.is_leaving |= news.is_leaving
+            return is_new
         if news.load >= 0:
             known.reported_load = news.load
         if news.weight_version >= 0:
@@ -152,23 +193,51 @@
             known.capacity = news.capacity
         return is_new
 
+    def _note_leaving(self, state: EndpointState) -> bool:
+        """Takes an endpoint out of its pool if its incarnation has left."""
+        left = self._left.get(state.endpoint_id, 0)
+        if state.is_leaving or state.incarnation > left:
+            return False
+        state.is_leaving = True
+        # A new list, since callers may hold the old one.
+        self._usable[state.pool] = [
+            other
+            for other in self._usable.get(state.pool, ())
+            if other is not state
+        ]
+        return True
+
+    def _build_usable(self, now_s: float) -> None:
+        usable: dict[str, list[EndpointState]] = {}
+        for state in self.all():
+            if not state.is_leaving and not _is_gone(state, now_s):
+                usable.setdefault(state.pool, []).append(state)
+        self._usable = usable
+
     def candidates(
         self, pool: str, now_s: float, excluded: frozenset[str] = frozenset()
     ) -> list[EndpointState]:
-        """Returns the endpoints of a pool that may get new work.
+        """Returns the endpoints of a pool that may get new work, by id.
 
-        Suspect ones are offered only if no other is left.
+        Suspect ones are offered only if no other is left. The caller must
+        not change the list.
         """
-        usable = [
-            state
-            for state in self.all()
-            if state.pool == pool
-            and not state.is_leaving
-            and state.endpoint_id not in excluded
-        ]
-        sound = [s for s in usable if now_s >= s.suspect_until_s]
+        usable = self._usable.get(pool, [])
+        if excluded:
+            usable = [s for s in usable if s.endpoint_id not in excluded]
+        if not self._suspects:
+            return usable
+        self._forget_suspects(now_s)
+        sound = [s for s in usable if s.endpoint_id not in self._suspects]
         return sound or usable
 
+    def _forget_suspects(self, now_s: float) -> None:
+        self._suspects = {
+            endpoint_id
+            for endpoint_id in self._suspects
+            if now_s < self._endpoints[endpoint_id].suspect_until_s
+        }
+
     def note_sent(self, endpoint_id: str) -> None:
         """Counts a request that was sent."""
         state = self._endpoints.get(endpoint_id)
@@ -184,7 +253,26 @@
         if not failed:
             state.failures = 0
             state.suspect_until_s = 0.0
+            self._suspects.discard(endpoint_id)
             return
         state.failures += 1
         if state.failures >= _FAILURES_TO_SUSPECT:
             state.suspect_until_s = now_s + _SUSPECT_S
+            self._suspects.add(endpoint_id)
+
+
+def _is_gone(state: EndpointState, now_s: float) -> bool:
+    absent_since_s = state.absent_since_s
+    return absent_since_s is not None and now_s - absent_since_s >= _ABSENT_S
+
+
+def _new_state(record, earlier: EndpointState | None) -> EndpointState:
+    """Builds an entry; open requests to an earlier incarnation still count."""
+    return EndpointState(
+        endpoint_id=record.endpoint_id,
+        pool=record.pool,
+        address=Address(ip=record.ip, port=record.port),
+        incarnation=record.incarnation,
+        cheap=record.cheap,
+        own_requests=earlier.own_requests if earlier else 0,
+    )
--- a/daisyhub/controllers/_endpoints.py
+++ b/daisyhub/controllers/_endpoints.py
@@ -5,15 +5,21 @@
 from collections.abc import Callable
 
 import anyio
-
-from daisyhub.balancing import EndpointState, EndpointTable
+import msgspec
+
+from daisyhub.balancing import (
+    DrainOrder,
+    EndpointNews,
+    EndpointState,
+    EndpointTable,
+)
 from daisyhub.base import Controller
 from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.controllers._peers import PeerController
 from daisyhub.exceptions import PlatformUnavailableError
 from daisyhub.filters._forward import news_from_headers
 from daisyhub.logs import get_logger
-from daisyhub.platform import PlatformClient
+from daisyhub.platform import PlatformClient, PlatformObject
 from daisyhub.settings import DaemonSettings
 
 __all__ = ["EndpointController"]
@@ -75,6 +81,18 @@
             tasks.start_soon(_repeat, timing.endpoint_poll_s, self._read_list)
             tasks.start_soon(_repeat, timing.probe_s, self._probe_share)
 
+    async def on_drain(self, found: PlatformObject) -> None:
+        """Takes an operator's order from the platform's watch."""
+        order = msgspec.convert(found.value, DrainOrder)
+        news = EndpointNews(
+            endpoint_id=order.endpoint_id,
+            incarnation=order.incarnation,
+            is_leaving=True,
+        )
+        if self._table.adopt_news(news):
+            log.info("{} is drained by {}", order.endpoint_id, order.author)
+            self._peers.add_news(news)
+
     async def _read_list(self) -> None:
         try:
             records = await self._client.list_endpoints(
@@ -83,7 +101,7 @@
         except PlatformUnavailableError as exc:
             log.debug("the endpoint list can't be read: {}", exc)
             return
-        self._table.adopt_list(records)
+        self._table.adopt_list(records, time.monotonic())
 
     async def _probe_share(self) -> None:
         domain = {peer.daemon_id for peer in self._cfg.domain_peers}
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -8,7 +8,7 @@
 from absl import app
 
 from daisyhub.accounting import UsageCounters
-from daisyhub.balancing import EndpointTable, LeastLoaded
+from daisyhub.balancing import DRAIN_PREFIX, EndpointTable, LeastLoaded
 from daisyhub.base import Controller, Filter
 from daisyhub.connections import HttpClient
 from daisyhub.controllers import (
@@ -115,6 +115,7 @@
         self.news = NewsController(self.platform, cfg.timing)
         self.news.add_listener("news/keys", self.config.on_withdrawn)
         self.news.add_listener("news/config", self.config.on_head)
+        self.news.add_listener(DRAIN_PREFIX, self.endpoints.on_drain)
         self.news.add_listener("news/weights/", self.weights.on_weights)
         self.config.add_listener(self.peers.wake)
         self.network.add_receiver(self.peers.receive)
