Complete the operators' commands

Change: one file per command group. `key create` puts the entry in force before it shows the key. A document that names owners must name those of `owners`.

Ruled out: naming only the newest team that changed a section in conflict, which named the wrong team when two had changed it.

--- /dev/null
+++ b/daisyhub/cli/_endpoints.py
@@ -0,0 +1,90 @@
+"""Commands on endpoints."""
+
+import uuid
+
+import msgspec
+
+from daisyhub.balancing import DRAIN_PREFIX, DrainOrder
+from daisyhub.cli._base import Command, Context, ExitCode, UsageError
+from daisyhub.exceptions import PlatformConflictError
+
+__all__ = ["EndpointCommand"]
+
+
+class EndpointCommand(Command):
+    """Lists and drains endpoints."""
+
+    name = "endpoint"
+    usage = "endpoint list FAILURE_DOMAIN | endpoint drain FAILURE_DOMAIN ID"
+    summary = (
+        "Lists a failure domain's endpoints; takes one out of service until"
+        " it is started anew."
+    )
+
+    async def run(self, ctx: Context, args: list[str]) -> ExitCode:
+        """Runs one of the verbs."""
+        match args:
+            case ["list", domain]:
+                return await self._list(ctx, domain)
+            case ["drain", domain, endpoint_id]:
+                return await self._drain(ctx, domain, endpoint_id)
+        raise UsageError(self.usage)
+
+    async def _list(self, ctx: Context, domain: str) -> ExitCode:
+        drained = {
+            order.endpoint_id: order.incarnation
+            for order in [
+                msgspec.convert(found.value, DrainOrder)
+                for found in await ctx.platform.list(DRAIN_PREFIX)
+            ]
+        }
+        rows = [
+            {
+                "endpoint": record.endpoint_id,
+                "pool": record.pool,
+                "address": f"{record.ip}:{record.port}",
+                "state": record.state,
+                "incarnation": record.incarnation,
+                "cheap": record.cheap,
+                "drained": drained.get(record.endpoint_id, 0)
+                >= record.incarnation,
+            }
+            for record in await ctx.platform.list_endpoints(domain)
+        ]
+        ctx.print_rows(rows)
+        return ExitCode.OK
+
+    async def _drain(self, ctx: Context, domain: str, endpoint_id: str):
+        records = await ctx.platform.list_endpoints(domain)
+        found = [r for r in records if r.endpoint_id == endpoint_id]
+        if not found:
+            raise UsageError(f"{domain!r} lists no endpoint {endpoint_id!r}")
+        order = DrainOrder(
+            endpoint_id=endpoint_id,
+            incarnation=found[0].incarnation,
+            author=ctx.author,
+        )
+        await self._write(ctx, order)
+        row = {"endpoint": endpoint_id, "drained": order.incarnation}
+        ctx.print_rows([row])
+        return ExitCode.OK
+
+    async def _write(self, ctx: Context, order: DrainOrder) -> None:
+        """Raises the drained incarnation; it never goes down."""
+        key = DRAIN_PREFIX + order.endpoint_id
+        while True:
+            found = await ctx.platform.get(key)
+            if found is not None:
+                known = msgspec.convert(found.value, DrainOrder)
+                if known.incarnation >= order.incarnation:
+                    return
+            try:
+                await ctx.platform.put(
+                    key,
+                    msgspec.to_builtins(order),
+                    expected_version=found.version if found else 0,
+                    write_id=uuid.uuid4().hex,
+                )
+            except PlatformConflictError:
+                continue
+            return
--- a/daisyhub/cli/_keys.py
+++ b/daisyhub/cli/_keys.py
@@ -1,36 +1,73 @@
 """Commands on client keys."""
 
 from daisyhub.cli._base import Command, Context, ExitCode, UsageError
+from daisyhub.clocks import wall_time_s
 from daisyhub.identity import hash_secret, new_key
 
 __all__ = ["KeyCommand"]
 
 
 class KeyCommand(Command):
-    """Makes and withdraws keys."""
+    """Makes, withdraws and lists keys."""
 
     name = "key"
-    usage = "key create ACCOUNT | key withdraw KEY_ID"
-    summary = "Makes a key, shown once, or withdraws one within seconds."
+    usage = "key create ACCOUNT --team=NAME | key withdraw KEY_ID | key list"
+    summary = (
+        "Makes a key, shown once, and puts its hash in force; withdraws one"
+        " within seconds; lists keys."
+    )
 
     async def run(self, ctx: Context, args: list[str]) -> ExitCode:
-        """Runs one of the two verbs."""
+        """Runs one of the verbs."""
         match args:
             case ["create", account]:
-                return self._create(ctx, account)
+                return await self._create(ctx, account)
             case ["withdraw", key_id]:
-                await ctx.store.withdraw_key(key_id)
+                await ctx.store.withdraw_key(
+                    key_id, author=ctx.author, at_s=wall_time_s()
+                )
                 ctx.print_rows([{"key_id": key_id, "state": "withdrawn"}])
                 return ExitCode.OK
+            case ["list"]:
+                return await self._list(ctx)
         raise UsageError(self.usage)
 
-    def _create(self, ctx: Context, account: str) -> ExitCode:
+    async def _create(self, ctx: Context, account: str) -> ExitCode:
+        """Puts the entry in force first: a key that failed isn't shown."""
         key = new_key()
+        secret_hash = hash_secret(key.secret, ctx.cfg.key_hash_secret)
+        head, _ = await ctx.store.read_head()
+        sections = await ctx.store.read_sections(head)
+        entry = {"account": account, "secret_hash": secret_hash}
+        keys = sections.get("keys", {}) | {key.key_id: entry}
+        head = await ctx.store.apply(
+            {"keys": keys},
+            base_version=head.version,
+            author=ctx.author,
+            team=ctx.team,
+            at_s=wall_time_s(),
+        )
         row = {
             "key_id": key.key_id,
             "account": account,
-            "secret_hash": hash_secret(key.secret, ctx.cfg.key_hash_secret),
+            "version": head.version,
             "key": f"dh_{key.key_id}_{key.secret}",
         }
         ctx.print_rows([row])
         return ExitCode.OK
+
+    async def _list(self, ctx: Context) -> ExitCode:
+        head, _ = await ctx.store.read_head()
+        sections = await ctx.store.read_sections(head)
+        keys = sections.get("keys", {})
+        withdrawn, _ = await ctx.store.read_withdrawn()
+        rows = [
+            {
+                "key_id": key_id,
+                "account": keys[key_id]["account"] if key_id in keys else "",
+                "state": "withdrawn" if key_id in withdrawn else "valid",
+            }
+            for key_id in sorted(keys.keys() | set(withdrawn))
+        ]
+        ctx.print_rows(rows)
+        return ExitCode.OK
--- a/daisyhub/cli/_main.py
+++ b/daisyhub/cli/_main.py
@@ -6,9 +6,17 @@
 from absl import app
 
 from daisyhub.cli._base import Command, Context, ExitCode, UsageError
-from daisyhub.cli._config import ApplyCommand, AuditCommand, CheckCommand
+from daisyhub.cli._config import (
+    ApplyCommand,
+    AuditCommand,
+    CheckCommand,
+    DiffCommand,
+    HistoryCommand,
+    RevertCommand,
+)
+from daisyhub.cli._endpoints import EndpointCommand
 from daisyhub.cli._keys import KeyCommand
-from daisyhub.cli._status import StatusCommand
+from daisyhub.cli._status import LotCommand, StatusCommand, UsageCommand
 from daisyhub.exceptions import (
     ConfigConflictError,
     DaisyhubError,
@@ -20,9 +28,15 @@
 
 COMMANDS: tuple[Command, ...] = (
     CheckCommand(),
+    DiffCommand(),
     ApplyCommand(),
+    HistoryCommand(),
+    RevertCommand(),
     AuditCommand(),
     KeyCommand(),
+    EndpointCommand(),
+    LotCommand(),
+    UsageCommand(),
     StatusCommand(),
 )
 _EXIT_CODES = (
@@ -43,8 +57,9 @@
     return "\n".join(lines)
 
 
-async def _run_command(command: Command, args: list[str]) -> ExitCode:
-    ctx = Context()
+async def _run_command(
+    command: Command, args: list[str], ctx: Context
+) -> ExitCode:
     try:
         return await command.run(ctx, args)
     finally:
@@ -57,8 +72,13 @@
     if not found:
         print(_usage(), file=sys.stderr)
         return ExitCode.USAGE
+    return run_command(found[0], words[1:], Context())
+
+
+def run_command(command: Command, args: list[str], ctx: Context) -> int:
+    """Runs one command; prints its error and returns its exit code."""
     try:
-        return anyio.run(_run_command, found[0], words[1:])
+        return anyio.run(_run_command, command, args, ctx)
     except OSError as exc:
         print(exc, file=sys.stderr)
         return ExitCode.USAGE
--- a/daisyhub/cli/_status.py
+++ b/daisyhub/cli/_status.py
@@ -1,13 +1,36 @@
-"""Commands that show the state of daemons."""
+"""Commands that show the state of daemons, lots and usage."""
 
 import msgspec
 
-from daisyhub.cli._base import Command, Context, ExitCode
+from daisyhub.accounting import SealedWindow
+from daisyhub.cli._base import Command, Context, ExitCode, UsageError
 from daisyhub.connections import RequestFailedError
 
-__all__ = ["StatusCommand"]
+__all__ = ["LotCommand", "StatusCommand", "UsageCommand"]
 
 _TIMEOUT_S = 2.0
+_SEALED_PREFIX = "sealed/"
+
+
+async def _read_statuses(ctx: Context) -> dict[str, dict | None]:
+    """Returns each daemon's status by id; None if it doesn't answer."""
+    statuses = {}
+    for daemon_id, address in sorted(ctx.cfg.daemons.items()):
+        statuses[daemon_id] = None
+        try:
+            answer = await ctx.http.request(
+                "GET", address, "/status", timeout_s=_TIMEOUT_S
+            )
+            statuses[daemon_id] = msgspec.json.decode(answer.body)
+        except (RequestFailedError, msgspec.DecodeError):
+            continue
+    return statuses
+
+
+def _exit_code(statuses: dict[str, dict | None]) -> ExitCode:
+    if None in statuses.values():
+        return ExitCode.UNAVAILABLE
+    return ExitCode.OK
 
 
 class StatusCommand(Command):
@@ -19,30 +42,86 @@
 
     async def run(self, ctx: Context, args: list[str]) -> ExitCode:
         """Prints a row for each daemon of the settings."""
+        statuses = await _read_statuses(ctx)
+        ctx.print_rows([_status_row(*item) for item in statuses.items()])
+        return _exit_code(statuses)
+
+
+def _status_row(daemon_id: str, status: dict | None) -> dict[str, object]:
+    row = {"daemon": daemon_id, "domain": "", "ready": "unreachable"}
+    row |= {"version": "", "platform": "", "open": "", "holds": ""}
+    if status is None:
+        return row
+    holds = [p for p in ("weights", "usage") if status[p]["fencing"]]
+    holds += [f"lot:{lot}" for lot in status["lots"]]
+    return row | {
+        "domain": status["failure_domain"],
+        "ready": status["is_ready"],
+        "version": status["config"]["version"],
+        "platform": status["news"]["platform"],
+        "open": status["open_requests"],
+        "holds": holds,
+    }
+
+
+class LotCommand(Command):
+    """Shows trainer lots."""
+
+    name = "lot"
+    usage = "lot list | lot show LOT_ID"
+    summary = "Shows the trainer lots that daemons serve."
+
+    async def run(self, ctx: Context, args: list[str]) -> ExitCode:
+        """Prints a row for each lot and daemon."""
+        match args:
+            case ["list"]:
+                wanted = None
+            case ["show", lot_id]:
+                wanted = lot_id
+            case _:
+                raise UsageError(self.usage)
+        statuses = await _read_statuses(ctx)
+        rows = [
+            {"lot": lot_id, "daemon": daemon_id, **lot}
+            for daemon_id, status in statuses.items()
+            for lot_id, lot in (status["lots"] if status else {}).items()
+            if wanted in (None, lot_id)
+        ]
+        ctx.print_rows(sorted(rows, key=lambda row: row["lot"]))
+        if wanted and not rows:
+            return ExitCode.INVALID
+        return _exit_code(statuses)
+
+
+class UsageCommand(Command):
+    """Shows sealed usage windows."""
+
+    name = "usage"
+    usage = "usage show [FAILURE_DOMAIN]"
+    summary = "Shows sealed usage by failure domain, window and account."
+
+    async def run(self, ctx: Context, args: list[str]) -> ExitCode:
+        """Prints a row for each window and account."""
+        match args:
+            case ["show"]:
+                prefix = _SEALED_PREFIX
+            case ["show", domain]:
+                prefix = f"{_SEALED_PREFIX}{domain}/"
+            case _:
+                raise UsageError(self.usage)
         rows = []
-        for daemon_id, address in sorted(ctx.cfg.daemons.items()):
-            rows.append(await self._row(ctx, daemon_id, address))
+        for found in await ctx.platform.list(prefix):
+            sealed = msgspec.convert(found.value, SealedWindow)
+            rows += [_usage_row(sealed, count) for count in sealed.counts]
         ctx.print_rows(rows)
-        is_down = any(row["ready"] == "unreachable" for row in rows)
-        return ExitCode.UNAVAILABLE if is_down else ExitCode.OK
+        return ExitCode.OK
 
-    async def _row(self, ctx: Context, daemon_id: str, address) -> dict:
-        row = {"daemon": daemon_id, "domain": "", "ready": "unreachable"}
-        row |= {"version": "", "platform": "", "open": "", "holds": ""}
-        try:
-            answer = await ctx.http.request(
-                "GET", address, "/status", timeout_s=_TIMEOUT_S
-            )
-        except RequestFailedError:
-            return row
-        status = msgspec.json.decode(answer.body)
-        holds = [p for p in ("weights", "usage") if status[p]["fencing"]]
-        holds += [f"lot:{lot}" for lot in status["lots"]]
-        return row | {
-            "domain": status["failure_domain"],
-            "ready": status["is_ready"],
-            "version": status["config"]["version"],
-            "platform": status["news"]["platform"],
-            "open": status["open_requests"],
-            "holds": holds,
-        }
+
+def _usage_row(sealed: SealedWindow, count) -> dict[str, object]:
+    return {
+        "domain": sealed.failure_domain,
+        "window": sealed.window,
+        "account": count.account,
+        "requests": count.requests,
+        "tokens": count.tokens,
+    }
--- a/daisyhub/config/_acceptance.py
+++ b/daisyhub/config/_acceptance.py
@@ -45,6 +45,7 @@
 ]
 
 _MOST_TRIES = 12
+_MOST_EXPLAINED = 200
 _PAUSE_S = 0.01
 _MOST_PAUSE_S = 1.0
 
@@ -392,27 +393,30 @@
         )
 
     def _explain(self, conflicts: tuple[tuple[str, str], ...]) -> object:
-        """Reads who changed the sections in conflict, then refuses."""
-        open_sections = {section for section, _ in conflicts}
-        parts = []
-        for version in range(self._head.version, self.req.base_version, -1):
-            if not open_sections:
-                break
+        """Reads which teams changed the sections since, then refuses."""
+        first = max(self.req.base_version, self._head.version - _MOST_EXPLAINED)
+        versions = range(self._head.version, first, -1)
+        for version in versions:
             if version not in self._heads:
                 return ReadAudit(version)
-            entry = self._heads[version]
-            for section in sorted(open_sections.intersection(entry.changed)):
-                open_sections.remove(section)
-                names = [name for place, name in conflicts if place == section]
-                parts.append(
-                    f"section {section!r}, changed by team {entry.team!r} in"
-                    f" version {version}: {', '.join(names)}"
-                )
+        parts = []
+        for section in dict.fromkeys(place for place, _ in conflicts):
+            teams: dict[str, int] = {}
+            for version in versions:
+                entry = self._heads[version]
+                if section in entry.changed:
+                    teams.setdefault(entry.team, version)
+            names = [name for place, name in conflicts if place == section]
+            changes = [f"{t!r} in version {v}" for t, v in teams.items()]
+            parts.append(
+                f"section {section!r}, changed since by team"
+                f" {', '.join(changes)}: {', '.join(names)}"
+            )
         return self._refuse(
             ConfigConflictError(
                 f"team {self.req.team!r} started from version"
-                f" {self.req.base_version}, and both sides changed the same"
-                f" entries: {'; '.join(parts)}"
+                f" {self.req.base_version}, and the same entries were changed"
+                f" since: {'; '.join(parts)}"
             )
         )
 
--- a/daisyhub/config/_document.py
+++ b/daisyhub/config/_document.py
@@ -179,6 +179,10 @@
     for name in doc.owners:
         if name not in SECTION_NAMES:
             yield f"$.owners.{name}", "is not a section"
+        if not doc.owners[name]:
+            yield f"$.owners.{name}", "must name a team"
+    if doc.owners and "owners" not in doc.owners:
+        yield "$.owners", "must name the teams that may change 'owners'"
     for key_id, key in doc.keys.items():
         if key.account not in doc.client_accounts:
             yield f"$.keys.{key_id}.account", _unknown("account", key.account)
