--- a/daisyhub/controllers/_endpoints.py
+++ b/daisyhub/controllers/_endpoints.py
@@ -5,8 +5,14 @@
 from collections.abc import Callable
 
 import anyio
+import msgspec
 
-from daisyhub.balancing import EndpointState, EndpointTable
+from daisyhub.balancing import (
+    DrainOrder,
+    EndpointNews,
+    EndpointState,
+    EndpointTable,
+)
 from daisyhub.base import Controller
 from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.controllers._peers import PeerController
@@ -19,7 +25,7 @@
     PeerNetwork,
     PeerUnreachableError,
 )
-from daisyhub.platform import EndpointRecord, PlatformClient
+from daisyhub.platform import EndpointRecord, PlatformClient, PlatformObject
 from daisyhub.settings import DaemonSettings
 
 __all__ = ["EndpointController"]
@@ -84,6 +90,18 @@
             tasks.start_soon(_repeat, timing.endpoint_poll_s, self._read_list)
             tasks.start_soon(_repeat, timing.probe_s, self._probe_share)
 
+    async def on_drain(self, found: PlatformObject) -> None:
+        """Takes an operator's order from the platform's watch."""
+        order = msgspec.convert(found.value, DrainOrder)
+        news = EndpointNews(
+            endpoint_id=order.endpoint_id,
+            incarnation=order.incarnation,
+            is_leaving=True,
+        )
+        if self._table.adopt_news(news):
+            log.info("{} is drained by {}", order.endpoint_id, order.author)
+            self._peers.add_news(news)
+
     async def _read_list(self) -> None:
         try:
             records = await self._client.list_endpoints(
@@ -94,7 +112,7 @@
             if not self._table.all():
                 await self._catch_up()
             return
-        self._table.adopt_list(records)
+        self._table.adopt_list(records, time.monotonic())
 
     async def _catch_up(self) -> None:
         """Takes a peer's endpoints: a daemon that starts without the platform.
@@ -109,7 +127,7 @@
                 )
             except PeerUnreachableError:
                 continue
-            self._table.adopt_list(parts.records)
+            self._table.adopt_list(parts.records, time.monotonic())
             return
 
     async def answer_fetch(self, _: EndpointFetch) -> EndpointParts:
