--- a/daisyhub/rollouts/_lot_core.py
+++ b/daisyhub/rollouts/_lot_core.py
@@ -72,6 +72,8 @@
         self._acks: set[str] = set()
         self._wants_close = False
         self._must_read = True
+        self._unread: set[int] = set()
+        self._read_for: set[int] = set()
         self._write: WriteState | None = None
         self._writes = 0
         self._unbilled: dict[str, CountUsage] = {}
@@ -167,6 +169,7 @@
     def _refuse_all(self, reason: RefusedBecause) -> list[object]:
         refused = [RefuseCall(number, reason) for number in self._calls]
         self._calls.clear()
+        self._unread.clear()
         return refused
 
     def _on_call(self, call: LotCall, now_s: float) -> None:
@@ -175,11 +178,23 @@
         match call:
             case PullAsked():
                 self._acks.update(call.acks)
+            case OpenAsked():
+                self._read_first(call)
             case AckAsked():
                 self._acks.add(call.pull_id)
+                if self._state and call.pull_id not in self._state.pulls:
+                    self._read_first(call)
             case CloseAsked():
                 self._wants_close = True
 
+    def _read_first(self, call: LotCall) -> None:
+        """Lets a call wait for a read that starts after it.
+
+        An earlier holder's last write may have come after the read here.
+        """
+        self._unread.add(call.call)
+        self._must_read = True
+
     def _on_ready(self, event: SampleReady, now_s: float) -> list[object]:
         place = self._slots.place_of(event.attempt)
         if place is None:
@@ -196,7 +211,8 @@
 
     def _on_read(self, event: StateRead) -> list[object]:
         self._is_waiting = False
-        self._must_read = False
+        self._unread -= self._read_for
+        self._must_read = bool(self._unread)
         return self._adopt(event.state, event.version)
 
     def _on_written(self, event: WriteDone) -> list[object]:
@@ -262,15 +278,19 @@
         return actions + self._refuse_all(RefusedBecause.CLOSED)
 
     def _tell(self, call: LotCall) -> TellProgress:
-        del self._calls[call.call]
+        self._drop_call(call)
         return TellProgress(
             call.call, self.remaining, self.open_pulls, self._state.is_closed
         )
 
     def _refuse(self, call: LotCall, reason: RefusedBecause) -> RefuseCall:
-        del self._calls[call.call]
+        self._drop_call(call)
         return RefuseCall(call.call, reason)
 
+    def _drop_call(self, call: LotCall) -> None:
+        del self._calls[call.call]
+        self._unread.discard(call.call)
+
     def _serve_calls(self, now_s: float) -> list[object]:
         actions = []
         for call in list(self._calls.values()):
@@ -281,6 +301,8 @@
         return actions
 
     def _serve(self, call: LotCall, now_s: float) -> list[object]:
+        if call.call in self._unread:
+            return []
         match call:
             case OpenAsked():
                 return [self._tell(call)]
@@ -314,7 +336,7 @@
         return [self._hand_over(call, record.groups)]
 
     def _hand_over(self, call: PullAsked, groups: tuple[int, ...]) -> HandOver:
-        del self._calls[call.call]
+        self._drop_call(call)
         return HandOver(
             call.call,
             call.pull_id,
@@ -337,7 +359,10 @@
         if self._write is None and not self._must_read:
             return []
         self._is_waiting = True
-        return [self._write or ReadState()]
+        if self._write is not None:
+            return [self._write]
+        self._read_for = set(self._unread)
+        return [ReadState()]
 
     def _next_write(self, now_s: float) -> WriteState | None:
         """Puts all that waits to be stored into one write."""
--- /dev/null
+++ b/daisyhub/rollouts/tests/test_lot_processes.py
@@ -0,0 +1,124 @@
+"""Lots on real processes: killed, frozen and cut-off parties."""
+
+import signal
+import unittest
+
+import anyio
+
+from daisyhub.config import ConfigStore
+from daisyhub.connections import HttpClient
+from daisyhub.platform import PlatformClient
+from daisyhub.testing.caller import Caller, run_trainer
+from daisyhub.testing.demo_config import DemoKeys, demo_document
+from daisyhub.testing.processes import Deployment
+
+GROUPS = 24
+GROUP_SIZE = 4
+STALENESS = 2
+DOMAIN = "busan"
+PAST_A_TERM_S = 2.5
+
+
+class LotProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.keys = DemoKeys.make()
+        self.deployment = Deployment(
+            domains=(DOMAIN,), daemons_each=2, services_each=0
+        )
+        self.addCleanup(self.deployment.stop)
+        await self.deployment.start()
+        http = HttpClient(connect_timeout_s=2.0, idle_s=30.0)
+        client = PlatformClient(self.deployment.platform.address, http, 2.0)
+        head = await ConfigStore(client).apply(
+            demo_document(self.keys),
+            base_version=0,
+            author="test",
+            team="platform",
+            at_s=0.0,
+        )
+        await http.aclose()
+        await self.deployment.wait_for_version(head.version)
+        await self.deployment.wait_for_status(
+            lambda status: len(status["endpoints"]) == 2
+        )
+
+    async def train(self, harm):
+        """Trains one lot while `harm(holder)` happens in its middle."""
+        key = DemoKeys.text(self.keys.trainer)
+        daemons = self.deployment.daemons()
+        callers = [Caller(daemon.address, key) for daemon in daemons]
+        results = []
+
+        async def pull_all():
+            results.append(
+                await run_trainer(
+                    callers,
+                    "lot",
+                    "assess",
+                    [f"board {number}" for number in range(GROUPS)],
+                    lambda: 0,
+                    max_staleness=STALENESS,
+                    call_timeout_s=2.5,
+                    max_groups=2,
+                )
+            )
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pull_all)
+            await harm(await self.wait_for_holder())
+        for caller in callers:
+            await caller.aclose()
+        self.check(results[0])
+        return results[0]
+
+    async def wait_for_holder(self, skip=None):
+        """Returns the daemon that holds the lot, once pulls began."""
+        with anyio.fail_after(20):
+            while True:
+                for daemon in self.deployment.daemons():
+                    if daemon is skip:
+                        continue
+                    caller = Caller(daemon.operators)
+                    status = await caller.json("GET", "/status")
+                    await caller.aclose()
+                    lot = status["lots"].get("lot", {})
+                    if lot.get("held") and lot["remaining"] < GROUPS:
+                        return daemon
+                await anyio.sleep(0.005)
+
+    def check(self, result):
+        self.assertEqual(sorted(result.groups), list(range(GROUPS)))
+        self.assertEqual(result.doubled, 0)
+        self.assertEqual(result.stale, 0)
+        for samples in result.groups.values():
+            indexes = [sample["index"] for sample in samples]
+            self.assertEqual(indexes, list(range(GROUP_SIZE)))
+
+    async def test_a_killed_holder_costs_no_group(self):
+        async def harm(holder):
+            holder.send_signal(signal.SIGKILL)
+
+        result = await self.train(harm)
+        self.assertGreater(result.repeats, 0)
+
+    async def test_a_frozen_holder_that_wakes_up_doubles_no_group(self):
+        async def harm(holder):
+            holder.send_signal(signal.SIGSTOP)
+            await self.wait_for_holder(skip=holder)
+            holder.send_signal(signal.SIGCONT)
+
+        await self.train(harm)
+
+    async def test_a_killed_engine_costs_no_group(self):
+        async def harm(_):
+            self.deployment.engines()[0].send_signal(signal.SIGKILL)
+
+        await self.train(harm)
+
+    async def test_a_platform_that_stops_for_a_term_costs_no_group(self):
+        async def harm(_):
+            self.deployment.platform.send_signal(signal.SIGSTOP)
+            await anyio.sleep(PAST_A_TERM_S)
+            self.deployment.platform.send_signal(signal.SIGCONT)
+
+        await self.train(harm)
--- a/daisyhub/rollouts/tests/test_proof_lot.py
+++ b/daisyhub/rollouts/tests/test_proof_lot.py
@@ -29,6 +29,8 @@
     LotTick,
     PullAsked,
     ReadState,
+    RefuseCall,
+    RefusedBecause,
     Sample,
     SampleFailed,
     SampleReady,
@@ -281,6 +283,10 @@
         for action in self.out[holder]:
             if isinstance(action, HandOver):
                 self.take(action)
+            elif isinstance(action, RefuseCall):
+                # Only pulls that were taken are acknowledged here.
+                is_known = action.reason is not RefusedBecause.UNKNOWN_PULL
+                self.check(is_known, ("acknowledgement refused", action))
             elif isinstance(action, CountUsage):
                 is_new = not self.billed & set(action.groups)
                 self.check(is_new, ("billed twice", action))
@@ -412,6 +418,13 @@
         return self._slots.finish(event.attempt, sample)
 
 
+class RefusesUnread(LotCore):
+    """Broken: refuses an acknowledgement by what was read before it."""
+
+    def _read_first(self, call):
+        pass
+
+
 class BillsEveryWrite(LotCore):
     """Broken: bills a commit that another holder's write prevented."""
 
@@ -427,6 +440,7 @@
     FreesRepeatedGroups,
     RepeatsStaleSamples,
     TrustsSpans,
+    RefusesUnread,
     BillsEveryWrite,
 )
 
--- a/daisyhub/testing/caller.py
+++ b/daisyhub/testing/caller.py
@@ -12,6 +12,7 @@
 __all__ = ["Caller", "TrainerResult", "run_trainer"]
 
 _TIMEOUT_S = 30.0
+_PULL_WAIT_S = 2.0
 _OK = 200
 
 
@@ -105,6 +106,7 @@
     max_staleness: int,
     deadline_s: float = 60.0,
     call_timeout_s: float = _TIMEOUT_S,
+    max_groups: int = 16,
 ) -> TrainerResult:
     """Opens a lot, pulls until every group came, acknowledges, and closes.
 
@@ -120,6 +122,7 @@
         max_staleness: The bound to check samples against.
         deadline_s: Longest time for everything.
         call_timeout_s: Longest wait for one answer.
+        max_groups: Most groups of one pull.
     """
     result = TrainerResult()
     turn = 0
@@ -145,7 +148,12 @@
         def ask() -> dict:
             nonlocal version
             version = get_version()
-            return {"pull_id": pull_id, "version": version, "wait_s": 5.0}
+            return {
+                "pull_id": pull_id,
+                "version": version,
+                "max_groups": max_groups,
+                "wait_s": _PULL_WAIT_S,
+            }
 
         started_s = anyio.current_time()
         answer = await call("pull", ask)
