Decide the roll-out of weights in a deterministic core

Cause: which engine is ordered to load what was decided in the controller's loop; a failed load was tried again at once, ahead of the others, and nothing proved that orders come from one holder.

Change: WeightCore (stages, later retries with growing pauses and the sound engines first, versions loaded per incarnation) and its state machine: two holders, freezes between the last check and the send, lost answers, failed loads, engines started anew, a pool that ignores fencing numbers.

Found without the guards: the machine catches fencing numbers read when the order is decided, no extra margin for engines that ignore them (only once the freeze exceeds the lease's own margin), and failures that aren't retried.

--- a/daisyhub/rollouts/__init__.py
+++ b/daisyhub/rollouts/__init__.py
@@ -42,8 +42,30 @@
     Span,
     check_spans,
 )
+from daisyhub.rollouts._weight_core import (
+    EnginesSeen,
+    EngineView,
+    OrderDone,
+    OrderFailed,
+    OrderNotSent,
+    RolloutRule,
+    SendOrder,
+    VersionPublished,
+    WeightCore,
+    WeightTick,
+)
 
 __all__ = [
+    "EngineView",
+    "EnginesSeen",
+    "OrderDone",
+    "OrderFailed",
+    "OrderNotSent",
+    "RolloutRule",
+    "SendOrder",
+    "VersionPublished",
+    "WeightCore",
+    "WeightTick",
     "AckAsked",
     "CancelSample",
     "CloseAsked",
--- /dev/null
+++ b/daisyhub/rollouts/tests/test_proof_weights.py
@@ -0,0 +1,179 @@
+"""Proof: orders to load weights come from one holder, in stages, to all.
+
+The lease is taken as its own proof states it: a number is granted only after
+the one before has lapsed for a margin. Faults: holders frozen between the
+last check and the send, lost answers, failed loads, engines that start anew
+and engines that ignore fencing numbers.
+"""
+
+import unittest
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from daisyhub.rollouts import (
+    EnginesSeen,
+    EngineView,
+    OrderDone,
+    OrderFailed,
+    OrderNotSent,
+    RolloutRule,
+    VersionPublished,
+    WeightCore,
+    WeightTick,
+)
+from daisyhub.testing.proofs import find_failure, run_proof
+
+HOLDERS = (0, 1)
+TERM_S = 6.0
+MARGIN_S = 1.0
+AT_ONCE = 2
+# Pool "b" ignores fencing numbers.
+ENGINES = ("a0", "a1", "a2", "b0", "b1")
+RULES = {"a": RolloutRule(AT_ONCE, True), "b": RolloutRule(AT_ONCE, False)}
+
+
+class WeightMachine(RuleBasedStateMachine):
+    """Two holders, five engines in two pools."""
+
+    core_class = WeightCore
+    checks_last = True
+
+    @initialize()
+    def start(self):
+        self.now_s = 0.0
+        self.cores = [self.core_class(MARGIN_S) for _ in HOLDERS]
+        self.out = {holder: [] for holder in HOLDERS}
+        self.fence = dict.fromkeys(HOLDERS, (0, 0.0))
+        self.granted, self.granted_until_s = 0, 0.0
+        self.engines = {name: [0, 0, 1] for name in ENGINES}
+        self.newest = 1
+
+    def fencing(self, holder, extra_s=0.0):
+        number, until_s = self.fence[holder]
+        return number if self.now_s + extra_s < until_s else 0
+
+    def feed(self, holder, event):
+        sent_at = self.fencing(holder)
+        for order in self.cores[holder].handle(event, self.now_s):
+            self.out[holder].append((order, sent_at))
+        for pool in RULES:
+            mine = [o for o, _ in self.out[holder] if o.endpoint_id[0] == pool]
+            assert len(mine) <= AT_ONCE, mine
+
+    def see(self, holder):
+        views = tuple(
+            EngineView(name, name[0], engine[2], engine[0])
+            for name, engine in self.engines.items()
+        )
+        self.feed(holder, EnginesSeen(views, RULES))
+        self.feed(holder, VersionPublished("a", self.newest))
+        self.feed(holder, VersionPublished("b", self.newest))
+
+    @rule(holder=st.sampled_from(HOLDERS))
+    def take_turn(self, holder):
+        """Renews or takes the lease if that is allowed, then works."""
+        is_own = self.fence[holder][0] == self.granted
+        if is_own or self.now_s >= self.granted_until_s + MARGIN_S:
+            self.granted += not is_own or not self.granted
+            self.granted_until_s = self.now_s + TERM_S - MARGIN_S
+            self.fence[holder] = (self.granted, self.granted_until_s)
+        self.see(holder)
+        self.feed(holder, WeightTick(bool(self.fencing(holder))))
+
+    @rule(seconds=st.sampled_from([0.5, 3.0, 6.5]))
+    def pass_time(self, seconds):
+        self.now_s += seconds
+
+    @rule()
+    def publish(self):
+        self.newest += 1
+
+    @rule(name=st.sampled_from(ENGINES))
+    def restart_engine(self, name):
+        self.engines[name] = [0, 0, self.engines[name][2] + 1]
+
+    @rule(
+        holder=st.sampled_from(HOLDERS),
+        freeze_s=st.sampled_from([0.0, 0.0, 1.8, 9.0]),
+        outcome=st.sampled_from(["done", "done", "lost", "failed"]),
+        wait_s=st.sampled_from([0.0, 0.0, 4.6]),
+        pick=st.integers(0, 3),
+    )
+    def send(self, holder, freeze_s, outcome, wait_s=0.0, pick=0):
+        """Waits, checks, is frozen, sends; others work in the meantime."""
+        if not self.out[holder]:
+            return
+        self.now_s += wait_s
+        pick %= len(self.out[holder])
+        order, sent_at = self.out[holder].pop(pick)
+        number = sent_at
+        if self.checks_last:
+            number = self.fencing(holder, order.extra_margin_s)
+        if not number:
+            self.feed(holder, OrderNotSent(order.attempt))
+            return
+        if freeze_s:
+            self.now_s += freeze_s
+            self.take_turn(1 - holder)
+        is_done = self.reach(order, number, freeze_s, outcome != "failed")
+        if is_done and outcome == "done":
+            self.feed(holder, OrderDone(order.attempt))
+        else:
+            self.feed(holder, OrderFailed(order.attempt))
+
+    def reach(self, order, number, freeze_s, is_sound):
+        """The engine takes an order; the oracle checks who sent it."""
+        version, highest, incarnation = self.engines[order.endpoint_id]
+        checks_fencing = order.endpoint_id[0] == "a"
+        if checks_fencing and number < highest:
+            return False
+        # The lease's own margin and the extra one cover the freeze.
+        is_covered = freeze_s < 2 * MARGIN_S and not checks_fencing
+        if is_covered or not freeze_s:
+            assert number == self.granted, ("deposed holder", order, number)
+        if is_sound:
+            highest = max(highest, number)
+            version = max(version, order.version)
+            self.engines[order.endpoint_id] = [version, highest, incarnation]
+        return is_sound
+
+    def teardown(self):
+        """All faults end; then every engine gets the newest version."""
+        if not hasattr(self, "cores"):
+            return
+        self.now_s += 2 * TERM_S
+        for _ in range(40):
+            self.now_s += 1.0
+            self.take_turn(0)
+            while self.out[0]:
+                self.send(0, 0.0, "done")
+        versions = {engine[0] for engine in self.engines.values()}
+        assert versions == {self.newest}, versions
+
+
+class KeepsNoMargin(WeightCore):
+    """Broken: no extra margin for engines that ignore fencing numbers."""
+
+    def __init__(self, extra_margin_s):
+        super().__init__(0.0)
+
+
+class NeverRetries(WeightCore):
+    """Broken: a failed load isn't tried again."""
+
+    def _on_failed(self, event, now_s):
+        pass
+
+
+class WeightProof(unittest.TestCase):
+    def test_orders_come_from_one_holder_and_reach_all(self):
+        run_proof(WeightMachine, examples=300)
+
+    def test_the_machine_catches_broken_rollouts(self):
+        broken = [{"core_class": KeepsNoMargin}, {"core_class": NeverRetries}]
+        # Fencing numbers read when the order was decided, not at the send.
+        for change in [*broken, {"checks_last": False}]:
+            with self.subTest(str(change)):
+                machine = type("Machine", (WeightMachine,), change)
+                self.assertIsInstance(find_failure(machine), AssertionError)
