--- a/Makefile
+++ b/Makefile
@@ -6,17 +6,22 @@
 EXAMPLES ?= 1000
 SEED ?= 1
 
-.PHONY: demo test lint format bench prove
+.PHONY: demo playground test lint format bench prove
 
 $(STAMP): requirements.txt
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
 	  -r requirements.txt
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+	  --no-deps --editable .
 	touch $(STAMP)
 
 demo: $(STAMP)
 	$(PY) -m daisyhub.testing.demo
 
+playground: $(STAMP)
+	$(PY) -m daisyhub.testing.playground
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
@@ -34,3 +39,18 @@
 prove: $(STAMP)
 	DAISYHUB_EXAMPLES=$(EXAMPLES) DAISYHUB_SEED=$(SEED) \
 	  $(PY) -m daisyhub.testing.runner --pattern='test_proof_*.py'
+
+REPORTS_STAMP = $(VENV)/.requirements-reports-stamp
+
+.PHONY: slopes measure
+
+$(REPORTS_STAMP): requirements-reports.txt $(STAMP)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+	  -r requirements-reports.txt
+	touch $(REPORTS_STAMP)
+
+slopes: $(STAMP)
+	$(PY) -m benchmarks.slopes
+
+measure: $(REPORTS_STAMP)
+	$(PY) -m benchmarks.measure
--- a/daisyhub/accounting/__init__.py
+++ b/daisyhub/accounting/__init__.py
@@ -1,19 +1,92 @@
-"""Usage: counters of each daemon, windows sealed once, reports."""
+"""Usage: counts of each daemon, windows sealed once, reports."""
 
-from daisyhub.accounting._usage import (
+from daisyhub.accounting._counters import PeerUsage, UsageCounters
+from daisyhub.accounting._flush_core import (
+    FlushCore,
+    FlushTick,
+    ReadStore,
+    StoreRead,
+    StoreRefused,
+    StoreWritten,
+    WriteStore,
+)
+from daisyhub.accounting._ledger import (
+    EpochMark,
+    Ledger,
+    Marks,
     SealedWindow,
+    StoredReport,
+    seal,
+)
+from daisyhub.accounting._parts import (
+    PartCount,
+    PartStore,
     UsageCount,
-    UsageCounters,
     UsagePart,
-    seal_window,
     window_of,
 )
+from daisyhub.accounting._rate_shares import RateShares
+from daisyhub.accounting._seal_core import (
+    CallFailed,
+    LedgerRead,
+    LedgerRefused,
+    LedgerWritten,
+    ListParts,
+    PartsListed,
+    ReadLedger,
+    ReportDone,
+    SealCore,
+    SealTick,
+    SendReport,
+    WriteLedger,
+)
+from daisyhub.accounting._share_core import (
+    AskHeard,
+    GrantHeard,
+    SendAsk,
+    SendGrant,
+    ShareCore,
+    ShareTick,
+)
 
 __all__ = [
+    "AskHeard",
+    "CallFailed",
+    "EpochMark",
+    "FlushCore",
+    "FlushTick",
+    "GrantHeard",
+    "Ledger",
+    "LedgerRead",
+    "LedgerRefused",
+    "LedgerWritten",
+    "ListParts",
+    "Marks",
+    "PartCount",
+    "PartStore",
+    "PartsListed",
+    "PeerUsage",
+    "RateShares",
+    "ReadLedger",
+    "ReadStore",
+    "ReportDone",
+    "SealCore",
+    "SealTick",
     "SealedWindow",
+    "SendAsk",
+    "SendGrant",
+    "SendReport",
+    "ShareCore",
+    "ShareTick",
+    "StoreRead",
+    "StoreRefused",
+    "StoreWritten",
+    "StoredReport",
     "UsageCount",
     "UsageCounters",
     "UsagePart",
-    "seal_window",
+    "WriteLedger",
+    "WriteStore",
+    "seal",
     "window_of",
 ]
--- a/daisyhub/controllers/_peers.py
+++ b/daisyhub/controllers/_peers.py
@@ -5,9 +5,19 @@
 
 import anyio
 
-from daisyhub.accounting import UsageCounters
+from daisyhub.accounting import (
+    AskHeard,
+    GrantHeard,
+    PeerUsage,
+    RateShares,
+    SendAsk,
+    SendGrant,
+    UsageCounters,
+)
 from daisyhub.balancing import EndpointNews, EndpointTable
 from daisyhub.base import Controller
+from daisyhub.clocks import boot_time_s
+from daisyhub.config import PeerHeard
 from daisyhub.controllers._config import ConfigController
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger
@@ -16,7 +26,10 @@
     Envelope,
     Heartbeat,
     PeerNetwork,
+    RateAsk,
+    RateGrant,
     UsageCopy,
+    UsageHeld,
 )
 from daisyhub.settings import DaemonSettings
 
@@ -47,6 +60,7 @@
         keys: Tells how many keys are withdrawn.
         table: Where endpoint news goes.
         counters: Usage to copy.
+        shares: Shares of the accounts' limits.
     """
 
     name = "peers"
@@ -60,6 +74,7 @@
         keys: KeyTable,
         table: EndpointTable,
         counters: UsageCounters,
+        shares: RateShares,
     ):
         self._cfg = cfg
         self._incarnation = incarnation
@@ -68,17 +83,17 @@
         self._keys = keys
         self._table = table
         self._counters = counters
+        self._shares = shares
         self._peers: dict[str, _Peer] = {}
         self._news: dict[str, EndpointNews] = {}
-        self._copies: dict[tuple[str, int, int], UsageCopy] = {}
         self._is_leaving = False
         self._wakeup = anyio.Event()
-        self._fetch_from: set[str] = set()
 
     def status(self) -> dict[str, object]:
         """Tells which peers are live and the version that each has."""
         return {
             "live": self.live_peers(),
+            "rate_shares": self._shares.seen_shares(boot_time_s()),
             "versions": {
                 daemon_id: peer.config_version
                 for daemon_id, peer in sorted(self._peers.items())
@@ -94,19 +109,14 @@
             if peer.heard_s >= limit_s and not peer.is_leaving
         )
 
-    def domain_share(self) -> float:
-        """Returns this daemon's share of its domain's rates, 0 to 1."""
+    def live_incarnations(self) -> dict[str, int]:
+        """Returns the incarnations of the live peers of this domain."""
         domain = {peer.daemon_id for peer in self._cfg.domain_peers}
-        return 1 / (1 + len(domain.intersection(self.live_peers())))
-
-    def usage_copies(self) -> list[UsageCopy]:
-        """Returns the last copies of peers' usage counts."""
-        return list(self._copies.values())
-
-    def drop_copies_before(self, window: int) -> None:
-        """Forgets copies of windows before `window`."""
-        for place in [p for p in self._copies if p[2] < window]:
-            del self._copies[place]
+        return {
+            daemon_id: self._peers[daemon_id].incarnation
+            for daemon_id in self.live_peers()
+            if daemon_id in domain
+        }
 
     def add_news(self, news: EndpointNews) -> None:
         """Notes endpoint news for the next tick; leaving goes at once."""
@@ -137,61 +147,99 @@
                 for news in message.news:
                     self._table.adopt_news(news)
             case UsageCopy():
-                place = (message.daemon_id, message.epoch, message.window)
-                self._copies[place] = message
+                self._counters.hold(envelope.sender, message.parts)
+            case RateAsk() | RateGrant():
+                event = _share_event(envelope.sender, message)
+                self._shares.hear(event, boot_time_s())
+            case UsageHeld():
+                self._counters.on_held(
+                    envelope.sender,
+                    envelope.incarnation,
+                    message.epoch,
+                    message.number,
+                )
 
     async def run(self) -> None:
         """Sends a tick at each interval, or earlier when woken."""
-        async with anyio.create_task_group() as tasks:
-            while True:
-                with anyio.move_on_after(self._cfg.timing.peer_tick_s):
-                    await self._wakeup.wait()
-                self._wakeup = anyio.Event()
-                self._send_tick()
-                for daemon_id in sorted(self._fetch_from):
-                    tasks.start_soon(self._config.fetch_from_peer, daemon_id)
-                self._fetch_from.clear()
+        while True:
+            with anyio.move_on_after(self._cfg.timing.peer_tick_s):
+                await self._wakeup.wait()
+            self._wakeup = anyio.Event()
+            self._send_tick()
 
     def _on_heartbeat(self, sender, peer: _Peer, beat: Heartbeat) -> None:
         peer.is_leaving = beat.is_leaving
         peer.config_version = beat.config_version
         peer.withdrawn_keys = beat.withdrawn_keys
-        is_ahead = beat.config_version > self._config.version
-        if is_ahead or beat.withdrawn_keys > len(self._keys.withdrawn):
-            self._fetch_from.add(sender)
-            self.wake()
+        self._config.on_peer(
+            PeerHeard(
+                sender,
+                beat.config_version,
+                beat.withdrawn_keys,
+                beat.withdrawn_digest,
+            )
+        )
 
     def _send_tick(self) -> None:
         messages = [
             Heartbeat(
                 incarnation=self._incarnation,
                 config_version=self._config.version,
-                withdrawn_keys=len(self._keys.withdrawn),
+                withdrawn_keys=self._config.withdrawn_count,
                 is_leaving=self._is_leaving,
+                withdrawn_digest=self._config.withdrawn_digest,
             )
         ]
         if self._news:
             batch = EndpointNewsBatch(news=tuple(self._news.values()))
             messages.append(batch)
             self._news.clear()
+        live = self.live_incarnations()
+        usage = self._counters.tick(live)
+        rates = self._shares.tick(tuple(live), boot_time_s())
         for peer in self._cfg.peers:
             if peer.failure_domain == self._cfg.failure_domain:
+                told = usage.get(peer.daemon_id, PeerUsage())
                 self._network.send(
-                    peer.daemon_id, *messages, *self._usage_messages()
+                    peer.daemon_id,
+                    *messages,
+                    *_usage_messages(told),
+                    *_rate_messages(peer.daemon_id, rates),
                 )
             else:
                 self._network.send(peer.daemon_id, messages[0])
 
-    def _usage_messages(self) -> list[UsageCopy]:
-        copies = []
-        for window in self._counters.windows():
-            part = self._counters.part(window)
-            copies.append(
-                UsageCopy(
-                    daemon_id=part.daemon_id,
-                    epoch=part.epoch,
-                    window=part.window,
-                    counts=part.counts,
-                )
-            )
-        return copies
+
+def _usage_messages(told: PeerUsage) -> list[UsageCopy | UsageHeld]:
+    messages = []
+    if told.parts:
+        messages.append(UsageCopy(parts=told.parts))
+    if told.held_number:
+        messages.append(
+            UsageHeld(epoch=told.held_epoch, number=told.held_number)
+        )
+    return messages
+
+
+def _rate_messages(
+    daemon_id: str, actions: list[SendAsk | SendGrant]
+) -> list[RateAsk | RateGrant]:
+    messages = []
+    for action in actions:
+        if action.peer != daemon_id:
+            continue
+        fields = {"incarnation": action.incarnation, "stamp_s": action.stamp_s}
+        if isinstance(action, SendAsk):
+            messages.append(RateAsk(wants=action.wants, **fields))
+        else:
+            messages.append(RateGrant(grants=action.grants, **fields))
+    return messages
+
+
+def _share_event(
+    sender: str, message: RateAsk | RateGrant
+) -> AskHeard | GrantHeard:
+    head = (sender, message.incarnation, message.stamp_s)
+    if isinstance(message, RateAsk):
+        return AskHeard(*head, message.wants)
+    return GrantHeard(*head, message.grants)
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -7,15 +7,17 @@
 import anyio
 from absl import app
 
-from daisyhub.accounting import UsageCounters
+from daisyhub.accounting import RateShares, ShareCore, UsageCounters
 from daisyhub.balancing import EndpointTable, LeastLoaded
 from daisyhub.base import Controller, Filter
+from daisyhub.clocks import boot_time_s
 from daisyhub.connections import HttpClient
 from daisyhub.controllers import (
     ConfigController,
     EndpointController,
     LotController,
     NewsController,
+    OrderController,
     PeerController,
     UsageController,
     WeightController,
@@ -26,10 +28,12 @@
     AccountFilter,
     AdmissionCore,
     AdmitFilter,
+    ClaimController,
     ForwardFilter,
     IdempotencyFilter,
     IdentifyFilter,
     LotsFilter,
+    MeasureFilter,
     RouteFilter,
     ValidateFilter,
     build_chain,
@@ -37,8 +41,13 @@
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger, set_up_logs
 from daisyhub.metrics import Metrics
-from daisyhub.peers import ConfigFetch, LotCall, PeerNetwork
-from daisyhub.platform import LeaseKeeper, PlatformClient
+from daisyhub.peers import (
+    ConfigFetch,
+    EndpointFetch,
+    LotCall,
+    PeerNetwork,
+)
+from daisyhub.platform import LeaseKeeper, PlatformClient, rank_candidates
 from daisyhub.process_flags import SETTINGS
 from daisyhub.serving import CallersApp, HttpServer, OperatorsApp
 from daisyhub.settings import DaemonSettings, load_settings
@@ -46,6 +55,8 @@
 __all__ = ["Daemon", "main"]
 
 _US_PER_NS = 1000
+_CONTROLLER_PAUSE_S = 1.0
+_CANDIDATES = 2
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 
@@ -89,6 +100,15 @@
         self.counters = UsageCounters(
             self.cfg.daemon_id, self.incarnation, timing.usage_window_s
         )
+        started_s = boot_time_s()
+        share_core = ShareCore(
+            self.incarnation,
+            1 + len(self.cfg.domain_peers),
+            timing.lease_term_s,
+            timing.lease_margin_s,
+            started_s,
+        )
+        self.shares = RateShares(share_core, started_s)
 
     def _build_controllers(self) -> None:
         cfg = self.cfg
@@ -101,17 +121,33 @@
             self.keys,
             self.table,
             self.counters,
+            self.shares,
         )
+        self.keeper.set_candidate_rule(self._is_candidate)
         self.endpoints = EndpointController(
-            cfg, self.platform, self.http, self.table, self.peers
+            cfg,
+            self.platform,
+            self.http,
+            self.table,
+            self.peers,
+            self.network,
         )
         self.weights = WeightController(
             cfg, self.keeper, self.http, self.table, self.config
         )
+        self.orders = OrderController(
+            cfg, self.platform, self.keeper, self.table, self.config
+        )
         self.usage = UsageController(
-            cfg, self.platform, self.keeper, self.counters, self.peers
+            cfg,
+            self.platform,
+            self.keeper,
+            self.counters,
+            self.peers,
+            self.metrics,
         )
         self.lots = LotController(self._seat_tools(), self.network)
+        self.claims = ClaimController(self.platform)
         self.news = NewsController(self.platform, cfg.timing)
         self.news.add_listener("news/keys", self.config.on_withdrawn)
         self.news.add_listener("news/config", self.config.on_head)
@@ -119,8 +155,16 @@
         self.config.add_listener(self.peers.wake)
         self.network.add_receiver(self.peers.receive)
         self.network.add_callee(ConfigFetch, self.config.answer_fetch)
+        self.network.add_callee(EndpointFetch, self.endpoints.answer_fetch)
         self.network.add_callee(LotCall, self.lots.answer_call)
 
+    def _is_candidate(self, duty: str) -> bool:
+        """Whether this daemon is among the first for a duty of its domain."""
+        domain = {peer.daemon_id for peer in self.cfg.domain_peers}
+        live = domain.intersection(self.peers.live_peers())
+        ranked = rank_candidates(duty, [self.cfg.daemon_id, *live])
+        return self.cfg.daemon_id in ranked[:_CANDIDATES]
+
     def _seat_tools(self) -> SeatTools:
         return SeatTools(
             cfg=self.cfg,
@@ -143,22 +187,25 @@
             self.peers,
             self.endpoints,
             self.weights,
+            self.orders,
             self.usage,
             self.lots,
+            self.claims,
         )
 
     def _filters(self) -> tuple[Filter, ...]:
         return (
             IdentifyFilter(self.keys),
             RouteFilter(lambda: self.config.route_table),
+            MeasureFilter(self.metrics, lambda: self.config.document),
             ValidateFilter(self.cfg.limits),
             AdmitFilter(
                 AdmissionCore(self.cfg.limits.concurrent_requests),
                 lambda: self.config.document,
-                self.peers.domain_share,
+                self.shares,
             ),
             LotsFilter(self.lots.serve),
-            IdempotencyFilter(self.platform, self.process_id),
+            IdempotencyFilter(self.claims),
             AccountFilter(self.counters),
             ForwardFilter(
                 self.table,
@@ -206,7 +253,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.network.run)
             for controller in self.controllers:
-                tasks.start_soon(controller.run)
+                tasks.start_soon(self._keep_running, controller)
             tasks.start_soon(self.callers_server.run_until_stopped)
             tasks.start_soon(self.operators_server.run_until_stopped)
             log.info("{} listens on {}", self.process_id, self._address)
@@ -220,6 +267,21 @@
         await self.http.aclose()
         self.network.close()
 
+    async def _keep_running(self, controller: Controller) -> None:
+        """Runs a controller; one that fails is started anew.
+
+        A fault in one part must not end the serving of requests.
+        """
+        while True:
+            try:
+                await controller.run()
+            except Exception:
+                log.exception("the controller {} failed", controller.name)
+                self.metrics.count("controller_failures", name=controller.name)
+            else:
+                return
+            await anyio.sleep(_CONTROLLER_PAUSE_S)
+
     @property
     def _address(self) -> str:
         return str(self.cfg.callers_address)
@@ -235,8 +297,10 @@
         self.callers_server.stop()
         while self.callers_app.open_requests or self._has_connections():
             await anyio.sleep(0.05)
+        await self.claims.release()
         await self.usage.release()
         await self.weights.release()
+        await self.orders.release()
         self.operators_server.stop()
         log.info("shut down")
 
@@ -244,9 +308,23 @@
         return bool(self.callers_server.server_state.connections)
 
 
+_USAGE = """usage: daisyhubd --settings=FILE
+
+Serves callers and trainers until SIGTERM or SIGINT, then drains and ends.
+
+flags:
+  --settings=FILE  settings of this process, JSON with comments; every field
+                   is described in docs/CONFIGURATION.md
+
+exit codes:
+  0  ended after a graceful shutdown
+  2  wrong words or wrong settings; every fault is printed with its line
+"""
+
+
 def _run(argv: list[str]) -> int:
     if len(argv) > 1 or not SETTINGS.value:
-        print("usage: daisyhubd --settings=FILE", file=sys.stderr)
+        print(_USAGE, file=sys.stderr)
         return EXIT_SETTINGS
     try:
         cfg = load_settings(SETTINGS.value)
@@ -260,6 +338,7 @@
 
 def main() -> None:
     """Runs the daemon; exits with 0, or 2 if the settings are wrong."""
+    sys.modules["__main__"].__doc__ = _USAGE
     app.run(_run)
 
 
--- a/daisyhub/filters/__init__.py
+++ b/daisyhub/filters/__init__.py
@@ -3,6 +3,7 @@
 from daisyhub.filters._account import AccountFilter
 from daisyhub.filters._admission_core import (
     AdmissionCore,
+    AdmissionTick,
     Admit,
     Arrive,
     Depart,
@@ -11,7 +12,27 @@
 )
 from daisyhub.filters._admit import AdmitFilter
 from daisyhub.filters._chain import build_chain
-from daisyhub.filters._claims import ClaimRecord, ClaimVerdict, decide_claim
+from daisyhub.filters._claim_controller import ClaimController
+from daisyhub.filters._claim_core import ClaimCore
+from daisyhub.filters._claim_types import (
+    ClaimAsked,
+    ClaimConflict,
+    ClaimDropped,
+    ClaimFound,
+    ClaimReadLost,
+    ClaimRecord,
+    ClaimSettled,
+    ClaimStored,
+    ClaimTick,
+    ClaimWriteLost,
+    ForwardRequest,
+    KeptAnswer,
+    ReadClaim,
+    RefuseRepeat,
+    ReplayAnswer,
+    RequestEnded,
+    WriteClaim,
+)
 from daisyhub.filters._forward import ForwardFilter
 from daisyhub.filters._forward_core import (
     AttemptAnswered,
@@ -20,6 +41,7 @@
     Deliver,
     ForwardCore,
     ForwardPlan,
+    ForwardTick,
     GiveUp,
     RetryBudget,
     StartAttempt,
@@ -27,36 +49,56 @@
 from daisyhub.filters._idempotency import IdempotencyFilter
 from daisyhub.filters._identify import IdentifyFilter
 from daisyhub.filters._lots import LotsFilter
+from daisyhub.filters._measure import MeasureFilter
 from daisyhub.filters._route import RouteFilter, RouteTable
 from daisyhub.filters._validate import ValidateFilter
 
 __all__ = [
     "AccountFilter",
     "AdmissionCore",
+    "AdmissionTick",
     "Admit",
     "AdmitFilter",
     "Arrive",
     "AttemptAnswered",
     "AttemptFailed",
     "Begin",
+    "ClaimAsked",
+    "ClaimConflict",
+    "ClaimController",
+    "ClaimCore",
+    "ClaimDropped",
+    "ClaimFound",
+    "ClaimReadLost",
     "ClaimRecord",
-    "ClaimVerdict",
+    "ClaimSettled",
+    "ClaimStored",
+    "ClaimTick",
+    "ClaimWriteLost",
     "Deliver",
     "Depart",
     "ForwardCore",
     "ForwardFilter",
     "ForwardPlan",
+    "ForwardRequest",
+    "ForwardTick",
     "GiveUp",
     "IdempotencyFilter",
     "IdentifyFilter",
+    "KeptAnswer",
     "Leave",
     "LotsFilter",
+    "MeasureFilter",
+    "ReadClaim",
+    "RefuseRepeat",
+    "ReplayAnswer",
+    "RequestEnded",
     "RetryBudget",
     "RouteFilter",
     "RouteTable",
     "Shed",
     "StartAttempt",
     "ValidateFilter",
+    "WriteClaim",
     "build_chain",
-    "decide_claim",
 ]
--- a/daisyhub/filters/_admit.py
+++ b/daisyhub/filters/_admit.py
@@ -1,21 +1,26 @@
 """Admits, queues or refuses requests as the admission core decides."""
 
+import dataclasses
 import time
 from collections.abc import Callable
 
 import anyio
 
+from daisyhub.accounting import RateShares
 from daisyhub.base import Filter, Handler
+from daisyhub.clocks import boot_time_s
 from daisyhub.config import ClientAccount, Document
 from daisyhub.exceptions import Refusal
 from daisyhub.filters._admission_core import (
     AdmissionCore,
+    AdmissionTick,
     Admit,
     Arrive,
     Depart,
     Leave,
     Shed,
 )
+from daisyhub.filters._stream_end import StreamEnd
 from daisyhub.messages import Request, Response
 
 __all__ = ["AdmitFilter"]
@@ -33,7 +38,7 @@
     Args:
         core: The core.
         get_document: Returns the document in force.
-        get_share: Returns this daemon's share of its domain's rates, 0 to 1.
+        shares: This daemon's shares of the accounts' limits.
     """
 
     name = "admit"
@@ -42,16 +47,16 @@
         self,
         core: AdmissionCore,
         get_document: Callable[[], Document],
-        get_share: Callable[[], float],
+        shares: RateShares,
     ):
         self._core = core
         self._get_document = get_document
-        self._get_share = get_share
+        self._shares = shares
         self._verdicts: dict[str, object] = {}
         self._waiters: dict[str, anyio.Event] = {}
 
     async def handle(self, req: Request, call_next: Handler) -> Response:
-        """Waits for a place, serves, and gives the place back."""
+        """Waits for a place, serves, and gives the place back at the end."""
         verdict = await self._wait_for_verdict(req)
         if isinstance(verdict, Shed):
             raise Refusal(
@@ -60,21 +65,30 @@
                 retry_after_s=verdict.retry_after_s,
             )
         started_s = time.monotonic()
-        try:
-            return await call_next(req)
-        finally:
+
+        def depart(_: bool = False) -> None:
             now_s = time.monotonic()
-            self._perform(
-                self._core.handle(
-                    Depart(req.request_id, now_s - started_s), now_s
-                )
-            )
+            event = Depart(req.request_id, now_s - started_s)
+            self._perform(self._core.handle(event, now_s))
+
+        try:
+            resp = await call_next(req)
+        except BaseException:
+            depart()
+            raise
+        if resp.stream is None:
+            depart()
+            return resp
+        stream = StreamEnd(resp.stream, depart)
+        return dataclasses.replace(resp, stream=stream)
 
     async def _wait_for_verdict(self, req: Request) -> object:
         account = self._get_document().client_accounts.get(
             req.account, _OPEN_ACCOUNT
         )
-        share = self._get_share()
+        share = self._shares.share(
+            req.account, account.requests_per_s, boot_time_s()
+        )
         event = Arrive(
             request_id=req.request_id,
             account=req.account,
@@ -90,7 +104,7 @@
         waiter = anyio.Event()
         self._waiters[req.request_id] = waiter
         try:
-            await waiter.wait()
+            await self._wait_until_deadline(req, waiter)
             return self._verdicts.pop(req.request_id)
         except BaseException:
             self._give_up(req)
@@ -98,6 +112,14 @@
         finally:
             del self._waiters[req.request_id]
 
+    async def _wait_until_deadline(self, req: Request, waiter) -> None:
+        """Waits for a verdict; the core gives one at the deadline."""
+        while not waiter.is_set():
+            with anyio.move_on_after(req.deadline_s - time.monotonic()):
+                await waiter.wait()
+            actions = self._core.handle(AdmissionTick(), time.monotonic())
+            self._perform(actions)
+
     def _give_up(self, req: Request) -> None:
         """Takes back a request whose caller went away while it waited."""
         now_s = time.monotonic()
--- a/daisyhub/peers/_messages.py
+++ b/daisyhub/peers/_messages.py
@@ -2,21 +2,27 @@
 
 import msgspec
 
-from daisyhub.accounting import UsageCount
+from daisyhub.accounting import UsagePart
 from daisyhub.balancing import EndpointNews
 from daisyhub.config import ConfigHead
+from daisyhub.platform import EndpointRecord
 
 __all__ = [
     "Call",
     "CallAnswer",
     "ConfigFetch",
     "ConfigParts",
+    "EndpointFetch",
     "EndpointNewsBatch",
+    "EndpointParts",
     "Envelope",
     "Heartbeat",
     "LotAnswer",
     "LotCall",
+    "RateAsk",
+    "RateGrant",
     "UsageCopy",
+    "UsageHeld",
     "decode_envelope",
     "encode_envelope",
 ]
@@ -30,12 +36,14 @@
         config_version: The version in force there.
         withdrawn_keys: How many key ids it knows to be withdrawn.
         is_leaving: Whether it is shutting down.
+        withdrawn_digest: Digest of these key ids.
     """
 
     incarnation: int
     config_version: int
     withdrawn_keys: int
     is_leaving: bool = False
+    withdrawn_digest: str = ""
 
 
 class EndpointNewsBatch(msgspec.Struct, frozen=True, kw_only=True, tag="en"):
@@ -45,19 +53,16 @@
 
 
 class UsageCopy(msgspec.Struct, frozen=True, kw_only=True, tag="uc"):
-    """Counts of one daemon, kept by peers in case it dies before it flushes.
+    """Usage parts, kept by peers in case their daemon dies unflushed."""
+
+    parts: tuple[UsagePart, ...]
 
-    Attributes:
-        daemon_id: Whose counts.
-        epoch: Incarnation of that daemon.
-        window: Start of the window, whole seconds since the epoch.
-        counts: Sums so far; a later copy replaces an earlier one.
-    """
 
-    daemon_id: str
+class UsageHeld(msgspec.Struct, frozen=True, kw_only=True, tag="uh"):
+    """Tells a peer that its parts up to `number` of `epoch` are kept."""
+
     epoch: int
-    window: int
-    counts: tuple[UsageCount, ...]
+    number: int
 
 
 class ConfigFetch(msgspec.Struct, frozen=True, kw_only=True, tag="cf"):
@@ -74,6 +79,16 @@
     withdrawn: tuple[str, ...]
 
 
+class EndpointFetch(msgspec.Struct, frozen=True, kw_only=True, tag="ef"):
+    """Asks a peer of the same failure domain for its endpoints."""
+
+
+class EndpointParts(msgspec.Struct, frozen=True, kw_only=True, tag="ep"):
+    """The endpoints that a daemon knows, as the platform would list them."""
+
+    records: tuple[EndpointRecord, ...]
+
+
 class LotCall(msgspec.Struct, frozen=True, kw_only=True, tag="lc"):
     """A trainer's call, passed on to the daemon that holds the lot.
 
@@ -110,17 +125,48 @@
     """Asks for one answer; `call_id` is unique for the sender."""
 
     call_id: int
-    content: ConfigFetch | LotCall
+    content: ConfigFetch | EndpointFetch | LotCall
 
 
 class CallAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="answer"):
     """Answers a call; without content the callee could not serve it."""
 
     call_id: int
-    content: ConfigParts | LotAnswer | None
+    content: ConfigParts | EndpointParts | LotAnswer | None
 
 
-Message = Heartbeat | EndpointNewsBatch | UsageCopy | Call | CallAnswer
+class RateAsk(msgspec.Struct, frozen=True, kw_only=True, tag="ra"):
+    """Asks to borrow parts of accounts' limits.
+
+    Attributes:
+        incarnation: Of the asker.
+        stamp_s: The asker's clock; the grant repeats both.
+        wants: Accounts and quanta.
+    """
+
+    incarnation: int
+    stamp_s: float
+    wants: tuple[tuple[str, int], ...]
+
+
+class RateGrant(msgspec.Struct, frozen=True, kw_only=True, tag="rg"):
+    """Lends parts of accounts' limits, in answer to a `RateAsk`."""
+
+    incarnation: int
+    stamp_s: float
+    grants: tuple[tuple[str, int], ...]
+
+
+Message = (
+    Heartbeat
+    | EndpointNewsBatch
+    | UsageCopy
+    | UsageHeld
+    | RateAsk
+    | RateGrant
+    | Call
+    | CallAnswer
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True):
--- a/daisyhub/platform/__init__.py
+++ b/daisyhub/platform/__init__.py
@@ -2,6 +2,8 @@
 
 from daisyhub.platform._client import (
     EndpointRecord,
+    OrderReply,
+    OrderRequest,
     PlatformClient,
     PlatformObject,
     UsageReport,
@@ -17,9 +19,53 @@
     ReadLease,
     WriteLease,
 )
-from daisyhub.platform._lease_keeper import Lease, LeaseKeeper
+from daisyhub.platform._lease_keeper import (
+    Lease,
+    LeaseKeeper,
+    rank_candidates,
+)
+from daisyhub.platform._orders import (
+    BookFailed,
+    BookLoaded,
+    BookRefused,
+    BookWritten,
+    EndpointOrder,
+    LoadBook,
+    OrderAnswered,
+    OrderBook,
+    OrderCore,
+    OrderFailed,
+    OrderTick,
+    SendOrder,
+    WriteBook,
+)
+from daisyhub.platform._pool_sizing import (
+    EndpointSight,
+    PoolDemand,
+    PoolSizer,
+    Sizing,
+)
 
 __all__ = [
+    "OrderReply",
+    "OrderRequest",
+    "BookFailed",
+    "BookLoaded",
+    "BookRefused",
+    "BookWritten",
+    "EndpointOrder",
+    "LoadBook",
+    "OrderAnswered",
+    "OrderBook",
+    "OrderCore",
+    "OrderFailed",
+    "OrderTick",
+    "SendOrder",
+    "WriteBook",
+    "EndpointSight",
+    "PoolDemand",
+    "PoolSizer",
+    "Sizing",
     "EndpointRecord",
     "Lease",
     "LeaseCore",
@@ -35,4 +81,5 @@
     "ReadLease",
     "UsageReport",
     "WriteLease",
+    "rank_candidates",
 ]
--- a/daisyhub/testing/processes.py
+++ b/daisyhub/testing/processes.py
@@ -14,8 +14,9 @@
 import anyio
 import msgspec
 
+from daisyhub.config import ConfigStore
 from daisyhub.connections import RequestFailedError
-from daisyhub.platform import EndpointRecord
+from daisyhub.platform import EndpointRecord, PlatformClient
 from daisyhub.settings import Address
 from daisyhub.testing.caller import Caller
 
@@ -54,6 +55,7 @@
         engines_each: Fake engines in each.
         services_each: Fake services in each.
         timing: Overrides of `TimingSettings`, by name.
+        folder: Where settings and logs go; a temporary folder if empty.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         engines_each: int = 2,
         services_each: int = 1,
         timing: dict[str, float] | None = None,
+        folder: str = "",
     ):
         self.domains = domains
         self.daemons_each = daemons_each
@@ -70,14 +73,13 @@
         self.services_each = services_each
         self.timing = {**_FAST_TIMING, **(timing or {})}
         self.processes: dict[str, Process] = {}
-        self._folder = tempfile.TemporaryDirectory(prefix="daisyhub-")
+        self._temporary = None
+        if not folder:
+            self._temporary = tempfile.TemporaryDirectory(prefix="daisyhub-")
+            folder = self._temporary.name
+        self.folder = pathlib.Path(folder)
         self._next_ports: list[int] = []
 
-    @property
-    def folder(self) -> pathlib.Path:
-        """Where settings files and logs are."""
-        return pathlib.Path(self._folder.name)
-
     @property
     def platform(self) -> Process:
         """The fake platform."""
@@ -134,6 +136,23 @@
         await caller.send("PUT", f"/admin/endpoints/{domain}", value)
         await caller.aclose()
 
+    async def apply(self, document: dict) -> int:
+        """Puts a document in force and waits until all daemons have it."""
+        caller = Caller(self.platform.address)
+        client = PlatformClient(self.platform.address, caller.http, 5.0)
+        store = ConfigStore(client)
+        head, _ = await store.read_head()
+        head = await store.apply(
+            document,
+            base_version=head.version,
+            author="test",
+            team="test",
+            at_s=0.0,
+        )
+        await caller.aclose()
+        await self.wait_for_version(head.version)
+        return head.version
+
     def start_daemon(self, name: str) -> None:
         """Starts a planned daemon, again if it ended before."""
         plan = self._plans[name]
@@ -155,7 +174,23 @@
                 process.send_signal(signal.SIGKILL)
         for process in self.processes.values():
             process.wait()
-        self._folder.cleanup()
+        if self._temporary is not None:
+            self._temporary.cleanup()
+
+    def write_operator_settings(self) -> pathlib.Path:
+        """Writes settings for the command line; returns the file's path."""
+        platform = self.platform.address
+        settings = {
+            "platform_address": {"ip": platform.ip, "port": platform.port},
+            "key_hash_secret": HASH_KEY,
+            "daemons": {
+                d.name: {"ip": d.operators.ip, "port": d.operators.port}
+                for d in self.daemons()
+            },
+        }
+        path = self.folder / "operator.jsonc"
+        path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
+        return path
 
     def log_of(self, name: str) -> str:
         """Returns what a process wrote to its log."""
