Empty objects of vanished daemons; bound the ledger by bytes

Cause: objects of replaced daemons kept their last parts in every list; 64 unreported windows of 1000 accounts are 2.4 MB, over the object limit; a whole token could be refused by rounding; the second margin of reports. Ruled out: trusting the list of running daemons alone (the broken core that empties at any version loses counts, which the machine finds once the freeze comes between listing and emptying). Conclusion: lists no longer carry the parts of daemons that are gone.

--- a/daisyhub/accounting/__init__.py
+++ b/daisyhub/accounting/__init__.py
@@ -19,6 +19,7 @@
     seal,
 )
 from daisyhub.accounting._parts import (
+    ListedStore,
     PartCount,
     PartStore,
     UsageCount,
@@ -28,6 +29,7 @@
 from daisyhub.accounting._rate_shares import RateShares
 from daisyhub.accounting._seal_core import (
     CallFailed,
+    EmptyStore,
     LedgerRead,
     LedgerRefused,
     LedgerWritten,
@@ -38,6 +40,7 @@
     SealCore,
     SealTick,
     SendReport,
+    StoreEmptied,
     WriteLedger,
 )
 from daisyhub.accounting._share_core import (
@@ -52,6 +55,7 @@
 __all__ = [
     "AskHeard",
     "CallFailed",
+    "EmptyStore",
     "EpochMark",
     "FlushCore",
     "FlushTick",
@@ -61,6 +65,7 @@
     "LedgerRefused",
     "LedgerWritten",
     "ListParts",
+    "ListedStore",
     "Marks",
     "PartCount",
     "PartStore",
@@ -78,6 +83,7 @@
     "SendReport",
     "ShareCore",
     "ShareTick",
+    "StoreEmptied",
     "StoreRead",
     "StoreRefused",
     "StoreWritten",
--- a/daisyhub/accounting/_ledger.py
+++ b/daisyhub/accounting/_ledger.py
@@ -27,6 +27,7 @@
 _KEPT_EPOCHS = 8
 _WINDOWS_PER_WRITE = 16
 _MOST_UNREPORTED = 64
+_MOST_UNREPORTED_BYTES = 500_000
 _MOST_WINDOWS_AHEAD = 2
 
 Ranges = tuple[tuple[int, int], ...]
@@ -163,20 +164,27 @@
         report for report in ledger.unreported if report.window not in reported
     )
     label = _label(ledger, ended, length_s)
-    if label is None or len(unreported) >= _MOST_UNREPORTED:
+    if label is None or _is_full(unreported):
         return ledger
     marks = Marks(ledger)
     ahead = ended + _MOST_WINDOWS_AHEAD * length_s
     by_window = _assign(ledger, marks, parts, label, ahead)
     if not by_window:
         return ledger
-    windows = sorted(by_window)[:_WINDOWS_PER_WRITE]
-    for window in windows:
+    for window in sorted(by_window)[:_WINDOWS_PER_WRITE]:
         unreported += (_stored(domain, window, by_window[window], marks),)
+        if _is_full(unreported):
+            break
     marks.retire()
-    return Ledger(
-        window=windows[-1], unreported=unreported, **marks.as_fields()
-    )
+    newest = unreported[-1].window
+    return Ledger(window=newest, unreported=unreported, **marks.as_fields())
+
+
+def _is_full(unreported: tuple[StoredReport, ...]) -> bool:
+    """Tells whether the object has no room for more windows."""
+    size_bytes = sum(len(report.body) for report in unreported)
+    is_large = size_bytes >= _MOST_UNREPORTED_BYTES
+    return is_large or len(unreported) >= _MOST_UNREPORTED
 
 
 def _label(ledger: Ledger, ended: int, length_s: float) -> int | None:
--- a/daisyhub/accounting/_parts.py
+++ b/daisyhub/accounting/_parts.py
@@ -10,6 +10,7 @@
 import msgspec
 
 __all__ = [
+    "ListedStore",
     "PartCount",
     "PartId",
     "PartStore",
@@ -67,6 +68,14 @@
     parts: tuple[UsagePart, ...] = ()
 
 
+class ListedStore(msgspec.Struct, frozen=True, kw_only=True):
+    """One daemon's object as it was listed."""
+
+    daemon_id: str
+    store: PartStore
+    version: int
+
+
 def window_of(wall_s: float, length_s: float) -> int:
     """Returns the start of the window that a time falls into."""
     return int(wall_s // length_s * length_s)
--- a/daisyhub/accounting/_seal_core.py
+++ b/daisyhub/accounting/_seal_core.py
@@ -9,12 +9,13 @@
 
 import dataclasses
 
-from daisyhub.accounting._ledger import Ledger, seal
-from daisyhub.accounting._parts import UsagePart, window_of
+from daisyhub.accounting._ledger import Ledger, Marks, seal
+from daisyhub.accounting._parts import ListedStore, window_of
 from daisyhub.base import Core
 
 __all__ = [
     "CallFailed",
+    "EmptyStore",
     "LedgerRead",
     "LedgerRefused",
     "LedgerWritten",
@@ -25,6 +26,7 @@
     "SealCore",
     "SealTick",
     "SendReport",
+    "StoreEmptied",
     "WriteLedger",
 ]
 
@@ -36,10 +38,12 @@
     Attributes:
         wall_s: The wall clock.
         fencing: Of the lease; 0 unless it is surely held.
+        running: Daemons of the domain that run, this one included.
     """
 
     wall_s: float
     fencing: int
+    running: frozenset[str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,9 +56,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PartsListed:
-    """All parts at the platform."""
+    """The objects of all daemons of the domain."""
 
-    parts: tuple[UsagePart, ...]
+    stores: tuple[ListedStore, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +80,11 @@
     window: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreEmptied:
+    """A daemon's object was emptied, or had changed meanwhile."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallFailed:
     """The last action's effect is unknown, or the lease lapsed before it."""
@@ -109,6 +118,14 @@
     fencing: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EmptyStore:
+    """Action: empty a daemon's object if it is at `expected_version`."""
+
+    daemon_id: str
+    expected_version: int
+
+
 class SealCore(Core):
     """Seals windows that are over, and reports what the ledger says.
 
@@ -132,6 +149,8 @@
         self._version = 0
         self._reported: frozenset[int] = frozenset()
         self._checked = -1
+        self._running: frozenset[str] = frozenset()
+        self._to_empty: list[EmptyStore] = []
         self._ended = -1
         self._wall_offset_s = 0.0
         self._is_waiting = False
@@ -159,6 +178,8 @@
                 return self._on_parts(event, now_s)
             case LedgerWritten():
                 return self._on_written(event, now_s)
+            case StoreEmptied():
+                return self._step(now_s)
             case ReportDone():
                 self._reported |= {event.window}
                 return self._step(now_s)
@@ -172,6 +193,7 @@
         if event.fencing != self._fencing:
             self._ledger = None
         self._fencing = event.fencing
+        self._running = event.running
         self._wall_offset_s = event.wall_s - now_s
         if not self._fencing or now_s < self._next_s:
             return []
@@ -185,6 +207,8 @@
         for report in self._ledger.unreported:
             if report.window not in self._reported:
                 return [SendReport(report.window, report.body, self._fencing)]
+        if self._to_empty:
+            return [self._to_empty.pop()]
         over_s = now_s + self._wall_offset_s - self._grace_s - self._window_s
         self._ended = window_of(over_s, self._window_s)
         if self._ended != self._checked:
@@ -197,17 +221,32 @@
         sealed = seal(
             self._domain,
             self._ledger,
-            event.parts,
+            [part for listed in event.stores for part in listed.store.parts],
             self._ended,
             self._window_s,
             self._reported,
         )
         if sealed is self._ledger:
             self._checked = self._ended
+            self._to_empty = self._sealed_stores(event)
             return self._step(now_s)
         self._pending = sealed
         return [WriteLedger(sealed, self._version, self._fencing)]
 
+    def _sealed_stores(self, event: PartsListed) -> list[EmptyStore]:
+        """Finds objects of vanished daemons that have nothing left to seal.
+
+        The API has no delete; emptied, they cost little in each list.
+        """
+        marks = Marks(self._ledger)
+        return [
+            EmptyStore(listed.daemon_id, listed.version)
+            for listed in event.stores
+            if listed.daemon_id not in self._running
+            and listed.store.parts
+            and all(part in marks for part in listed.store.parts)
+        ]
+
     def _on_written(self, event: LedgerWritten, now_s: float) -> list[object]:
         self._ledger, self._version = self._pending, event.version
         unreported = {report.window for report in self._ledger.unreported}
@@ -216,6 +255,7 @@
 
     def _on_failed(self, now_s: float) -> list[object]:
         self._ledger = None
+        self._to_empty = []
         self._is_waiting = False
         self._next_s = now_s + self._retry_s
         return []
--- a/daisyhub/accounting/tests/test_ledger.py
+++ b/daisyhub/accounting/tests/test_ledger.py
@@ -62,6 +62,10 @@
         for _ in range(20):
             ledger = seal("busan", ledger, parts, 6000, WINDOW_S)
         self.assertEqual(len(ledger.unreported), 64)
+        counts = tuple(PartCount(f"account-{n}", 1, 5) for n in range(5000))
+        parts = [msgspec.structs.replace(p, counts=counts) for p in parts[:20]]
+        ledger = seal("busan", Ledger(), parts, 6000, WINDOW_S)
+        self.assertLess(len(msgspec.json.encode(ledger)), 1_000_000)
 
     def test_parts_of_forgotten_epochs_are_not_taken_again(self):
         ledger = Ledger()
--- a/daisyhub/accounting/tests/test_proof_usage.py
+++ b/daisyhub/accounting/tests/test_proof_usage.py
@@ -15,12 +15,14 @@
 
 from daisyhub.accounting import (
     CallFailed,
+    EmptyStore,
     FlushCore,
     FlushTick,
     Ledger,
     LedgerRead,
     LedgerRefused,
     LedgerWritten,
+    ListedStore,
     ListParts,
     Marks,
     PartsListed,
@@ -32,6 +34,7 @@
     SealedWindow,
     SealTick,
     SendReport,
+    StoreEmptied,
     StoreRead,
     StoreRefused,
     StoreWritten,
@@ -46,7 +49,14 @@
 DAEMONS = ("d0", "d1", "d2")
 MOST_STARTS = 6
 HEAL_TURNS = 12
-TARGETS = (WriteLedger, WriteStore, SendReport, ReadLedger, ListParts)
+TARGETS = (
+    WriteLedger,
+    WriteStore,
+    SendReport,
+    ReadLedger,
+    ListParts,
+    EmptyStore,
+)
 
 
 class Oracle:
@@ -193,15 +203,19 @@
 
     @rule(
         names=st.permutations(DAEMONS),
-        call=st.sampled_from([WriteLedger, WriteLedger, SendReport]),
+        call=st.sampled_from([WriteLedger, SendReport, EmptyStore]),
     )
     def freeze_holder(self, names, call):
         """A holder freezes before a call, another acts, the first wakes."""
         frozen, other = names[:2]
         self.serve(other, "archive", "kept")
+        if call is EmptyStore:
+            self.run_core(other, "flush")
+            self.blind |= {frozen}
         self.take_turn(frozen, "both", "stall", call)
         self.serve(other, "yard", "kept")
-        self.take_turn(other, "both", "none", call)
+        kind = "flush" if call is EmptyStore else "both"
+        self.take_turn(other, kind, "none", call)
         self.wake(frozen, "seal")
 
     def take_lease(self, name):
@@ -215,7 +229,8 @@
             return
         daemon = self.daemons[name]
         wall_s = self.now_s + daemon.offset_s
-        event = SealTick(wall_s, daemon.fencing)
+        running = frozenset({name, *self.live(name)})
+        event = SealTick(wall_s, daemon.fencing, running)
         if kind == "flush":
             event = FlushTick(wall_s, self.live(name))
         self.feed(name, kind, event, fault, call)
@@ -244,7 +259,8 @@
             self.feed(name, kind, event)
 
     def perform(self, name, action, fault):
-        if fault == "late" and isinstance(action, WriteStore | WriteLedger):
+        writes = WriteStore | WriteLedger | EmptyStore
+        if fault == "late" and isinstance(action, writes):
             self.late_writes.append((name, action))
         if fault in ("late", "outage"):
             return CallFailed()
@@ -258,8 +274,13 @@
             case ReadStore():
                 return StoreRead(*self.stores[name])
             case ListParts():
-                stores = [store for store, _ in self.stores.values()]
-                return PartsListed(tuple(p for s in stores for p in s.parts))
+                return PartsListed(self.listed())
+            case EmptyStore():
+                self.write_store(
+                    action.daemon_id,
+                    WriteStore(PartStore(), action.expected_version),
+                )
+                return StoreEmptied()
             case WriteStore():
                 return self.write_store(name, action)
             case WriteLedger():
@@ -269,9 +290,15 @@
                 return ReportDone(action.window)
         raise AssertionError(action)
 
+    def listed(self):
+        return tuple(
+            ListedStore(daemon_id=name, store=store, version=version)
+            for name, (store, version) in self.stores.items()
+        )
+
     def write_store(self, name, action):
         version = self.stores[name][1]
-        if action.expected_version != version:
+        if action.expected_version not in (version, None):
             return StoreRefused()
         self.stores[name] = (action.store, version + 1)
         return StoreWritten(version + 1)
@@ -408,6 +435,17 @@
         return super().handle(event, now_s)
 
 
+class EmptiesUnsealed(SealCore):
+    """Broken: an object of a daemon that isn't seen is emptied unsealed."""
+
+    def _sealed_stores(self, event):
+        return [
+            EmptyStore(listed.daemon_id, None)
+            for listed in event.stores
+            if listed.daemon_id not in self._running
+        ]
+
+
 class LeavesOrphans(FlushCore):
     """Broken: counts of dead daemons aren't flushed by their peers."""
 
@@ -422,7 +460,12 @@
 
     def test_the_machine_catches_broken_cores(self):
         broken_cores = {
-            "seal_class": (SealsAgain, WritesBlindly, ReportsUnconfirmed),
+            "seal_class": (
+                SealsAgain,
+                WritesBlindly,
+                ReportsUnconfirmed,
+                EmptiesUnsealed,
+            ),
             "flush_class": (ForgetsEarlierEpoch, LeavesOrphans),
         }
         for part, classes in broken_cores.items():
--- a/daisyhub/controllers/_usage.py
+++ b/daisyhub/controllers/_usage.py
@@ -12,12 +12,14 @@
 
 from daisyhub.accounting import (
     CallFailed,
+    EmptyStore,
     FlushCore,
     FlushTick,
     Ledger,
     LedgerRead,
     LedgerRefused,
     LedgerWritten,
+    ListedStore,
     ListParts,
     PartsListed,
     PartStore,
@@ -28,6 +30,7 @@
     SealedWindow,
     SealTick,
     SendReport,
+    StoreEmptied,
     StoreRead,
     StoreRefused,
     StoreWritten,
@@ -129,7 +132,9 @@
         return FlushTick(wall_time_s(), live, is_closing)
 
     def _seal_tick(self) -> SealTick:
-        return SealTick(wall_time_s(), self._lease.fencing)
+        live = self._peers.live_incarnations()
+        running = frozenset({self._cfg.daemon_id, *live})
+        return SealTick(wall_time_s(), self._lease.fencing, running)
 
     async def _run_core(self, core: Core, make_tick) -> None:
         while True:
@@ -158,6 +163,8 @@
                 return await self._write_store(action)
             case WriteLedger():
                 return await self._write_ledger(action)
+            case EmptyStore():
+                return await self._empty_store(action)
             case SendReport():
                 return await self._report(action)
         raise TypeError(f"not a usage action: {action!r}")
@@ -173,10 +180,22 @@
         return make_event(msgspec.convert(found.value, kind), found.version)
 
     async def _list_parts(self) -> PartsListed:
-        parts = []
+        stores = []
         for found in await self._client.list(self._store_prefix):
-            parts += msgspec.convert(found.value, PartStore).parts
-        return PartsListed(tuple(parts))
+            stores.append(
+                ListedStore(
+                    daemon_id=found.key.removeprefix(self._store_prefix),
+                    store=msgspec.convert(found.value, PartStore),
+                    version=found.version,
+                )
+            )
+        return PartsListed(tuple(stores))
+
+    async def _empty_store(self, action: EmptyStore) -> StoreEmptied:
+        key = self._store_prefix + action.daemon_id
+        with contextlib.suppress(PlatformConflictError):
+            await self._put(key, PartStore(), action.expected_version)
+        return StoreEmptied()
 
     async def _write_store(self, action: WriteStore) -> object:
         with contextlib.suppress(PlatformConflictError):
@@ -225,7 +244,10 @@
             window=action.window,
             body=action.body,
         )
-        if self._lease.fencing != action.fencing:
+        # The platform's usage interface knows no fencing number, so the
+        # lease must last for a second margin.
+        margin_s = self._cfg.timing.lease_margin_s
+        if self._lease.fencing_with_margin(margin_s) != action.fencing:
             return CallFailed()
         await self._client.report_usage(report)
         return ReportDone(action.window)
--- a/daisyhub/filters/_admission_core.py
+++ b/daisyhub/filters/_admission_core.py
@@ -30,6 +30,7 @@
 _FIRST_SERVICE_S = 0.05
 _SERVICE_SMOOTHING = 0.05
 _MIN_RETRY_S = 0.1
+_WHOLE_TOKEN = 1 - 1e-10  # Rounding must not refuse a whole token.
 _IDLE_CHECKS_PER_ARRIVAL = 2
 
 
@@ -185,7 +186,7 @@
     def _on_arrive(self, event: Arrive, now_s: float) -> list[object]:
         self._forget_idle(now_s)
         account = self._account(event, now_s)
-        if event.rate > 0 and account.tokens < 1:
+        if event.rate > 0 and account.tokens < _WHOLE_TOKEN:
             missing_s = (1 - account.tokens) / event.rate
             return [_shed(event, ErrorCode.RATE_LIMITED, missing_s)]
         if len(self._in_service) < self.places and not self._waiting:
