Test the shells of admission and counting

Cause: that a deadline in the queue is answered at that time, and that a stream holds its place and counts at its end, was checked in cores only. Change: three tests of the filters with a real clock and no timed assert. Conclusion: the shells do as their cores say.

--- /dev/null
+++ b/daisyhub/filters/tests/test_admit.py
@@ -0,0 +1,88 @@
+"""The shells around admission and counting: deadlines and streams."""
+
+import time
+import unittest
+
+import anyio
+
+from daisyhub.accounting import RateShares, ShareCore, UsageCounters
+from daisyhub.config import empty_document
+from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.filters import AccountFilter, AdmissionCore, AdmitFilter
+from daisyhub.messages import Request, Response
+
+
+async def chunks():
+    yield b"one"
+    yield b"two"
+
+
+def request(number, patience_s=60.0):
+    now_s = time.monotonic()
+    return Request(
+        request_id=f"r{number}",
+        method="GET",
+        path="/records/1",
+        query="",
+        host="",
+        headers=(),
+        read_body=None,
+        started_s=now_s,
+        deadline_s=now_s + patience_s,
+        account="yard",
+    )
+
+
+class AdmitTest(unittest.TestCase):
+    def setUp(self):
+        self.core = AdmissionCore(1)
+        shares = RateShares(ShareCore(1, 1, 6.0, 1.0, 0.0), 0.0)
+        self.admit = AdmitFilter(self.core, empty_document, shares)
+        self.counters = UsageCounters("a", 1, 60.0)
+        self.account = AccountFilter(self.counters)
+
+    async def stream(self, _):
+        return Response(status=200, stream=chunks(), tokens=5)
+
+    async def serve(self, req):
+        async def count(req):
+            return await self.account.handle(req, self.stream)
+
+        return await self.admit.handle(req, count)
+
+    def test_a_deadline_that_passes_in_the_queue_is_answered_then(self):
+        async def scenario():
+            held = await self.serve(request(1))
+            with self.assertRaises(Refusal) as caught:
+                await self.serve(request(2, patience_s=0.2))
+            self.assertEqual(caught.exception.error, ErrorCode.OVERLOADED)
+            self.assertGreater(caught.exception.retry_after_s, 0)
+            self.assertEqual(self.core.waiting, 0)
+            await held.stream.aclose()
+
+        anyio.run(scenario)
+
+    def test_a_stream_holds_its_place_and_counts_at_its_end(self):
+        async def scenario():
+            first = await self.serve(request(1))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.serve, request(2))
+                while not self.core.waiting:
+                    await anyio.sleep(0)
+                self.assertEqual(self.counters.unkept_requests, 0)
+                self.assertEqual([c async for c in first.stream][-1], b"two")
+            self.assertEqual(self.core.waiting, 0)
+            self.assertEqual(self.counters.unkept_requests, 1)
+
+        anyio.run(scenario)
+
+    def test_a_stream_that_is_never_read_or_cut_gives_its_place_back(self):
+        async def scenario():
+            for number in range(3):
+                resp = await self.serve(request(number))
+                if number:
+                    await anext(resp.stream)
+                await resp.stream.aclose()
+            self.assertEqual(self.counters.unkept_requests, 0)
+
+        anyio.run(scenario)
