--- a/daisyhub/testing/runner.py
+++ b/daisyhub/testing/runner.py
@@ -4,6 +4,7 @@
 entry that passes again fails it until it is removed.
 """
 
+import logging
 import os
 import pathlib
 import sys
@@ -38,6 +39,7 @@
 
 def _run(_: list[str]) -> int:
     set_up_logs("text", "ERROR")
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
     sys.path.insert(0, os.getcwd())
     suite = unittest.defaultTestLoader.discover(
         _START.value, pattern=_PATTERN.value, top_level_dir="."
