Show sealed usage from the ledger in `usage show`

Cause: trying the README's commands one by one, `usage show` ended with a traceback: it read one object a window, while sealed windows now stand in one ledger a failure domain until they are reported. Its test had run against an empty store. The test now stores a ledger; it fails without the change. `status` also names the holder of endpoint orders.

--- a/daisyhub/cli/_main.py
+++ b/daisyhub/cli/_main.py
@@ -16,7 +16,8 @@
 )
 from daisyhub.cli._endpoints import EndpointCommand
 from daisyhub.cli._keys import KeyCommand
-from daisyhub.cli._status import LotCommand, StatusCommand, UsageCommand
+from daisyhub.cli._status import LotCommand, StatusCommand
+from daisyhub.cli._usage import UsageCommand
 from daisyhub.exceptions import (
     ConfigConflictError,
     DaisyhubError,
--- a/daisyhub/cli/_status.py
+++ b/daisyhub/cli/_status.py
@@ -1,15 +1,13 @@
-"""Commands that show the state of daemons, lots and usage."""
+"""Commands that show the state of daemons and lots."""
 
 import msgspec
 
-from daisyhub.accounting import SealedWindow
 from daisyhub.cli._base import Command, Context, ExitCode, UsageError
 from daisyhub.connections import RequestFailedError
 
-__all__ = ["LotCommand", "StatusCommand", "UsageCommand"]
+__all__ = ["LotCommand", "StatusCommand"]
 
 _TIMEOUT_S = 2.0
-_SEALED_PREFIX = "sealed/"
 
 
 async def _read_statuses(ctx: Context) -> dict[str, dict | None]:
@@ -52,7 +50,7 @@
     row |= {"version": "", "platform": "", "open": "", "holds": ""}
     if status is None:
         return row
-    holds = [p for p in ("weights", "usage") if status[p]["fencing"]]
+    holds = [p for p in ("weights", "orders", "usage") if status[p]["fencing"]]
     holds += [f"lot:{lot}" for lot in status["lots"]]
     return row | {
         "domain": status["failure_domain"],
@@ -91,37 +89,3 @@
         if wanted and not rows:
             return ExitCode.INVALID
         return _exit_code(statuses)
-
-
-class UsageCommand(Command):
-    """Shows sealed usage windows."""
-
-    name = "usage"
-    usage = "usage show [FAILURE_DOMAIN]"
-    summary = "Shows sealed usage by failure domain, window and account."
-
-    async def run(self, ctx: Context, args: list[str]) -> ExitCode:
-        """Prints a row for each window and account."""
-        match args:
-            case ["show"]:
-                prefix = _SEALED_PREFIX
-            case ["show", domain]:
-                prefix = f"{_SEALED_PREFIX}{domain}/"
-            case _:
-                raise UsageError(self.usage)
-        rows = []
-        for found in await ctx.platform.list(prefix):
-            sealed = msgspec.convert(found.value, SealedWindow)
-            rows += [_usage_row(sealed, count) for count in sealed.counts]
-        ctx.print_rows(rows)
-        return ExitCode.OK
-
-
-def _usage_row(sealed: SealedWindow, count) -> dict[str, object]:
-    return {
-        "domain": sealed.failure_domain,
-        "window": sealed.window,
-        "account": count.account,
-        "requests": count.requests,
-        "tokens": count.tokens,
-    }
--- /dev/null
+++ b/daisyhub/cli/_usage.py
@@ -0,0 +1,55 @@
+"""The command that shows usage on its way to the platform's reports."""
+
+import msgspec
+
+from daisyhub.accounting import Ledger, SealedWindow
+from daisyhub.cli._base import Command, Context, ExitCode, UsageError
+
+__all__ = ["UsageCommand"]
+
+_LEDGER_PREFIX = "sealed/"
+
+
+class UsageCommand(Command):
+    """Shows sealed usage windows that may not be reported yet."""
+
+    name = "usage"
+    usage = "usage show [FAILURE_DOMAIN]"
+    summary = (
+        "Shows sealed usage that may not be reported yet; what is reported"
+        " is kept by the platform."
+    )
+
+    async def run(self, ctx: Context, args: list[str]) -> ExitCode:
+        """Prints a row for each failure domain, window and account."""
+        match args:
+            case ["show"]:
+                wanted = None
+            case ["show", domain]:
+                wanted = _LEDGER_PREFIX + domain
+            case _:
+                raise UsageError(self.usage)
+        rows = []
+        for found in await ctx.platform.list(_LEDGER_PREFIX):
+            if wanted in (None, found.key):
+                rows += _rows(msgspec.convert(found.value, Ledger))
+        ctx.print_rows(rows)
+        return ExitCode.OK
+
+
+def _rows(ledger: Ledger) -> list[dict[str, object]]:
+    rows = []
+    for report in ledger.unreported:
+        sealed = msgspec.json.decode(report.body, type=SealedWindow)
+        rows += [_row(sealed, count) for count in sealed.counts]
+    return rows
+
+
+def _row(sealed: SealedWindow, count) -> dict[str, object]:
+    return {
+        "domain": sealed.failure_domain,
+        "window": sealed.window,
+        "account": count.account,
+        "requests": count.requests,
+        "tokens": count.tokens,
+    }
--- a/daisyhub/cli/tests/test_commands.py
+++ b/daisyhub/cli/tests/test_commands.py
@@ -13,6 +13,12 @@
 from absl import flags
 from absl.testing import flagsaver
 
+from daisyhub.accounting import (
+    Ledger,
+    SealedWindow,
+    StoredReport,
+    UsageCount,
+)
 from daisyhub.cli._base import Context, ExitCode
 from daisyhub.cli._main import COMMANDS, run_command
 from daisyhub.connections import HttpAnswer, RequestFailedError
@@ -33,6 +39,7 @@
     "news": {"platform": True},
     "open_requests": 0,
     "weights": {"fencing": 1},
+    "orders": {"fencing": 0},
     "usage": {"fencing": 0},
     "lots": {"l1": {"held": True, "remaining": 3, "fencing": 1}},
 }
@@ -178,8 +185,28 @@
         self.assertEqual(self.run_cli("lot", "list")[0]["lot"], "l1")
         self.run_cli("lot", "show", "l2", code=ExitCode.INVALID)
         self.assertEqual(self.run_cli("usage", "show"), [])
+        self.put_ledger()
+        (row,) = self.run_cli("usage", "show", "busan")
+        self.assertEqual((row["account"], row["requests"]), ("yard", 3))
+        self.assertEqual(self.run_cli("usage", "show", "ulsan"), [])
         self.assertEqual(self.run_cli("status")[0]["version"], 1)
 
+    def put_ledger(self):
+        """Stores a ledger with one window that isn't reported yet."""
+        counts = (UsageCount(account="yard", requests=3),)
+        sealed = SealedWindow(failure_domain="busan", window=60, counts=counts)
+        body = msgspec.json.encode(sealed).decode()
+        report = StoredReport(window=60, body=body)
+        ledger = Ledger(window=60, unreported=(report,))
+        call = Call(
+            method="PUT",
+            path="/objects/sealed/busan",
+            query={"expected": "0", "write_id": "w"},
+            headers={},
+            body=msgspec.json.encode(ledger),
+        )
+        anyio.run(self.platform.answer, call)
+
     def test_a_platform_that_is_down_is_told(self):
         self.http.is_down = True
         self.run_cli("history", code=ExitCode.UNAVAILABLE)
