Let peers confirm that a restarted daemon's loans are dropped

Cause: a trial showed 28 of the first 30 requests of an account refused after a start, since a daemon used an eighth of its share for a term and a margin; the process tests served 2 requests instead of 30 and passed all the same. Change: a new incarnation asks all peers; one that hears it drops what the earlier incarnation lent and takes no more of its grants, and its answer confirms that. The kill test checks that all 30 were served; limits are set in the test of lending only. Ruled out: starting with the whole share (the machine finds 62 of 48 quanta in use after 3 steps). Conclusion: a start costs two ticks where all peers answer.

--- a/daisyhub/accounting/_share_core.py
+++ b/daisyhub/accounting/_share_core.py
@@ -4,8 +4,10 @@
 asks its peers, and those that need less lend for a term. A loan counts at
 the borrower from the moment before it asked, and at the lender from its
 answer, so that no part of a limit is used at two daemons at one time. Cut off
-from its peers, a daemon has its own share again after a term. Shares are
-whole quanta; times are seconds on CLOCK_BOOTTIME.
+from its peers, a daemon has its own share again after a term. A restarted
+one uses little until all peers have told that they use nothing lent by its
+earlier incarnation, or until every such loan has ended. Shares are whole
+quanta; times are seconds on CLOCK_BOOTTIME.
 """
 
 import dataclasses
@@ -57,9 +59,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantHeard:
-    """A peer lends quanta in answer to the ask of `stamp_s`."""
+    """A peer lends quanta in answer to the ask of `stamp_s`.
+
+    Attributes:
+        peer: The lender.
+        lender_incarnation: Start of the lender.
+        incarnation: Of the asker, as in the ask.
+        stamp_s: As in the ask.
+        grants: Accounts and quanta.
+    """
 
     peer: str
+    lender_incarnation: int
     incarnation: int
     stamp_s: float
     grants: Wants
@@ -115,12 +126,14 @@
         self._incarnation = incarnation
         self._term_s = term_s
         self._margin_s = margin_s
-        self._lends_from_s = started_s + term_s + margin_s
+        self._held_until_s = started_s + term_s + margin_s
+        self._neighbours = daemons - 1
+        self._confirmed: set[str] = set()
+        self._incarnations: dict[str, int] = {}
         self._lent: dict[str, dict[str, list[_Loan]]] = {}
         self._borrowed: dict[str, dict[str, _Loan]] = {}
         self._asks: dict[str, AskHeard] = {}
         self._next_ask_s = started_s
-        self._has_neighbours = daemons > 1
 
     @property
     def next_wakeup_s(self) -> float | None:
@@ -129,8 +142,6 @@
 
     def quanta(self, account: str, now_s: float) -> int:
         """Returns how much of an account's limit may be used here now."""
-        if now_s < self._lends_from_s and self._has_neighbours:
-            return _FLOOR_QUANTA + self._borrowed_quanta(account, now_s)
         return self._own(account, now_s) + self._borrowed_quanta(account, now_s)
 
     def share(self, account: str, now_s: float) -> float:
@@ -143,6 +154,7 @@
             case ShareTick():
                 return self._on_tick(event, now_s)
             case AskHeard():
+                self._note_incarnation(event.peer, event.incarnation)
                 self._asks[event.peer] = event
                 return []
             case GrantHeard():
@@ -156,9 +168,10 @@
         if now_s < self._next_ask_s:
             return actions
         wants = self._missing(event, now_s)
-        if not wants:
+        if not wants and not self._is_held_back(now_s):
             return actions
-        self._next_ask_s = now_s + self._term_s / _ASKS_PER_TERM
+        if not self._is_held_back(now_s):
+            self._next_ask_s = now_s + self._term_s / _ASKS_PER_TERM
         for peer in event.live:
             actions.append(SendAsk(peer, self._incarnation, now_s, wants))
         return actions
@@ -174,14 +187,12 @@
 
     def _answer_asks(self, event: ShareTick, now_s: float) -> list[object]:
         asks, self._asks = self._asks, {}
-        if now_s < self._lends_from_s:
-            return []
         asked: dict[str, int] = {}
         for ask in asks.values():
             for account, quanta in ask.wants:
                 asked[account] = asked.get(account, 0) + quanta
         spare = {
-            account: self._spare(account, event.wanted.get(account, 0))
+            account: self._spare(event.wanted.get(account, 0), now_s)
             for account in asked
         }
         return [
@@ -189,7 +200,9 @@
             for _, ask in sorted(asks.items())
         ]
 
-    def _spare(self, account: str, wanted: int) -> int:
+    def _spare(self, wanted: int, now_s: float) -> int:
+        if self._is_held_back(now_s):
+            return 0
         kept = max(_FLOOR_QUANTA, int(wanted * _HEADROOM))
         return max(0, BASE_QUANTA - kept)
 
@@ -214,8 +227,14 @@
         loans.append(_Loan(quanta, ask.stamp_s, until_s))
 
     def _on_grant(self, event: GrantHeard) -> None:
-        if event.incarnation != self._incarnation:
+        self._note_incarnation(event.peer, event.lender_incarnation)
+        is_current = (
+            event.incarnation == self._incarnation
+            and event.lender_incarnation == self._incarnations[event.peer]
+        )
+        if not is_current:
             return
+        self._confirmed.add(event.peer)
         for account, quanta in event.grants:
             loans = self._borrowed.setdefault(account, {})
             known = loans.get(event.peer)
@@ -224,7 +243,22 @@
             until_s = event.stamp_s + self._term_s
             loans[event.peer] = _Loan(quanta, event.stamp_s, until_s)
 
+    def _note_incarnation(self, peer: str, incarnation: int) -> None:
+        """Stops using what an earlier incarnation of a peer lent."""
+        if incarnation <= self._incarnations.get(peer, 0):
+            return
+        self._incarnations[peer] = incarnation
+        for loans in self._borrowed.values():
+            loans.pop(peer, None)
+
+    def _is_held_back(self, now_s: float) -> bool:
+        """Tells whether peers may use what an earlier incarnation lent."""
+        is_confirmed = len(self._confirmed) >= self._neighbours
+        return now_s < self._held_until_s and not is_confirmed
+
     def _own(self, account: str, now_s: float) -> int:
+        if self._is_held_back(now_s):
+            return _FLOOR_QUANTA
         return BASE_QUANTA - self._lent_quanta(account, now_s)
 
     def _lent_quanta(self, account, now_s: float, other_than: str = "") -> int:
--- a/daisyhub/accounting/tests/test_proof_shares.py
+++ b/daisyhub/accounting/tests/test_proof_shares.py
@@ -4,6 +4,7 @@
 that freeze between hearing and using.
 """
 
+import dataclasses
 import unittest
 
 from hypothesis import strategies as st
@@ -38,15 +39,11 @@
         self.now_s = 100.0
         self.starts = 0
         self.mail = []
-        self.cores = {name: self.new_core() for name in DAEMONS}
+        self.cores, self.started = {}, {}
+        for name in DAEMONS:
+            self.restart(name)
         self.now_s += TERM_S + MARGIN_S
 
-    def new_core(self):
-        self.starts += 1
-        return self.core_class(
-            self.starts, len(DAEMONS), TERM_S, MARGIN_S, self.now_s
-        )
-
     @rule(
         name=st.sampled_from(DAEMONS),
         wanted=st.sampled_from([0, 4, 12, 30, 48]),
@@ -55,7 +52,7 @@
         live = tuple(n for n in DAEMONS if n != name)
         event = ShareTick({ACCOUNT: wanted}, live)
         for action in self.cores[name].handle(event, self.now_s):
-            self.mail.append((name, action))
+            self.mail.append((name, self.started[name], action))
 
     @rule(how=st.sampled_from(["all", "all", "first", "last", "twice", "drop"]))
     def deliver(self, how):
@@ -67,10 +64,12 @@
             if how != "drop":
                 self.hear(*item)
 
-    def hear(self, sender, action):
-        kind = AskHeard if isinstance(action, SendAsk) else GrantHeard
-        what = action.wants if kind is AskHeard else action.grants
-        event = kind(sender, action.incarnation, action.stamp_s, what)
+    def hear(self, sender, incarnation, action):
+        stamp = (action.incarnation, action.stamp_s)
+        if isinstance(action, SendAsk):
+            event = AskHeard(sender, *stamp, action.wants)
+        else:
+            event = GrantHeard(sender, incarnation, *stamp, action.grants)
         self.cores[action.peer].handle(event, self.now_s)
 
     @rule(
@@ -97,7 +96,11 @@
 
     @rule(name=st.sampled_from(DAEMONS))
     def restart(self, name):
-        self.cores[name] = self.new_core()
+        self.starts += 1
+        self.started[name] = self.starts
+        self.cores[name] = self.core_class(
+            self.starts, len(DAEMONS), TERM_S, MARGIN_S, self.now_s
+        )
 
     @invariant()
     def all_together_stay_within_the_limit(self):
@@ -118,17 +121,22 @@
         return super().handle(event, now_s)
 
     def _on_grant(self, event):
-        event = GrantHeard(
-            event.peer, event.incarnation, self._heard_s, event.grants
-        )
-        super()._on_grant(event)
+        super()._on_grant(dataclasses.replace(event, stamp_s=self._heard_s))
 
 
 class UsesAllAfterStart(ShareCore):
     """Broken: a restarted daemon uses what its last incarnation lent."""
 
-    def quanta(self, account, now_s):
-        return self._own(account, now_s) + self._borrowed_quanta(account, now_s)
+    def _is_held_back(self, now_s):
+        return False
+
+
+class ConfirmsAndUses(ShareCore):
+    """Broken: a borrower confirms a restart and goes on using its loans."""
+
+    def _note_incarnation(self, peer, incarnation):
+        known = self._incarnations.get(peer, 0)
+        self._incarnations[peer] = max(known, incarnation)
 
 
 class ReplacesLoans(ShareCore):
@@ -139,12 +147,20 @@
         super()._note_lent(account, ask, quanta, now_s)
 
 
+BROKEN = (
+    CountsFromAnswer,
+    UsesAllAfterStart,
+    ConfirmsAndUses,
+    ReplacesLoans,
+)
+
+
 class ShareProof(unittest.TestCase):
     def test_the_sum_stays_within_the_limit(self):
         run_proof(ShareMachine, examples=300)
 
     def test_the_machine_catches_broken_shares(self):
-        for broken in (CountsFromAnswer, UsesAllAfterStart, ReplacesLoans):
+        for broken in BROKEN:
             with self.subTest(broken.__name__):
                 machine = type(
                     "Machine", (ShareMachine,), {"core_class": broken}
@@ -162,6 +178,15 @@
         quanta = [c.quanta(ACCOUNT, machine.now_s) for c in self.cores(machine)]
         self.assertEqual(quanta, [16, 16, 16])
 
+    def test_a_restarted_daemon_has_its_share_once_all_peers_confirm(self):
+        machine = ShareMachine()
+        machine.start()
+        machine.restart("d0")
+        core = machine.cores["d0"]
+        self.assertEqual(core.quanta(ACCOUNT, machine.now_s), 2)
+        machine.take_round([0, 0, 0], [0, 0, 0], True)
+        self.assertEqual(core.quanta(ACCOUNT, machine.now_s), 16)
+
     def cores(self, machine):
         return [machine.cores[name] for name in DAEMONS]
 
--- a/daisyhub/controllers/_peers.py
+++ b/daisyhub/controllers/_peers.py
@@ -149,7 +149,7 @@
             case UsageCopy():
                 self._counters.hold(envelope.sender, message.parts)
             case RateAsk() | RateGrant():
-                event = _share_event(envelope.sender, message)
+                event = _share_event(envelope, message)
                 self._shares.hear(event, boot_time_s())
             case UsageHeld():
                 self._counters.on_held(
@@ -236,9 +236,19 @@
 
 
 def _share_event(
-    sender: str, message: RateAsk | RateGrant
+    envelope: Envelope, message: RateAsk | RateGrant
 ) -> AskHeard | GrantHeard:
-    head = (sender, message.incarnation, message.stamp_s)
     if isinstance(message, RateAsk):
-        return AskHeard(*head, message.wants)
-    return GrantHeard(*head, message.grants)
+        return AskHeard(
+            envelope.sender,
+            message.incarnation,
+            message.stamp_s,
+            message.wants,
+        )
+    return GrantHeard(
+        envelope.sender,
+        envelope.incarnation,
+        message.incarnation,
+        message.stamp_s,
+        message.grants,
+    )
--- a/daisyhub/controllers/tests/test_usage_failures.py
+++ b/daisyhub/controllers/tests/test_usage_failures.py
@@ -24,7 +24,7 @@
 
 
 class UsageFailuresTest(unittest.TestCase):
-    def run_with(self, scenario, **timing):
+    def run_with(self, scenario, limits=None, **timing):
         demo = Demo()
         demo.deployment.stop()
         demo.deployment = Deployment(
@@ -38,10 +38,10 @@
             await demo.deployment.start()
             demo._write_operator_settings()
             document = demo_document(demo.keys)
-            limits = {"requests_per_s": 60.0, "burst": 60}
-            document["client_accounts"]["archive"] |= limits
+            document["client_accounts"]["archive"] |= limits or {}
             version = demo._apply(document)
             await demo.deployment.wait_for_version(version)
+            await demo.deployment.wait_for_status(lambda s: s["endpoints"])
             await scenario()
 
         anyio.run(run)
@@ -90,6 +90,7 @@
             with anyio.fail_after(WAIT_S):
                 while (await self.status_of(victim))["unkept_requests"]:
                     await anyio.sleep(0.05)
+            self.assertEqual(self.served, 30)
             victim.send_signal(signal.SIGKILL)
             await self.check_reports()
 
@@ -129,7 +130,7 @@
                     await self.look_up(daemon, 20)
             await self.check_reports()
 
-        self.run_with(scenario)
+        self.run_with(scenario, {"requests_per_s": 60.0, "burst": 60})
 
     async def share_at(self, daemon):
         caller = Caller(daemon.operators)
