Survive unreadable usage objects

Cause: an object of an unknown form ended the usage task, and the daemon with it. Change: such an object is logged and left out of the list; an unreadable ledger or own object counts as a failed call and is tried again. Conclusion: one bad object holds back no other daemon's counts.

--- a/daisyhub/controllers/_usage.py
+++ b/daisyhub/controllers/_usage.py
@@ -149,6 +149,9 @@
             except PlatformUnavailableError as exc:
                 log.warning("the platform failed: {}", exc)
                 event = CallFailed()
+            except msgspec.ValidationError as exc:
+                log.error("an object can't be read: {}", exc)
+                event = CallFailed()
             actions = core.handle(event, boot_time_s())
 
     async def _perform(self, action: object) -> object:
@@ -182,11 +185,15 @@
     async def _list_parts(self) -> PartsListed:
         stores = []
         for found in await self._client.list(self._store_prefix):
+            try:
+                store = msgspec.convert(found.value, PartStore)
+            except msgspec.ValidationError as exc:
+                log.error("{} can't be read: {}", found.key, exc)
+                continue
+            daemon_id = found.key.removeprefix(self._store_prefix)
             stores.append(
                 ListedStore(
-                    daemon_id=found.key.removeprefix(self._store_prefix),
-                    store=msgspec.convert(found.value, PartStore),
-                    version=found.version,
+                    daemon_id=daemon_id, store=store, version=found.version
                 )
             )
         return PartsListed(tuple(stores))
--- a/daisyhub/controllers/tests/test_usage_failures.py
+++ b/daisyhub/controllers/tests/test_usage_failures.py
@@ -144,6 +144,8 @@
             for path, method in (("/objects/sealed", "PUT"), ("/usage", "")):
                 fault = {"kind": "lose", "path": path, "method": method}
                 await self.platform("POST", "/faults", {**fault, "count": 2})
+            unreadable = "/objects/usage/busan/other?expected=0&write_id=x"
+            await self.platform("PUT", unreadable, {"parts": 7})
             for _ in range(2):
                 for daemon in daemons:
                     await self.look_up(daemon, 10)
