--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -135,29 +135,22 @@
         Raises:
             RequestFailedError: No whole answer came.
         """
-        answer = await self.open(
-            method,
-            address,
-            target,
-            headers=headers,
-            body=body,
-            timeout_s=timeout_s,
-            fresh=fresh,
-        )
-        chunks = []
-        size = 0
+        started_s = time.monotonic()
+        deadline_s = anyio.current_time() + timeout_s
+        conn = await self._take(address, fresh, deadline_s)
+        conn.begin()
         try:
-            async for chunk in answer.chunks():
-                size += len(chunk)
-                if size > answer_bytes:
-                    raise RequestFailedError(
-                        f"the answer exceeds {answer_bytes} bytes", ran=Ran.RAN
-                    )
-                chunks.append(chunk)
-        finally:
-            await answer.aclose()
+            with mapped_errors(address, lambda: conn.ran, deadline_s):
+                answer = await _exchange_heads(
+                    conn, method, address, target, headers, body
+                )
+                content = await _read_all(answer, answer_bytes)
+        except BaseException:
+            await self._discard(address, conn, started_s)
+            raise
+        await self.finish(address, conn, started_s)
         return HttpAnswer(
-            status=answer.status, headers=answer.headers, body=b"".join(chunks)
+            status=answer.status, headers=_lower(answer.headers), body=content
         )
 
     async def open(
@@ -186,11 +179,9 @@
         conn.begin()
         try:
             with mapped_errors(address, lambda: conn.ran, deadline_s):
-                req = _request(method, address, target, headers, body)
-                answer = await conn.http.handle_async_request(req)
-                conn.head_came = True
-            _check_echo(answer, headers)
-            _check_framing(answer, method)
+                answer = await _exchange_heads(
+                    conn, method, address, target, headers, body
+                )
         except BaseException:
             await self._discard(address, conn, started_s)
             raise
@@ -266,13 +257,47 @@
         # Other tasks may replace the list while this one closes.
         while not fresh and (conns := self._idle.get(address)):
             conn = conns.pop()
-            if self._is_recent(conn, time.monotonic()) and conn.is_reusable():
+            is_recent = self._is_recent(conn, time.monotonic())
+            if is_recent and not conn.is_readable():
                 return conn
             await conn.aclose()
         with mapped_errors(address, lambda: Ran.NOT_RUN, deadline_s):
             return await connect(address, self._connect_timeout_s)
 
 
+async def _exchange_heads(
+    conn: Connection,
+    method: str,
+    address: Address,
+    target: str,
+    headers: tuple[Header, ...],
+    body: bytes,
+) -> httpcore.Response:
+    """Sends a request; returns the answer once its head has come."""
+    req = _request(method, address, target, headers, body)
+    answer = await conn.http.handle_async_request(req)
+    conn.head_came = True
+    _check_echo(answer, headers)
+    _check_framing(answer, method)
+    return answer
+
+
+async def _read_all(answer: httpcore.Response, limit: int) -> bytes:
+    """Reads the content to its end."""
+    chunks = []
+    size = 0
+    async for chunk in answer.stream:
+        size += len(chunk)
+        if size > limit:
+            raise RequestFailedError(
+                f"the answer exceeds {limit} bytes", ran=Ran.RAN
+            )
+        chunks.append(chunk)
+    # Ends the exchange; the connection is idle from here on.
+    await answer.aclose()
+    return b"".join(chunks)
+
+
 def _request(
     method: str,
     address: Address,
--- a/daisyhub/connections/_connection.py
+++ b/daisyhub/connections/_connection.py
@@ -1,6 +1,7 @@
 """One HTTP connection, and how far the request on it got."""
 
 import contextlib
+import select
 
 import anyio
 import httpcore
@@ -62,6 +63,7 @@
         self.http = httpcore.AsyncHTTP11Connection(origin, stream=self._wire)
         self.idle_since_s = 0.0
         self.head_came = False
+        self._poll: select.poll | None = None
 
     def begin(self) -> None:
         """Notes that a new request starts."""
@@ -76,19 +78,27 @@
         return Ran.UNKNOWN if self._wire.has_sent else Ran.NOT_RUN
 
     def is_reusable(self) -> bool:
-        """Whether the last answer was whole and nothing came after it.
+        """Whether the last answer was whole and nothing was read after it.
 
         Bytes after an answer would be taken for the next request's answer.
         httpcore doesn't look at those that it has read already, so this
         looks into h11's buffer and anyio's queue.
         """
-        if not self.http.is_idle() or self.http.has_expired():
+        if not self.http.is_idle():
             return False
         if self.http._h11_state.trailing_data[0]:
             return False
         protocol = getattr(self._wire.stream._stream, "_protocol", None)
         return not getattr(protocol, "read_queue", None)
 
+    def is_readable(self) -> bool:
+        """Whether the kernel has bytes or the peer's end of the connection."""
+        if self._poll is None:
+            self._poll = select.poll()
+            sock = self._wire.get_extra_info("socket")
+            self._poll.register(sock, select.POLLIN)
+        return bool(self._poll.poll(0))
+
     async def aclose(self) -> None:
         """Closes it, whatever goes on."""
         with anyio.move_on_after(_CLOSE_TIMEOUT_S, shield=True):
--- a/daisyhub/connections/tests/test_whole_answers.py
+++ b/daisyhub/connections/tests/test_whole_answers.py
@@ -107,6 +107,7 @@
 
         with (
             mock.patch.object(Connection, "is_reusable", is_idle),
+            mock.patch.object(Connection, "is_readable", lambda _: False),
             mock.patch.object(client_module, "_check_echo", lambda *_: None),
         ):
             fuzz = anyio.run(run_fuzz, SEED)
--- a/daisyhub/filters/_route.py
+++ b/daisyhub/filters/_route.py
@@ -84,7 +84,10 @@
             )
         if req.path.startswith(LOTS_PREFIX + "/"):
             self._check_key(req)
-            return await call_next(_bounded(req, _LOT_CALL_TIMEOUT_S))
+            deadline_s = _bounded(req, _LOT_CALL_TIMEOUT_S)
+            return await call_next(
+                dataclasses.replace(req, deadline_s=deadline_s)
+            )
         route = table.find(req.host, req.path, req.method)
         if route.access == "open":
             # An open route runs under no account, whatever key came along.
@@ -95,15 +98,17 @@
             raise Refusal(
                 ErrorCode.ACCOUNT_FORBIDDEN, "the account may not use the route"
             )
-        req = _bounded(req, route.timeout_s)
-        return await call_next(dataclasses.replace(req, route=route))
+        return await call_next(
+            dataclasses.replace(
+                req, route=route, deadline_s=_bounded(req, route.timeout_s)
+            )
+        )
 
     def _check_key(self, req: Request) -> None:
         if not req.account:
             raise Refusal(ErrorCode.KEY_MISSING, "the route needs a key")
 
 
-def _bounded(req: Request, timeout_s: float) -> Request:
-    """Moves the deadline forward to the route's time-out."""
-    deadline_s = min(req.deadline_s, req.started_s + timeout_s)
-    return dataclasses.replace(req, deadline_s=deadline_s)
+def _bounded(req: Request, timeout_s: float) -> float:
+    """Returns the deadline, moved forward to a time-out."""
+    return min(req.deadline_s, req.started_s + timeout_s)
--- a/daisyhub/filters/tests/test_process_requests.py
+++ b/daisyhub/filters/tests/test_process_requests.py
@@ -46,9 +46,13 @@
     async def file(self, number, body, timeout_s=10.0):
         """Files `body` under its own idempotency key."""
         headers = ((b"idempotency-key", body.encode()),)
-        return await self.caller(number).send(
-            "POST", "/filings", body, headers=headers, timeout_s=timeout_s
-        )
+        caller = self.caller(number)
+        try:
+            return await caller.send(
+                "POST", "/filings", body, headers=headers, timeout_s=timeout_s
+            )
+        finally:
+            await caller.aclose()
 
     async def file_until(self, number, body, code):
         """Repeats a filing until it is answered with a status or code."""
@@ -67,6 +71,25 @@
         fault = {"kind": kind, "path": "/filings", "count": 1, **more}
         await self.service.json("POST", "/faults", fault)
 
+    async def test_look_ups_survive_silent_connections(self):
+        """Each gets its own answer, though all kept connections are silent."""
+        await self.look_up_all()
+        silent = await self.service.json("POST", "/faults", {"kind": "silent"})
+        self.assertGreater(silent["connections"], 1)
+        await self.look_up_all()
+
+    async def look_up_all(self):
+        async def look_up(number):
+            caller = self.caller(number % 2)
+            answer = await caller.send("GET", f"/records/{number}")
+            path = msgspec.json.decode(answer.body).get("path")
+            await caller.aclose()
+            self.assertEqual((answer.status, path), (200, f"/records/{number}"))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(8):
+                tasks.start_soon(look_up, number)
+
     async def test_filings_run_at_most_once(self):
         await self.check_replay()
         await self.check_lost_answer()
