Test a daemon frozen between claim and send

Cause: a frozen claimant was only in the state machine.

Change: the process test freezes a daemon with SIGSTOP after the store took its claim, repeats through the other daemon, and lets it go on. The hostile server moves to the fakes.

Conclusion: the repeat is told "unknown", the request runs once, and a later repeat gets the first answer's bytes.

--- a/daisyhub/connections/tests/test_whole_answers.py
+++ b/daisyhub/connections/tests/test_whole_answers.py
@@ -15,14 +15,14 @@
 from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.connections import _client as client_module
 from daisyhub.connections._connection import Connection
-from daisyhub.connections.tests.hostile_server import (
+from daisyhub.exceptions import Ran
+from daisyhub.settings import Address
+from daisyhub.testing.hostile_server import (
     BEHAVIOURS,
     GOOD,
     HostileServer,
     body_of,
 )
-from daisyhub.exceptions import Ran
-from daisyhub.settings import Address
 
 TASKS = 12
 REQUESTS = int(os.environ.get("DAISYHUB_EXAMPLES", "60")) * 10
--- a/daisyhub/filters/tests/test_process_requests.py
+++ b/daisyhub/filters/tests/test_process_requests.py
@@ -95,6 +95,7 @@
         await self.check_lost_answer()
         await self.check_truncated_answer()
         await self.check_store_outage()
+        await self.check_frozen_daemon()
         await self.check_killed_daemon()
 
     async def check_replay(self):
@@ -134,6 +135,36 @@
         await self.file_until(1, "outage", 201)
         self.assertEqual(await self.runs_of("outage"), 1)
 
+    async def check_frozen_daemon(self):
+        """Frozen between claim and send, it still runs the request once."""
+        platform = Caller(self.deployment.platform.address)
+        listing = "/objects?prefix=claims/"
+        before = len((await platform.json("GET", listing))["objects"])
+        fault = {"kind": "late", "path": "/objects/claims", "method": "PUT"}
+        await platform.json(
+            "POST", "/faults", {**fault, "count": 1, "delay_s": 0.5}
+        )
+        first = []
+
+        async def file():
+            first.append(await self.file(0, "frozen"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(file)
+            with anyio.fail_after(10):
+                while len((await platform.json("GET", listing))["objects"]) == (
+                    before
+                ):
+                    await anyio.sleep(0.01)
+            self.daemons[0].send_signal(signal.SIGSTOP)
+            answer = await self.file(1, "frozen")
+            self.daemons[0].send_signal(signal.SIGCONT)
+        self.assertEqual(problem(answer), ("outcome_unknown", "unknown"))
+        again = await self.file_until(1, "frozen", 201)
+        self.assertEqual((first[0].status, first[0].body), (201, again.body))
+        self.assertEqual(await self.runs_of("frozen"), 1)
+        await platform.aclose()
+
     async def check_killed_daemon(self):
         await self.fault("late", delay_s=60.0)
         async with anyio.create_task_group() as tasks:
