--- a/daisyhub/filters/tests/test_process_requests.py
+++ b/daisyhub/filters/tests/test_process_requests.py
@@ -46,9 +46,13 @@
     async def file(self, number, body, timeout_s=10.0):
         """Files `body` under its own idempotency key."""
         headers = ((b"idempotency-key", body.encode()),)
-        return await self.caller(number).send(
-            "POST", "/filings", body, headers=headers, timeout_s=timeout_s
-        )
+        caller = self.caller(number)
+        try:
+            return await caller.send(
+                "POST", "/filings", body, headers=headers, timeout_s=timeout_s
+            )
+        finally:
+            await caller.aclose()
 
     async def file_until(self, number, body, code):
         """Repeats a filing until it is answered with a status or code."""
@@ -67,11 +71,31 @@
         fault = {"kind": kind, "path": "/filings", "count": 1, **more}
         await self.service.json("POST", "/faults", fault)
 
+    async def test_look_ups_survive_silent_connections(self):
+        """Each gets its own answer, though all kept connections are silent."""
+        await self.look_up_all()
+        silent = await self.service.json("POST", "/faults", {"kind": "silent"})
+        self.assertGreater(silent["connections"], 1)
+        await self.look_up_all()
+
+    async def look_up_all(self):
+        async def look_up(number):
+            caller = self.caller(number % 2)
+            answer = await caller.send("GET", f"/records/{number}")
+            path = msgspec.json.decode(answer.body).get("path")
+            await caller.aclose()
+            self.assertEqual((answer.status, path), (200, f"/records/{number}"))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(8):
+                tasks.start_soon(look_up, number)
+
     async def test_filings_run_at_most_once(self):
         await self.check_replay()
         await self.check_lost_answer()
         await self.check_truncated_answer()
         await self.check_store_outage()
+        await self.check_frozen_daemon()
         await self.check_killed_daemon()
 
     async def check_replay(self):
@@ -111,6 +135,36 @@
         await self.file_until(1, "outage", 201)
         self.assertEqual(await self.runs_of("outage"), 1)
 
+    async def check_frozen_daemon(self):
+        """Frozen between claim and send, it still runs the request once."""
+        platform = Caller(self.deployment.platform.address)
+        listing = "/objects?prefix=claims/"
+        before = len((await platform.json("GET", listing))["objects"])
+        fault = {"kind": "late", "path": "/objects/claims", "method": "PUT"}
+        await platform.json(
+            "POST", "/faults", {**fault, "count": 1, "delay_s": 0.5}
+        )
+        first = []
+
+        async def file():
+            first.append(await self.file(0, "frozen"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(file)
+            with anyio.fail_after(10):
+                while len((await platform.json("GET", listing))["objects"]) == (
+                    before
+                ):
+                    await anyio.sleep(0.01)
+            self.daemons[0].send_signal(signal.SIGSTOP)
+            answer = await self.file(1, "frozen")
+            self.daemons[0].send_signal(signal.SIGCONT)
+        self.assertEqual(problem(answer), ("outcome_unknown", "unknown"))
+        again = await self.file_until(1, "frozen", 201)
+        self.assertEqual((first[0].status, first[0].body), (201, again.body))
+        self.assertEqual(await self.runs_of("frozen"), 1)
+        await platform.aclose()
+
     async def check_killed_daemon(self):
         await self.fault("late", delay_s=60.0)
         async with anyio.create_task_group() as tasks:
