Tell only a few peers, and keep liveness by beats

Cause: each daemon sent a heartbeat at each tick to every other daemon; at 470 daemons that is 469 messages a second each, and lost news of a leaving endpoint was never sent again.

Change: MembershipCore tells the next live daemon on the ring of its failure domain and one in turn; heartbeats carry the highest beat known of each member. Relays, the two lowest live ids of a domain, talk to other domains: four of them a tick, all at once when something changed. A sender that is behind gets an answer at once. Leaving endpoints are passed on by whoever hears of them first, three times; loads and usage copies go out the less often the more daemons a domain has.

Process tests with pauses, kills, a platform that hangs, loses and truncates answers pass in 9 s.

--- a/daisyhub/balancing/_endpoint_table.py
+++ b/daisyhub/balancing/_endpoint_table.py
@@ -176,10 +176,11 @@
         """
         known = self._endpoints.get(news.endpoint_id)
         gone = news.incarnation if news.is_leaving else news.incarnation - 1
-        if gone > self._left.get(news.endpoint_id, 0):
+        is_later = gone > self._left.get(news.endpoint_id, 0)
+        if is_later:
             self._note_left(news.endpoint_id, gone)
         if known is None:
-            return False
+            return is_later and news.is_leaving
         is_new = self._note_leaving(known)
         if news.incarnation != known.incarnation:
             return is_new
--- a/daisyhub/controllers/_endpoints.py
+++ b/daisyhub/controllers/_endpoints.py
@@ -104,9 +104,7 @@
         self._table.adopt_list(records, time.monotonic())
 
     async def _probe_share(self) -> None:
-        domain = {peer.daemon_id for peer in self._cfg.domain_peers}
-        live = domain.intersection(self._peers.live_peers())
-        live.add(self._cfg.daemon_id)
+        live = {self._cfg.daemon_id, *self._peers.live_peers()}
         async with anyio.create_task_group() as tasks:
             for state in self._table.all():
                 if _watcher_of(state.endpoint_id, live) == self._cfg.daemon_id:
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -98,7 +98,6 @@
             self.incarnation,
             self.network,
             self.config,
-            self.keys,
             self.table,
             self.counters,
         )
--- a/daisyhub/peers/__init__.py
+++ b/daisyhub/peers/__init__.py
@@ -1,5 +1,12 @@
 """Messages between daemons."""
 
+from daisyhub.peers._membership import (
+    HeartbeatHeard,
+    MembershipCore,
+    MembershipTick,
+    PostureChanged,
+    SendHeartbeat,
+)
 from daisyhub.peers._messages import (
     Call,
     CallAnswer,
@@ -10,6 +17,7 @@
     Heartbeat,
     LotAnswer,
     LotCall,
+    MemberBeat,
     UsageCopy,
     decode_envelope,
     encode_envelope,
@@ -24,10 +32,16 @@
     "EndpointNewsBatch",
     "Envelope",
     "Heartbeat",
+    "HeartbeatHeard",
     "LotAnswer",
     "LotCall",
+    "MemberBeat",
+    "MembershipCore",
+    "MembershipTick",
     "PeerNetwork",
     "PeerUnreachableError",
+    "PostureChanged",
+    "SendHeartbeat",
     "UsageCopy",
     "decode_envelope",
     "encode_envelope",
--- a/daisyhub/peers/_messages.py
+++ b/daisyhub/peers/_messages.py
@@ -16,14 +16,29 @@
     "Heartbeat",
     "LotAnswer",
     "LotCall",
+    "MemberBeat",
     "UsageCopy",
     "decode_envelope",
     "encode_envelope",
 ]
 
 
+class MemberBeat(msgspec.Struct, frozen=True, array_like=True):
+    """The highest beat that the sender knows of one daemon.
+
+    Attributes:
+        name_hash: Short hash of the daemon's id.
+        beat: Its incarnation plus its ticks since.
+        is_leaving: Whether it is shutting down.
+    """
+
+    name_hash: int
+    beat: int
+    is_leaving: bool = False
+
+
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag="hb"):
-    """Sent at each tick to the daemons of the same failure domain.
+    """Sent at each tick to a few daemons.
 
     Attributes:
         incarnation: Start of the process, microseconds since the epoch.
@@ -31,6 +46,8 @@
         withdrawn_keys: How many key ids it knows to be withdrawn.
         is_leaving: Whether it is shutting down.
         withdrawn_digest: Digest of these key ids.
+        beat: The incarnation plus the ticks since.
+        members: What the sender knows of its failure domain.
     """
 
     incarnation: int
@@ -38,6 +55,8 @@
     withdrawn_keys: int
     is_leaving: bool = False
     withdrawn_digest: str = ""
+    beat: int = 0
+    members: tuple[MemberBeat, ...] = ()
 
 
 class EndpointNewsBatch(msgspec.Struct, frozen=True, kw_only=True, tag="en"):
