--- a/daisyhub/config/__init__.py
+++ b/daisyhub/config/__init__.py
@@ -1,6 +1,7 @@
 """The shared configuration document: its sections, checks and versions."""
 
-from daisyhub.config._acceptance import AcceptanceCore, ChangeRequest
+from daisyhub.config._acceptance import AcceptanceCore
+from daisyhub.config._acceptance_types import ChangeRequest
 from daisyhub.config._adoption import (
     AdoptionCore,
     AdoptionTick,
--- a/daisyhub/config/_store.py
+++ b/daisyhub/config/_store.py
@@ -13,8 +13,8 @@
 import anyio
 import msgspec
 
-from daisyhub.config._acceptance import (
-    AcceptanceCore,
+from daisyhub.config._acceptance import AcceptanceCore
+from daisyhub.config._acceptance_types import (
     AuditRead,
     AuditWritten,
     BeginChange,
--- a/daisyhub/config/tests/config_world.py
+++ b/daisyhub/config/tests/config_world.py
@@ -7,7 +7,7 @@
     join_sections,
 )
 from daisyhub.config import (
-    _acceptance as acceptance,
+    _acceptance_types as acceptance,
 )
 from daisyhub.platform import PlatformObject
 
--- a/daisyhub/config/tests/test_proof_config.py
+++ b/daisyhub/config/tests/test_proof_config.py
@@ -32,7 +32,7 @@
     WithdrawnKeys,
     join_sections,
 )
-from daisyhub.config._acceptance import (
+from daisyhub.config._acceptance_types import (
     ChangeAccepted,
     ChangeInDoubt,
     ChangeRefused,
--- a/daisyhub/settings.py
+++ b/daisyhub/settings.py
@@ -21,7 +21,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Address:
-    """An IP address and a TCP port."""
+    """An IP address and a TCP port.
+
+    Attributes:
+        ip: IP address.
+        port: TCP port.
+    """
 
     ip: Name
     port: Port
@@ -32,7 +37,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PeerSettings:
-    """Another daemon: where its peer socket listens."""
+    """Another daemon: where its peer socket listens.
+
+    Attributes:
+        daemon_id: Its unique name.
+        failure_domain: Where it runs.
+        address: Its `peer_address`.
+    """
 
     daemon_id: Name
     failure_domain: Name
