--- a/daisyhub/controllers/_peers.py
+++ b/daisyhub/controllers/_peers.py
@@ -1,6 +1,5 @@
-"""Heartbeats and batched news between the daemons of a failure domain."""
+"""Heartbeats and batched news between daemons."""
 
-import dataclasses
 import time
 
 import anyio
@@ -19,15 +18,19 @@
 from daisyhub.clocks import boot_time_s
 from daisyhub.config import PeerHeard
 from daisyhub.controllers._config import ConfigController
-from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger
 from daisyhub.peers import (
     EndpointNewsBatch,
     Envelope,
     Heartbeat,
+    HeartbeatHeard,
+    MembershipCore,
+    MembershipTick,
     PeerNetwork,
+    PostureChanged,
     RateAsk,
     RateGrant,
+    SendHeartbeat,
     UsageCopy,
     UsageHeld,
 )
@@ -35,29 +38,24 @@
 
 __all__ = ["PeerController"]
 
-_LIVE_TICKS = 4
+_NEWS_REPEATS = 3
+_PEERS_PER_NEWS_TICK = 3
 
 log = get_logger("peers")
 
 
-@dataclasses.dataclass(slots=True)
-class _Peer:
-    incarnation: int = 0
-    heard_s: float = float("-inf")
-    is_leaving: bool = False
-    config_version: int = 0
-    withdrawn_keys: int = 0
-
-
 class PeerController(Controller):
-    """Tells peers what changed here, once a tick, and hears theirs.
+    """Carries out what `MembershipCore` decides, and passes news on.
+
+    News of leaving endpoints goes to the few daemons that heartbeats go to,
+    and from them to theirs. Loads and copies of usage go to every live daemon
+    of the failure domain, the less often the more of them there are.
 
     Args:
         cfg: Settings of this daemon.
         incarnation: Start of this process, microseconds since the epoch.
         network: The peer socket.
         config: Where newer configurations go.
-        keys: Tells how many keys are withdrawn.
         table: Where endpoint news goes.
         counters: Usage to copy.
         shares: Shares of the accounts' limits.
@@ -71,81 +69,73 @@
         incarnation: int,
         network: PeerNetwork,
         config: ConfigController,
-        keys: KeyTable,
         table: EndpointTable,
         counters: UsageCounters,
         shares: RateShares,
     ):
         self._cfg = cfg
-        self._incarnation = incarnation
         self._network = network
         self._config = config
-        self._keys = keys
         self._table = table
         self._counters = counters
         self._shares = shares
-        self._peers: dict[str, _Peer] = {}
+        self._core = MembershipCore(cfg, incarnation)
+        self._incarnations: dict[str, int] = {}
+        self._versions: dict[str, int] = {}
         self._news: dict[str, EndpointNews] = {}
+        self._leaving: dict[str, tuple[EndpointNews, int]] = {}
+        self._ticks_to_news = 0
         self._is_leaving = False
         self._wakeup = anyio.Event()
 
     def status(self) -> dict[str, object]:
-        """Tells which peers are live and the version that each has."""
+        """Tells which peers are live and the versions last heard."""
         return {
             "live": self.live_peers(),
             "rate_shares": self._shares.seen_shares(boot_time_s()),
-            "versions": {
-                daemon_id: peer.config_version
-                for daemon_id, peer in sorted(self._peers.items())
-            },
+            "versions": dict(sorted(self._versions.items())),
         }
 
     def live_peers(self) -> list[str]:
-        """Returns the peers heard of lately that aren't leaving."""
-        limit_s = time.monotonic() - _LIVE_TICKS * self._cfg.timing.peer_tick_s
-        return sorted(
-            daemon_id
-            for daemon_id, peer in self._peers.items()
-            if peer.heard_s >= limit_s and not peer.is_leaving
-        )
+        """Returns the live daemons of the own domain that aren't leaving."""
+        return self._core.live_members(time.monotonic())
 
     def live_incarnations(self) -> dict[str, int]:
-        """Returns the incarnations of the live peers of this domain."""
-        domain = {peer.daemon_id for peer in self._cfg.domain_peers}
+        """Returns the incarnations of live members that were heard."""
         return {
-            daemon_id: self._peers[daemon_id].incarnation
+            daemon_id: self._incarnations[daemon_id]
             for daemon_id in self.live_peers()
-            if daemon_id in domain
+            if daemon_id in self._incarnations
         }
 
     def add_news(self, news: EndpointNews) -> None:
-        """Notes endpoint news for the next tick; leaving goes at once."""
-        self._news[news.endpoint_id] = news
+        """Notes endpoint news for a later tick; leaving goes at once."""
         if news.is_leaving:
+            self._leaving[news.endpoint_id] = (news, _NEWS_REPEATS)
             self.wake()
+        else:
+            self._news[news.endpoint_id] = news
 
     def wake(self) -> None:
-        """Makes the next tick come now."""
+        """Tells peers now what changed here."""
         self._wakeup.set()
 
     def set_leaving(self) -> None:
         """Tells peers at once that this daemon is shutting down."""
         self._is_leaving = True
-        self._send_tick()
+        self._feed(self._posture())
 
     def receive(self, envelope: Envelope, message: object) -> None:
         """Takes one message of a peer; older incarnations are ignored."""
-        peer = self._peers.setdefault(envelope.sender, _Peer())
-        if envelope.incarnation < peer.incarnation:
+        sender = envelope.sender
+        if envelope.incarnation < self._incarnations.get(sender, 0):
             return
-        peer.incarnation = envelope.incarnation
-        peer.heard_s = time.monotonic()
+        self._incarnations[sender] = envelope.incarnation
         match message:
             case Heartbeat():
-                self._on_heartbeat(envelope.sender, peer, message)
+                self._on_heartbeat(sender, message)
             case EndpointNewsBatch():
-                for news in message.news:
-                    self._table.adopt_news(news)
+                self._on_news(message)
             case UsageCopy():
                 self._counters.hold(envelope.sender, message.parts)
             case RateAsk() | RateGrant():
@@ -160,17 +150,37 @@
                 )
 
     async def run(self) -> None:
-        """Sends a tick at each interval, or earlier when woken."""
+        """Sends a tick at each interval, and changes when woken."""
         while True:
-            with anyio.move_on_after(self._cfg.timing.peer_tick_s):
+            due_s = self._core.next_wakeup_s - time.monotonic()
+            with anyio.move_on_after(max(0.0, due_s)):
                 await self._wakeup.wait()
+            is_woken = self._wakeup.is_set()
             self._wakeup = anyio.Event()
-            self._send_tick()
+            self._feed(self._posture())
+            if not is_woken:
+                self._feed(MembershipTick())
+                self._send_bulk()
+            self._send_leaving()
+
+    def _posture(self) -> PostureChanged:
+        return PostureChanged(
+            self._config.version,
+            self._config.withdrawn_count,
+            self._config.withdrawn_digest,
+            self._is_leaving,
+        )
+
+    def _feed(self, event: object) -> None:
+        for action in self._core.handle(event, time.monotonic()):
+            if not isinstance(action, SendHeartbeat):
+                raise TypeError(f"not a membership action: {action!r}")
+            for daemon_id in action.targets:
+                self._network.send(daemon_id, action.heartbeat)
 
-    def _on_heartbeat(self, sender, peer: _Peer, beat: Heartbeat) -> None:
-        peer.is_leaving = beat.is_leaving
-        peer.config_version = beat.config_version
-        peer.withdrawn_keys = beat.withdrawn_keys
+    def _on_heartbeat(self, sender: str, beat: Heartbeat) -> None:
+        self._versions[sender] = beat.config_version
+        self._feed(HeartbeatHeard(sender, beat))
         self._config.on_peer(
             PeerHeard(
                 sender,
@@ -180,34 +190,48 @@
             )
         )
 
-    def _send_tick(self) -> None:
-        messages = [
-            Heartbeat(
-                incarnation=self._incarnation,
-                config_version=self._config.version,
-                withdrawn_keys=self._config.withdrawn_count,
-                is_leaving=self._is_leaving,
-                withdrawn_digest=self._config.withdrawn_digest,
-            )
-        ]
-        if self._news:
-            batch = EndpointNewsBatch(news=tuple(self._news.values()))
-            messages.append(batch)
-            self._news.clear()
+    def _on_news(self, batch: EndpointNewsBatch) -> None:
+        for news in batch.news:
+            if self._table.adopt_news(news):
+                self.add_news(news)
+
+    def _send_leaving(self) -> None:
+        """Sends news of leaving endpoints, some times in case it is lost."""
+        if not self._leaving:
+            return
+        news = tuple(item for item, _ in self._leaving.values())
+        self._leaving = {
+            item.endpoint_id: (item, left - 1)
+            for item, left in self._leaving.values()
+            if left > 1
+        }
+        for daemon_id in self._core.view(time.monotonic()):
+            self._network.send(daemon_id, EndpointNewsBatch(news=news))
+
+    def _send_bulk(self) -> None:
+        """Sends usage and rates to those concerned, loads to all, rarely."""
         live = self.live_incarnations()
         usage = self._counters.tick(live)
         rates = self._shares.tick(tuple(live), boot_time_s())
-        for peer in self._cfg.peers:
-            if peer.failure_domain == self._cfg.failure_domain:
-                told = usage.get(peer.daemon_id, PeerUsage())
-                self._network.send(
-                    peer.daemon_id,
-                    *messages,
-                    *_usage_messages(told),
-                    *_rate_messages(peer.daemon_id, rates),
-                )
-            else:
-                self._network.send(peer.daemon_id, messages[0])
+        news = self._due_news(len(live))
+        for daemon_id in sorted({*live, *usage}):
+            messages = [
+                *news,
+                *_usage_messages(usage.get(daemon_id, PeerUsage())),
+                *_rate_messages(daemon_id, rates),
+            ]
+            if messages:
+                self._network.send(daemon_id, *messages)
+
+    def _due_news(self, peers: int) -> list[EndpointNewsBatch]:
+        """Returns the batch of loads, the less often the more peers."""
+        self._ticks_to_news -= 1
+        if self._ticks_to_news > 0 or not self._news:
+            return []
+        self._ticks_to_news = peers // _PEERS_PER_NEWS_TICK
+        batch = EndpointNewsBatch(news=tuple(self._news.values()))
+        self._news.clear()
+        return [batch]
 
 
 def _usage_messages(told: PeerUsage) -> list[UsageCopy | UsageHeld]:
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -118,7 +118,6 @@
             self.incarnation,
             self.network,
             self.config,
-            self.keys,
             self.table,
             self.counters,
             self.shares,
--- a/daisyhub/peers/__init__.py
+++ b/daisyhub/peers/__init__.py
@@ -1,5 +1,12 @@
 """Messages between daemons."""
 
+from daisyhub.peers._membership import (
+    HeartbeatHeard,
+    MembershipCore,
+    MembershipTick,
+    PostureChanged,
+    SendHeartbeat,
+)
 from daisyhub.peers._messages import (
     Call,
     CallAnswer,
@@ -12,6 +19,7 @@
     Heartbeat,
     LotAnswer,
     LotCall,
+    MemberBeat,
     RateAsk,
     RateGrant,
     UsageCopy,
@@ -31,12 +39,18 @@
     "EndpointParts",
     "Envelope",
     "Heartbeat",
+    "HeartbeatHeard",
     "LotAnswer",
     "LotCall",
+    "MemberBeat",
+    "MembershipCore",
+    "MembershipTick",
     "PeerNetwork",
     "PeerUnreachableError",
     "RateAsk",
     "RateGrant",
+    "PostureChanged",
+    "SendHeartbeat",
     "UsageCopy",
     "UsageHeld",
     "decode_envelope",
