--- a/daisyhub/controllers/_weights.py
+++ b/daisyhub/controllers/_weights.py
@@ -5,20 +5,34 @@
 import anyio
 import msgspec
 
-from daisyhub.balancing import EndpointState, EndpointTable
+from daisyhub.balancing import EndpointTable
 from daisyhub.base import Controller
 from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.controllers._config import ConfigController
 from daisyhub.logs import get_logger
 from daisyhub.platform import LeaseKeeper, PlatformObject
-from daisyhub.settings import DaemonSettings
+from daisyhub.rollouts import (
+    EnginesSeen,
+    EngineView,
+    OrderDone,
+    OrderFailed,
+    OrderNotSent,
+    RolloutRule,
+    SendOrder,
+    VersionPublished,
+    WeightCore,
+    WeightTick,
+)
+from daisyhub.settings import DaemonSettings, TimingSettings
 
 __all__ = ["WeightController"]
 
 _ORDER_TIMEOUT_S = 10.0
-_RETRY_S = 0.5
-_IDLE_S = 5.0
+_BUSY_STEP_S = 0.5
+_IDLE_STEP_S = 5.0
+_SHORTEST_STEP_S = 0.005
 _OK = 200
+_JSON = ((b"content-type", b"application/json"),)
 
 log = get_logger("weights")
 
@@ -63,14 +77,15 @@
         self._table = table
         self._config = config
         self._lease = keeper.new_duty(f"weights/{cfg.failure_domain}")
-        self._wanted: dict[str, int] = {}
-        self._busy: set[str] = set()
+        self._core = WeightCore(_extra_margin_s(cfg.timing))
+        self._published: dict[str, int] = {}
         self._wakeup = anyio.Event()
 
     def status(self) -> dict[str, object]:
         """Tells the wanted versions and who is in charge."""
         return {
-            "wanted": dict(self._wanted),
+            "wanted": self._core.wanted,
+            "behind": self._core.behind,
             "fencing": self._lease.fencing,
             "holder": self._lease.seen_holder,
         }
@@ -79,18 +94,19 @@
         """Takes a pool's newest version from the platform's watch."""
         pool = found.key.rpartition("/")[2]
         version = msgspec.convert(found.value, WeightNews).version
-        self._wanted[pool] = max(version, self._wanted.get(pool, 0))
+        self._published[pool] = version
         self._wakeup.set()
 
     async def run(self) -> None:
         """Sends orders while the lease is held."""
         async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
             tasks.start_soon(self._lease.run)
             while True:
-                if self._lease.fencing:
-                    for state in self._engines_to_load():
-                        self._busy.add(state.endpoint_id)
-                        tasks.start_soon(self._load, state)
+                while self._published:
+                    self._feed(VersionPublished(*self._published.popitem()))
+                self._feed(self._engines_seen())
+                self._feed(WeightTick(bool(self._lease.fencing)))
                 with anyio.move_on_after(self._pause_s()):
                     await self._wakeup.wait()
                 self._wakeup = anyio.Event()
@@ -99,68 +115,79 @@
         """Gives the duty up at shutdown."""
         await self._lease.release()
 
+    def _feed(self, event: object) -> None:
+        for order in self._core.handle(event, time.monotonic()):
+            self._tasks.start_soon(self._load, order)
+
     def _pause_s(self) -> float:
-        """Short while an engine is behind: a failed order is retried."""
-        for pool, version in self._wanted.items():
-            states = self._table.candidates(pool, time.monotonic())
-            if any(state.weight_version < version for state in states):
-                return _RETRY_S
-        return _IDLE_S
-
-    def _engines_to_load(self) -> list[EndpointState]:
-        chosen = []
-        for pool, version in self._wanted.items():
-            settings = self._config.document.endpoint_pools.get(pool)
-            if settings is None:
-                continue
-            states = self._table.candidates(pool, time.monotonic())
-            busy = sum(s.endpoint_id in self._busy for s in states)
-            free = settings.weight_loads_at_once - busy
-            behind = [
-                state
-                for state in states
-                if state.weight_version < version
-                and state.endpoint_id not in self._busy
-            ]
-            chosen += behind[: max(0, free)]
-        return chosen
-
-    async def _load(self, state: EndpointState) -> None:
-        try:
-            await self._send_order(state, self._wanted[state.pool])
-        finally:
-            self._busy.discard(state.endpoint_id)
-            self._wakeup.set()
-
-    async def _send_order(self, state: EndpointState, version: int) -> None:
-        settings = self._config.document.endpoint_pools[state.pool]
-        extra_s = self._cfg.timing.lease_margin_s
-        fencing = self._lease.fencing_with_margin(
-            0.0 if settings.checks_fencing else extra_s
+        """Short while an engine is behind: its news comes by polling."""
+        pause_s = _BUSY_STEP_S if self._core.behind else _IDLE_STEP_S
+        wakeup_s = self._core.next_wakeup_s
+        if wakeup_s is None:
+            return pause_s
+        left_s = wakeup_s - time.monotonic()
+        return min(pause_s, max(_SHORTEST_STEP_S, left_s))
+
+    def _engines_seen(self) -> EnginesSeen:
+        now_s = time.monotonic()
+        rules = {
+            name: RolloutRule(pool.weight_loads_at_once, pool.checks_fencing)
+            for name, pool in self._config.document.endpoint_pools.items()
+            if pool.kind == "engine"
+        }
+        engines = tuple(
+            EngineView(
+                state.endpoint_id, name, state.incarnation, state.weight_version
+            )
+            for name in rules
+            for state in self._table.candidates(name, now_s)
         )
+        return EnginesSeen(engines, rules)
+
+    async def _load(self, order: SendOrder) -> None:
+        self._feed(await self._send(order))
+
+    async def _send(self, order: SendOrder) -> object:
+        """Sends an order if the lease holds; the check comes last."""
+        state = self._table.get(order.endpoint_id)
+        if state is None:
+            return OrderFailed(order.attempt)
+        fencing = self._lease.fencing_with_margin(order.extra_margin_s)
         if not fencing:
-            return
-        order = WeightOrder(
-            kind="load_weights", version=version, fencing=fencing
+            return OrderNotSent(order.attempt)
+        body = WeightOrder(
+            kind="load_weights", version=order.version, fencing=fencing
         )
         try:
             answer = await self._http.request(
                 "POST",
                 state.address,
                 "/orders",
-                headers=((b"content-type", b"application/json"),),
-                body=msgspec.json.encode(order),
+                headers=_JSON,
+                body=msgspec.json.encode(body),
                 timeout_s=_ORDER_TIMEOUT_S,
                 fresh=True,
             )
         except RequestFailedError as exc:
-            log.warning("order to {} failed: {}", state.endpoint_id, exc)
-            return
+            log.warning("order to {} failed: {}", order.endpoint_id, exc)
+            return OrderFailed(order.attempt)
         if answer.status != _OK:
             log.warning(
                 "{} refused an order with status {}",
-                state.endpoint_id,
+                order.endpoint_id,
                 answer.status,
             )
-            return
-        state.weight_version = max(state.weight_version, version)
+            return OrderFailed(order.attempt)
+        state.weight_version = max(state.weight_version, order.version)
+        return OrderDone(order.attempt)
+
+
+def _extra_margin_s(timing: TimingSettings) -> float:
+    """What orders to engines that ignore fencing keep back of the lease.
+
+    Between the last check and the order lies the wait for a connection, and
+    what a freeze of the process adds. At most half of the lease's validity,
+    or no such order would ever leave.
+    """
+    wanted_s = timing.lease_margin_s + timing.connect_timeout_s
+    return min(wanted_s, (timing.lease_term_s - timing.lease_margin_s) / 2)
--- a/daisyhub/rollouts/_weight_core.py
+++ b/daisyhub/rollouts/_weight_core.py
@@ -102,12 +102,14 @@
     Attributes:
         attempt: Names the order in its outcome.
         endpoint_id: The engine.
+        pool: Its pool.
         version: The version to load.
         extra_margin_s: How much longer than usual the lease must hold.
     """
 
     attempt: int
     endpoint_id: str
+    pool: str
     version: int
     extra_margin_s: float
 
@@ -136,8 +138,11 @@
         self._running: dict[int, SendOrder] = {}
         self._loaded: dict[tuple[str, int], int] = {}
         self._troubles: dict[str, _Trouble] = {}
+        self._loading: dict[str, set[str]] = {}
+        self._due: dict[str, list[str]] = {}
         self._attempts = 0
         self._is_in_charge = False
+        self._now_s = float("-inf")
 
     @property
     def wanted(self) -> dict[str, int]:
@@ -152,34 +157,35 @@
     @property
     def next_wakeup_s(self) -> float | None:
         """When an engine that failed may be tried again."""
-        busy = self._busy()
-        times = [
-            trouble.retry_at_s
-            for endpoint_id, trouble in self._troubles.items()
-            if endpoint_id not in busy
-        ]
-        return min(times, default=None)
+        if not self._is_in_charge:
+            return None
+        times = [trouble.retry_at_s for trouble in self._troubles.values()]
+        return min((t for t in times if t > self._now_s), default=None)
 
     def handle(self, event: object, now_s: float) -> list[object]:
         """Takes one event; returns `SendOrder` actions."""
+        self._now_s = now_s
         match event:
             case WeightTick():
                 self._is_in_charge = event.is_in_charge
+                self._queue_due(now_s)
             case VersionPublished():
                 known = self._wanted.get(event.pool, 0)
                 self._wanted[event.pool] = max(known, event.version)
+                self._queue_due(now_s)
             case EnginesSeen():
                 self._on_seen(event)
+                self._queue_due(now_s)
             case OrderDone():
                 self._on_done(event)
             case OrderFailed():
                 self._on_failed(event, now_s)
             case OrderNotSent():
-                self._running.pop(event.attempt, None)
+                self._end(event.attempt)
                 self._is_in_charge = False
             case _:
                 raise TypeError(f"not a weight event: {event!r}")
-        return self._start(now_s) if self._is_in_charge else []
+        return self._start() if self._is_in_charge else []
 
     def _on_seen(self, event: EnginesSeen) -> None:
         self._engines = {e.endpoint_id: e for e in event.engines}
@@ -191,7 +197,7 @@
             del self._troubles[endpoint_id]
 
     def _on_done(self, event: OrderDone) -> None:
-        order = self._running.pop(event.attempt, None)
+        order = self._end(event.attempt)
         engine = self._engines.get(order.endpoint_id) if order else None
         if engine is None:
             return
@@ -199,7 +205,7 @@
         self._troubles.pop(engine.endpoint_id, None)
 
     def _on_failed(self, event: OrderFailed, now_s: float) -> None:
-        order = self._running.pop(event.attempt, None)
+        order = self._end(event.attempt)
         if order is None or order.endpoint_id not in self._engines:
             return
         trouble = self._troubles.get(order.endpoint_id)
@@ -208,50 +214,54 @@
         pause_s = min(_LONGEST_RETRY_S, _RETRY_S * 2**doublings)
         self._troubles[order.endpoint_id] = _Trouble(failures, now_s + pause_s)
 
-    def _busy(self) -> set[str]:
-        return {order.endpoint_id for order in self._running.values()}
+    def _end(self, attempt: int) -> SendOrder | None:
+        order = self._running.pop(attempt, None)
+        if order is not None:
+            self._loading[order.pool].discard(order.endpoint_id)
+        return order
 
     def _is_behind(self, engine: EngineView) -> bool:
         place = (engine.endpoint_id, engine.incarnation)
         known = max(engine.weight_version, self._loaded.get(place, 0))
         return known < self._wanted.get(engine.pool, 0)
 
-    def _start(self, now_s: float) -> list[object]:
-        """Fills each pool's stage with engines that are behind."""
-        if not self._wanted:
-            return []
-        busy = self._busy()
-        orders = []
-        for pool, rule in self._rules.items():
-            loading = sum(
-                engine_id in busy and engine.pool == pool
-                for engine_id, engine in self._engines.items()
-            )
-            free = max(0, rule.loads_at_once - loading)
-            if not free:
-                continue
-            for engine in self._due(pool, busy, now_s)[:free]:
-                orders.append(self._order(engine, rule))
-        return orders
-
-    def _due(self, pool: str, busy: set[str], now_s: float) -> list[EngineView]:
-        """Engines to load next, those without failures first."""
-        due = []
+    def _queue_due(self, now_s: float) -> None:
+        """Queues engines that are behind, those without failures first."""
+        due: dict[str, list[tuple[int, str]]] = {
+            pool: [] for pool in self._rules
+        }
         for engine in self._engines.values():
             trouble = self._troubles.get(engine.endpoint_id)
             is_early = trouble is not None and now_s < trouble.retry_at_s
-            if engine.pool != pool or engine.endpoint_id in busy or is_early:
-                continue
-            if self._is_behind(engine):
+            if engine.pool in due and not is_early and self._is_behind(engine):
                 failures = trouble.failures if trouble else 0
-                due.append((failures, engine.endpoint_id, engine))
-        return [engine for _, _, engine in sorted(due, key=lambda d: d[:2])]
+                due[engine.pool].append((failures, engine.endpoint_id))
+        self._due = {
+            pool: [
+                endpoint_id for _, endpoint_id in sorted(found, reverse=True)
+            ]
+            for pool, found in due.items()
+        }
+
+    def _start(self) -> list[object]:
+        """Fills each pool's stage; a failed engine waits for a later tick."""
+        orders = []
+        for pool, due in self._due.items():
+            rule = self._rules[pool]
+            loading = self._loading.setdefault(pool, set())
+            while due and len(loading) < rule.loads_at_once:
+                engine = self._engines[due.pop()]
+                if engine.endpoint_id not in loading:
+                    loading.add(engine.endpoint_id)
+                    orders.append(self._order(engine, rule))
+        return orders
 
     def _order(self, engine: EngineView, rule: RolloutRule) -> SendOrder:
         self._attempts += 1
         order = SendOrder(
             self._attempts,
             engine.endpoint_id,
+            engine.pool,
             self._wanted[engine.pool],
             0.0 if rule.checks_fencing else self.extra_margin_s,
         )
