--- a/benchmarks/measure/__main__.py
+++ b/benchmarks/measure/__main__.py
@@ -45,6 +45,7 @@
 )
 _LOTS = (
     LotPolicy(name="as built"),
+    LotPolicy(name="as built, no faults", has_faults=False),
     LotPolicy(name="round robin", is_least_loaded=False),
     LotPolicy(name="groups restart", keeps_samples=False),
     LotPolicy(name="time-out 30 s", timeout_s=30.0),
--- a/benchmarks/measure/lots.py
+++ b/benchmarks/measure/lots.py
@@ -50,6 +50,7 @@
         timeout_s: When a silent generation is given up.
         max_staleness: Bound in versions.
         spare_samples: Extra samples of each group.
+        has_faults: Whether the fault script runs.
     """
 
     name: str
@@ -59,6 +60,7 @@
     timeout_s: float = 300.0
     max_staleness: int = 2
     spare_samples: int = 0
+    has_faults: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -275,7 +277,9 @@
             for domain, count in zip(site.domains, site.engines, strict=True)
             for number in range(count)
         ]
-        self.faults = engine_faults(seed, len(self._places))
+        self.faults = ()
+        if policy.has_faults:
+            self.faults = engine_faults(seed, len(self._places))
         self.engines = {
             name: _Engine(self, number)
             for number, name in enumerate(self._places)
