Make the configuration's state machine reach its faults sooner

Change: whole turns of a daemon (hear the store and fetch, hear a peer and fetch) are steps; a broken core that replaces the withdrawn set was added.

--- a/daisyhub/config/tests/test_proof_config.py
+++ b/daisyhub/config/tests/test_proof_config.py
@@ -266,11 +266,24 @@
         how=st.sampled_from(["", "", "", "fail", "damaged"]),
         lag=LAGS,
     )
-    def fetch(self, name, how, lag):
+    def fetch(self, name, how, lag, is_last=False):
         daemon = self.daemons[name]
         if daemon.fetches:
-            event = self.answer(name, daemon.fetches.pop(0), how, lag)
-            daemon.feed(event, self.now_s)
+            action = daemon.fetches.pop(-1 if is_last else 0)
+            daemon.feed(self.answer(name, action, how, lag), self.now_s)
+
+    @rule(name=st.sampled_from(DAEMONS), lag=LAGS)
+    def follow_store(self, name, lag):
+        """A whole turn: hears a state of the store, and fetches."""
+        self.watch(name, lag)
+        self.watch(name, lag)
+        self.fetch(name, "", lag)
+
+    @rule(sender=st.sampled_from(DAEMONS), to=st.sampled_from(DAEMONS))
+    def follow_peer(self, sender, to):
+        """A whole turn: hears a peer, and fetches from it first."""
+        self.heartbeat(sender, to)
+        self.fetch(to, "", 0, is_last=True)
 
     def answer(self, name, action, how, lag):
         is_peer = isinstance(action, FetchFromPeer)
@@ -411,6 +424,14 @@
         return super()._adopt(name, head, contents, now_s)
 
 
+class ReplacesWithdrawn(AdoptionCore):
+    """Broken: the set heard last replaces the one known."""
+
+    def _withdraw(self, key_ids):
+        self.withdrawn = frozenset(key_ids)
+        return []
+
+
 class ForgetsFailures(NewsCore):
     """Broken: what a listener could not take is skipped."""
 
@@ -436,6 +457,7 @@
             LastWriterWins: "acceptance_class",
             AdoptsLower: "adoption_class",
             NeverRetries: "adoption_class",
+            ReplacesWithdrawn: "adoption_class",
             ForgetsFailures: "news_class",
         }
         for kind, place in broken.items():
