Measure a daemon that is behind, and split the look-up measure

Change: a slope drives the real peer controller; policies of look-ups have their own module; titles of plots fit.

Ruled out: reading the code only.

--- a/benchmarks/measure/__main__.py
+++ b/benchmarks/measure/__main__.py
@@ -11,7 +11,8 @@
 import time
 from collections.abc import Callable
 
-from benchmarks.measure.lookups import LookupPolicy, run_lookups
+from benchmarks.measure.lookup_policies import LookupPolicy
+from benchmarks.measure.lookups import run_lookups
 from benchmarks.measure.lots import LotPolicy, has_spares, run_lots
 from benchmarks.measure.plots import draw
 from benchmarks.measure.usage import UsagePolicy, run_usage
--- /dev/null
+++ b/benchmarks/measure/lookup_policies.py
@@ -0,0 +1,80 @@
+"""Policies of look-ups, their figures, and the plain admission."""
+
+import dataclasses
+from typing import Literal
+
+from daisyhub.exceptions import ErrorCode
+from daisyhub.filters._admission_core import Admit, Arrive, Shed
+
+__all__ = ["FirstComeFirstServed", "LookupPolicy", "LookupResult"]
+
+_FIT_PLACES = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LookupPolicy:
+    """What decides.
+
+    Attributes:
+        name: For the table.
+        places: Requests that one daemon lets in at one time.
+        is_fair: Fair queueing, or first come first served.
+        is_least_loaded: Less loaded of two, or round robin.
+        hedges: Whether hedging is on.
+        is_site_wide: Whether daemons use other domains' servers too.
+        extra: One more server in each domain: `none`, `cheap` or `dear`.
+    """
+
+    name: str
+    places: int = _FIT_PLACES
+    is_fair: bool = True
+    is_least_loaded: bool = True
+    hedges: bool = True
+    is_site_wide: bool = False
+    extra: Literal["none", "cheap", "dear"] = "none"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LookupResult:
+    """Figures of one run; shares are of all requests.
+
+    `worst_` figures are of the worst-served account among those that stay
+    within their share; `any_refused` includes the one that bursts. A request
+    is refused if it got no answer for whatever reason.
+    """
+
+    worst_p99_s: float
+    worst_refused: float
+    any_refused: float
+    failed: float
+    price: float
+    cheap_share: float
+    unknown: float
+
+
+class FirstComeFirstServed:
+    """One queue with the same bound; the plain baseline of admission."""
+
+    def __init__(self, places: int):
+        self.places = places
+        self._in_service: set[str] = set()
+        self._queue: list[Arrive] = []
+
+    def handle(self, event: object, now_s: float) -> list[object]:
+        """Takes the events of `AdmissionCore`."""
+        if isinstance(event, Arrive):
+            if len(self._queue) >= 2 * self.places:
+                return [Shed(event.request_id, ErrorCode.OVERLOADED, 1.0)]
+            self._queue.append(event)
+        else:
+            self._in_service.discard(event.request_id)
+        actions = []
+        while self._queue and len(self._in_service) < self.places:
+            waiting = self._queue.pop(0)
+            if waiting.deadline_s <= now_s:
+                shed = Shed(waiting.request_id, ErrorCode.OVERLOADED, 1.0)
+                actions.append(shed)
+                continue
+            self._in_service.add(waiting.request_id)
+            actions.append(Admit(waiting.request_id))
+        return actions
--- a/benchmarks/measure/lookups.py
+++ b/benchmarks/measure/lookups.py
@@ -1,12 +1,15 @@
 """Look-ups through the admission and forward cores, server by server."""
 
-import dataclasses
 import random
 import statistics
-from typing import Literal
 
 from benchmarks.measure.clock import Clock
 from benchmarks.measure.faults import lookup_faults
+from benchmarks.measure.lookup_policies import (
+    FirstComeFirstServed,
+    LookupPolicy,
+    LookupResult,
+)
 from benchmarks.measure.workloads import Site
 from daisyhub.balancing import (
     EndpointNews,
@@ -14,9 +17,9 @@
     LeastLoaded,
     RoundRobin,
 )
-from daisyhub.exceptions import ErrorCode, Ran
+from daisyhub.exceptions import Ran
 from daisyhub.filters import AdmissionCore
-from daisyhub.filters._admission_core import Admit, Arrive, Depart, Shed
+from daisyhub.filters._admission_core import Admit, Arrive, Depart
 from daisyhub.filters._forward_core import (
     AttemptAnswered,
     AttemptFailed,
@@ -30,10 +33,9 @@
 )
 from daisyhub.platform import EndpointRecord
 
-__all__ = ["LookupPolicy", "LookupResult", "run_lookups"]
+__all__ = ["run_lookups"]
 
 _DAEMONS_EACH = 2
-_FIT_PLACES = 6
 _BURST_FACTOR = 6.0
 _SLOW_FACTOR = 6.0
 _LIST_LAG_S = 5.0
@@ -41,75 +43,6 @@
 _POOL = "records"
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class LookupPolicy:
-    """What decides.
-
-    Attributes:
-        name: For the table.
-        places: Requests that one daemon lets in at one time.
-        is_fair: Fair queueing, or first come first served.
-        is_least_loaded: Less loaded of two, or round robin.
-        hedges: Whether hedging is on.
-        is_site_wide: Whether daemons use other domains' servers too.
-        extra: One more server in each domain: `none`, `cheap` or `dear`.
-    """
-
-    name: str
-    places: int = _FIT_PLACES
-    is_fair: bool = True
-    is_least_loaded: bool = True
-    hedges: bool = True
-    is_site_wide: bool = False
-    extra: Literal["none", "cheap", "dear"] = "none"
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class LookupResult:
-    """Figures of one run; shares are of all requests.
-
-    `worst_` figures are of the worst-served account among those that stay
-    within their share; `any_refused` includes the one that bursts. A request
-    is refused if it got no answer for whatever reason.
-    """
-
-    worst_p99_s: float
-    worst_refused: float
-    any_refused: float
-    failed: float
-    price: float
-    cheap_share: float
-    unknown: float
-
-
-class FirstComeFirstServed:
-    """One queue with the same bound; the plain baseline of admission."""
-
-    def __init__(self, places: int):
-        self.places = places
-        self._in_service: set[str] = set()
-        self._queue: list[Arrive] = []
-
-    def handle(self, event: object, now_s: float) -> list[object]:
-        """Takes the events of `AdmissionCore`."""
-        if isinstance(event, Arrive):
-            if len(self._queue) >= 2 * self.places:
-                return [Shed(event.request_id, ErrorCode.OVERLOADED, 1.0)]
-            self._queue.append(event)
-        else:
-            self._in_service.discard(event.request_id)
-        actions = []
-        while self._queue and len(self._in_service) < self.places:
-            waiting = self._queue.pop(0)
-            if waiting.deadline_s <= now_s:
-                shed = Shed(waiting.request_id, ErrorCode.OVERLOADED, 1.0)
-                actions.append(shed)
-                continue
-            self._in_service.add(waiting.request_id)
-            actions.append(Admit(waiting.request_id))
-        return actions
-
-
 class _Server:
     """Works on `slots` requests at one time, the rest waits in order."""
 
--- a/benchmarks/measure/plots.py
+++ b/benchmarks/measure/plots.py
@@ -1,4 +1,4 @@
-"""One small bar chart for each measure."""
+"""One small bar chart for each measure: medians, lowest to highest."""
 
 import pathlib
 
@@ -12,11 +12,11 @@
 
 _DPI = 60
 _PLOTS = (
-    ("Look-ups", "worst_p99_s", "worst account within its share: p99 in s"),
+    ("Look-ups", "worst_p99_s", "worst account in its share: p99, s"),
     (
         "Look-ups",
         "worst_refused",
-        "worst account within its share: not answered",
+        "worst account in its share: not answered",
     ),
     ("Look-ups", "price", "server seconds, priced, an answer"),
     ("Look-ups", "cheap_share", "share of work on cheap servers"),
@@ -50,6 +50,6 @@
     fig, axes = plt.subplots(figsize=(8, height), layout="constrained")
     axes.barh(names, medians, xerr=spread, color="tab:blue", ecolor="black")
     axes.invert_yaxis()
-    axes.set_title(f"{title}; median, bars from lowest to highest")
+    fig.suptitle(title)
     fig.savefig(path, dpi=_DPI)
     plt.close(fig)
--- a/benchmarks/slope_peers.py
+++ b/benchmarks/slope_peers.py
@@ -20,7 +20,7 @@
 from daisyhub.peers import Heartbeat, PeerNetwork
 from daisyhub.settings import Address, DaemonSettings, PeerSettings
 
-__all__ = ["peer_slopes"]
+__all__ = ["daemon_settings", "peer_slopes"]
 
 _PEERS = (1, 3, 9, 27)
 _REPEATS = 3
@@ -36,7 +36,10 @@
     return Address(ip=_LOOPBACK, port=port)
 
 
-def _settings(name: str, port: int, peers: dict[str, int]) -> DaemonSettings:
+def daemon_settings(
+    name: str, port: int, peers: dict[str, int]
+) -> DaemonSettings:
+    """Returns settings of a daemon on loopback with these peers' ports."""
     return DaemonSettings(
         daemon_id=name,
         failure_domain="busan",
@@ -68,7 +71,7 @@
 async def _run_tested(ports: list[int]) -> None:
     """Prints the processor time of one tick, milliseconds."""
     peers = {f"peer-{n}": port for n, port in enumerate(ports[1:])}
-    network = PeerNetwork(_settings(_TESTED, ports[0], peers), 1)
+    network = PeerNetwork(daemon_settings(_TESTED, ports[0], peers), 1)
     heard = 0
 
     def receive(envelope, message) -> None:
@@ -94,7 +97,7 @@
     count = len(ports) - 1
     async with anyio.create_task_group() as tasks:
         for number, port in enumerate(ports[1:]):
-            cfg = _settings(f"peer-{number}", port, {_TESTED: ports[0]})
+            cfg = daemon_settings(f"peer-{number}", port, {_TESTED: ports[0]})
             network = PeerNetwork(cfg, 1)
             tasks.start_soon(network.run)
             offset_s = _TICK_S * number / count
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,8 +1,8 @@
 """Measures the slopes that docs/CAPACITY.md is worked out from.
 
 `python -m benchmarks.slopes [PART ...]` with parts among `tables`, `cores`,
-`peers`, `calls`, `daemons`; all of them by default. Processor times are the
-process's own and do not count time spent waiting.
+`peers`, `catch_up`, `calls`, `daemons`; all of them by default. Processor
+times are the process's own and do not count time spent waiting.
 """
 
 import sys
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from benchmarks.slope_calls import call_slopes
+from benchmarks.slope_catch_up import catch_up_slopes
 from benchmarks.slope_cores import core_slopes
 from benchmarks.slope_daemons import daemon_slopes
 from benchmarks.slope_peers import peer_slopes
@@ -20,6 +21,7 @@
     "tables": table_slopes,
     "cores": core_slopes,
     "peers": peer_slopes,
+    "catch_up": catch_up_slopes,
     "calls": call_slopes,
     "daemons": daemon_slopes,
 }
