Probe only quiet endpoints, spread leaving news from any answer

News of a leaving endpoint that came in an answer to a request stayed in one daemon.

Change: an endpoint that answered within five probe intervals isn't probed; the watcher of an endpoint is ranked anew only when the live daemons change; the table tells its listeners of each endpoint that is newly leaving, from whatever source; `sample_timeout_s` of a lot class, 60 s by default.

Endpoint proof, membership processes and demo pass.

--- a/daisyhub/balancing/_endpoint_table.py
+++ b/daisyhub/balancing/_endpoint_table.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable
 
 import msgspec
 
@@ -85,6 +86,7 @@
     suspect_until_s: float = 0.0
     is_leaving: bool = False
     absent_since_s: float | None = None
+    heard_s: float = float("-inf")
 
     @property
     def load(self) -> float:
@@ -110,10 +112,15 @@
         # Endpoints that may get work, by pool and id.
         self._usable: dict[str, list[EndpointState]] = {}
         self._suspects: set[str] = set()
+        self._listeners: list[Callable[[EndpointNews], None]] = []
 
     def __len__(self) -> int:
         return len(self._endpoints)
 
+    def add_listener(self, listener: Callable[[EndpointNews], None]) -> None:
+        """Calls `listener` with news that others must hear: one is leaving."""
+        self._listeners.append(listener)
+
     def get(self, endpoint_id: str) -> EndpointState | None:
         """Returns an endpoint, or None."""
         return self._endpoints.get(endpoint_id)
@@ -182,6 +189,9 @@
         if known is None:
             return is_later and news.is_leaving
         is_new = self._note_leaving(known)
+        if is_new:
+            for listener in self._listeners:
+                listener(news)
         if news.incarnation != known.incarnation:
             return is_new
         if news.load >= 0:
@@ -252,6 +262,7 @@
             return
         state.own_requests = max(0, state.own_requests - 1)
         if not failed:
+            state.heard_s = now_s
             state.failures = 0
             state.suspect_until_s = 0.0
             self._suspects.discard(endpoint_id)
--- a/daisyhub/config/_document.py
+++ b/daisyhub/config/_document.py
@@ -94,6 +94,8 @@
         max_staleness: Largest distance of versions between the trainer and
             any span of a sample.
         max_tokens: Longest sample.
+        sample_timeout_s: Longest wait for one sample, in seconds; then it is
+            generated elsewhere.
         concurrency: Samples generated at one time for one lot.
         spare_samples: Extra samples started for each group.
     """
@@ -104,6 +106,7 @@
     max_staleness: Annotated[int, Range(0, 1000, "versions")] = 2
     max_tokens: Annotated[int, Range(1, 1_000_000, "tokens")] = 256
     concurrency: Annotated[int, Range(1, 100_000)] = 64
+    sample_timeout_s: Annotated[float, Range(0.1, 3600, "s")] = 60.0
     spare_samples: Annotated[int, Range(0, 64)] = 0
 
 
--- a/daisyhub/controllers/_endpoints.py
+++ b/daisyhub/controllers/_endpoints.py
@@ -1,6 +1,5 @@
 """Keeps the endpoint table: the platform's list, and probes of a share."""
 
-import hashlib
 import time
 from collections.abc import Callable
 
@@ -25,12 +24,18 @@
     PeerNetwork,
     PeerUnreachableError,
 )
-from daisyhub.platform import EndpointRecord, PlatformClient, PlatformObject
+from daisyhub.platform import (
+    EndpointRecord,
+    PlatformClient,
+    PlatformObject,
+    rank_candidates,
+)
 from daisyhub.settings import DaemonSettings
 
 __all__ = ["EndpointController"]
 
 _PROBE_TIMEOUT_S = 1.0
+_QUIET_PROBES = 5
 
 log = get_logger("endpoints")
 
@@ -67,6 +72,8 @@
         self._table = table
         self._peers = peers
         self._network = network
+        self._watchers_of: frozenset[str] = frozenset()
+        self._is_watched: dict[str, bool] = {}
 
     def status(self) -> dict[str, object]:
         """Tells each endpoint's state."""
@@ -100,7 +107,6 @@
         )
         if self._table.adopt_news(news):
             log.info("{} is drained by {}", order.endpoint_id, order.author)
-            self._peers.add_news(news)
 
     async def _read_list(self) -> None:
         try:
@@ -136,12 +142,34 @@
         return EndpointParts(records=records)
 
     async def _probe_share(self) -> None:
-        live = {self._cfg.daemon_id, *self._peers.live_peers()}
+        """Probes the quiet endpoints of this daemon's share.
+
+        Answers to requests carry the same news, so that a busy endpoint
+        needs no probe.
+        """
+        quiet_s = _QUIET_PROBES * self._cfg.timing.probe_s
+        oldest_s = time.monotonic() - quiet_s
         async with anyio.create_task_group() as tasks:
             for state in self._table.all():
-                if _watcher_of(state.endpoint_id, live) == self._cfg.daemon_id:
+                if state.heard_s > oldest_s:
+                    continue
+                if self._is_watched_here(state.endpoint_id):
                     tasks.start_soon(self._probe, state)
 
+    def _is_watched_here(self, endpoint_id: str) -> bool:
+        """Whether this daemon is the one that watches the endpoint.
+
+        Kept until the live daemons change: ranking costs a hash a daemon.
+        """
+        live = frozenset((self._cfg.daemon_id, *self._peers.live_peers()))
+        if live != self._watchers_of:
+            self._watchers_of = live
+            self._is_watched.clear()
+        if endpoint_id not in self._is_watched:
+            watcher, *_ = rank_candidates(endpoint_id, live)
+            self._is_watched[endpoint_id] = watcher == self._cfg.daemon_id
+        return self._is_watched[endpoint_id]
+
     async def _probe(self, state: EndpointState) -> None:
         try:
             answer = await self._http.request(
@@ -150,6 +178,7 @@
         except RequestFailedError:
             self._http.forget(state.address)
             return
+        state.heard_s = time.monotonic()
         news = news_from_headers(state, answer.headers)
         if _tells_news(state, news):
             self._peers.add_news(news)
@@ -169,9 +198,7 @@
 
 
 def _tells_news(state: EndpointState, news) -> bool:
-    """Whether peers must hear it: leaving, new weights, twice the load."""
-    if news.is_leaving != state.is_leaving:
-        return True
+    """Whether peers must hear it: new weights, or twice the load."""
     if news.weight_version > state.weight_version:
         return True
     return _load_level(news.load) != _load_level(state.reported_load)
@@ -182,14 +209,6 @@
     return int(max(0.0, load)).bit_length()
 
 
-def _watcher_of(endpoint_id: str, daemons: set[str]) -> str:
-    def weight(daemon_id: str) -> bytes:
-        text = f"{endpoint_id}\0{daemon_id}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
-
-    return max(daemons, key=weight)
-
-
 async def _repeat(interval_s: float, work: Callable) -> None:
     while True:
         await work()
--- a/daisyhub/controllers/_lot_engines.py
+++ b/daisyhub/controllers/_lot_engines.py
@@ -14,7 +14,6 @@
 
 __all__ = ["LotEngines"]
 
-_GENERATE_TIMEOUT_S = 300.0
 _OK = 200
 _JSON = ((b"content-type", b"application/json"),)
 
@@ -105,7 +104,7 @@
                 "/generate",
                 headers=_JSON,
                 body=msgspec.json.encode(prompt),
-                timeout_s=_GENERATE_TIMEOUT_S,
+                timeout_s=self._spec.sample_timeout_s,
             )
             has_failed = answer.status != _OK
         except RequestFailedError as exc:
--- a/daisyhub/controllers/_lots.py
+++ b/daisyhub/controllers/_lots.py
@@ -211,6 +211,7 @@
             max_tokens=lot_class.max_tokens,
             concurrency=lot_class.concurrency,
             spare_samples=lot_class.spare_samples,
+            sample_timeout_s=lot_class.sample_timeout_s,
         )
 
     async def _run_seat(self, seat: LotSeat) -> None:
--- a/daisyhub/controllers/_peers.py
+++ b/daisyhub/controllers/_peers.py
@@ -192,8 +192,7 @@
 
     def _on_news(self, batch: EndpointNewsBatch) -> None:
         for news in batch.news:
-            if self._table.adopt_news(news):
-                self.add_news(news)
+            self._table.adopt_news(news)
 
     def _send_leaving(self) -> None:
         """Sends news of leaving endpoints, some times in case it is lost."""
--- a/daisyhub/rollouts/_lot_types.py
+++ b/daisyhub/rollouts/_lot_types.py
@@ -139,6 +139,7 @@
     max_tokens: int
     concurrency: int
     spare_samples: int = 0
+    sample_timeout_s: float = 60.0
 
 
 class PullRecord(msgspec.Struct, frozen=True, kw_only=True):
--- a/daisyhub/settings.py
+++ b/daisyhub/settings.py
@@ -58,7 +58,8 @@
         watch_wait_s: How long the platform may hold a watch.
         platform_timeout_s: Longest wait for any other platform call.
         endpoint_poll_s: Interval of reading the platform's endpoint list.
-        probe_s: Interval of asking watched endpoints for their load.
+        probe_s: Interval of looking for endpoints to probe; one that answered
+            a request or a probe within five of them is left alone.
         peer_tick_s: Interval of batched messages between daemons.
         lease_term_s: Term of every lease.
         lease_margin_s: What a holder keeps back of its term.
