Let places in a daemon follow what the endpoints can serve

Change: where all endpoints of the routes' pools tell their capacity, a daemon has twice its share of it as places, at least 2, at most the old bound. The core takes the number as an event; less places also mean a shorter queue.

Ruled out for now: a core for each pool, since an account's rate would then count in each; pools of very unlike capacity share one number of places.

--- a/daisyhub/balancing/_endpoint_table.py
+++ b/daisyhub/balancing/_endpoint_table.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -79,6 +79,7 @@
     incarnation: int
     cheap: bool = False
     capacity: int = 16
+    tells_capacity: bool = False
     weight_version: int = 0
     reported_load: float = 0.0
     own_requests: int = 0
@@ -202,6 +203,7 @@
             )
         if news.capacity > 0:
             known.capacity = news.capacity
+            known.tells_capacity = True
         return is_new
 
     def _note_leaving(self, state: EndpointState) -> bool:
@@ -249,6 +251,16 @@
             if now_s < self._endpoints[endpoint_id].suspect_until_s
         }
 
+    def told_capacity(self, pools: Iterable[str]) -> int | None:
+        """Returns what usable endpoints serve at one time, all together.
+
+        None if there are none, or one of them doesn't tell.
+        """
+        states = [s for pool in pools for s in self._usable.get(pool, ())]
+        if not states or not all(s.tells_capacity for s in states):
+            return None
+        return sum(state.capacity for state in states)
+
     def note_sent(self, endpoint_id: str) -> None:
         """Counts a request that was sent."""
         state = self._endpoints.get(endpoint_id)
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -37,6 +37,7 @@
     RouteFilter,
     ValidateFilter,
     build_chain,
+    places_for,
 )
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger, set_up_logs
@@ -204,6 +205,7 @@
                 AdmissionCore(self.cfg.limits.concurrent_requests),
                 lambda: self.config.document,
                 self.shares,
+                self._places,
             ),
             LotsFilter(self.lots.serve),
             IdempotencyFilter(self.claims),
@@ -217,6 +219,15 @@
             ),
         )
 
+    def _places(self) -> int:
+        """Returns how many requests to have in service, by capacity."""
+        routes = self.config.document.routes.values()
+        return places_for(
+            self.table.told_capacity({route.pool for route in routes}),
+            1 + len(self.peers.live_peers()),
+            self.cfg.limits.concurrent_requests,
+        )
+
     def _build_servers(self) -> None:
         cfg = self.cfg
         self.callers_app = CallersApp(
--- a/daisyhub/filters/__init__.py
+++ b/daisyhub/filters/__init__.py
@@ -8,7 +8,9 @@
     Arrive,
     Depart,
     Leave,
+    PlacesChanged,
     Shed,
+    places_for,
 )
 from daisyhub.filters._admit import AdmitFilter
 from daisyhub.filters._chain import build_chain
@@ -56,6 +58,8 @@
 __all__ = [
     "AccountFilter",
     "AdmissionCore",
+    "PlacesChanged",
+    "places_for",
     "AdmissionTick",
     "Admit",
     "AdmitFilter",
--- a/daisyhub/filters/_admission_core.py
+++ b/daisyhub/filters/_admission_core.py
@@ -11,6 +11,7 @@
 
 import collections
 import dataclasses
+import math
 
 from daisyhub.base import Core
 from daisyhub.exceptions import ErrorCode
@@ -23,9 +24,13 @@
     "Arrive",
     "Depart",
     "Leave",
+    "PlacesChanged",
     "Shed",
+    "places_for",
 ]
 
+_PLACES_PER_CAPACITY = 2
+_LEAST_PLACES = 2
 _QUEUE_PER_PLACE = 2
 _FIRST_SERVICE_S = 0.05
 _SERVICE_SMOOTHING = 0.05
@@ -55,6 +60,13 @@
     deadline_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacesChanged:
+    """The endpoints can serve more or fewer requests than before."""
+
+    places: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Depart:
     """An admitted request ended after `service_s` seconds."""
@@ -135,11 +147,13 @@
     Times are seconds on a monotonic clock.
 
     Args:
-        places: Requests in service at one time.
+        places: Most requests in service at one time; `PlacesChanged` lowers
+            and raises the number below it.
     """
 
     def __init__(self, places: int):
         self.places = places
+        self._open_places = places
         self._accounts: dict[str, _Account] = {}
         self._idle_checks: collections.deque[str] = collections.deque()
         self._in_service: set[str] = set()
@@ -179,6 +193,9 @@
             case Leave():
                 self._remove_waiting(event.request_id)
                 return actions
+            case PlacesChanged():
+                self._open_places = min(event.places, self.places)
+                return actions + self._admit_waiting()
             case AdmissionTick():
                 return actions
         raise TypeError(f"not an admission event: {event!r}")
@@ -189,14 +206,14 @@
         if event.rate > 0 and account.tokens < _WHOLE_TOKEN:
             missing_s = (1 - account.tokens) / event.rate
             return [_shed(event, ErrorCode.RATE_LIMITED, missing_s)]
-        if len(self._in_service) < self.places and not self._waiting:
+        if len(self._in_service) < self._open_places and not self._waiting:
             account.take_token()
             return [self._admit(event.request_id)]
         if event.deadline_s - now_s < self._expected_wait_s(account):
             return [self._overloaded(event, account)]
         account.take_token()
         self._enqueue(account, event)
-        if len(self._waiting) <= self.places * _QUEUE_PER_PLACE:
+        if len(self._waiting) <= self._open_places * _QUEUE_PER_PLACE:
             return []
         return [self._shed_most_overloaded()]
 
@@ -236,7 +253,7 @@
         own_turns = len(account.queue) + 1
         fair_turns = own_turns * (1 + others / account.weight)
         turns = min(fair_turns, len(self._waiting) + 1)
-        return turns * self._service_s / self.places
+        return turns * self._service_s / self._open_places
 
     def _overloaded(self, event: Arrive, account: _Account) -> Shed:
         wait_s = self._service_s + self._expected_wait_s(account)
@@ -303,8 +320,11 @@
         self._service_s += _SERVICE_SMOOTHING * (
             event.service_s - self._service_s
         )
+        return self._admit_waiting()
+
+    def _admit_waiting(self) -> list[object]:
         actions = []
-        while self._waiting and len(self._in_service) < self.places:
+        while self._waiting and len(self._in_service) < self._open_places:
             actions.append(self._admit_next())
         return actions
 
@@ -335,3 +355,21 @@
 
 def _shed(event: Arrive, error: ErrorCode, wait_s: float) -> Shed:
     return Shed(event.request_id, error, max(_MIN_RETRY_S, wait_s))
+
+
+def places_for(capacity: int | None, daemons: int, most: int) -> int:
+    """Returns how many requests one daemon should have in service.
+
+    With more places than the endpoints work on at one time, queues form in
+    the endpoints, in order of arrival, where no account's weight counts.
+
+    Args:
+        capacity: Requests that the endpoints serve at one time in all; None
+            if not all of them tell it.
+        daemons: Live daemons that share the endpoints.
+        most: The daemon's own bound.
+    """
+    if capacity is None:
+        return most
+    share = math.ceil(capacity * _PLACES_PER_CAPACITY / max(1, daemons))
+    return min(most, max(_LEAST_PLACES, share))
--- a/daisyhub/filters/_admit.py
+++ b/daisyhub/filters/_admit.py
@@ -18,6 +18,7 @@
     Arrive,
     Depart,
     Leave,
+    PlacesChanged,
     Shed,
 )
 from daisyhub.filters._stream_end import StreamEnd
@@ -29,6 +30,7 @@
     "rate_limited": "the account's rate is used up",
     "overloaded": "no place is free in time",
 }
+_PLACES_INTERVAL_S = 1.0
 _OPEN_ACCOUNT = ClientAccount()
 
 
@@ -39,6 +41,7 @@
         core: The core.
         get_document: Returns the document in force.
         shares: This daemon's shares of the accounts' limits.
+        get_places: Returns how many requests may be in service now.
     """
 
     name = "admit"
@@ -48,10 +51,13 @@
         core: AdmissionCore,
         get_document: Callable[[], Document],
         shares: RateShares,
+        get_places: Callable[[], int] | None = None,
     ):
         self._core = core
         self._get_document = get_document
         self._shares = shares
+        self._get_places = get_places
+        self._places_at_s = 0.0
         self._verdicts: dict[str, object] = {}
         self._waiters: dict[str, anyio.Event] = {}
 
@@ -83,6 +89,7 @@
         return dataclasses.replace(resp, stream=stream)
 
     async def _wait_for_verdict(self, req: Request) -> object:
+        self._follow_capacity()
         account = self._get_document().client_accounts.get(
             req.account, _OPEN_ACCOUNT
         )
@@ -112,6 +119,15 @@
         finally:
             del self._waiters[req.request_id]
 
+    def _follow_capacity(self) -> None:
+        """Tells the core once a second how many places there are."""
+        now_s = time.monotonic()
+        if self._get_places is None or now_s < self._places_at_s:
+            return
+        self._places_at_s = now_s + _PLACES_INTERVAL_S
+        event = PlacesChanged(self._get_places())
+        self._perform(self._core.handle(event, now_s))
+
     async def _wait_until_deadline(self, req: Request, waiter) -> None:
         """Waits for a verdict; the core gives one at the deadline."""
         while not waiter.is_set():
