Give the choice of groups for waiting pulls a module of its own

The choice now works on the calls and slots alone. Ruled out: splitting by kind of call, which would share all of the state.

--- a/daisyhub/rollouts/_lot_core.py
+++ b/daisyhub/rollouts/_lot_core.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from daisyhub.base import Core
+from daisyhub.rollouts._group_choice import choose_groups, usage_of
 from daisyhub.rollouts._lot_events import (
     AckAsked,
     CloseAsked,
@@ -369,14 +370,20 @@
         if self._is_released:
             return None
         acked = self._newly_acked()
-        chosen = self._choose(now_s)
+        chosen = choose_groups(
+            self._unstored_pulls(),
+            self._slots,
+            self._owned,
+            self.spec.max_staleness,
+            now_s,
+        )
         is_closing = self._wants_close and not self._state.is_closed
         if not (acked or chosen or is_closing):
             return None
         self._writes += 1
         write_id = f"{self.holder}.{self._writes}"
         if chosen:
-            self._unbilled[write_id] = self._usage(chosen)
+            self._unbilled[write_id] = usage_of(chosen, self._slots)
         added = {
             pull_id: PullRecord(groups=groups, commit_id=write_id)
             for pull_id, groups in chosen.items()
@@ -387,6 +394,14 @@
         )
         return WriteState(write_id, state, self._version)
 
+    def _unstored_pulls(self) -> list[PullAsked]:
+        return [
+            call
+            for call in self._calls.values()
+            if isinstance(call, PullAsked)
+            and call.pull_id not in self._state.pulls
+        ]
+
     def _newly_acked(self) -> dict[str, PullRecord]:
         """Returns the records that acknowledgements change.
 
@@ -402,48 +417,3 @@
             pull_id: msgspec.structs.replace(pulls[pull_id], is_acked=True)
             for pull_id in self._acks
         }
-
-    def _choose(self, now_s: float) -> dict[str, tuple[int, ...]]:
-        """Returns whole, fresh groups for each pull that waits for its first.
-
-        Of two calls with the same pull id the one with the newer version
-        counts.
-        """
-        waiting: dict[str, PullAsked] = {}
-        for call in self._calls.values():
-            if not isinstance(call, PullAsked):
-                continue
-            known = waiting.get(call.pull_id)
-            if known is None or known.version < call.version:
-                waiting[call.pull_id] = call
-        free = [g for g in self._slots.whole_groups if g not in self._owned]
-        chosen = {}
-        for pull_id, call in waiting.items():
-            if pull_id in self._state.pulls:
-                continue
-            groups = self._fresh_groups(call, free, now_s)
-            if groups:
-                chosen[pull_id] = groups
-                free = [g for g in free if g not in groups]
-        return chosen
-
-    def _fresh_groups(
-        self, call: PullAsked, free: list[int], now_s: float
-    ) -> tuple[int, ...]:
-        oldest = call.version - self.spec.max_staleness
-        fresh = []
-        for group in free:
-            if len(fresh) == call.max_groups:
-                break
-            if self._slots.is_fresh(group, oldest, now_s):
-                fresh.append(group)
-        return tuple(fresh)
-
-    def _usage(self, chosen: dict[str, tuple[int, ...]]) -> CountUsage:
-        groups = tuple(g for part in chosen.values() for g in part)
-        tokens = tuple(
-            len(sample.tokens)
-            for group in groups
-            for sample in self._slots.group(group).samples
-        )
-        return CountUsage(groups, tokens)
