--- a/daisyhub/controllers/_endpoints.py
+++ b/daisyhub/controllers/_endpoints.py
@@ -72,7 +72,7 @@
         self._table = table
         self._peers = peers
         self._network = network
-        self._watchers_of: frozenset[str] = frozenset()
+        self._watchers: frozenset[str] = frozenset()
         self._is_watched: dict[str, bool] = {}
 
     def status(self) -> dict[str, object]:
@@ -147,6 +147,7 @@
         Answers to requests carry the same news, so that a busy endpoint
         needs no probe.
         """
+        self._follow_live_daemons()
         quiet_s = _QUIET_PROBES * self._cfg.timing.probe_s
         oldest_s = time.monotonic() - quiet_s
         async with anyio.create_task_group() as tasks:
@@ -156,17 +157,17 @@
                 if self._is_watched_here(state.endpoint_id):
                     tasks.start_soon(self._probe, state)
 
-    def _is_watched_here(self, endpoint_id: str) -> bool:
-        """Whether this daemon is the one that watches the endpoint.
-
-        Kept until the live daemons change: ranking costs a hash a daemon.
-        """
+    def _follow_live_daemons(self) -> None:
+        """Ranks watchers anew once the live daemons have changed."""
         live = frozenset((self._cfg.daemon_id, *self._peers.live_peers()))
-        if live != self._watchers_of:
-            self._watchers_of = live
+        if live != self._watchers:
+            self._watchers = live
             self._is_watched.clear()
+
+    def _is_watched_here(self, endpoint_id: str) -> bool:
+        """Whether this daemon is the one that watches the endpoint."""
         if endpoint_id not in self._is_watched:
-            watcher, *_ = rank_candidates(endpoint_id, live)
+            watcher, *_ = rank_candidates(endpoint_id, self._watchers)
             self._is_watched[endpoint_id] = watcher == self._cfg.daemon_id
         return self._is_watched[endpoint_id]
 
