Make the slopes run on the code as it is

Four parts no longer imported: seal_window and digest_of are gone, lots, usage, membership and adoption are decided by other cores since.

The parts now drive LotCore with its reads and writes of the lot's map, AdoptionCore with parts, FlushCore and SealCore with numbered parts, the membership cores of a whole domain, leases with two candidates, and the real configuration controller of a daemon that is behind. Messages of the socket slope have the size of a heartbeat with 27 members. Probing is measured over the time that an endpoint is left alone.

--- a/benchmarks/slope_catch_up.py
+++ b/benchmarks/slope_catch_up.py
@@ -1,6 +1,6 @@
 """A daemon that is behind: fetches and messages by peers that are ahead.
 
-The real peer controller around a network and a configuration that only count.
+The real peer and configuration controllers around a network that only counts.
 Heartbeats with a higher version come one millisecond apart; a fetch takes
 50 ms.
 """
@@ -11,11 +11,12 @@
 
 from benchmarks.slope_peers import daemon_settings
 from benchmarks.slope_tools import Slope, points
-from daisyhub.accounting import UsageCounters
+from daisyhub.accounting import RateShares, ShareCore, UsageCounters
 from daisyhub.balancing import EndpointTable
-from daisyhub.controllers import PeerController
+from daisyhub.config import ConfigHead, split_sections
+from daisyhub.controllers import ConfigController, PeerController
 from daisyhub.identity import KeyTable
-from daisyhub.peers import Envelope, Heartbeat
+from daisyhub.peers import ConfigParts, Envelope, Heartbeat
 
 __all__ = ["catch_up_slopes"]
 
@@ -24,52 +25,57 @@
 _FETCH_S = 0.05
 _REST_S = 0.2
 _FIRST_PORT = 10_000
+_ROUTES = {"records": {"path_prefix": "/records", "pool": "records"}}
+_POOLS = {"records": {"kind": "service"}}
 
 
 class _Network:
-    """Counts messages and sends none."""
+    """Counts messages, sends none, and answers fetches with version 2."""
 
     def __init__(self):
         self.sent = 0
+        self.fetches = 0
+        self.most_open = 0
+        self._open = 0
 
     def send(self, daemon_id: str, *messages) -> bool:
         del daemon_id, messages
         self.sent += 1
         return True
 
-
-class _Config:
-    """Has version 1, and version 2 after the first fetch."""
-
-    def __init__(self):
-        self.version = 1
-        self.open = 0
-        self.most_open = 0
-
-    async def fetch_from_peer(self, daemon_id: str) -> None:
-        del daemon_id
-        self.open += 1
-        self.most_open = max(self.most_open, self.open)
+    async def call(self, daemon_id: str, content, timeout_s: float):
+        del daemon_id, content, timeout_s
+        self.fetches += 1
+        self._open += 1
+        self.most_open = max(self.most_open, self._open)
         await anyio.sleep(_FETCH_S)
-        self.open -= 1
-        self.version = 2
+        self._open -= 1
+        refs, contents = split_sections(
+            {"routes": _ROUTES, "endpoint_pools": _POOLS}
+        )
+        head = ConfigHead(version=2, sections=refs)
+        return ConfigParts(head=head, contents=contents, withdrawn=())
 
 
-async def _run(count: int) -> tuple[_Config, _Network]:
+async def _run(count: int) -> _Network:
     names = {f"peer-{n}": _FIRST_PORT + n for n in range(count)}
     cfg = daemon_settings("behind", _FIRST_PORT - 1, names)
-    config, network = _Config(), _Network()
+    network = _Network()
+    keys = KeyTable(cfg.key_hash_secret)
+    config = ConfigController(None, network, keys)
+    share_core = ShareCore(1, 1 + count, 6.0, 1.0, 0.0)
     peers = PeerController(
         cfg,
         1,
         network,
         config,
-        KeyTable(cfg.key_hash_secret),
         EndpointTable(),
         UsageCounters("behind", 1, 60.0),
+        RateShares(share_core, 0.0),
     )
     beat = Heartbeat(incarnation=1, config_version=2, withdrawn_keys=0)
     async with anyio.create_task_group() as tasks:
+        tasks.start_soon(config.run)
         tasks.start_soon(peers.run)
         for name in names:
             envelope = Envelope(sender=name, incarnation=1, messages=(beat,))
@@ -77,20 +83,24 @@
             await anyio.sleep(_APART_S)
         await anyio.sleep(_REST_S)
         tasks.cancel_scope.cancel()
-    return config, network
+    if config.version != beat.config_version:
+        raise SystemExit(f"version {config.version} is in force")
+    return network
 
 
 def catch_up_slopes() -> Iterator[Slope]:
-    """Yields fetches in flight at once, and messages sent meanwhile."""
-    yield Slope(
-        name="configuration fetches at once",
-        per="peer ahead",
-        unit="fetches",
-        points=points(_PEERS, lambda n: anyio.run(_run, n)[0].most_open),
-    )
-    yield Slope(
-        name="messages sent while behind",
-        per="peer ahead",
-        unit="messages",
-        points=points(_PEERS, lambda n: anyio.run(_run, n)[1].sent),
-    )
+    """Yields fetches, those in flight at once, and messages meanwhile."""
+    for name, unit, field in (
+        ("configuration fetches", "fetches", "fetches"),
+        ("configuration fetches at once", "fetches", "most_open"),
+        ("messages sent while behind", "messages", "sent"),
+    ):
+        yield Slope(
+            name=name,
+            per="peer ahead",
+            unit=unit,
+            points=points(
+                _PEERS,
+                lambda n, field=field: getattr(anyio.run(_run, n), field),
+            ),
+        )
--- a/benchmarks/slope_cores.py
+++ b/benchmarks/slope_cores.py
@@ -1,4 +1,4 @@
-"""Slopes of the decision cores: lots, admission, usage, leases."""
+"""Slopes of the decision cores: lots, admission, leases."""
 
 import time
 from collections.abc import Iterator
@@ -11,31 +11,33 @@
     points,
     processor_us,
 )
-from daisyhub.accounting import UsageCounters, UsagePart, seal_window
 from daisyhub.filters import AdmissionCore
 from daisyhub.filters._admission_core import Admit, Arrive, Depart
-from daisyhub.platform import LeaseCore
-from daisyhub.platform._lease import (
+from daisyhub.platform import (
+    LeaseCore,
     LeaseRead,
     LeaseTick,
     LeaseWriteDone,
     LeaseWriteRefused,
     ReadLease,
+    rank_candidates,
 )
 from daisyhub.rollouts import (
-    CommitDone,
-    CommitPull,
     EngineAnswer,
     Generate,
+    HandOver,
     LotCore,
     LotSpec,
     LotState,
-    PullAcked,
+    LotTick,
     PullAsked,
-    Sample,
+    ReadState,
     SampleReady,
+    Span,
+    StateRead,
+    WriteDone,
+    WriteState,
 )
-from daisyhub.rollouts._lot_types import Span
 
 __all__ = ["core_slopes"]
 
@@ -48,10 +50,9 @@
 _VOCABULARY = 100_000
 _ACCOUNTS = (8, 64, 512, 2048)
 _DAEMONS = (1, 4, 9, 28)
-_ACCOUNTS_SEALED = 64
-_CANDIDATES = (1, 4, 9, 28)
+_CANDIDATES_TRYING = 2
 _LEASE_S = 600.0
-_WINDOW_S = 60.0
+_EVENT_S = 0.001
 _US_PER_S = 1e6
 
 
@@ -69,78 +70,85 @@
     )
 
 
-def _sample(index: int) -> Sample:
+def _answer() -> EngineAnswer:
     spans = (Span(version=1, start=0, end=_TOKENS),)
-    return Sample(index=index, tokens=tuple(range(_TOKENS)), spans=spans)
+    return EngineAnswer(tokens=tuple(range(_TOKENS)), spans=spans)
 
 
 class _LotRun:
     """Runs a whole lot through its core; counts events and bytes written."""
 
     def __init__(self, slots: int):
-        self.core = LotCore(_spec(slots), LotState(fencing=1))
+        self.core = LotCore(_spec(slots), "holder")
         self.events = 0
         self.commit_bytes = 0
+        self.commits = 0
         self._pulls = 0
 
     def feed(self, event: object) -> list[object]:
         self.events += 1
         # The seat asks for the next wake-up after each event.
-        actions = self.core.handle(event, float(self.events))
+        actions = self.core.handle(event, self.events * _EVENT_S)
         _ = self.core.next_wakeup_s
         return actions
 
-    def run(self) -> "_LotRun":
-        waiting = self._ask()
+    def run(self, is_pulled: bool = True) -> "_LotRun":
+        waiting = self.feed(LotTick())
+        if is_pulled:
+            waiting += self._ask(())
         while waiting:
             action = waiting.pop(0)
             match action:
+                case ReadState():
+                    waiting += self.feed(StateRead(LotState(), 0))
                 case Generate():
-                    ready = SampleReady(action.attempt, _sample(action.index))
+                    ready = SampleReady(action.attempt, _answer())
                     waiting += self.feed(ready)
-                case CommitPull():
+                case WriteState():
                     waiting += self._commit(action)
+                case HandOver() if action.remaining:
+                    waiting += self._ask((action.pull_id,))
         return self
 
-    def _ask(self) -> list[object]:
+    def _ask(self, acks: tuple[str, ...]) -> list[object]:
         self._pulls += 1
         event = PullAsked(
+            call=self._pulls,
             pull_id=f"pull-{self._pulls:08d}",
             version=1,
             max_groups=_GROUPS_A_PULL,
             until_s=1e9,
+            acks=acks,
         )
         return self.feed(event)
 
-    def _commit(self, action: CommitPull) -> list[object]:
-        state = LotState(fencing=1, pulls=self.core.pulls)
-        self.commit_bytes += len(msgspec.json.encode(state))
-        actions = self.feed(CommitDone(action.pull_id))
-        actions += self.feed(PullAcked(action.pull_id))
-        if self.core.remaining:
-            actions += self._ask()
-        return actions
+    def _commit(self, action: WriteState) -> list[object]:
+        self.commits += 1
+        self.commit_bytes += len(msgspec.json.encode(action.state))
+        return self.feed(WriteDone(action.write_id, self.commits))
 
 
 def _lot_us(slots: int) -> float:
     run = _LotRun(slots)
     started_s = time.process_time()
     run.run()
-    return (time.process_time() - started_s) * _US_PER_S / slots
+    used_s = time.process_time() - started_s
+    if run.core.remaining:
+        raise SystemExit(f"{run.core.remaining} groups were not pulled")
+    return used_s * _US_PER_S / slots
 
 
 def _lot_commit_bytes(slots: int) -> float:
     return float(_LotRun(slots).run().commit_bytes)
 
 
+def _lot_commits(slots: int) -> float:
+    return float(_LotRun(slots).run().commits)
+
+
 def _full_lot(slots: int) -> LotCore:
     """Returns a lot whose samples are all there and none was pulled."""
-    run = _LotRun(slots)
-    waiting = run.feed(PullAcked("none"))
-    while waiting:
-        action = waiting.pop(0)
-        waiting += run.feed(SampleReady(action.attempt, _sample(action.index)))
-    return run.core
+    return _LotRun(slots).run(is_pulled=False).core
 
 
 def _answer_json(tokens: int) -> bytes:
@@ -195,31 +203,6 @@
     return (time.process_time() - started_s) / count * _US_PER_S
 
 
-def _parts(daemons: int, accounts: int) -> list[UsagePart]:
-    parts = []
-    for number in range(daemons):
-        counters = UsageCounters(f"daemon-{number}", 1, _WINDOW_S)
-        for account in range(accounts):
-            counters.add(f"account-{account}", 100, 30.0)
-        parts.append(counters.part(0))
-    return parts
-
-
-def _seal_us(daemons: int) -> float:
-    parts = _parts(daemons, _ACCOUNTS_SEALED)
-    return processor_us(lambda: seal_window("busan", 0, parts, ()))
-
-
-def _seal_accounts_us(accounts: int) -> float:
-    parts = _parts(4, accounts)
-    return processor_us(lambda: seal_window("busan", 0, parts, ()))
-
-
-def _sealed_bytes(accounts: int) -> float:
-    sealed = seal_window("busan", 0, _parts(28, accounts), ())
-    return len(msgspec.json.encode(sealed))
-
-
 class _LeaseStore:
     """One lease object and the calls that it took."""
 
@@ -241,14 +224,17 @@
         return LeaseWriteDone(action.write_id, self.version)
 
 
-def _lease_calls(candidates: int) -> _LeaseStore:
+def _lease_calls(daemons: int) -> _LeaseStore:
+    """Runs a duty's lease in a domain; only two daemons try for it."""
     store = _LeaseStore()
-    cores = [LeaseCore(f"d{n}", 6.0, 1.0) for n in range(candidates)]
+    names = [f"daemon-busan-{n:02d}" for n in range(daemons)]
+    tried = rank_candidates("usage/busan", names)[:_CANDIDATES_TRYING]
+    cores = [LeaseCore(name, 6.0, 1.0) for name in names]
     now_s = 0.0
     while now_s < _LEASE_S:
         core = min(cores, key=lambda c: c.next_wakeup_s)
         now_s = max(now_s, core.next_wakeup_s)
-        actions = core.handle(LeaseTick(), now_s)
+        actions = core.handle(LeaseTick(core.holder in tried), now_s)
         while actions:
             actions = core.handle(store.perform(actions[0]), now_s)
     return store
@@ -273,59 +259,24 @@
     yield slope(
         "lot commits, sum", "slot", "bytes", _SLOTS, _lot_commit_bytes, 1
     )
+    yield slope("lot commits", "slot", "writes", _SLOTS, _lot_commits, 1)
     yield slope("sample decoded", "token", "us", _ANSWER_TOKENS, _decode_us)
     yield slope("sample encoded", "token", "us", _ANSWER_TOKENS, _encode_us)
     yield slope("sample kept", "token", "bytes", _ANSWER_TOKENS, _kept_bytes, 1)
     yield slope("admission", "account", "us", _ACCOUNTS, _admission_us)
-    yield slope(
-        "window sealed, 64 accounts", "daemon", "us", _DAEMONS, _seal_us
-    )
-    yield slope(
-        "window sealed, 4 daemons",
-        "account",
-        "us",
-        _ACCOUNTS,
-        _seal_accounts_us,
-    )
-    yield slope(
-        "sealed window, 28 daemons",
-        "account",
-        "bytes",
-        (8, 64, 256, 512),
-        _sealed_bytes,
-        1,
-    )
-    yield slope(
-        "sealed window kept, 28 daemons",
-        "account",
-        "bytes",
-        (8, 64, 256, 512),
-        lambda n: memory_bytes(
-            lambda: seal_window("busan", 0, _parts(28, n), ())
-        ),
-        1,
-    )
-    yield slope(
-        "usage copy kept, one daemon and window",
-        "account",
-        "bytes",
-        (8, 64, 256, 512),
-        lambda n: memory_bytes(lambda: _parts(1, n)),
-        1,
-    )
     yield slope(
         "lease reads a second",
-        "candidate",
+        "daemon",
         "1/s",
-        _CANDIDATES,
+        _DAEMONS,
         lambda n: _lease_calls(n).reads / _LEASE_S,
         1,
     )
     yield slope(
         "lease writes a second",
-        "candidate",
+        "daemon",
         "1/s",
-        _CANDIDATES,
+        _DAEMONS,
         lambda n: _lease_calls(n).writes / _LEASE_S,
         1,
     )
--- a/benchmarks/slope_daemons.py
+++ b/benchmarks/slope_daemons.py
@@ -29,8 +29,9 @@
 _SETTLE_S = 5.0
 _REST_S = 20.0
 _PROBED = (0, 25, 50, 100)
-_PROBE_SETTLE_S = 3.0
-_PROBE_REST_S = 6.0
+_PROBE_SETTLE_S = 6.0
+# Each half is as long as an endpoint is left alone after a probe.
+_PROBE_REST_S = 10.0
 _PERCENT = 100
 _MS = 1000
 _KB_PER_MB = 1024
--- a/benchmarks/slope_peers.py
+++ b/benchmarks/slope_peers.py
@@ -17,7 +17,7 @@
 
 from benchmarks.slope_ports import free_ports
 from benchmarks.slope_tools import Point, Slope
-from daisyhub.peers import Heartbeat, PeerNetwork
+from daisyhub.peers import Heartbeat, MemberBeat, PeerNetwork
 from daisyhub.settings import Address, DaemonSettings, PeerSettings
 
 __all__ = ["daemon_settings", "peer_slopes"]
@@ -30,6 +30,8 @@
 _MS = 1000
 _TESTED = "tested"
 _LOOPBACK = "127.0.0.1"
+_INCARNATION = 1 << 50
+_MEMBERS = tuple(MemberBeat((1 << 31) + n, _INCARNATION) for n in range(27))
 
 
 def _address(port: int) -> Address:
@@ -61,7 +63,14 @@
 
 async def _tick(network: PeerNetwork, peers: list[str], offset_s: float):
     await anyio.sleep(offset_s)
-    beat = Heartbeat(incarnation=1, config_version=1, withdrawn_keys=0)
+    beat = Heartbeat(
+        incarnation=_INCARNATION,
+        config_version=7600,
+        withdrawn_keys=300,
+        withdrawn_digest="0" * 16,
+        beat=_INCARNATION,
+        members=_MEMBERS,
+    )
     while True:
         for peer in peers:
             network.send(peer, beat)
--- a/benchmarks/slope_tables.py
+++ b/benchmarks/slope_tables.py
@@ -11,21 +11,30 @@
     points,
     processor_us,
 )
-from daisyhub.accounting import UsageCount
 from daisyhub.balancing import EndpointNews, EndpointTable, LeastLoaded
-from daisyhub.config import ClientKey, ConfigHead, Document, Route, SectionRef
-from daisyhub.config._store import digest_of, section_text
-from daisyhub.controllers import ConfigController
+from daisyhub.config import (
+    AdoptionCore,
+    ClientKey,
+    ConfigHead,
+    Document,
+    HeadHeard,
+    PartsFetched,
+    PutInForce,
+    Route,
+    Sections,
+    split_sections,
+)
 from daisyhub.filters import RouteTable
 from daisyhub.identity import KeyTable, hash_secret, new_key
 from daisyhub.metrics import Metrics
 from daisyhub.peers import (
+    Call,
+    ConfigFetch,
     EndpointNewsBatch,
     Envelope,
     Heartbeat,
-    UsageCopy,
+    encode_envelope,
 )
-from daisyhub.peers._messages import encode_envelope
 from daisyhub.platform import EndpointRecord
 from daisyhub.testing.processes import HASH_KEY
 
@@ -37,7 +46,8 @@
 _KEYS = (10, 100, 1000, 10_000)
 _SERIES = (1, 4, 16, 64)
 _BATCH = (1, 4, 16, 64)
-_ACCOUNTS = (1, 8, 64, 512)
+_CHANGES = 20
+_SUSPECT_FAILURES = 3
 _KEY_ENTRY_BYTES = 130
 _POOL = "model"
 
@@ -69,6 +79,18 @@
     )
 
 
+def _choose_suspect_us(count: int) -> float:
+    """Cost of a choice while one endpoint is suspect."""
+    table = _table(count)
+    balancer = LeastLoaded(1)
+    suspect = endpoint_records(count)[0].endpoint_id
+    for _ in range(_SUSPECT_FAILURES):
+        table.note_done(suspect, failed=True, now_s=1.0)
+    return processor_us(
+        lambda: balancer.choose(table.candidates(_POOL, 1.0, frozenset()))
+    )
+
+
 def _adopt_list_us(count: int) -> float:
     table = _table(count)
     records = endpoint_records(count)
@@ -79,8 +101,8 @@
     return len(msgspec.json.encode(endpoint_records(count)))
 
 
-def _document(size_kb: int) -> tuple[ConfigHead, dict[str, str]]:
-    """Returns a head and its sections; most of it is keys."""
+def _sections(size_kb: int) -> Sections:
+    """Returns the sections of a document; most of it is keys."""
     count = max(1, size_kb * 1000 // _KEY_ENTRY_BYTES)
     keys = {
         f"{number:012x}": {"account": "yard", "secret_hash": "0" * 64}
@@ -90,38 +112,83 @@
         f"route-{number}": {"path_prefix": f"/r{number}", "pool": _POOL}
         for number in range(max(1, count // 20))
     }
-    sections = {"keys": keys, "routes": routes}
-    texts = {name: section_text(value) for name, value in sections.items()}
-    refs = tuple(
-        SectionRef(name=name, digest=digest_of(text))
-        for name, text in texts.items()
-    )
-    contents = {digest_of(text): text for text in texts.values()}
+    return {"keys": keys, "routes": routes}
+
+
+def _document(size_kb: int) -> tuple[ConfigHead, dict[str, str]]:
+    """Returns a head and its parts."""
+    refs, contents = split_sections(_sections(size_kb))
     return ConfigHead(version=1, sections=refs), contents
 
 
+class _Adopter:
+    """Adopts versions as the controller does, without its input and output."""
+
+    def __init__(self):
+        self._core = AdoptionCore()
+        self._keys = KeyTable(HASH_KEY)
+        self.table: RouteTable | None = None
+
+    def adopt(self, head: ConfigHead, contents: dict[str, str]) -> None:
+        self._core.handle(HeadHeard(head), 0.0)
+        for action in self._core.handle(PartsFetched(contents), 0.0):
+            if isinstance(action, PutInForce):
+                document = action.snapshot.document
+                self.table = RouteTable(document)
+                self._keys.replace_keys(document.keys)
+                return
+        raise SystemExit(f"version {head.version} was not adopted")
+
+
 def _adopt_config_us(size_kb: int) -> float:
     head, contents = _document(size_kb)
-    config = ConfigController(None, None, KeyTable(HASH_KEY))
+    adopter = _Adopter()
     versions = itertools.count(1)
 
     def adopt() -> None:
         new_head = msgspec.structs.replace(head, version=next(versions))
-        config.adopt(new_head, contents)
+        adopter.adopt(new_head, contents)
 
     return processor_us(adopt)
 
 
 def _config_bytes(size_kb: int) -> float:
-    def make() -> ConfigController:
+    def make() -> _Adopter:
         head, contents = _document(size_kb)
-        config = ConfigController(None, None, KeyTable(HASH_KEY))
-        config.adopt(head, contents)
-        return config
+        adopter = _Adopter()
+        adopter.adopt(head, contents)
+        return adopter
 
     return memory_bytes(make)
 
 
+def _head_bytes(size_kb: int) -> float:
+    head, _ = _document(size_kb)
+    return float(len(msgspec.json.encode(head)))
+
+
+def _changed_bytes(size_kb: int) -> float:
+    """Bytes of the parts that one changed key makes new, mean of some."""
+    sections = _sections(size_kb)
+    _, before = split_sections(sections)
+    names = sorted(sections["keys"])
+    total = 0
+    for name in names[:: max(1, len(names) // _CHANGES)][:_CHANGES]:
+        entry = {"account": "yard", "secret_hash": "1" * 64}
+        keys = {**sections["keys"], name: entry}
+        _, after = split_sections({**sections, "keys": keys})
+        new = after.keys() - before.keys()
+        total += sum(len(after[digest]) for digest in new)
+    return total / min(len(names), _CHANGES)
+
+
+def _fetch_bytes(size_kb: int) -> float:
+    """Bytes with which a daemon asks a peer for what it lacks."""
+    head, _ = _document(size_kb)
+    fetch = ConfigFetch(known_digests=tuple(sorted(head.digests)))
+    return _envelope_bytes(Call(call_id=1, content=fetch))
+
+
 def _find_route_us(count: int) -> float:
     routes = {
         f"route-{number}": Route(path_prefix=f"/r{number}", pool=_POOL)
@@ -195,20 +262,6 @@
     return _envelope_bytes(_heartbeat(), EndpointNewsBatch(news=news))
 
 
-def _copy_bytes(count: int) -> float:
-    counts = tuple(
-        UsageCount(account=f"account-{n}", requests=7900, tokens=2_500_000)
-        for n in range(count)
-    )
-    copy = UsageCopy(
-        daemon_id="daemon-busan-12",
-        epoch=1 << 50,
-        window=1_800_000_000,
-        counts=counts,
-    )
-    return _envelope_bytes(_heartbeat(), copy)
-
-
 def _slope(name, per, unit, sizes, measure, repeats=3) -> Slope:
     return Slope(
         name=name,
@@ -228,6 +281,13 @@
         lambda n: memory_bytes(lambda: _table(n)),
     )
     yield _slope("choice of endpoint", "endpoint", "us", _ENDPOINTS, _choose_us)
+    yield _slope(
+        "choice while an endpoint is suspect",
+        "endpoint",
+        "us",
+        _ENDPOINTS,
+        _choose_suspect_us,
+    )
     yield _slope(
         "list taken over", "endpoint", "us", _ENDPOINTS, _adopt_list_us
     )
@@ -240,6 +300,12 @@
     yield _slope(
         "configuration memory", "KB", "bytes", _DOCUMENT_KB, _config_bytes
     )
+    for name, measure in (
+        ("configuration head", _head_bytes),
+        ("parts of one changed key, mean", _changed_bytes),
+        ("fetch from a peer, asked", _fetch_bytes),
+    ):
+        yield _slope(name, "KB", "bytes", _DOCUMENT_KB, measure, 1)
     yield _slope("route found", "route", "us", _ROUTES, _find_route_us)
     yield _slope("key checked", "key", "us", _KEYS, _find_key_us)
     yield _slope(
@@ -258,11 +324,3 @@
     )
     yield _slope("histogram record", "series", "us", _SERIES, _observe_us)
     yield _slope("heartbeat and news", "news", "bytes", _BATCH, _news_bytes, 1)
-    yield _slope(
-        "heartbeat and usage copy",
-        "account",
-        "bytes",
-        _ACCOUNTS,
-        _copy_bytes,
-        1,
-    )
--- /dev/null
+++ b/benchmarks/slope_usage.py
@@ -0,0 +1,234 @@
+"""Slopes of usage: parts copied to peers, flushed, listed and sealed.
+
+A part holds what one daemon counted in a second, so that each window has
+60 of them; the size is the number of accounts in each part.
+"""
+
+import time
+from collections.abc import Iterator
+
+import msgspec
+
+from benchmarks.slope_tools import (
+    Slope,
+    memory_bytes,
+    points,
+    processor_us,
+)
+from daisyhub.accounting import (
+    FlushCore,
+    FlushTick,
+    Ledger,
+    LedgerRead,
+    ListedStore,
+    PartsListed,
+    PartStore,
+    SealCore,
+    SealTick,
+    StoreRead,
+    StoreWritten,
+    UsageCounters,
+    UsagePart,
+    WriteLedger,
+    WriteStore,
+)
+from daisyhub.peers import Envelope, UsageCopy, UsageHeld, encode_envelope
+
+__all__ = ["usage_slopes"]
+
+_ACCOUNTS = (8, 64, 256)
+_DAEMONS = (1, 4, 9, 28)
+_SEALED_ACCOUNTS = 64
+_WINDOW_S = 60.0
+_TICKS = 60
+_PEERS = 27
+_GRACE_S = 5.0
+_SEAL_AT_S = 70.0
+_EPOCH = 1 << 50
+_US_PER_S = 1e6
+
+
+def _counters(number: int = 0) -> UsageCounters:
+    return UsageCounters(f"daemon-busan-{number:02d}", _EPOCH, _WINDOW_S)
+
+
+def _count(counters: UsageCounters, accounts: int) -> None:
+    for account in range(accounts):
+        counters.add(f"account-{account}", 640, 30.0)
+
+
+def _window(accounts: int, number: int = 0) -> UsageCounters:
+    """Returns a daemon's counters at the end of a window, nothing sealed."""
+    counters = _counters(number)
+    for _ in range(_TICKS):
+        _count(counters, accounts)
+        counters.cut()
+    return counters
+
+
+def _parts(accounts: int) -> tuple[UsagePart, ...]:
+    return tuple(_window(accounts).own_parts())
+
+
+def _copy_bytes(accounts: int) -> float:
+    parts = _parts(accounts)[-1:]
+    held = UsageHeld(epoch=_EPOCH, number=_TICKS)
+    envelope = Envelope(
+        sender="daemon-busan-00",
+        incarnation=_EPOCH,
+        messages=(UsageCopy(parts=parts), held),
+    )
+    return float(len(encode_envelope(envelope)))
+
+
+def _tick_us(accounts: int) -> float:
+    """Cost of a tick of a daemon whose two keepers acknowledge each part."""
+    counters = _counters()
+    live = {f"daemon-busan-{n:02d}": _EPOCH for n in range(1, _PEERS + 1)}
+    used_s = 0.0
+    for _ in range(_TICKS):
+        _count(counters, accounts)
+        started_s = time.process_time()
+        told = counters.tick(live)
+        used_s += time.process_time() - started_s
+        for peer, usage in told.items():
+            newest = max(part.number for part in usage.parts)
+            counters.on_held(peer, _EPOCH, _EPOCH, newest)
+    return used_s / _TICKS * _US_PER_S
+
+
+def _part_kept_bytes(accounts: int) -> float:
+    data = msgspec.msgpack.encode(_parts(accounts))
+    kind = tuple[UsagePart, ...]
+    return memory_bytes(lambda: msgspec.msgpack.decode(data, type=kind)) / (
+        _TICKS
+    )
+
+
+def _flush(accounts: int) -> tuple[float, int]:
+    """Returns processor microseconds and bytes of one window's flush."""
+    core = FlushCore(_window(accounts), 1.0)
+    started_s = time.process_time()
+    core.handle(FlushTick(60.0, {}), 0.0)
+    core.handle(LedgerRead(Ledger(), 0), 0.0)
+    action = core.handle(StoreRead(PartStore(), 0), 0.0)[0]
+    if not isinstance(action, WriteStore):
+        raise SystemExit(f"no flush but {action!r}")
+    data = msgspec.json.encode(msgspec.to_builtins(action.store))
+    core.handle(StoreWritten(1), 0.0)
+    return (time.process_time() - started_s) * _US_PER_S, len(data)
+
+
+def _listed(daemons: int, accounts: int) -> tuple[ListedStore, ...]:
+    stores = []
+    for number in range(daemons):
+        counters = _window(accounts, number)
+        stores.append(
+            ListedStore(
+                daemon_id=counters.daemon_id,
+                store=PartStore(parts=tuple(counters.own_parts())),
+                version=1,
+            )
+        )
+    return tuple(stores)
+
+
+def _listed_json(daemons: int) -> bytes:
+    return msgspec.json.encode(_listed(daemons, _SEALED_ACCOUNTS))
+
+
+def _decode_listed(data: bytes) -> object:
+    """Decodes as the client does: plain values first, records then."""
+    return msgspec.convert(msgspec.json.decode(data), tuple[ListedStore, ...])
+
+
+def _listed_kept_bytes(daemons: int) -> float:
+    data = _listed_json(daemons)
+    return memory_bytes(lambda: _decode_listed(data))
+
+
+def _listed_us(daemons: int) -> float:
+    data = _listed_json(daemons)
+    return processor_us(lambda: _decode_listed(data))
+
+
+def _seal_core() -> SealCore:
+    core = SealCore("busan", _WINDOW_S, _GRACE_S, 1.0)
+    core.handle(SealTick(_SEAL_AT_S, 1, frozenset()), _SEAL_AT_S)
+    core.handle(LedgerRead(Ledger(), 0), _SEAL_AT_S)
+    return core
+
+
+def _seal_us(daemons: int) -> float:
+    core = _seal_core()
+    event = PartsListed(_listed(daemons, _SEALED_ACCOUNTS))
+    return processor_us(lambda: core.handle(event, _SEAL_AT_S))
+
+
+def _ledger_bytes(accounts: int) -> float:
+    event = PartsListed(_listed(_DAEMONS[-1], accounts))
+    action = _seal_core().handle(event, _SEAL_AT_S)[0]
+    if not isinstance(action, WriteLedger):
+        raise SystemExit(f"nothing is sealed but {action!r}")
+    return float(len(msgspec.json.encode(action.ledger)))
+
+
+def _slope(name, per, unit, sizes, measure, repeats=3) -> Slope:
+    found = points(sizes, measure, repeats)
+    return Slope(name=name, per=per, unit=unit, points=found)
+
+
+def usage_slopes() -> Iterator[Slope]:
+    """Yields every slope of this module."""
+    yield _slope(
+        "usage copy, one part", "account", "bytes", _ACCOUNTS, _copy_bytes, 1
+    )
+    yield _slope("usage tick, 27 peers", "account", "us", _ACCOUNTS, _tick_us)
+    yield _slope(
+        "usage part kept", "account", "bytes", _ACCOUNTS, _part_kept_bytes, 1
+    )
+    yield _slope(
+        "flush of a window, 60 parts",
+        "account",
+        "us",
+        _ACCOUNTS[:2],
+        lambda n: _flush(n)[0],
+    )
+    yield _slope(
+        "flushed window, 60 parts",
+        "account",
+        "bytes",
+        _ACCOUNTS[:2],
+        lambda n: _flush(n)[1],
+        1,
+    )
+    yield _slope(
+        "listing to seal, 64 accounts",
+        "daemon",
+        "bytes",
+        _DAEMONS,
+        lambda n: len(_listed_json(n)),
+        1,
+    )
+    yield _slope(
+        "listing decoded, 64 accounts", "daemon", "us", _DAEMONS, _listed_us
+    )
+    yield _slope(
+        "listing kept while sealing, 64 accounts",
+        "daemon",
+        "bytes",
+        _DAEMONS,
+        _listed_kept_bytes,
+        1,
+    )
+    yield _slope(
+        "window sealed, 64 accounts", "daemon", "us", _DAEMONS, _seal_us
+    )
+    yield _slope(
+        "ledger with one window, 28 daemons",
+        "account",
+        "bytes",
+        _ACCOUNTS,
+        _ledger_bytes,
+        1,
+    )
