Measure what a look for quiet endpoints costs

Cause: a daemon asks for each quiet endpoint which daemon watches it, and lists the live members each time; no slope showed it.

Conclusion: the slope goes into the part peers.

--- a/benchmarks/slope_members.py
+++ b/benchmarks/slope_members.py
@@ -8,7 +8,8 @@
 import time
 from collections.abc import Iterator
 
-from benchmarks.slope_tools import Point, Slope
+from benchmarks.slope_tools import Point, Slope, points, processor_us
+from daisyhub.controllers import EndpointController
 from daisyhub.peers import (
     Envelope,
     HeartbeatHeard,
@@ -23,6 +24,7 @@
 __all__ = ["member_slopes"]
 
 _MEMBERS = (4, 9, 18, 28)
+_QUIET = (10, 100, 325, 650)
 _DOMAINS = 17
 _SETTLE_TICKS = 60
 _TICKS = 60
@@ -128,6 +130,33 @@
     return [getattr(sent, field) / _TICKS for sent in domain.sent.values()]
 
 
+class _Peers:
+    """Tells the live daemons as the peer controller does."""
+
+    def __init__(self, core: MembershipCore):
+        self._core = core
+
+    def live_peers(self) -> list[str]:
+        return self._core.live_members(_SETTLE_TICKS)
+
+
+def _watched_us(endpoints: int) -> float:
+    """Cost of one look at quiet endpoints, without any probe."""
+    domain = _Domain(_MEMBERS[-1])
+    domain.run(0, _SETTLE_TICKS)
+    core = domain.cores[_name(_OWN, 0)]
+    controller = EndpointController(
+        core.cfg, None, None, None, _Peers(core), None
+    )
+    names = [f"engine-busan-{number:05d}" for number in range(endpoints)]
+
+    def look() -> list[bool]:
+        return [controller._is_watched_here(name) for name in names]
+
+    look()  # Ranks the watchers, which is kept until the live set changes.
+    return processor_us(look)
+
+
 def member_slopes() -> Iterator[Slope]:
     """Yields messages, bytes and processor time of the membership cores.
 
@@ -165,3 +194,9 @@
         "us/s",
         lambda d: [d.used_s / _TICKS / len(d.cores) * _US_PER_S],
     )
+    yield Slope(
+        name="quiet endpoints asked for their watcher, 28 daemons",
+        per="endpoint",
+        unit="us",
+        points=points(_QUIET, _watched_us),
+    )
