Run the measures on the lot, usage and admission cores as they are

Change: usage runs UsageCounters, FlushCore and SealCore against a model of the platform, with copies on and off and with marks forgotten; each second of a daemon has its own account, so that double and missing billing is counted exactly. Lots run the events of LotCore, with cancelled attempts, spare samples and time-outs. Look-ups follow places_for once a second and keep requests that may run once off cheap servers.

--- a/benchmarks/measure/__main__.py
+++ b/benchmarks/measure/__main__.py
@@ -13,7 +13,7 @@
 
 from benchmarks.measure.lookup_policies import LookupPolicy
 from benchmarks.measure.lookups import run_lookups
-from benchmarks.measure.lots import LotPolicy, has_spares, run_lots
+from benchmarks.measure.lots import LotPolicy, run_lots
 from benchmarks.measure.plots import draw
 from benchmarks.measure.usage import UsagePolicy, run_usage
 from benchmarks.measure.workloads import SITES, Site
@@ -22,76 +22,53 @@
 
 _SEEDS = range(1, 6)
 _FOLDER = "docs/measures"
-_DEFAULT_PLACES = 512
 
 _LOOKUPS = (
-    LookupPolicy(name="as built, 512 places", places=_DEFAULT_PLACES),
-    LookupPolicy(name="6 places"),
-    LookupPolicy(name="6 places, first come first served", is_fair=False),
-    LookupPolicy(name="6 places, round robin", is_least_loaded=False),
-    LookupPolicy(name="6 places, no hedging", hedges=False),
-    LookupPolicy(name="6 places, servers of all domains", is_site_wide=True),
+    LookupPolicy(name="512 places", follows_capacity=False),
+    LookupPolicy(name="as built"),
+    LookupPolicy(name="first come first served", is_fair=False),
+    LookupPolicy(name="round robin", is_least_loaded=False),
+    LookupPolicy(name="no hedging", hedges=False),
+    LookupPolicy(name="servers of all domains", is_site_wide=True),
     LookupPolicy(
-        name="6 places, all domains, round robin",
+        name="all domains, round robin",
         is_site_wide=True,
         is_least_loaded=False,
     ),
     LookupPolicy(
-        name="6 places, all domains, no hedging",
-        is_site_wide=True,
-        hedges=False,
+        name="all domains, no hedging", is_site_wide=True, hedges=False
     ),
-    LookupPolicy(name="6 places, one more cheap server each", extra="cheap"),
-    LookupPolicy(name="6 places, one more dear server each", extra="dear"),
+    LookupPolicy(name="one more cheap server each", extra="cheap"),
+    LookupPolicy(name="one more dear server each", extra="dear"),
 )
-_LOTS = (
+_ONE_DOMAIN = (
     LotPolicy(name="as built"),
-    LotPolicy(name="as built, no faults", has_faults=False),
-    LotPolicy(name="round robin", is_least_loaded=False),
-    LotPolicy(name="groups restart", keeps_samples=False),
-    LotPolicy(name="time-out 30 s", timeout_s=30.0),
-    LotPolicy(name="engines of all domains", is_site_wide=True),
+    LotPolicy(name="no faults", has_faults=False),
+    LotPolicy(name="time-out 300 s", timeout_s=300.0),
+    LotPolicy(name="4 spare samples", spare_samples=4),
     LotPolicy(
-        name="all domains, round robin",
-        is_site_wide=True,
-        is_least_loaded=False,
-    ),
-    LotPolicy(
-        name="all domains, groups restart",
-        is_site_wide=True,
-        keeps_samples=False,
-    ),
-    LotPolicy(
-        name="all domains, time-out 30 s", is_site_wide=True, timeout_s=30.0
-    ),
-    LotPolicy(
-        name="all domains, 30 s, staleness 1",
-        is_site_wide=True,
-        timeout_s=30.0,
-        max_staleness=1,
-    ),
-    LotPolicy(
-        name="all domains, 30 s, staleness 4",
-        is_site_wide=True,
-        timeout_s=30.0,
-        max_staleness=4,
+        name="time-out 300 s, 4 spare samples",
+        timeout_s=300.0,
+        spare_samples=4,
     ),
+    LotPolicy(name="round robin", is_least_loaded=False),
+    LotPolicy(name="groups restart", keeps_samples=False),
 )
-_SPARES = LotPolicy(
-    name="all domains, 30 s, 1 spare",
-    is_site_wide=True,
-    timeout_s=30.0,
-    spare_samples=1,
+_ALL_DOMAINS = tuple(
+    dataclasses.replace(
+        policy, name=f"all domains: {policy.name}", is_site_wide=True
+    )
+    for policy in (
+        *_ONE_DOMAIN,
+        LotPolicy(name="time-out 30 s", timeout_s=30.0),
+        LotPolicy(name="staleness 1", max_staleness=1),
+        LotPolicy(name="staleness 4", max_staleness=4),
+    )
 )
 _USAGE = (
-    UsagePolicy(name="as built: copies, 64 windows read back"),
+    UsagePolicy(name="as built"),
     UsagePolicy(name="no copies", copies=False),
-    UsagePolicy(name="copies, all windows read back", kept=1_000_000),
-    UsagePolicy(
-        name="all read back, missed windows sealed too",
-        kept=1_000_000,
-        seals_missed=True,
-    ),
+    UsagePolicy(name="a new holder forgets the marks", marks=False),
 )
 
 
@@ -150,16 +127,13 @@
     folder = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else _FOLDER)
     folder.mkdir(parents=True, exist_ok=True)
     started_s = time.monotonic()
-    lots = _LOTS + ((_SPARES,) if has_spares() else ())
     parts = {
         "Look-ups": _rows(_LOOKUPS, run_lookups, SITES),
-        "Lots": _rows(lots, run_lots, SITES),
+        "Lots": _rows(_ONE_DOMAIN + _ALL_DOMAINS, run_lots, SITES),
         "Usage": _rows(_USAGE, run_usage, SITES[:1]),
     }
     tables = [_table(title, rows) for title, rows in parts.items()]
     text = "\n".join(tables)
-    if not has_spares():
-        text += "\nSpare samples: the lot core doesn't know them yet.\n"
     (folder / "tables.md").write_text(text, encoding="utf-8")
     draw(parts, folder)
     print(text)
--- a/benchmarks/measure/lookup_policies.py
+++ b/benchmarks/measure/lookup_policies.py
@@ -4,11 +4,16 @@
 from typing import Literal
 
 from daisyhub.exceptions import ErrorCode
-from daisyhub.filters._admission_core import Admit, Arrive, Shed
+from daisyhub.filters import Admit, Arrive, PlacesChanged, Shed
 
-__all__ = ["FirstComeFirstServed", "LookupPolicy", "LookupResult"]
+__all__ = [
+    "MOST_PLACES",
+    "FirstComeFirstServed",
+    "LookupPolicy",
+    "LookupResult",
+]
 
-_FIT_PLACES = 6
+MOST_PLACES = 512
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -17,7 +22,8 @@
 
     Attributes:
         name: For the table.
-        places: Requests that one daemon lets in at one time.
+        follows_capacity: Whether a daemon's places follow what the live
+            endpoints tell, or are `MOST_PLACES`.
         is_fair: Fair queueing, or first come first served.
         is_least_loaded: Less loaded of two, or round robin.
         hedges: Whether hedging is on.
@@ -26,7 +32,7 @@
     """
 
     name: str
-    places: int = _FIT_PLACES
+    follows_capacity: bool = True
     is_fair: bool = True
     is_least_loaded: bool = True
     hedges: bool = True
@@ -62,7 +68,9 @@
 
     def handle(self, event: object, now_s: float) -> list[object]:
         """Takes the events of `AdmissionCore`."""
-        if isinstance(event, Arrive):
+        if isinstance(event, PlacesChanged):
+            self.places = event.places
+        elif isinstance(event, Arrive):
             if len(self._queue) >= 2 * self.places:
                 return [Shed(event.request_id, ErrorCode.OVERLOADED, 1.0)]
             self._queue.append(event)
--- a/benchmarks/measure/lookups.py
+++ b/benchmarks/measure/lookups.py
@@ -1,11 +1,13 @@
 """Look-ups through the admission and forward cores, server by server."""
 
+import functools
 import random
 import statistics
 
 from benchmarks.measure.clock import Clock
 from benchmarks.measure.faults import lookup_faults
 from benchmarks.measure.lookup_policies import (
+    MOST_PLACES,
     FirstComeFirstServed,
     LookupPolicy,
     LookupResult,
@@ -16,10 +18,17 @@
     EndpointTable,
     LeastLoaded,
     RoundRobin,
+    prefer_regular,
 )
 from daisyhub.exceptions import Ran
-from daisyhub.filters import AdmissionCore
-from daisyhub.filters._admission_core import Admit, Arrive, Depart
+from daisyhub.filters import (
+    AdmissionCore,
+    Admit,
+    Arrive,
+    Depart,
+    PlacesChanged,
+    places_for,
+)
 from daisyhub.filters._forward_core import (
     AttemptAnswered,
     AttemptFailed,
@@ -39,6 +48,8 @@
 _BURST_FACTOR = 6.0
 _SLOW_FACTOR = 6.0
 _LIST_LAG_S = 5.0
+_LIST_POLL_S = 2.0
+_PLACES_INTERVAL_S = 1.0
 _CHEAP_PRICE = 0.3
 _POOL = "records"
 
@@ -102,15 +113,27 @@
         kind = LeastLoaded if policy.is_least_loaded else RoundRobin
         self.balancer = kind(seed)
         core = AdmissionCore if policy.is_fair else FirstComeFirstServed
-        self.admission = core(policy.places)
+        self.admission = core(MOST_PLACES)
         self.budget = RetryBudget()
         self.waiting: dict[str, _Request] = {}
 
-    def choose(self, excluded: frozenset[str]) -> str | None:
+    def choose(
+        self, excluded: frozenset[str], *, idempotent: bool
+    ) -> str | None:
         now_s = self.run.clock.now_s
-        return self.balancer.choose(
-            self.table.candidates(_POOL, now_s, excluded)
-        )
+        states = self.table.candidates(_POOL, now_s, excluded)
+        if not idempotent:
+            states = prefer_regular(states)
+        return self.balancer.choose(states)
+
+    def follow_capacity(self) -> None:
+        """Lets the places follow the capacity that endpoints tell."""
+        sharing = _DAEMONS_EACH
+        if self.run.policy.is_site_wide:
+            sharing = len(self.run.daemons)
+        capacity = self.table.told_capacity([_POOL])
+        self.feed(PlacesChanged(places_for(capacity, sharing, MOST_PLACES)))
+        self.run.clock.after(_PLACES_INTERVAL_S, self.follow_capacity)
 
     def feed(self, event: object) -> None:
         for action in self.admission.handle(event, self.run.clock.now_s):
@@ -157,7 +180,10 @@
             deadline_s=self.deadline_s,
             hedge_after_s=hedge_s if self.idempotent else 0.0,
         )
-        self.core = ForwardCore(plan, self.daemon.choose, self.daemon.budget)
+        choose = functools.partial(
+            self.daemon.choose, idempotent=self.idempotent
+        )
+        self.core = ForwardCore(plan, choose, self.daemon.budget)
         self.feed(Begin())
         if not self._is_over and self.core.next_wakeup_s is not None:
             tick_s = self.core.next_wakeup_s
@@ -170,7 +196,7 @@
             if isinstance(action, StartAttempt):
                 self._send(action)
             elif isinstance(action, Deliver):
-                self.finish("answered", self._open[action.attempt])
+                self.finish("answered", self._open.pop(action.attempt))
             else:
                 kind = "failed" if action.ran is Ran.NOT_RUN else "unknown"
                 self.finish(kind)
@@ -231,10 +257,9 @@
         took_s = now_s - self.started_s + 2 * self.run.site.caller_s
         self.run.outcomes.append((self.account, kind, took_s, server))
         for other in self._open.values():
-            if other is not server:
-                self.daemon.table.note_done(
-                    other.record.endpoint_id, failed=False, now_s=now_s
-                )
+            self.daemon.table.note_done(
+                other.record.endpoint_id, failed=False, now_s=now_s
+            )
         if self.admitted_s is not None:
             service_s = now_s - self.admitted_s
             self.daemon.feed(Depart(self.request_id, service_s))
@@ -299,6 +324,9 @@
     def run(self) -> LookupResult:
         self._schedule_arrivals()
         self.clock.at(0.0, self._read_list)
+        if self.policy.follows_capacity:
+            for daemon in self.daemons:
+                self.clock.at(0.0, daemon.follow_capacity)
         self.clock.run(self.site.duration_s + 2 * self.site.deadline_s)
         return self._result()
 
@@ -327,9 +355,10 @@
                         record
                         for record in self.records_of(daemon.domain)
                         if not self.servers[record.endpoint_id].is_gone()
-                    ]
+                    ],
+                    self.clock.now_s,
                 )
-        self.clock.after(2.0, self._read_list)
+        self.clock.after(_LIST_POLL_S, self._read_list)
 
     def _result(self) -> LookupResult:
         total = len(self.outcomes)
--- a/benchmarks/measure/lots.py
+++ b/benchmarks/measure/lots.py
@@ -1,6 +1,7 @@
 """Trainers' lots through the lot core, with engines that fail and swap."""
 
 import dataclasses
+import functools
 import random
 
 from benchmarks.measure.clock import Clock
@@ -9,31 +10,36 @@
 from daisyhub.balancing import EndpointTable, LeastLoaded, RoundRobin
 from daisyhub.platform import EndpointRecord
 from daisyhub.rollouts import (
-    CommitDone,
-    CommitPull,
+    CancelSample,
+    EngineAnswer,
     Generate,
     HandOver,
     LotCore,
     LotSpec,
     LotState,
     LotTick,
-    PullAcked,
     PullAsked,
-    Sample,
+    ReadState,
+    RefuseCall,
     SampleFailed,
     SampleReady,
+    Span,
+    StateRead,
+    WriteDone,
+    WriteState,
 )
-from daisyhub.rollouts._lot_types import Span
+from daisyhub.rollouts._slot_table import SlotTable
 
-__all__ = ["LotPolicy", "LotResult", "has_spares", "run_lots"]
+__all__ = ["LotPolicy", "LotResult", "run_lots"]
 
 _CAPACITY = 16
 _SWAP_S = 1.0
-_COMMIT_S = 0.01
+_STORE_S = 0.01
 _PULL_WAIT_S = 10.0
 _LONG_SHARE = 0.03
 _LONG_FACTOR = 4.0
 _DETECT_S = 0.01
+_PAUSE_S = 0.001
 _LIMIT_S = 3000.0
 _POOL = "model"
 
@@ -47,9 +53,10 @@
         is_least_loaded: Less loaded of two, or round robin.
         keeps_samples: A lost sample leaves the others of its group, or not.
         is_site_wide: Whether a lot uses the engines of all domains.
-        timeout_s: When a silent generation is given up.
+        timeout_s: When a generation without an answer is given up.
         max_staleness: Bound in versions.
-        spare_samples: Extra samples of each group.
+        spare_samples: Second attempts start for groups that miss at most
+            this many samples.
         has_faults: Whether the fault script runs.
     """
 
@@ -57,7 +64,7 @@
     is_least_loaded: bool = True
     keeps_samples: bool = True
     is_site_wide: bool = False
-    timeout_s: float = 300.0
+    timeout_s: float = 60.0
     max_staleness: int = 2
     spare_samples: int = 0
     has_faults: bool = True
@@ -72,31 +79,51 @@
     wasted: float
 
 
-class _GroupRestartingCore(LotCore):
+class _RestartingSlots(SlotTable):
     """Plain baseline: a lost sample takes its whole group with it."""
 
-    def _on_failed(self, event: SampleFailed, now_s: float) -> None:
-        place = self._running.get(event.attempt)
-        super()._on_failed(event, now_s)
+    def fail(self, attempt: int, now_s: float) -> None:
+        place = self.place_of(attempt)
+        super().fail(attempt, now_s)
         if place is None:
             return
-        for index in range(self.spec.group_size):
-            slot = self._slots.get((place[0], index))
-            if slot is not None and slot.sample is not None:
-                slot.sample = None
-                self.dropped_samples += 1
+        group = place[0]
+        for index, slot in enumerate(self._groups.get(group, ())):
+            if slot.sample is None:
+                continue
+            slot.sample = None
+            self._missing[group] += 1
+            self.dropped_samples += 1
+            self._try_later(group, index, now_s)
+
+
+class _GroupRestartingCore(LotCore):
+    """A lot core over these slots."""
+
+    def __init__(self, spec: LotSpec, holder: str):
+        super().__init__(spec, holder)
+        self._slots = _RestartingSlots(spec)
 
 
-def has_spares() -> bool:
-    """Whether the lot core knows spare samples."""
-    return "spare_samples" in LotSpec.__struct_fields__
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """One attempt at an engine; `slot` is -1 if the engine refused it."""
+
+    number: int
+    engine: "_Engine"
+    sent_s: float
+    first_version: int
+    slot: int = -1
+    begins_s: float = 0.0
+    ends_s: float = 0.0
 
 
 class _Engine:
     """Makes `_CAPACITY` samples at one time; one version for each pool."""
 
-    def __init__(self, run: "_Run", number: int):
+    def __init__(self, run: "_Run", name: str, number: int):
         self.run = run
+        self.name = name
         self.number = number
         self.versions = dict.fromkeys(range(run.site.trainers), 0)
         self._free_at_s = [0.0] * _CAPACITY
@@ -111,13 +138,20 @@
             for f in self.run.faults
         )
 
-    def reserve(self) -> tuple[float, float]:
-        """Returns when a new sample will start and be done."""
+    def reserve(self, attempt: _Attempt) -> None:
+        """Sets when a new sample will start and be done."""
         length_s = self.run.sample_s()
         slot = min(range(_CAPACITY), key=self._free_at_s.__getitem__)
-        start_s = max(self.run.clock.now_s, self._free_at_s[slot])
-        self._free_at_s[slot] = start_s + length_s
-        return start_s, start_s + length_s
+        attempt.slot = slot
+        attempt.begins_s = max(self.run.clock.now_s, self._free_at_s[slot])
+        attempt.ends_s = attempt.begins_s + length_s
+        self._free_at_s[slot] = attempt.ends_s
+
+    def free(self, attempt: _Attempt) -> None:
+        """Ends an attempt early, if nothing waits behind it."""
+        if self._free_at_s[attempt.slot] == attempt.ends_s:
+            free_s = max(self.run.clock.now_s, attempt.begins_s)
+            self._free_at_s[attempt.slot] = free_s
 
     def swap(self, trainer: int, version: int) -> None:
         self.versions[trainer] = max(version, self.versions[trainer])
@@ -133,7 +167,6 @@
         site, policy = run.site, run.policy
         self.run = run
         self.number = number
-        spares = {"spare_samples": policy.spare_samples} if has_spares() else {}
         spec = LotSpec(
             lot_id=f"lot-{number}",
             lot_class="assess",
@@ -144,10 +177,11 @@
             max_staleness=policy.max_staleness,
             max_tokens=256,
             concurrency=64,
-            **spares,
+            spare_samples=policy.spare_samples,
+            sample_timeout_s=policy.timeout_s,
         )
         kind = LotCore if policy.keeps_samples else _GroupRestartingCore
-        self.core = kind(spec, LotState(fencing=1))
+        self.core = kind(spec, "holder")
         self.table = EndpointTable()
         self.table.adopt_list(run.records_of(number))
         balancer = LeastLoaded if policy.is_least_loaded else RoundRobin
@@ -157,20 +191,25 @@
         self.staleness: list[int] = []
         self.ended_s: float | None = None
         self.generated = 0
+        self._open: dict[int, _Attempt] = {}
+        self._stored = 0
         self._groups = 0
-        self._pulls = 0
+        self._calls = 0
+        self._pulls = 1
         self._wait_since_s = 0.0
 
     def ask(self) -> None:
-        self._pulls += 1
-        now_s = self.run.clock.now_s
-        missing = self.run.site.groups - self._groups
+        """Pulls; the id is repeated until it brings groups."""
+        self._calls += 1
+        acks = (f"pull-{self._pulls - 1}",) if self._pulls > 1 else ()
         self.feed(
             PullAsked(
+                call=self._calls,
                 pull_id=f"pull-{self._pulls}",
                 version=self.version,
-                max_groups=missing,
-                until_s=now_s + _PULL_WAIT_S,
+                max_groups=self.run.site.groups - self._groups,
+                until_s=self.run.clock.now_s + _PULL_WAIT_S,
+                acks=acks,
             )
         )
 
@@ -180,63 +219,84 @@
             match action:
                 case Generate():
                     self._generate(action)
-                case CommitPull():
-                    self._commit(action)
+                case CancelSample():
+                    self._cancel(action)
+                case ReadState():
+                    read = StateRead(LotState(), 0)
+                    clock.after(_STORE_S, functools.partial(self.feed, read))
+                case WriteState():
+                    self._stored += 1
+                    done = WriteDone(action.write_id, self._stored)
+                    clock.after(_STORE_S, functools.partial(self.feed, done))
                 case HandOver():
                     self._take(action)
+                case RefuseCall():
+                    clock.after(_PAUSE_S, self.ask)
 
     def tick(self) -> None:
         if self.ended_s is None:
             self.feed(LotTick())
             self.run.clock.after(0.25, self.tick)
 
-    def _commit(self, action: CommitPull) -> None:
-        pull_id = action.pull_id
-        self.run.clock.after(_COMMIT_S, lambda: self.feed(CommitDone(pull_id)))
+    def _choose(self, action: Generate) -> str:
+        """Chooses an engine that has no other attempt for the sample."""
+        now_s = self.run.clock.now_s
+        used = frozenset(
+            self._open[other].engine.name
+            for other in action.others
+            if other in self._open
+        )
+        found = self.table.candidates(_POOL, now_s, used)
+        found = found or self.table.candidates(_POOL, now_s)
+        return self.balancer.choose(found)
 
     def _generate(self, action: Generate) -> None:
         clock = self.run.clock
         self.generated += 1
-        endpoint_id = self.balancer.choose(
-            self.table.candidates(_POOL, clock.now_s)
-        )
-        engine = self.run.engines[endpoint_id]
-        start_s = clock.now_s
-        first = [engine.versions[self.number]]
-        self.table.note_sent(endpoint_id)
-
-        def end() -> None:
-            if engine.is_in("refuse", start_s):
-                self._end(endpoint_id, SampleFailed(action.attempt))
-            elif not engine.is_in("hang", start_s):
-                last = engine.versions[self.number]
-                sample = _sample(action.index, first[0], last)
-                self._end(endpoint_id, SampleReady(action.attempt, sample))
-            else:
-                clock.at(
-                    start_s + self.run.policy.timeout_s,
-                    lambda: self._end(
-                        endpoint_id, SampleFailed(action.attempt)
-                    ),
-                )
-
-        def begin() -> None:
-            first[0] = engine.versions[self.number]
-
-        if engine.is_in("refuse", start_s):
-            clock.after(_DETECT_S, end)
+        engine = self.run.engines[self._choose(action)]
+        version = engine.versions[self.number]
+        attempt = _Attempt(action.attempt, engine, clock.now_s, version)
+        self._open[attempt.number] = attempt
+        self.table.note_sent(engine.name)
+        failed = functools.partial(self._fail, attempt)
+        if engine.is_in("refuse", clock.now_s):
+            clock.after(_DETECT_S, failed)
             return
-        begins_s, ends_s = engine.reserve()
-        clock.at(begins_s, begin)
-        clock.at(ends_s, end)
-
-    def _end(self, endpoint_id: str, event: object) -> None:
-        self.table.note_done(
-            endpoint_id,
-            failed=isinstance(event, SampleFailed),
-            now_s=self.run.clock.now_s,
-        )
-        self.feed(event)
+        engine.reserve(attempt)
+        clock.at(attempt.begins_s, functools.partial(self._begin, attempt))
+        clock.at(attempt.ends_s, functools.partial(self._finish, attempt))
+        clock.after(self.run.policy.timeout_s, failed)
+
+    def _begin(self, attempt: _Attempt) -> None:
+        attempt.first_version = attempt.engine.versions[self.number]
+
+    def _finish(self, attempt: _Attempt) -> None:
+        """Ends an attempt; one that met a silent engine waits in vain."""
+        if attempt.number not in self._open:
+            return
+        if attempt.engine.is_in("refuse", attempt.sent_s):
+            self._fail(attempt)
+        elif not attempt.engine.is_in("hang", attempt.sent_s):
+            self._close(attempt.number, failed=False)
+            last = attempt.engine.versions[self.number]
+            answer = _answer(attempt.first_version, last)
+            self.feed(SampleReady(attempt.number, answer))
+
+    def _fail(self, attempt: _Attempt) -> None:
+        if attempt.number in self._open:
+            self._close(attempt.number, failed=True)
+            self.feed(SampleFailed(attempt.number))
+
+    def _cancel(self, action: CancelSample) -> None:
+        if action.attempt in self._open:
+            self._close(action.attempt, failed=False)
+
+    def _close(self, number: int, *, failed: bool) -> None:
+        now_s = self.run.clock.now_s
+        attempt = self._open.pop(number)
+        self.table.note_done(attempt.engine.name, failed=failed, now_s=now_s)
+        if attempt.slot >= 0 and now_s < attempt.ends_s:
+            attempt.engine.free(attempt)
 
     def _take(self, action: HandOver) -> None:
         clock = self.run.clock
@@ -244,10 +304,9 @@
             for sample in group.samples:
                 self.staleness.append(self.version - sample.oldest_version)
         self._groups += len(action.groups)
-        pull_id = action.pull_id
-        clock.after(0, lambda: self.feed(PullAcked(pull_id)))
+        self._pulls += bool(action.groups)
         if self._groups < self.run.site.groups and action.remaining:
-            clock.after(0.001, self.ask)
+            clock.after(_PAUSE_S, self.ask)
             return
         self.idle_s += clock.now_s - self._wait_since_s
         self._groups = 0
@@ -281,7 +340,7 @@
         if policy.has_faults:
             self.faults = engine_faults(seed, len(self._places))
         self.engines = {
-            name: _Engine(self, number)
+            name: _Engine(self, name, number)
             for number, name in enumerate(self._places)
         }
         self.trainers = [_Trainer(self, n) for n in range(site.trainers)]
@@ -324,11 +383,11 @@
         )
 
 
-def _sample(index: int, first: int, last: int) -> Sample:
+def _answer(first: int, last: int) -> EngineAnswer:
     spans = (Span(version=first, start=0, end=1),)
     if last != first:
         spans += (Span(version=last, start=1, end=2),)
-    return Sample(index=index, tokens=(0,) * len(spans), spans=spans)
+    return EngineAnswer(tokens=(0,) * len(spans), spans=spans)
 
 
 def run_lots(site: Site, policy: LotPolicy, seed: int) -> LotResult:
--- a/benchmarks/measure/plots.py
+++ b/benchmarks/measure/plots.py
@@ -22,6 +22,7 @@
     ("Look-ups", "cheap_share", "share of work on cheap servers"),
     ("Lots", "idle_share", "trainer idle, share of its time"),
     ("Lots", "staleness", "versions behind at delivery, mean"),
+    ("Usage", "late", "share of requests billed late"),
     ("Usage", "twice", "share of requests billed twice"),
     ("Usage", "never", "share of requests never billed"),
 )
--- a/benchmarks/measure/usage.py
+++ b/benchmarks/measure/usage.py
@@ -1,26 +1,53 @@
 """Usage windows: what is billed late, twice or never."""
 
+import collections
 import dataclasses
 import random
 
-from benchmarks.measure.faults import Fault, usage_faults
+import msgspec
+
+from benchmarks.measure.faults import usage_faults
 from benchmarks.measure.workloads import Site
 from daisyhub.accounting import (
+    CallFailed,
+    EmptyStore,
+    FlushCore,
+    FlushTick,
+    Ledger,
+    LedgerRead,
+    LedgerWritten,
+    ListedStore,
+    ListParts,
+    PartsListed,
+    PartStore,
+    ReadLedger,
+    ReadStore,
+    ReportDone,
+    SealCore,
     SealedWindow,
+    SealTick,
+    SendReport,
+    StoreEmptied,
+    StoreRead,
+    StoreRefused,
+    StoreWritten,
     UsageCounters,
-    UsagePart,
-    seal_window,
+    WriteLedger,
+    WriteStore,
 )
+from daisyhub.base import Core
 
 __all__ = ["UsagePolicy", "UsageResult", "run_usage"]
 
 _DAEMONS = 2
 _WINDOW_S = 60
-_WINDOWS = 110
-_TICK_S = 10
-_KEPT_WINDOWS = 64
-_ACCOUNTS = 8
-_TAKE_OVER_AT = 100
+_GRACE_S = 5.0
+_RETRY_S = 1.0
+_SERVED_S = 110 * _WINDOW_S
+_END_S = _SERVED_S + 20 * _WINDOW_S
+_TAKE_OVER_S = 100 * _WINDOW_S
+_MOST_PER_S = 2
+_LOST_ANSWERS = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,140 +57,195 @@
     Attributes:
         name: For the table.
         copies: Whether a peer keeps a copy of the counts.
-        kept: Sealed windows that a new holder reads back.
-        seals_missed: Whether windows missed in an outage are sealed
-            afterwards, each by itself, or only the newest is.
+        marks: Whether a holder reads back which parts were sealed.
     """
 
     name: str
     copies: bool = True
-    kept: int = _KEPT_WINDOWS
-    seals_missed: bool = False
+    marks: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class UsageResult:
-    """Shares of the requests served."""
+    """Shares of the requests served; `late` without those billed twice."""
 
     late: float
     never: float
     twice: float
 
 
+class _Daemon:
+    """One epoch of a daemon with its cores."""
+
+    def __init__(self, number: int, epoch: int):
+        self.daemon_id = f"daemon-{number}"
+        self.epoch = epoch
+        self.counters = UsageCounters(self.daemon_id, epoch, _WINDOW_S)
+        self.flush = FlushCore(self.counters, _RETRY_S)
+        self.seal = SealCore("busan", _WINDOW_S, _GRACE_S, _RETRY_S)
+
+
 class _Run:
-    """One failure domain with two daemons."""
+    """One failure domain with two daemons and a platform.
+
+    Each daemon's count of a second has an account of its own, so that what
+    was billed can be compared with what was served.
+    """
 
     def __init__(self, policy: UsagePolicy, seed: int):
         self.policy = policy
         self.rng = random.Random(seed)
         self.faults = usage_faults(seed, _DAEMONS)
-        self.epochs = [1] * _DAEMONS
-        self.counters = [self._new(n) for n in range(_DAEMONS)]
-        self.stored: dict[tuple, UsagePart] = {}
-        self.copies: dict[tuple, UsagePart] = {}
-        self.sealed: dict[int, SealedWindow] = {}
-        self.known: list[SealedWindow] = []
-        self.served = 0
-
-    def _new(self, number: int) -> UsageCounters:
-        epoch = self.epochs[number]
-        return UsageCounters(f"daemon-{number}", epoch, _WINDOW_S)
+        self.now_s = 0
+        self.daemons = [_Daemon(n, 1) for n in range(_DAEMONS)]
+        self.holder = 0
+        self.fencing = 1
+        self.ledger = (Ledger(), 0)
+        self.stores: dict[str, tuple[PartStore, int]] = {}
+        self.served: dict[str, int] = {}
+        self.reports: dict[int, str] = {}
 
     def run(self) -> UsageResult:
-        for now_s in range(0, _WINDOWS * _WINDOW_S, _TICK_S):
-            self._kill(now_s)
-            self._serve(now_s)
-            if not self._is_in_outage(now_s):
-                self._flush(now_s)
-                self._seal(now_s)
+        for self.now_s in range(_END_S):
+            self._serve()
+            self._fail()
+            self._copy()
+            for daemon in self.daemons:
+                self._step(daemon)
         return self._result()
 
-    def _is_in_outage(self, now_s: float) -> bool:
+    def _serve(self) -> None:
+        if self.now_s >= _SERVED_S:
+            return
+        for daemon in self.daemons:
+            account = f"{daemon.daemon_id}/{self.now_s}"
+            requests = self.rng.randint(0, _MOST_PER_S)
+            self.served[account] = requests
+            for _ in range(requests):
+                daemon.counters.add(account, 100, self.now_s)
+
+    def _fail(self) -> None:
+        """Kills lose what was counted since the last copy."""
+        for fault in self.faults:
+            if fault.kind == "kill" and int(fault.start_s) == self.now_s:
+                number = fault.target
+                epoch = self.daemons[number].epoch + 1
+                self.daemons[number] = _Daemon(number, epoch)
+                if number == self.holder:
+                    self._change_holder()
+        if self.now_s == _TAKE_OVER_S:
+            self._change_holder()
+
+    def _change_holder(self) -> None:
+        self.holder = 1 - self.holder
+        self.fencing += 1
+
+    def _live(self, daemon: _Daemon) -> dict[str, int]:
+        return {d.daemon_id: d.epoch for d in self.daemons if d is not daemon}
+
+    def _copy(self) -> None:
+        for daemon in self.daemons:
+            live = self._live(daemon) if self.policy.copies else {}
+            told = daemon.counters.tick(live)
+            for peer in self.daemons:
+                news = told.get(peer.daemon_id)
+                if news is None:
+                    continue
+                peer.counters.hold(daemon.daemon_id, news.parts)
+                if news.held_number:
+                    peer.counters.on_held(
+                        daemon.daemon_id,
+                        daemon.epoch,
+                        news.held_epoch,
+                        news.held_number,
+                    )
+
+    def _step(self, daemon: _Daemon) -> None:
+        live = self._live(daemon)
+        is_holder = daemon is self.daemons[self.holder]
+        fencing = self.fencing if is_holder else 0
+        running = frozenset({daemon.daemon_id, *live})
+        self._feed(daemon, daemon.flush, FlushTick(self.now_s, live))
+        self._feed(daemon, daemon.seal, SealTick(self.now_s, fencing, running))
+
+    def _feed(self, daemon: _Daemon, core: Core, event: object) -> None:
+        actions = core.handle(event, self.now_s)
+        while actions:
+            actions = core.handle(self._call(daemon, actions[0]), self.now_s)
+
+    def _call(self, daemon: _Daemon, action: object) -> object:
+        """Calls the platform; some calls take effect without an answer."""
+        if self._is_in_outage():
+            return CallFailed()
+        answer = self._perform(daemon, action)
+        is_lost = self.rng.random() < _LOST_ANSWERS
+        return CallFailed() if is_lost else answer
+
+    def _is_in_outage(self) -> bool:
         return any(
-            f.kind == "outage" and f.start_s <= now_s < f.end_s
+            f.kind == "outage" and f.start_s <= self.now_s < f.end_s
             for f in self.faults
         )
 
-    def _kill(self, now_s: float) -> None:
-        for fault in self.faults:
-            is_due = now_s <= fault.start_s < now_s + _TICK_S
-            if fault.kind == "kill" and is_due:
-                self._restart(fault)
-
-    def _restart(self, fault: Fault) -> None:
-        self.epochs[fault.target] += 1
-        self.counters[fault.target] = self._new(fault.target)
-
-    def _serve(self, now_s: float) -> None:
-        for counters in self.counters:
-            for _ in range(self.rng.randrange(5, 15)):
-                account = f"account-{self.rng.randrange(_ACCOUNTS)}"
-                counters.add(account, 100, now_s)
-                self.served += 1
-            if not self.policy.copies:
-                continue
-            for window in counters.windows():
-                part = counters.part(window)
-                self.copies[(part.daemon_id, part.epoch, window)] = part
-
-    def _flush(self, now_s: float) -> None:
-        for counters in self.counters:
-            for window in counters.windows():
-                if window + _WINDOW_S <= now_s:
-                    part = counters.part(window)
-                    key = (part.daemon_id, part.epoch, window)
-                    self.stored[key] = part
-                    counters.drop(window)
-
-    def _seal(self, now_s: float) -> None:
-        newest = now_s // _WINDOW_S * _WINDOW_S - _WINDOW_S
-        oldest = newest
-        if self.policy.seals_missed:
-            oldest = max(self.sealed, default=-_WINDOW_S) + _WINDOW_S
-        for window in range(max(0, oldest), newest + 1, _WINDOW_S):
-            self._seal_one(window)
-
-    def _seal_one(self, window: int) -> None:
-        if window in self.sealed:
-            return
-        if len(self.sealed) == _TAKE_OVER_AT:
-            self.known = self.known[-self.policy.kept :]
-        parts = [*self.stored.values(), *self.copies.values()]
-        sealed = seal_window("busan", window, parts, self.known)
-        self.sealed[window] = sealed
-        self.known.append(sealed)
+    def _perform(self, daemon: _Daemon, action: object) -> object:
+        match action:
+            case ReadLedger():
+                return self._read_ledger(daemon)
+            case WriteLedger():
+                # One call at a time and two daemons: nothing is refused.
+                self.ledger = (action.ledger, self.ledger[1] + 1)
+                return LedgerWritten(self.ledger[1])
+            case SendReport():
+                self.reports.setdefault(action.window, action.body)
+                return ReportDone(action.window)
+            case ListParts():
+                return PartsListed(
+                    tuple(
+                        ListedStore(daemon_id=key, store=store, version=version)
+                        for key, (store, version) in self.stores.items()
+                    )
+                )
+        return self._perform_on_store(daemon, action)
+
+    def _perform_on_store(self, daemon: _Daemon, action: object) -> object:
+        key = getattr(action, "daemon_id", daemon.daemon_id)
+        store, version = self.stores.get(key, (PartStore(), 0))
+        if isinstance(action, ReadStore):
+            return StoreRead(store, version)
+        is_current = action.expected_version == version
+        if isinstance(action, EmptyStore):
+            if is_current:
+                self.stores[key] = (PartStore(), version + 1)
+            return StoreEmptied()
+        if not isinstance(action, WriteStore):
+            raise TypeError(f"not a usage action: {action!r}")
+        if not is_current:
+            return StoreRefused()
+        self.stores[key] = (action.store, version + 1)
+        return StoreWritten(version + 1)
+
+    def _read_ledger(self, daemon: _Daemon) -> LedgerRead:
+        ledger, version = self.ledger
+        is_holder = daemon is self.daemons[self.holder]
+        if is_holder and not self.policy.marks:
+            ledger = msgspec.structs.replace(ledger, marks=())
+        return LedgerRead(ledger, version)
 
     def _result(self) -> UsageResult:
-        billed, late, best = 0, 0, {}
-        for sealed in self.sealed.values():
-            billed += sum(count.requests for count in sealed.counts)
-            late += sum(count.requests for count in sealed.late)
-            for part in sealed.parts:
-                for count in part.counts:
-                    key = (part.daemon_id, part.epoch, part.window)
-                    place = (*key, count.account)
-                    best.setdefault(place, []).append(count.requests)
-        stored = {**self.copies, **self.stored}
-        true = {
-            (*key, count.account): count.requests
-            for key, part in stored.items()
-            for count in part.counts
-        }
-        twice = sum(
-            max(0, sum(values) - true.get(place, 0))
-            for place, values in best.items()
-        )
-        still_open = sum(
-            count.requests
-            for counters in self.counters
-            for window in counters.windows()
-            for count in counters.part(window).counts
-        )
-        never = self.served - still_open - (billed - twice)
+        billed: collections.Counter[str] = collections.Counter()
+        late = 0
+        for body in self.reports.values():
+            window = msgspec.json.decode(body, type=SealedWindow)
+            late += sum(count.requests for count in window.late)
+            for count in window.counts:
+                billed[count.account] += count.requests
+        total = sum(self.served.values())
+        over = [billed[a] - n for a, n in self.served.items()]
+        twice = sum(max(0, n) for n in over)
         return UsageResult(
-            late=(late - twice) / self.served,
-            never=max(0, never) / self.served,
-            twice=twice / self.served,
+            late=(late - twice) / total,
+            never=sum(max(0, -n) for n in over) / total,
+            twice=twice / total,
         )
 
 
