--- a/benchmarks/measure/__main__.py
+++ b/benchmarks/measure/__main__.py
@@ -25,6 +25,9 @@
 
 _LOOKUPS = (
     LookupPolicy(name="512 places", follows_capacity=False),
+    LookupPolicy(
+        name="512 places, no hedging", follows_capacity=False, hedges=False
+    ),
     LookupPolicy(name="as built"),
     LookupPolicy(name="first come first served", is_fair=False),
     LookupPolicy(name="round robin", is_least_loaded=False),
@@ -115,7 +118,7 @@
     ]
     for row in rows:
         shown = " | ".join(
-            f"{c.median:.3f} ({c.low:.3f} to {c.high:.3f})"
+            f"{c.median:.4f} ({c.low:.4f} to {c.high:.4f})"
             for c in row.cells.values()
         )
         lines.append(f"| {row.site} | {row.policy} | {shown} |")
--- a/benchmarks/measure/usage.py
+++ b/benchmarks/measure/usage.py
@@ -110,8 +110,7 @@
             self._serve()
             self._fail()
             self._copy()
-            for daemon in self.daemons:
-                self._step(daemon)
+            self._step()
         return self._result()
 
     def _serve(self) -> None:
@@ -160,13 +159,21 @@
                         news.held_number,
                     )
 
-    def _step(self, daemon: _Daemon) -> None:
-        live = self._live(daemon)
-        is_holder = daemon is self.daemons[self.holder]
-        fencing = self.fencing if is_holder else 0
-        running = frozenset({daemon.daemon_id, *live})
-        self._feed(daemon, daemon.flush, FlushTick(self.now_s, live))
-        self._feed(daemon, daemon.seal, SealTick(self.now_s, fencing, running))
+    def _step(self) -> None:
+        """Lets all cores go on, in any order."""
+        turns = []
+        for daemon in self.daemons:
+            live = self._live(daemon)
+            is_holder = daemon is self.daemons[self.holder]
+            fencing = self.fencing if is_holder else 0
+            running = frozenset({daemon.daemon_id, *live})
+            flush = FlushTick(self.now_s, live)
+            seal = SealTick(self.now_s, fencing, running)
+            turns.append((daemon, daemon.flush, flush))
+            turns.append((daemon, daemon.seal, seal))
+        self.rng.shuffle(turns)
+        for daemon, core, event in turns:
+            self._feed(daemon, core, event)
 
     def _feed(self, daemon: _Daemon, core: Core, event: object) -> None:
         actions = core.handle(event, self.now_s)
