--- a/benchmarks/measure/__main__.py
+++ b/benchmarks/measure/__main__.py
@@ -42,6 +42,11 @@
         name="all domains, no hedging", is_site_wide=True, hedges=False
     ),
     LookupPolicy(name="one more cheap server each", extra="cheap"),
+    LookupPolicy(
+        name="one more cheap server each, for all requests",
+        extra="cheap",
+        is_regular_first=False,
+    ),
     LookupPolicy(name="one more dear server each", extra="dear"),
 )
 _ONE_DOMAIN = (
--- a/benchmarks/measure/lookup_policies.py
+++ b/benchmarks/measure/lookup_policies.py
@@ -28,6 +28,8 @@
         is_least_loaded: Less loaded of two, or round robin.
         hedges: Whether hedging is on.
         is_site_wide: Whether daemons use other domains' servers too.
+        is_regular_first: Whether requests that may run only once go to
+            regular servers while there are any.
         extra: One more server in each domain: `none`, `cheap` or `dear`.
     """
 
@@ -37,6 +39,7 @@
     is_least_loaded: bool = True
     hedges: bool = True
     is_site_wide: bool = False
+    is_regular_first: bool = True
     extra: Literal["none", "cheap", "dear"] = "none"
 
 
--- a/benchmarks/measure/lookups.py
+++ b/benchmarks/measure/lookups.py
@@ -122,7 +122,7 @@
     ) -> str | None:
         now_s = self.run.clock.now_s
         states = self.table.candidates(_POOL, now_s, excluded)
-        if not idempotent:
+        if not idempotent and self.run.policy.is_regular_first:
             states = prefer_regular(states)
         return self.balancer.choose(states)
 
