--- a/benchmarks/measure/lookup_policies.py
+++ b/benchmarks/measure/lookup_policies.py
@@ -4,11 +4,16 @@
 from typing import Literal
 
 from daisyhub.exceptions import ErrorCode
-from daisyhub.filters._admission_core import Admit, Arrive, Shed
+from daisyhub.filters import Admit, Arrive, PlacesChanged, Shed
 
-__all__ = ["FirstComeFirstServed", "LookupPolicy", "LookupResult"]
+__all__ = [
+    "MOST_PLACES",
+    "FirstComeFirstServed",
+    "LookupPolicy",
+    "LookupResult",
+]
 
-_FIT_PLACES = 6
+MOST_PLACES = 512
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -17,20 +22,24 @@
 
     Attributes:
         name: For the table.
-        places: Requests that one daemon lets in at one time.
+        follows_capacity: Whether a daemon's places follow what the live
+            endpoints tell, or are `MOST_PLACES`.
         is_fair: Fair queueing, or first come first served.
         is_least_loaded: Less loaded of two, or round robin.
         hedges: Whether hedging is on.
         is_site_wide: Whether daemons use other domains' servers too.
+        is_regular_first: Whether requests that may run only once go to
+            regular servers while there are any.
         extra: One more server in each domain: `none`, `cheap` or `dear`.
     """
 
     name: str
-    places: int = _FIT_PLACES
+    follows_capacity: bool = True
     is_fair: bool = True
     is_least_loaded: bool = True
     hedges: bool = True
     is_site_wide: bool = False
+    is_regular_first: bool = True
     extra: Literal["none", "cheap", "dear"] = "none"
 
 
@@ -62,7 +71,9 @@
 
     def handle(self, event: object, now_s: float) -> list[object]:
         """Takes the events of `AdmissionCore`."""
-        if isinstance(event, Arrive):
+        if isinstance(event, PlacesChanged):
+            self.places = event.places
+        elif isinstance(event, Arrive):
             if len(self._queue) >= 2 * self.places:
                 return [Shed(event.request_id, ErrorCode.OVERLOADED, 1.0)]
             self._queue.append(event)
