--- a/benchmarks/measure/lookup_policies.py
+++ b/benchmarks/measure/lookup_policies.py
@@ -1,8 +1,10 @@
 """Policies of look-ups, their figures, and the plain admission."""
 
 import dataclasses
+from collections.abc import Sequence
 from typing import Literal
 
+from daisyhub.balancing import EndpointState
 from daisyhub.exceptions import ErrorCode
 from daisyhub.filters import Admit, Arrive, PlacesChanged, Shed
 
@@ -11,6 +13,7 @@
     "FirstComeFirstServed",
     "LookupPolicy",
     "LookupResult",
+    "prefer_regular",
 ]
 
 MOST_PLACES = 512
@@ -39,7 +42,7 @@
     is_least_loaded: bool = True
     hedges: bool = True
     is_site_wide: bool = False
-    is_regular_first: bool = True
+    is_regular_first: bool = False
     extra: Literal["none", "cheap", "dear"] = "none"
 
 
@@ -89,3 +92,17 @@
             self._in_service.add(waiting.request_id)
             actions.append(Admit(waiting.request_id))
         return actions
+
+
+def prefer_regular(
+    candidates: Sequence[EndpointState],
+) -> Sequence[EndpointState]:
+    """Returns the candidates that can't be reclaimed, if there are any.
+
+    A request that may run only once is lost with a reclaimed endpoint; with
+    cheap endpoints alone it is still served, since they tell before they go.
+    """
+    if not any(state.cheap for state in candidates):
+        return candidates
+    regular = [state for state in candidates if not state.cheap]
+    return regular or candidates
--- a/benchmarks/measure/lookups.py
+++ b/benchmarks/measure/lookups.py
@@ -11,6 +11,7 @@
     FirstComeFirstServed,
     LookupPolicy,
     LookupResult,
+    prefer_regular,
 )
 from benchmarks.measure.workloads import Site
 from daisyhub.balancing import (
@@ -18,7 +19,6 @@
     EndpointTable,
     LeastLoaded,
     RoundRobin,
-    prefer_regular,
 )
 from daisyhub.exceptions import Ran
 from daisyhub.filters import (
--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -3,7 +3,6 @@
 from daisyhub.balancing._balancers import (
     LeastLoaded,
     RoundRobin,
-    prefer_regular,
 )
 from daisyhub.balancing._endpoint_table import (
     DRAIN_PREFIX,
@@ -21,5 +20,4 @@
     "EndpointTable",
     "LeastLoaded",
     "RoundRobin",
-    "prefer_regular",
 ]
--- a/daisyhub/balancing/_balancers.py
+++ b/daisyhub/balancing/_balancers.py
@@ -5,7 +5,7 @@
 
 from daisyhub.base import Balancer, EndpointView
 
-__all__ = ["LeastLoaded", "RoundRobin", "prefer_regular"]
+__all__ = ["LeastLoaded", "RoundRobin"]
 
 _CHOICES = 2
 
@@ -45,17 +45,3 @@
             picked = self._random.sample(candidates, _CHOICES)
         best = min(picked, key=lambda s: (s.load / s.capacity, s.endpoint_id))
         return best.endpoint_id
-
-
-def prefer_regular(
-    candidates: Sequence[EndpointView],
-) -> Sequence[EndpointView]:
-    """Returns the candidates that can't be reclaimed, if there are any.
-
-    A request that may run only once is lost with a reclaimed endpoint; with
-    cheap endpoints alone it is still served, since they tell before they go.
-    """
-    if not any(state.cheap for state in candidates):
-        return candidates
-    regular = [state for state in candidates if not state.cheap]
-    return regular or candidates
--- a/daisyhub/filters/_forward.py
+++ b/daisyhub/filters/_forward.py
@@ -10,7 +10,6 @@
     EndpointNews,
     EndpointState,
     EndpointTable,
-    prefer_regular,
 )
 from daisyhub.base import Balancer, Filter, Handler
 from daisyhub.config import Route
@@ -106,8 +105,6 @@
         def choose(excluded: frozenset[str]) -> str | None:
             now_s = time.monotonic()
             states = self._table.candidates(route.pool, now_s, excluded)
-            if not route.idempotent:
-                states = prefer_regular(states)
             return self._balancer.choose(states)
 
         return choose
