Move the product's own platform interface to daisyhub/hosting

Cause: daisyhub/platform is to hold only the translation of the users' platform; leases, orders and pool sizing are decisions of the product. Change: the folder is renamed and its imports follow; nothing else changes.

--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -13,7 +13,7 @@
 import anyio
 
 from daisyhub.config import ConfigStore
-from daisyhub.platform import PlatformClient
+from daisyhub.hosting import PlatformClient
 from daisyhub.settings import TimingSettings
 from daisyhub.testing.caller import Caller
 from daisyhub.testing.demo_config import DemoKeys, demo_document
--- a/benchmarks/measure/lookups.py
+++ b/benchmarks/measure/lookups.py
@@ -40,7 +40,7 @@
     RetryBudget,
     StartAttempt,
 )
-from daisyhub.platform import EndpointRecord
+from daisyhub.hosting import EndpointRecord
 
 __all__ = ["run_lookups"]
 
--- a/benchmarks/measure/lots.py
+++ b/benchmarks/measure/lots.py
@@ -8,7 +8,7 @@
 from benchmarks.measure.faults import engine_faults
 from benchmarks.measure.workloads import Site
 from daisyhub.balancing import EndpointTable, LeastLoaded, RoundRobin
-from daisyhub.platform import EndpointRecord
+from daisyhub.hosting import EndpointRecord
 from daisyhub.rollouts import (
     CancelSample,
     EngineAnswer,
--- a/benchmarks/slope_calls.py
+++ b/benchmarks/slope_calls.py
@@ -17,7 +17,7 @@
 from benchmarks.slope_tables import endpoint_records
 from benchmarks.slope_tools import Point, Slope
 from daisyhub.connections import HttpClient, RequestFailedError
-from daisyhub.platform import PlatformClient
+from daisyhub.hosting import PlatformClient
 from daisyhub.settings import Address
 
 __all__ = ["call_slopes"]
--- a/benchmarks/slope_cores.py
+++ b/benchmarks/slope_cores.py
@@ -13,7 +13,7 @@
 )
 from daisyhub.filters import AdmissionCore
 from daisyhub.filters._admission_core import Admit, Arrive, Depart
-from daisyhub.platform import (
+from daisyhub.hosting import (
     LeaseCore,
     LeaseRead,
     LeaseTick,
--- a/benchmarks/slope_daemons.py
+++ b/benchmarks/slope_daemons.py
@@ -16,7 +16,7 @@
 from benchmarks.slope_tables import endpoint_records
 from benchmarks.slope_tools import Point, Slope
 from daisyhub.config import ConfigStore
-from daisyhub.platform import PlatformClient
+from daisyhub.hosting import PlatformClient
 from daisyhub.settings import TimingSettings
 from daisyhub.testing.caller import Caller
 from daisyhub.testing.demo_config import DemoKeys, demo_document
--- a/benchmarks/slope_tables.py
+++ b/benchmarks/slope_tables.py
@@ -25,6 +25,7 @@
     split_sections,
 )
 from daisyhub.filters import RouteTable
+from daisyhub.hosting import EndpointRecord
 from daisyhub.identity import KeyTable, hash_secret, new_key
 from daisyhub.metrics import Metrics
 from daisyhub.peers import (
@@ -35,7 +36,6 @@
     Heartbeat,
     encode_envelope,
 )
-from daisyhub.platform import EndpointRecord
 from daisyhub.testing.processes import HASH_KEY
 
 __all__ = ["endpoint_records", "table_slopes"]
--- a/daisyhub/balancing/tests/test_proof_endpoints.py
+++ b/daisyhub/balancing/tests/test_proof_endpoints.py
@@ -16,7 +16,7 @@
 )
 
 from daisyhub.balancing import EndpointNews, EndpointTable
-from daisyhub.platform import EndpointRecord
+from daisyhub.hosting import EndpointRecord
 from daisyhub.testing.proofs import find_failure, run_proof
 
 IDS = ("e0", "e1", "e2")
--- a/daisyhub/cli/_base.py
+++ b/daisyhub/cli/_base.py
@@ -14,7 +14,7 @@
 from daisyhub.config import ConfigStore
 from daisyhub.connections import HttpClient
 from daisyhub.exceptions import DaisyhubError
-from daisyhub.platform import PlatformClient
+from daisyhub.hosting import PlatformClient
 from daisyhub.process_flags import SETTINGS
 from daisyhub.settings import Address
 
--- a/daisyhub/cli/tests/test_commands.py
+++ b/daisyhub/cli/tests/test_commands.py
@@ -23,7 +23,7 @@
 from daisyhub.cli._main import COMMANDS, run_command
 from daisyhub.connections import HttpAnswer, RequestFailedError
 from daisyhub.exceptions import Ran
-from daisyhub.platform import EndpointRecord
+from daisyhub.hosting import EndpointRecord
 from daisyhub.testing.fake_app import Call
 from daisyhub.testing.fake_platform import FakePlatform
 
--- a/daisyhub/config/tests/config_world.py
+++ b/daisyhub/config/tests/config_world.py
@@ -9,7 +9,7 @@
 from daisyhub.config import (
     _acceptance_types as acceptance,
 )
-from daisyhub.platform import PlatformObject
+from daisyhub.hosting import PlatformObject
 
 HEAD, KEYS = "news/config", "news/keys"
 
--- a/daisyhub/controllers/_config.py
+++ b/daisyhub/controllers/_config.py
@@ -29,6 +29,7 @@
 )
 from daisyhub.exceptions import PlatformUnavailableError
 from daisyhub.filters import RouteTable
+from daisyhub.hosting import PlatformClient, PlatformObject
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger
 from daisyhub.peers import (
@@ -37,7 +38,6 @@
     PeerNetwork,
     PeerUnreachableError,
 )
-from daisyhub.platform import PlatformClient, PlatformObject
 
 __all__ = ["ConfigController"]
 
--- a/daisyhub/controllers/_endpoints.py
+++ b/daisyhub/controllers/_endpoints.py
@@ -17,6 +17,12 @@
 from daisyhub.controllers._peers import PeerController
 from daisyhub.exceptions import PlatformUnavailableError
 from daisyhub.filters._forward import news_from_headers
+from daisyhub.hosting import (
+    EndpointRecord,
+    PlatformClient,
+    PlatformObject,
+    rank_candidates,
+)
 from daisyhub.logs import get_logger
 from daisyhub.peers import (
     EndpointFetch,
@@ -24,12 +30,6 @@
     PeerNetwork,
     PeerUnreachableError,
 )
-from daisyhub.platform import (
-    EndpointRecord,
-    PlatformClient,
-    PlatformObject,
-    rank_candidates,
-)
 from daisyhub.settings import DaemonSettings
 
 __all__ = ["EndpointController"]
--- a/daisyhub/controllers/_lot_seat.py
+++ b/daisyhub/controllers/_lot_seat.py
@@ -20,10 +20,10 @@
     PlatformUnavailableError,
     Refusal,
 )
+from daisyhub.hosting import LeaseKeeper, PlatformClient
 from daisyhub.logs import get_logger
 from daisyhub.metrics import Metrics
 from daisyhub.peers import LotAnswer, LotCall
-from daisyhub.platform import LeaseKeeper, PlatformClient
 from daisyhub.rollouts import (
     AckAsked,
     AckBody,
--- a/daisyhub/controllers/_lot_specs.py
+++ b/daisyhub/controllers/_lot_specs.py
@@ -16,7 +16,7 @@
     PlatformConflictError,
     Refusal,
 )
-from daisyhub.platform import PlatformClient
+from daisyhub.hosting import PlatformClient
 from daisyhub.rollouts import LotSpec
 
 __all__ = ["LotSpecStore", "split_prompts"]
--- a/daisyhub/controllers/_lots.py
+++ b/daisyhub/controllers/_lots.py
@@ -17,6 +17,7 @@
     PlatformUnavailableError,
     Refusal,
 )
+from daisyhub.hosting import LeaseRecord, PlatformObject
 from daisyhub.logs import get_logger
 from daisyhub.peers import (
     LotAnswer,
@@ -24,7 +25,6 @@
     PeerNetwork,
     PeerUnreachableError,
 )
-from daisyhub.platform import LeaseRecord, PlatformObject
 from daisyhub.problems import problem_body
 from daisyhub.rollouts import LotSpec, OpenBody
 
--- a/daisyhub/controllers/_news.py
+++ b/daisyhub/controllers/_news.py
@@ -17,8 +17,8 @@
     WatchNews,
 )
 from daisyhub.exceptions import PlatformUnavailableError
+from daisyhub.hosting import PlatformClient, PlatformObject
 from daisyhub.logs import get_logger
-from daisyhub.platform import PlatformClient, PlatformObject
 from daisyhub.settings import TimingSettings
 
 __all__ = ["NewsController"]
--- a/daisyhub/controllers/_news_core.py
+++ b/daisyhub/controllers/_news_core.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from daisyhub.base import Core
-from daisyhub.platform import PlatformObject
+from daisyhub.hosting import PlatformObject
 
 __all__ = [
     "DeliverNews",
--- a/daisyhub/controllers/_orders.py
+++ b/daisyhub/controllers/_orders.py
@@ -14,8 +14,7 @@
     PlatformConflictError,
     PlatformUnavailableError,
 )
-from daisyhub.logs import get_logger
-from daisyhub.platform import (
+from daisyhub.hosting import (
     BookFailed,
     BookLoaded,
     BookRefused,
@@ -33,6 +32,7 @@
     SendOrder,
     WriteBook,
 )
+from daisyhub.logs import get_logger
 from daisyhub.settings import DaemonSettings
 
 __all__ = ["OrderController"]
--- a/daisyhub/controllers/_usage.py
+++ b/daisyhub/controllers/_usage.py
@@ -45,9 +45,9 @@
     PlatformConflictError,
     PlatformUnavailableError,
 )
+from daisyhub.hosting import LeaseKeeper, PlatformClient, UsageReport
 from daisyhub.logs import get_logger
 from daisyhub.metrics import Metrics
-from daisyhub.platform import LeaseKeeper, PlatformClient, UsageReport
 from daisyhub.settings import DaemonSettings
 
 __all__ = ["UsageController"]
--- a/daisyhub/controllers/_weights.py
+++ b/daisyhub/controllers/_weights.py
@@ -9,8 +9,8 @@
 from daisyhub.base import Controller
 from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.controllers._config import ConfigController
+from daisyhub.hosting import LeaseKeeper, PlatformObject
 from daisyhub.logs import get_logger
-from daisyhub.platform import LeaseKeeper, PlatformObject
 from daisyhub.rollouts import (
     EnginesSeen,
     EngineView,
--- a/daisyhub/controllers/tests/test_membership_processes.py
+++ b/daisyhub/controllers/tests/test_membership_processes.py
@@ -7,7 +7,7 @@
 
 from daisyhub.balancing import DRAIN_PREFIX, DrainOrder
 from daisyhub.config import ConfigStore
-from daisyhub.platform import PlatformClient
+from daisyhub.hosting import PlatformClient
 from daisyhub.testing.caller import Caller
 from daisyhub.testing.demo_config import DemoKeys, demo_document
 from daisyhub.testing.processes import Deployment
--- a/daisyhub/controllers/tests/test_news_core.py
+++ b/daisyhub/controllers/tests/test_news_core.py
@@ -10,7 +10,7 @@
     WatchAnswered,
     WatchNews,
 )
-from daisyhub.platform import PlatformObject
+from daisyhub.hosting import PlatformObject
 
 
 def news(key, revision):
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -39,6 +39,7 @@
     build_chain,
     places_for,
 )
+from daisyhub.hosting import LeaseKeeper, PlatformClient, rank_candidates
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger, set_up_logs
 from daisyhub.metrics import Metrics
@@ -48,7 +49,6 @@
     LotCall,
     PeerNetwork,
 )
-from daisyhub.platform import LeaseKeeper, PlatformClient, rank_candidates
 from daisyhub.process_flags import SETTINGS
 from daisyhub.serving import CallersApp, HttpServer, OperatorsApp
 from daisyhub.settings import DaemonSettings, load_settings
--- a/daisyhub/filters/_claim_controller.py
+++ b/daisyhub/filters/_claim_controller.py
@@ -27,7 +27,7 @@
     RequestEnded,
     WriteClaim,
 )
-from daisyhub.platform import PlatformClient
+from daisyhub.hosting import PlatformClient
 
 __all__ = ["ClaimController"]
 
--- a/daisyhub/platform/__init__.py
+++ b/daisyhub/hosting/__init__.py
@@ -1,6 +1,6 @@
-"""The platform's interfaces: objects, leases, endpoints, usage reports."""
+"""The product's own platform interface: objects, leases, orders, usage."""
 
-from daisyhub.platform._client import (
+from daisyhub.hosting._client import (
     EndpointRecord,
     OrderReply,
     OrderRequest,
@@ -8,7 +8,7 @@
     PlatformObject,
     UsageReport,
 )
-from daisyhub.platform._lease import (
+from daisyhub.hosting._lease import (
     LeaseCore,
     LeaseRead,
     LeaseRecord,
@@ -19,12 +19,12 @@
     ReadLease,
     WriteLease,
 )
-from daisyhub.platform._lease_keeper import (
+from daisyhub.hosting._lease_keeper import (
     Lease,
     LeaseKeeper,
     rank_candidates,
 )
-from daisyhub.platform._orders import (
+from daisyhub.hosting._orders import (
     BookFailed,
     BookLoaded,
     BookRefused,
@@ -39,7 +39,7 @@
     SendOrder,
     WriteBook,
 )
-from daisyhub.platform._pool_sizing import (
+from daisyhub.hosting._pool_sizing import (
     EndpointSight,
     PoolDemand,
     PoolSizer,
--- a/daisyhub/platform/_client.py
+++ b/daisyhub/hosting/_client.py
@@ -11,7 +11,7 @@
     PlatformConflictError,
     PlatformUnavailableError,
 )
-from daisyhub.platform._orders import EndpointOrder
+from daisyhub.hosting._orders import EndpointOrder
 from daisyhub.settings import Address
 
 __all__ = [
--- a/daisyhub/platform/_lease_keeper.py
+++ b/daisyhub/hosting/_lease_keeper.py
@@ -12,8 +12,8 @@
     PlatformConflictError,
     PlatformUnavailableError,
 )
-from daisyhub.platform._client import PlatformClient
-from daisyhub.platform._lease import (
+from daisyhub.hosting._client import PlatformClient
+from daisyhub.hosting._lease import (
     LeaseCore,
     LeaseRead,
     LeaseRecord,
--- a/daisyhub/platform/_orders.py
+++ b/daisyhub/hosting/_orders.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from daisyhub.base import Core
-from daisyhub.platform._pool_sizing import PoolDemand, PoolSizer
+from daisyhub.hosting._pool_sizing import PoolDemand, PoolSizer
 
 __all__ = [
     "BookFailed",
--- a/daisyhub/platform/tests/test_proof_lease.py
+++ b/daisyhub/hosting/tests/test_proof_lease.py
@@ -14,7 +14,7 @@
     rule,
 )
 
-from daisyhub.platform import (
+from daisyhub.hosting import (
     LeaseCore,
     LeaseRead,
     LeaseTick,
--- a/daisyhub/platform/tests/test_proof_orders.py
+++ b/daisyhub/hosting/tests/test_proof_orders.py
@@ -15,7 +15,7 @@
     rule,
 )
 
-from daisyhub.platform import (
+from daisyhub.hosting import (
     BookFailed,
     BookLoaded,
     BookRefused,
--- a/daisyhub/identity/tests/test_proof_keys.py
+++ b/daisyhub/identity/tests/test_proof_keys.py
@@ -27,10 +27,10 @@
     ValidateFilter,
     build_chain,
 )
+from daisyhub.hosting import EndpointRecord
 from daisyhub.identity import KeyTable, ParsedKey, hash_secret
 from daisyhub.messages import Request
 from daisyhub.metrics import Metrics
-from daisyhub.platform import EndpointRecord
 from daisyhub.problems import problem_response
 from daisyhub.settings import LimitSettings
 
--- a/daisyhub/peers/_messages.py
+++ b/daisyhub/peers/_messages.py
@@ -5,7 +5,7 @@
 from daisyhub.accounting import UsagePart
 from daisyhub.balancing import EndpointNews
 from daisyhub.config import ConfigHead
-from daisyhub.platform import EndpointRecord
+from daisyhub.hosting import EndpointRecord
 
 __all__ = [
     "Call",
--- a/daisyhub/rollouts/tests/test_lot_processes.py
+++ b/daisyhub/rollouts/tests/test_lot_processes.py
@@ -7,7 +7,7 @@
 
 from daisyhub.config import ConfigStore
 from daisyhub.connections import HttpClient
-from daisyhub.platform import PlatformClient
+from daisyhub.hosting import PlatformClient
 from daisyhub.testing.caller import Caller, run_trainer
 from daisyhub.testing.demo_config import DemoKeys, demo_document
 from daisyhub.testing.processes import Deployment
--- a/daisyhub/serving/tests/test_process_drain.py
+++ b/daisyhub/serving/tests/test_process_drain.py
@@ -9,7 +9,7 @@
 
 from daisyhub.config import ConfigStore
 from daisyhub.connections import RequestFailedError
-from daisyhub.platform import PlatformClient
+from daisyhub.hosting import PlatformClient
 from daisyhub.serving import HttpServer
 from daisyhub.settings import Address
 from daisyhub.testing.caller import Caller
--- a/daisyhub/testing/fake_platform.py
+++ b/daisyhub/testing/fake_platform.py
@@ -4,14 +4,14 @@
 import msgspec
 from absl import app
 
-from daisyhub.logs import set_up_logs
-from daisyhub.platform import (
+from daisyhub.hosting import (
     EndpointRecord,
     OrderReply,
     OrderRequest,
     PlatformObject,
     UsageReport,
 )
+from daisyhub.logs import set_up_logs
 from daisyhub.testing.fake_app import Call, FakeApp, Reply, serve_fake
 
 __all__ = ["FakePlatform"]
--- a/daisyhub/testing/processes.py
+++ b/daisyhub/testing/processes.py
@@ -16,7 +16,7 @@
 
 from daisyhub.config import ConfigStore
 from daisyhub.connections import RequestFailedError
-from daisyhub.platform import EndpointRecord, PlatformClient
+from daisyhub.hosting import EndpointRecord, PlatformClient
 from daisyhub.settings import Address
 from daisyhub.testing.caller import Caller
 
