Serve look-ups on the users' platform: adapter, store client, cluster, gateway

Cause: daisyhub did not speak the platform's protocol. Change: one client of the store behind an abstract store with watches and calls that peers carry; manifest, endpoint directory, cluster of daemons, duties, and a filter chain that ends in the forward core. Lots and the duties' calls are not built yet.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 .PHONY: demo playground test lint format bench prove
 
-$(STAMP): requirements.txt
+$(STAMP): requirements.txt requirements-run.txt
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
 	  -r requirements.txt
--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -4,6 +4,11 @@
     LeastLoaded,
     RoundRobin,
 )
+from daisyhub.balancing._directory import (
+    Endpoint,
+    EndpointDirectory,
+    EndpointEntry,
+)
 from daisyhub.balancing._endpoint_table import (
     DRAIN_PREFIX,
     DrainOrder,
@@ -13,6 +18,9 @@
 )
 
 __all__ = [
+    "Endpoint",
+    "EndpointDirectory",
+    "EndpointEntry",
     "DRAIN_PREFIX",
     "DrainOrder",
     "EndpointNews",
--- /dev/null
+++ b/daisyhub/billing/__init__.py
@@ -0,0 +1,5 @@
+"""Requests of client accounts, counted by windows of true time."""
+
+from daisyhub.billing._meter import UsageMeter, WindowCounts
+
+__all__ = ["UsageMeter", "WindowCounts"]
--- /dev/null
+++ b/daisyhub/catalog/__init__.py
@@ -0,0 +1,28 @@
+"""The manifest: routes, pools, client accounts and limits in force."""
+
+from daisyhub.catalog._controller import ManifestController, ManifestReader
+from daisyhub.catalog._types import (
+    Account,
+    CallerLimits,
+    Manifest,
+    ManifestError,
+    Pool,
+    PoolScaling,
+    PoolShare,
+    Route,
+    RouteKind,
+)
+
+__all__ = [
+    "Account",
+    "CallerLimits",
+    "Manifest",
+    "ManifestController",
+    "ManifestError",
+    "ManifestReader",
+    "Pool",
+    "PoolScaling",
+    "PoolShare",
+    "Route",
+    "RouteKind",
+]
--- /dev/null
+++ b/daisyhub/cluster/__init__.py
@@ -0,0 +1,39 @@
+"""The daemons of one system: who lives, what each knows, the true time."""
+
+from daisyhub.cluster._controller import ClusterController
+from daisyhub.cluster._messages import (
+    CLUSTER_PROTOCOL,
+    LotAnswer,
+    LotBodyAsked,
+    LotEndTold,
+    LotHandedOver,
+    LotResultsAsked,
+    ManifestAnswer,
+    ManifestAsked,
+    Ping,
+    StoreAnswer,
+    StoreAsked,
+)
+from daisyhub.cluster._peers import PeerState, PeerTable
+from daisyhub.cluster._store_calls import PeerCarrier, StoreCallee
+from daisyhub.cluster._true_clock import TrueClock
+
+__all__ = [
+    "CLUSTER_PROTOCOL",
+    "ClusterController",
+    "LotAnswer",
+    "LotBodyAsked",
+    "LotEndTold",
+    "LotHandedOver",
+    "LotResultsAsked",
+    "ManifestAnswer",
+    "ManifestAsked",
+    "PeerCarrier",
+    "PeerState",
+    "PeerTable",
+    "Ping",
+    "StoreAnswer",
+    "StoreAsked",
+    "StoreCallee",
+    "TrueClock",
+]
--- /dev/null
+++ b/daisyhub/cluster/_messages.py
@@ -0,0 +1,186 @@
+"""Typed messages between daemons, in MessagePack."""
+
+import msgspec
+
+from daisyhub.billing import WindowCounts
+from daisyhub.objects import StoredObject
+from daisyhub.peers import PeerProtocol
+
+__all__ = [
+    "CLUSTER_PROTOCOL",
+    "LotAnswer",
+    "LotBodyAsked",
+    "LotEndTold",
+    "LotHandedOver",
+    "LotResultsAsked",
+    "ManifestAnswer",
+    "ManifestAsked",
+    "Ping",
+    "StoreAnswer",
+    "StoreAsked",
+]
+
+
+class Ping(msgspec.Struct, frozen=True, kw_only=True, tag="ping"):
+    """What a daemon tells its peers several times a second.
+
+    Attributes:
+        domain: Its failure domain.
+        address: Where its peer socket listens, `IP:PORT`.
+        wall_s: Its time of day, seconds since 1970.
+        is_leaving: Whether it is shutting down.
+        reaches_store: Whether its last call of the store succeeded.
+        manifest_revision: Revision of the manifest in force there, 0 for none.
+        newest: Revision of the newest change that it saw, by kind.
+        duties: Fencing numbers of the duties that it holds.
+        usage: What it counted in recent windows.
+        closed_before: The first window whose counts may still rise there.
+        peers: Addresses of the daemons that it hears, by id.
+    """
+
+    domain: str
+    address: str
+    wall_s: float
+    is_leaving: bool = False
+    reaches_store: bool = False
+    manifest_revision: int = 0
+    newest: dict[str, int] = {}
+    duties: dict[str, int] = {}
+    usage: tuple[WindowCounts, ...] = ()
+    closed_before: int = 0
+    peers: dict[str, str] = {}
+
+
+class StoreAsked(msgspec.Struct, frozen=True, kw_only=True, tag="sq"):
+    """Asks a peer to carry a call of the store.
+
+    Attributes:
+        verb: Name of the method of `ObjectStore`.
+        kind: Kind of the objects.
+        name: Name of the object, if it is about one.
+        content: The spec or the status, JSON.
+        revision: Revision that a write expects, or a watch goes on from.
+        wait_s: How long a watch waits.
+    """
+
+    verb: str
+    kind: str
+    name: str = ""
+    content: bytes = b""
+    revision: int = 0
+    wait_s: float = 0.0
+
+
+class StoreAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="sa"):
+    """What a carried call brought.
+
+    Attributes:
+        failure: `conflict`, `history_gone`, `unavailable`, or empty.
+        detail: One sentence on the failure.
+        may_be_done: Whether a call that failed may have taken effect.
+        found: The object that was read, written or met.
+        revision: The revision of a list or a watch.
+        items: The objects of a list, or the changes of a watch.
+    """
+
+    failure: str = ""
+    detail: str = ""
+    may_be_done: bool = False
+    found: StoredObject | None = None
+    revision: int = 0
+    items: tuple[StoredObject, ...] = ()
+
+
+class ManifestAsked(msgspec.Struct, frozen=True, kw_only=True, tag="mq"):
+    """Asks for the manifest in force."""
+
+
+class ManifestAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="ma"):
+    """The manifest in force, None if there is none."""
+
+    found: StoredObject | None
+
+
+class LotResultsAsked(msgspec.Struct, frozen=True, kw_only=True, tag="rq"):
+    """Asks a lot's holder for results.
+
+    Attributes:
+        lot_id: The lot.
+        after: First position wanted.
+        wait_s: How long to wait if there is none yet.
+    """
+
+    lot_id: str
+    after: int
+    wait_s: float
+
+
+class LotBodyAsked(msgspec.Struct, frozen=True, kw_only=True, tag="bq"):
+    """Asks a lot's holder for the body of an item."""
+
+    lot_id: str
+    item_id: str
+
+
+class LotEndTold(msgspec.Struct, frozen=True, kw_only=True, tag="le"):
+    """Tells a lot's holder that the lot was ended."""
+
+    lot_id: str
+
+
+class LotHandedOver(msgspec.Struct, frozen=True, kw_only=True, tag="lh"):
+    """What a leaving holder has generated but not listed.
+
+    Attributes:
+        lot_id: The lot.
+        progress: Encoded progress of its unlisted items.
+    """
+
+    lot_id: str
+    progress: bytes
+
+
+class LotAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="la"):
+    """A holder's answer.
+
+    Attributes:
+        is_held: Whether the daemon holds the lot at all.
+        content: Encoded results, or an item's body.
+        is_found: Whether what was asked for exists.
+    """
+
+    is_held: bool
+    content: bytes = b""
+    is_found: bool = True
+
+
+class _Call(msgspec.Struct, frozen=True, kw_only=True, tag="call"):
+    """Asks for one answer; `call_id` is unique for the sender."""
+
+    call_id: int
+    content: (
+        StoreAsked
+        | ManifestAsked
+        | LotResultsAsked
+        | LotBodyAsked
+        | LotEndTold
+        | LotHandedOver
+    )
+
+
+class _CallAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="answer"):
+    """Answers a call; without content the callee could not serve it."""
+
+    call_id: int
+    content: StoreAnswer | ManifestAnswer | LotAnswer | None
+
+
+class _Envelope(msgspec.Struct, frozen=True, kw_only=True):
+    """All messages of one sender to one receiver at one time."""
+
+    sender: str
+    incarnation: int
+    messages: tuple[Ping | _Call | _CallAnswer, ...]
+
+
+CLUSTER_PROTOCOL = PeerProtocol(_Envelope, _Call, _CallAnswer)
--- a/daisyhub/connections/__init__.py
+++ b/daisyhub/connections/__init__.py
@@ -1,6 +1,7 @@
 """HTTP connections to endpoints and to the platform."""
 
 from daisyhub.connections._client import (
+    AnswerStream,
     HttpAnswer,
     HttpClient,
     StreamedAnswer,
@@ -8,6 +9,7 @@
 from daisyhub.connections._connection import RequestFailedError
 
 __all__ = [
+    "AnswerStream",
     "HttpAnswer",
     "HttpClient",
     "RequestFailedError",
--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -24,7 +24,7 @@
 from daisyhub.messages import Header
 from daisyhub.settings import Address
 
-__all__ = ["HttpAnswer", "HttpClient", "StreamedAnswer"]
+__all__ = ["AnswerStream", "HttpAnswer", "HttpClient", "StreamedAnswer"]
 
 _REQUEST_ID_HEADER = b"daisyhub-request-id"
 _NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE"})
@@ -85,6 +85,26 @@
         )
 
 
+class AnswerStream(AsyncIterator[bytes]):
+    """Content passed through; `aclose` ends it even before the first chunk.
+
+    Args:
+        answer: The answer whose content it is.
+    """
+
+    def __init__(self, answer: StreamedAnswer):
+        self._answer = answer
+        self._chunks = answer.chunks()
+
+    async def __anext__(self) -> bytes:
+        return await anext(self._chunks)
+
+    async def aclose(self) -> None:
+        """Ends the exchange."""
+        await self._chunks.aclose()
+        await self._answer.aclose()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Timing:
     """When an exchange started and must end, on anyio's clock."""
@@ -145,9 +165,14 @@
                     conn, method, address, target, headers, body
                 )
                 content = await _read_all(answer, answer_bytes)
-        except BaseException:
+        except RequestFailedError:
             await self._discard(address, conn, started_s)
             raise
+        except BaseException:
+            # Whoever cancelled it says nothing about other connections.
+            await conn.aclose()
+            raise
+        conn.note_headers(answer.headers)
         await self.finish(address, conn, started_s)
         return HttpAnswer(
             status=answer.status, headers=_lower(answer.headers), body=content
@@ -182,9 +207,13 @@
                 answer = await _exchange_heads(
                     conn, method, address, target, headers, body
                 )
-        except BaseException:
+        except RequestFailedError:
             await self._discard(address, conn, started_s)
             raise
+        except BaseException:
+            await conn.aclose()
+            raise
+        conn.note_headers(answer.headers)
         return StreamedAnswer(
             client=self,
             conn=conn,
@@ -249,7 +278,8 @@
         await self._close_doomed()
 
     def _is_recent(self, conn: Connection, now_s: float) -> bool:
-        return conn.idle_since_s >= now_s - self._idle_s
+        idle_s = min(self._idle_s, conn.keep_s)
+        return conn.idle_since_s >= now_s - idle_s
 
     async def _take(
         self, address: Address, fresh: bool, deadline_s: float
@@ -305,7 +335,9 @@
     headers: tuple[Header, ...],
     body: bytes,
 ) -> httpcore.Request:
-    own = [(b"host", str(address).encode())]
+    own = []
+    if all(name != b"host" for name, _ in headers):
+        own.append((b"host", str(address).encode()))
     if body or method not in _NO_BODY_METHODS:
         own.append((b"content-length", str(len(body)).encode()))
     return httpcore.Request(
--- a/daisyhub/connections/_connection.py
+++ b/daisyhub/connections/_connection.py
@@ -1,6 +1,7 @@
 """One HTTP connection, and how far the request on it got."""
 
 import contextlib
+import re
 import select
 
 import anyio
@@ -13,7 +14,11 @@
 __all__ = ["Connection", "RequestFailedError", "connect", "mapped_errors"]
 
 _CLOSE_TIMEOUT_S = 0.5
+# Seconds before the time that the peer states at which an idle connection is
+# no longer used; covers the way of the request there.
+_KEEP_MARGIN_S = 0.5
 _BACKEND = AnyIOBackend()
+_KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
 
 class RequestFailedError(DaisyhubError):
@@ -55,6 +60,7 @@
         http: The protocol on it.
         idle_since_s: Monotonic time at which it last ended a whole answer.
         head_came: Whether the present request's answer has begun.
+        keep_s: How long the peer keeps it open while idle, less a margin.
     """
 
     def __init__(self, address: Address, stream: AsyncNetworkStream):
@@ -63,6 +69,7 @@
         self.http = httpcore.AsyncHTTP11Connection(origin, stream=self._wire)
         self.idle_since_s = 0.0
         self.head_came = False
+        self.keep_s = float("inf")
         self._poll: select.poll | None = None
 
     def begin(self) -> None:
@@ -70,6 +77,15 @@
         self._wire.has_sent = False
         self.head_came = False
 
+    def note_headers(self, headers) -> None:
+        """Takes the idle time that an answer's `Keep-Alive` states."""
+        for name, value in headers:
+            if name.lower() != b"keep-alive":
+                continue
+            stated = _KEEP_ALIVE.search(value)
+            if stated is not None:
+                self.keep_s = max(0.0, int(stated[1]) - _KEEP_MARGIN_S)
+
     @property
     def ran(self) -> Ran:
         """What can be said of the present request if it fails now."""
--- /dev/null
+++ b/daisyhub/duties/__init__.py
@@ -0,0 +1,25 @@
+"""Duties that one daemon at a time has, with a number that rises."""
+
+from daisyhub.duties._controller import DutyController
+from daisyhub.duties._core import (
+    DutyCallFailed,
+    DutyCore,
+    DutyDeposed,
+    DutyFound,
+    DutyRecord,
+    DutyTick,
+    ReadDuty,
+    WriteDuty,
+)
+
+__all__ = [
+    "DutyCallFailed",
+    "DutyController",
+    "DutyCore",
+    "DutyDeposed",
+    "DutyFound",
+    "DutyRecord",
+    "DutyTick",
+    "ReadDuty",
+    "WriteDuty",
+]
--- a/daisyhub/filters/__init__.py
+++ b/daisyhub/filters/__init__.py
@@ -13,6 +13,7 @@
     places_for,
 )
 from daisyhub.filters._admit import AdmitFilter
+from daisyhub.filters._attempts import Outcome, run_attempts
 from daisyhub.filters._chain import build_chain
 from daisyhub.filters._claim_controller import ClaimController
 from daisyhub.filters._claim_core import ClaimCore
@@ -58,6 +59,7 @@
 __all__ = [
     "AccountFilter",
     "AdmissionCore",
+    "Outcome",
     "PlacesChanged",
     "places_for",
     "AdmissionTick",
@@ -105,4 +107,5 @@
     "ValidateFilter",
     "WriteClaim",
     "build_chain",
+    "run_attempts",
 ]
--- a/daisyhub/filters/_forward.py
+++ b/daisyhub/filters/_forward.py
@@ -1,8 +1,6 @@
 """Sends a request to an endpoint as the forward core decides."""
 
-import dataclasses
 import time
-from collections.abc import AsyncIterator
 
 import anyio
 
@@ -14,20 +12,19 @@
 from daisyhub.base import Balancer, Filter, Handler
 from daisyhub.config import Route
 from daisyhub.connections import (
+    AnswerStream,
     HttpAnswer,
     HttpClient,
     RequestFailedError,
     StreamedAnswer,
 )
 from daisyhub.exceptions import ErrorCode, Ran, Refusal
+from daisyhub.filters._attempts import Outcome, run_attempts
 from daisyhub.filters._forward_core import (
     AttemptAnswered,
     AttemptFailed,
-    Begin,
-    Deliver,
     ForwardCore,
     ForwardPlan,
-    ForwardTick,
     GiveUp,
     RetryBudget,
     StartAttempt,
@@ -49,14 +46,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Outcome:
-    """What an attempt brought: an event for the core, and the answer."""
-
-    event: AttemptAnswered | AttemptFailed
-    answer: HttpAnswer | StreamedAnswer | None = None
-
-
 class ForwardFilter(Filter):
     """The end of the chain.
 
@@ -95,10 +84,11 @@
             hedge_after_s=_hedge_after_s(req),
         )
         core = ForwardCore(plan, self._chooser(req.route), self._budget)
-        if plan.hedge_after_s > 0:
-            outcome = await self._drive_hedged(req, core)
-        else:
-            outcome = await self._drive(req, core)
+        outcome = await run_attempts(
+            core, lambda action: self._attempt(req, action)
+        )
+        if isinstance(outcome, GiveUp):
+            raise _refusal(outcome)
         return _response(outcome.answer)
 
     def _chooser(self, route: Route):
@@ -109,57 +99,7 @@
 
         return choose
 
-    async def _drive(self, req: Request, core: ForwardCore) -> _Outcome:
-        """Runs attempts one after the other."""
-        outcome = None
-        actions = core.handle(Begin(), time.monotonic())
-        while isinstance(actions[0], StartAttempt):
-            outcome = await self._attempt(req, actions[0])
-            actions = core.handle(outcome.event, time.monotonic())
-        if isinstance(actions[0], GiveUp):
-            raise _refusal(actions[0])
-        return outcome
-
-    async def _drive_hedged(self, req: Request, core: ForwardCore) -> _Outcome:
-        """Runs attempts side by side; the first whole answer wins."""
-        outcomes: dict[int, _Outcome] = {}
-        send, receive = anyio.create_memory_object_stream[_Outcome](4)
-        final = None
-
-        async def run(action: StartAttempt) -> None:
-            await send.send(await self._attempt(req, action))
-
-        async with anyio.create_task_group() as tasks:
-            actions = core.handle(Begin(), time.monotonic())
-            while final is None:
-                for action in actions:
-                    if isinstance(action, StartAttempt):
-                        tasks.start_soon(run, action)
-                    else:
-                        final = action
-                if final is not None:
-                    break
-                event = await self._next_event(core, receive, outcomes)
-                actions = core.handle(event, time.monotonic())
-            tasks.cancel_scope.cancel()
-        send.close()
-        receive.close()
-        if isinstance(final, Deliver):
-            return outcomes[final.attempt]
-        raise _refusal(final)
-
-    async def _next_event(self, core, receive, outcomes) -> object:
-        wakeup_s = core.next_wakeup_s
-        wait_s = None
-        if wakeup_s is not None:
-            wait_s = max(0.0, wakeup_s - time.monotonic())
-        with anyio.move_on_after(wait_s):
-            outcome = await receive.receive()
-            outcomes[outcome.event.attempt] = outcome
-            return outcome.event
-        return ForwardTick()
-
-    async def _attempt(self, req: Request, action: StartAttempt) -> _Outcome:
+    async def _attempt(self, req: Request, action: StartAttempt) -> Outcome:
         """Sends the request to one endpoint and takes its news."""
         state = self._table.get(action.endpoint_id)
         if state is None:
@@ -190,7 +130,7 @@
             if isinstance(answer, StreamedAnswer):
                 await answer.aclose()
             return _failed(action, Ran.NOT_RUN)
-        return _Outcome(AttemptAnswered(action.attempt), answer)
+        return Outcome(AttemptAnswered(action.attempt), answer)
 
     async def _send(
         self, req: Request, state: EndpointState, *, fresh: bool
@@ -232,8 +172,8 @@
     *,
     timed_out: bool = False,
     incomplete: bool = False,
-) -> _Outcome:
-    return _Outcome(
+) -> Outcome:
+    return Outcome(
         AttemptFailed(
             attempt=action.attempt,
             ran=ran,
@@ -270,7 +210,7 @@
         return Response(
             status=answer.status,
             headers=headers,
-            stream=_StreamBody(answer),
+            stream=AnswerStream(answer),
             tokens=tokens,
         )
     return Response(
@@ -278,21 +218,6 @@
     )
 
 
-class _StreamBody(AsyncIterator[bytes]):
-    """Content passed through; `aclose` ends it even before the first chunk."""
-
-    def __init__(self, answer: StreamedAnswer):
-        self._answer = answer
-        self._chunks = answer.chunks()
-
-    async def __anext__(self) -> bytes:
-        return await anext(self._chunks)
-
-    async def aclose(self) -> None:
-        await self._chunks.aclose()
-        await self._answer.aclose()
-
-
 def _int_header(headers: tuple[Header, ...], name: bytes, default: int) -> int:
     for key, value in headers:
         if key == name and value.isdigit():
--- a/daisyhub/filters/_forward_core.py
+++ b/daisyhub/filters/_forward_core.py
@@ -60,11 +60,13 @@
         idempotent: Whether the request may run more than once.
         deadline_s: When the answer must be there.
         hedge_after_s: When to send a second attempt; 0 for never.
+        max_attempts: Endpoints that it may be sent to.
     """
 
     idempotent: bool
     deadline_s: float
     hedge_after_s: float = 0.0
+    max_attempts: int = _MAX_ATTEMPTS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -204,7 +206,8 @@
         return self._start_again(now_s)
 
     def _start_again(self, now_s: float) -> list[object]:
-        if self._attempts >= _MAX_ATTEMPTS or now_s >= self.plan.deadline_s:
+        plan = self.plan
+        if self._attempts >= plan.max_attempts or now_s >= plan.deadline_s:
             return []
         candidate = self.choose(frozenset(self._tried)) or self.choose(_NONE)
         if candidate is None or not self.budget.take():
--- /dev/null
+++ b/daisyhub/gateway/__init__.py
@@ -0,0 +1,28 @@
+"""The way of a caller's request on the users' platform."""
+
+from daisyhub.gateway._app import GatewayApp
+from daisyhub.gateway._body_filter import BodyFilter
+from daisyhub.gateway._key_filter import KeyFilter
+from daisyhub.gateway._route_filter import FindRouteFilter
+from daisyhub.gateway._send_filter import SendFilter
+from daisyhub.gateway._sender import Sender, SendTask
+from daisyhub.gateway._wire import (
+    CallerWire,
+    EndpointAnswer,
+    EndpointWire,
+    SentRequest,
+)
+
+__all__ = [
+    "BodyFilter",
+    "CallerWire",
+    "EndpointAnswer",
+    "EndpointWire",
+    "FindRouteFilter",
+    "GatewayApp",
+    "KeyFilter",
+    "SendFilter",
+    "SendTask",
+    "Sender",
+    "SentRequest",
+]
--- /dev/null
+++ b/daisyhub/gateway/_body_filter.py
@@ -0,0 +1,35 @@
+"""Reads the body within the manifest's limits."""
+
+import dataclasses
+
+from daisyhub.base import Filter, Handler
+from daisyhub.catalog import ManifestController
+from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.messages import Request, Response
+
+__all__ = ["BodyFilter"]
+
+
+class BodyFilter(Filter):
+    """Bounds headers and body, and reads the body whole.
+
+    Args:
+        manifests: Holds the manifest in force.
+    """
+
+    name = "body"
+
+    def __init__(self, manifests: ManifestController):
+        self._manifests = manifests
+
+    async def handle(self, req: Request, call_next: Handler) -> Response:
+        """Refuses what is larger than the manifest allows."""
+        limits = self._manifests.manifest.limits
+        size = sum(len(name) + len(value) for name, value in req.headers)
+        if size > limits.header_bytes:
+            raise Refusal(
+                ErrorCode.HEADERS_TOO_LARGE,
+                f"headers of {size} bytes exceed {limits.header_bytes}",
+            )
+        body = await req.read_body(limits.body_bytes)
+        return await call_next(dataclasses.replace(req, body=body))
--- /dev/null
+++ b/daisyhub/gateway/_key_filter.py
@@ -0,0 +1,39 @@
+"""Finds the client account that holds a caller's key."""
+
+import dataclasses
+
+from daisyhub.base import Filter, Handler
+from daisyhub.catalog import ManifestController
+from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.messages import Request, Response
+
+__all__ = ["KeyFilter"]
+
+
+class KeyFilter(Filter):
+    """Sets the account; refuses keys that the manifest doesn't hold.
+
+    Args:
+        manifests: Holds the manifest in force.
+    """
+
+    name = "key"
+
+    def __init__(self, manifests: ManifestController):
+        self._manifests = manifests
+
+    async def handle(self, req: Request, call_next: Handler) -> Response:
+        """Passes open routes without a key; all else needs one."""
+        manifest = self._manifests.manifest
+        is_open = req.route is not None and req.route.is_open
+        if is_open or manifest.accounts is None:
+            return await call_next(req)
+        if not req.key:
+            raise Refusal(ErrorCode.KEY_MISSING, "the request has no key")
+        account = manifest.find_account(req.key)
+        if account is None:
+            raise Refusal(
+                ErrorCode.KEY_UNKNOWN,
+                f"manifest {manifest.version} doesn't hold the key",
+            )
+        return await call_next(dataclasses.replace(req, account=account.name))
--- /dev/null
+++ b/daisyhub/gateway/_send_filter.py
@@ -0,0 +1,49 @@
+"""The end of the chain: the request goes to an endpoint."""
+
+from daisyhub.base import Filter, Handler
+from daisyhub.billing import UsageMeter
+from daisyhub.catalog import RouteKind
+from daisyhub.exceptions import Ran, Refusal
+from daisyhub.gateway._sender import Sender, SendTask
+from daisyhub.messages import Request, Response
+
+__all__ = ["SendFilter"]
+
+
+class SendFilter(Filter):
+    """Sends the request and counts what began to run.
+
+    Args:
+        sender: Sends to endpoints.
+        meter: Counts requests of accounts.
+    """
+
+    name = "send"
+
+    def __init__(self, sender: Sender, meter: UsageMeter):
+        self._sender = sender
+        self._meter = meter
+
+    async def handle(self, req: Request, call_next: Handler) -> Response:
+        """Returns the endpoint's answer."""
+        task = SendTask(
+            request_id=req.request_id,
+            route=req.route,
+            method=req.method,
+            target=f"{req.path}?{req.query}" if req.query else req.path,
+            host=req.host,
+            headers=req.headers,
+            body=req.body,
+            account=req.account,
+            deadline_s=req.deadline_s,
+            is_streamed=req.route.kind is RouteKind.STREAMING,
+        )
+        token = self._meter.open(req.account)
+        has_run = True
+        try:
+            return await self._sender.send(task)
+        except Refusal as exc:
+            has_run = exc.ran is not Ran.NOT_RUN
+            raise
+        finally:
+            self._meter.close(token, has_run=has_run)
--- a/daisyhub/messages.py
+++ b/daisyhub/messages.py
@@ -31,6 +31,8 @@
         key_id: Public part of the key; empty on open routes.
         route: The route found; None before the route filter.
         body: The body, once validated.
+        key: The caller's key, where a filter checks it against plain keys.
+        lot_call: A typed call about a lot, where the caller's wire names one.
     """
 
     request_id: str
@@ -46,6 +48,8 @@
     key_id: str = ""
     route: "Route | None" = None
     body: bytes = dataclasses.field(default=b"", repr=False)
+    key: str = dataclasses.field(default="", repr=False)
+    lot_call: object | None = None
 
     def header_values(self, name: bytes) -> list[bytes]:
         """Returns all values of a header, `name` in lower case."""
--- /dev/null
+++ b/daisyhub/objects/__init__.py
@@ -0,0 +1,30 @@
+"""Versioned objects in the platform's store, and what is built on them."""
+
+from daisyhub.objects._base import (
+    HistoryGoneError,
+    ObjectConflictError,
+    ObjectList,
+    ObjectStore,
+    ObjectStoreError,
+    StoredObject,
+    WatchBatch,
+    encode_value,
+    is_same_json,
+)
+from daisyhub.objects._relayed import RelayedStore, StoreCarrier
+from daisyhub.objects._watcher import KindWatcher
+
+__all__ = [
+    "HistoryGoneError",
+    "KindWatcher",
+    "ObjectConflictError",
+    "ObjectList",
+    "ObjectStore",
+    "ObjectStoreError",
+    "RelayedStore",
+    "StoreCarrier",
+    "StoredObject",
+    "WatchBatch",
+    "encode_value",
+    "is_same_json",
+]
--- a/daisyhub/peers/__init__.py
+++ b/daisyhub/peers/__init__.py
@@ -27,7 +27,11 @@
     decode_envelope,
     encode_envelope,
 )
-from daisyhub.peers._network import PeerNetwork, PeerUnreachableError
+from daisyhub.peers._network import (
+    PeerNetwork,
+    PeerProtocol,
+    PeerUnreachableError,
+)
 
 __all__ = [
     "Call",
@@ -46,6 +50,7 @@
     "MembershipCore",
     "MembershipTick",
     "PeerNetwork",
+    "PeerProtocol",
     "PeerUnreachableError",
     "RateAsk",
     "RateGrant",
--- a/daisyhub/peers/_network.py
+++ b/daisyhub/peers/_network.py
@@ -14,27 +14,57 @@
 
 from daisyhub.exceptions import DaisyhubError
 from daisyhub.logs import get_logger
-from daisyhub.peers._messages import (
-    Call,
-    CallAnswer,
-    Envelope,
-    Message,
-    decode_envelope,
-    encode_envelope,
-)
-from daisyhub.settings import DaemonSettings
-
-__all__ = ["PeerNetwork", "PeerUnreachableError"]
+from daisyhub.peers._messages import Call, CallAnswer, Envelope
+from daisyhub.settings import Address, DaemonSettings
+
+__all__ = ["PeerNetwork", "PeerProtocol", "PeerUnreachableError"]
 
 _QUEUE_MESSAGES = 64
 _LINGER_MS = 200
 
 log = get_logger("peers")
 
-Receiver = Callable[[Envelope, Message], None]
+# Milliseconds between probes of a peer's connection, and without an answer
+# after which it is closed and made anew: connections may go silent for good.
+_PROBE_MS = 500
+_SILENT_MS = 1500
+
+Receiver = Callable[[object, object], None]
 Callee = Callable[[object], Awaitable[object]]
 
 
+class PeerProtocol:
+    """The messages that daemons of one kind exchange.
+
+    Args:
+        envelope: Struct with `sender`, `incarnation` and `messages`.
+        call: Struct with `call_id` and `content`.
+        answer: Struct with `call_id` and `content`.
+    """
+
+    def __init__(self, envelope: type, call: type, answer: type):
+        self.envelope = envelope
+        self.call = call
+        self.answer = answer
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(envelope)
+
+    def encode(self, envelope: object) -> bytes:
+        """Returns the MessagePack form."""
+        return self._encoder.encode(envelope)
+
+    def decode(self, data: bytes) -> object:
+        """Reads the MessagePack form.
+
+        Raises:
+            msgspec.DecodeError: The bytes are no envelope.
+        """
+        return self._decoder.decode(data)
+
+
+_OWN_PROTOCOL = PeerProtocol(Envelope, Call, CallAnswer)
+
+
 class PeerUnreachableError(DaisyhubError):
     """A peer did not answer a call; its effect is unknown."""
 
@@ -47,10 +77,18 @@
     Args:
         cfg: Settings of this daemon.
         incarnation: Start of this process, microseconds since the epoch.
+        protocol: The messages that pass.
     """
 
-    def __init__(self, cfg: DaemonSettings, incarnation: int):
+    def __init__(
+        self,
+        cfg: DaemonSettings,
+        incarnation: int,
+        protocol: PeerProtocol = _OWN_PROTOCOL,
+    ):
         self._cfg = cfg
+        self._protocol = protocol
+        self._addresses = {p.daemon_id: p.address for p in cfg.peers}
         self._incarnation = incarnation
         self._context = zmq.asyncio.Context()
         self._sockets: dict[str, zmq.asyncio.Socket] = {}
@@ -68,18 +106,32 @@
         """Lets `callee` answer calls whose content is a `kind`."""
         self._callees[kind] = callee
 
-    def send(self, daemon_id: str, *messages: Message) -> bool:
+    def set_address(self, daemon_id: str, address: Address) -> None:
+        """Tells where a peer listens; a changed address replaces the old."""
+        if self._addresses.get(daemon_id) == address:
+            return
+        self.drop_address(daemon_id)
+        self._addresses[daemon_id] = address
+
+    def drop_address(self, daemon_id: str) -> None:
+        """Forgets a peer and closes the socket to it."""
+        self._addresses.pop(daemon_id, None)
+        sock = self._sockets.pop(daemon_id, None)
+        if sock is not None:
+            sock.close(linger=0)
+
+    def send(self, daemon_id: str, *messages: object) -> bool:
         """Hands messages to the socket; returns False if they were lost."""
         sock = self._socket(daemon_id)
         if sock is None or not messages:
             return False
-        envelope = Envelope(
+        envelope = self._protocol.envelope(
             sender=self._cfg.daemon_id,
             incarnation=self._incarnation,
             messages=messages,
         )
         try:
-            zmq.Socket.send(sock, encode_envelope(envelope), zmq.NOBLOCK)
+            zmq.Socket.send(sock, self._protocol.encode(envelope), zmq.NOBLOCK)
         except zmq.Again:
             return False
         return True
@@ -96,7 +148,8 @@
         waiter = anyio.Event()
         self._waiters[call_id] = waiter
         try:
-            if not self.send(daemon_id, Call(call_id=call_id, content=content)):
+            call = self._protocol.call(call_id=call_id, content=content)
+            if not self.send(daemon_id, call):
                 raise PeerUnreachableError(f"{daemon_id} can't be reached")
             with anyio.move_on_after(timeout_s):
                 await waiter.wait()
@@ -128,35 +181,35 @@
         sock = self._sockets.get(daemon_id)
         if sock is not None:
             return sock
-        for peer in self._cfg.peers:
-            if peer.daemon_id == daemon_id:
-                break
-        else:
+        address = self._addresses.get(daemon_id)
+        if address is None:
             return None
         sock = self._context.socket(zmq.PUSH)
         sock.setsockopt(zmq.LINGER, _LINGER_MS)
         sock.setsockopt(zmq.SNDHWM, _QUEUE_MESSAGES)
         sock.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
-        sock.connect(f"tcp://{peer.address}")
+        sock.setsockopt(zmq.HEARTBEAT_IVL, _PROBE_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, _SILENT_MS)
+        sock.connect(f"tcp://{address}")
         self._sockets[daemon_id] = sock
         return sock
 
     def _receive(self, data: bytes, tasks) -> None:
         try:
-            envelope = decode_envelope(data)
+            envelope = self._protocol.decode(data)
         except msgspec.DecodeError as exc:
             log.warning("dropped an unreadable message: {}", exc)
             return
         for message in envelope.messages:
-            if isinstance(message, Call):
+            if isinstance(message, self._protocol.call):
                 tasks.start_soon(self._answer, envelope.sender, message)
-            elif isinstance(message, CallAnswer):
+            elif isinstance(message, self._protocol.answer):
                 self._take_answer(message)
             else:
                 for receiver in self._receivers:
                     receiver(envelope, message)
 
-    async def _answer(self, sender: str, message: Call) -> None:
+    async def _answer(self, sender: str, message) -> None:
         callee = self._callees.get(type(message.content))
         content = None
         if callee is not None:
@@ -164,9 +217,10 @@
                 content = await callee(message.content)
             except DaisyhubError as exc:
                 log.warning("call from {} failed: {}", sender, exc)
-        self.send(sender, CallAnswer(call_id=message.call_id, content=content))
+        answer = self._protocol.answer(call_id=message.call_id, content=content)
+        self.send(sender, answer)
 
-    def _take_answer(self, message: CallAnswer) -> None:
+    def _take_answer(self, message) -> None:
         waiter = self._waiters.get(message.call_id)
         if waiter is None or message.content is None:
             return
--- /dev/null
+++ b/daisyhub/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the product on the users' platform; translates, and nothing else."""
--- /dev/null
+++ b/daisyhub/platform/__main__.py
@@ -0,0 +1,38 @@
+"""Runs one daemon on the users' platform: `python -m daisyhub.platform`."""
+
+import os
+import signal
+import sys
+
+import anyio
+
+from daisyhub.exceptions import DocumentError
+from daisyhub.fleet_settings import load_fleet_settings
+from daisyhub.logs import set_up_decision_log
+from daisyhub.platform._daemon import FleetDaemon
+
+_SETTINGS_VARIABLE = "DAISYHUB_NODE_FILE"
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+
+def main() -> int:
+    """Serves until SIGTERM; returns 2 if the settings are wrong."""
+    # Until the handler is there, a changed settings file must not end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    path = os.environ.get(_SETTINGS_VARIABLE, "")
+    if not path:
+        print(f"{_SETTINGS_VARIABLE} is not set", file=sys.stderr)
+        return EXIT_SETTINGS
+    try:
+        cfg = load_fleet_settings(path)
+    except (DocumentError, OSError) as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_SETTINGS
+    set_up_decision_log()
+    anyio.run(FleetDaemon(cfg, path).run)
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/daisyhub/platform/_daemon.py
@@ -0,0 +1,337 @@
+"""Builds one daemon out of the product's parts and the platform's wires."""
+
+import random
+import signal
+import time
+
+import anyio
+
+from daisyhub.balancing import EndpointDirectory
+from daisyhub.base import Controller
+from daisyhub.billing import UsageMeter
+from daisyhub.catalog import ManifestController
+from daisyhub.cluster import (
+    CLUSTER_PROTOCOL,
+    ClusterController,
+    ManifestAsked,
+    PeerCarrier,
+    PeerTable,
+    Ping,
+    StoreAsked,
+    StoreCallee,
+    TrueClock,
+)
+from daisyhub.connections import HttpClient
+from daisyhub.exceptions import DocumentError
+from daisyhub.filters import build_chain
+from daisyhub.fleet_settings import (
+    FleetSettings,
+    address_of,
+    load_fleet_settings,
+)
+from daisyhub.gateway import (
+    BodyFilter,
+    FindRouteFilter,
+    GatewayApp,
+    KeyFilter,
+    Sender,
+    SendFilter,
+)
+from daisyhub.logs import DecisionLog
+from daisyhub.metrics import Metrics
+from daisyhub.objects import KindWatcher, RelayedStore, StoredObject
+from daisyhub.peers import PeerNetwork
+from daisyhub.platform._manifest import (
+    CONFIG_KIND,
+    CONFIG_NAME,
+    PlatformManifestReader,
+)
+from daisyhub.platform._servers import SERVERS_KIND, read_server
+from daisyhub.platform._store import PlatformStore
+from daisyhub.platform._wire import PlatformCallerWire, PlatformEndpointWire
+from daisyhub.serving import HttpServer, OperatorsApp
+
+__all__ = ["FleetDaemon"]
+
+_DAEMONS_KIND = "daemons"
+_US_PER_NS = 1000
+# Seconds after which a part that failed is started again.
+_RESTART_PAUSE_S = 0.5
+# Seconds between looks at entries that lapsed while the store was away.
+_EXPIRE_S = 0.25
+# Seconds for which a leaving daemon still takes requests: the platform takes
+# a daemon out after two questions, one a second, without a ready answer.
+_LEAVE_NOTICE_S = 2.3
+# Part of the grace time by which open requests must have ended.
+_LEAVE_SHARE = 0.75
+_POLL_S = 0.05
+# Seconds after the store's return within which lapsed entries come back.
+_STORE_SETTLE_S = 3.0
+
+
+class FleetDaemon:
+    """One daemon on the users' platform.
+
+    Args:
+        cfg: Its settings.
+        settings_path: Their file, read again on SIGHUP.
+    """
+
+    def __init__(self, cfg: FleetSettings, settings_path: str):
+        self.cfg = cfg
+        self._settings_path = settings_path
+        self.incarnation = time.time_ns() // _US_PER_NS
+        self.log = DecisionLog(cfg.daemon_id)
+        self.metrics = Metrics()
+        self._is_draining = False
+        self._store_failed_s = float("-inf")
+        self._build_store()
+        self._build_state()
+        self._build_servers()
+
+    @property
+    def process(self) -> str:
+        """Unique for this start of this daemon."""
+        return f"{self.cfg.daemon_id}/{self.incarnation}"
+
+    def _build_store(self) -> None:
+        cfg = self.cfg
+        self.http = HttpClient(
+            connect_timeout_s=cfg.connect_timeout_s,
+            idle_s=cfg.connection_idle_s,
+        )
+        self.network = PeerNetwork(cfg, self.incarnation, CLUSTER_PROTOCOL)
+        self.peers = PeerTable(cfg.daemon_id, self.log)
+        direct = PlatformStore(
+            address_of(cfg.store), self.http, cfg.call_timeout_s
+        )
+        carrier = PeerCarrier(
+            self.network, self.peers, cfg.failure_domain, cfg.call_timeout_s
+        )
+        self.store = RelayedStore(direct, carrier, self.log)
+        callee = StoreCallee(direct)
+        self.network.add_callee(StoreAsked, callee.answer)
+
+    def _build_state(self) -> None:
+        cfg = self.cfg
+        self.clock = TrueClock()
+        self.meter = UsageMeter(cfg.usage_window_s, self.clock.now_s)
+        self.manifests = ManifestController(PlatformManifestReader(), self.log)
+        self.directory = EndpointDirectory(random.random)
+        self.cluster = ClusterController(
+            cfg.daemon_id,
+            cfg.peer_address,
+            tuple(address_of(seed) for seed in cfg.seeds),
+            self.network,
+            self.peers,
+            self.clock,
+            self.manifests,
+            self.store,
+            self._ping,
+            self.log,
+        )
+        self.network.add_receiver(self.cluster.receive)
+        self.network.add_callee(ManifestAsked, self.cluster.answer_manifest)
+        self.watchers = (
+            KindWatcher(self.store, CONFIG_KIND, self.log, self._on_config),
+            KindWatcher(self.store, SERVERS_KIND, self.log, self._on_server),
+            KindWatcher(
+                self.store, _DAEMONS_KIND, self.log, self.cluster.on_daemon
+            ),
+        )
+        self.cluster.set_watchers(self.watchers)
+
+    def _build_servers(self) -> None:
+        cfg = self.cfg
+        self.sender = Sender(
+            self.directory,
+            self.http,
+            PlatformEndpointWire(),
+            self.metrics,
+            self.log,
+        )
+        handler = build_chain(
+            (
+                FindRouteFilter(self.manifests),
+                KeyFilter(self.manifests),
+                BodyFilter(self.manifests),
+                SendFilter(self.sender, self.meter),
+            )
+        )
+        self.app = GatewayApp(
+            handler, PlatformCallerWire(), self.metrics, self.log
+        )
+        self.callers_server = HttpServer(
+            self.app, address_of(cfg.callers), cfg.grace_s
+        )
+        operators = OperatorsApp(
+            self.metrics, self.is_ready, self.status, "/v1/readiness"
+        )
+        self.readiness_server = HttpServer(operators, address_of(cfg.readiness))
+        self.metrics_server = HttpServer(operators, cfg.metrics_address)
+
+    @property
+    def controllers(self) -> tuple[Controller, ...]:
+        """All controllers."""
+        return (self.cluster, *self.watchers)
+
+    def is_ready(self) -> bool:
+        """Whether new callers should come here."""
+        has_endpoints = bool(self.directory.all())
+        return (
+            self.manifests.manifest is not None
+            and has_endpoints
+            and not self._is_draining
+        )
+
+    def status(self) -> dict[str, object]:
+        """Returns the state of every part in plain JSON values."""
+        manifest = self.manifests.manifest
+        return {
+            "daemon_id": self.cfg.daemon_id,
+            "failure_domain": self.cfg.failure_domain,
+            "incarnation": self.incarnation,
+            "is_ready": self.is_ready(),
+            "manifest": manifest.version if manifest else 0,
+            "open_requests": self.app.open_requests,
+            **{part.name: part.status() for part in self.controllers},
+        }
+
+    def _ping(self) -> Ping:
+        return Ping(
+            domain=self.cfg.failure_domain,
+            address=self.cfg.peer,
+            wall_s=time.time(),
+            is_leaving=self._is_draining,
+            reaches_store=self.store.is_direct,
+            manifest_revision=self.manifests.revision,
+            newest={w.kind: w.newest_change for w in self.watchers},
+            usage=self.meter.snapshot(),
+            closed_before=self.meter.closed_before(),
+        )
+
+    def _on_config(self, found: StoredObject) -> None:
+        if found.name == CONFIG_NAME:
+            self.manifests.adopt(found, "store")
+
+    def _on_server(self, found: StoredObject) -> None:
+        """Takes an endpoint's entry; one that can't be read names none."""
+        if found.is_deleted:
+            self._remove_endpoint(found.name)
+            return
+        try:
+            entry = read_server(found.name, found.spec)
+        except ValueError as exc:
+            self.log.note(
+                "endpoint_unreadable",
+                name=found.name,
+                revision=found.revision,
+                reason=str(exc),
+            )
+            self.directory.remove(
+                found.name, time.monotonic(), is_store_stable=True
+            )
+            return
+        known = self.directory.get(found.name)
+        self.directory.adopt(entry)
+        if known is None or known.entry.is_leaving != entry.is_leaving:
+            self.log.note(
+                "endpoint",
+                name=found.name,
+                pool=entry.pool,
+                domain=entry.domain,
+                address=str(entry.address),
+                is_leaving=entry.is_leaving,
+                is_cheap=entry.is_cheap,
+                slots=entry.slots,
+                versions=entry.versions,
+                revision=found.revision,
+            )
+
+    def _remove_endpoint(self, name: str) -> None:
+        now_s = time.monotonic()
+        is_stable = now_s - self._store_failed_s > _STORE_SETTLE_S
+        self.log.note("endpoint_removed", name=name, is_store_stable=is_stable)
+        self.directory.remove(name, now_s, is_store_stable=is_stable)
+
+    async def run(self) -> None:
+        """Runs until SIGTERM, then ends within the grace time."""
+        self.log.note(
+            "start", process=self.process, domain=self.cfg.failure_domain
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.network.run)
+            for controller in self.controllers:
+                tasks.start_soon(self._keep_running, controller)
+            tasks.start_soon(self._expire_entries)
+            for server in (
+                self.callers_server,
+                self.readiness_server,
+                self.metrics_server,
+            ):
+                tasks.start_soon(server.run_until_stopped)
+            await self._wait_for_end()
+            await self._shut_down()
+            tasks.cancel_scope.cancel()
+        await self.http.aclose()
+        self.network.close()
+
+    async def _wait_for_end(self) -> None:
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*wanted) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    return
+                self._reload()
+
+    def _reload(self) -> None:
+        """Reads the settings again; what changes takes effect at a restart."""
+        try:
+            cfg = load_fleet_settings(self._settings_path)
+        except (DocumentError, OSError) as exc:
+            self.log.note("reload_failed", reason=str(exc))
+            return
+        self.log.note("reload", is_changed=cfg != self.cfg)
+
+    async def _keep_running(self, controller: Controller) -> None:
+        """Runs a controller; a fault in one must not end the others."""
+        while True:
+            try:
+                await controller.run()
+            except Exception as exc:
+                self.log.note(
+                    "controller_fault",
+                    controller=controller.name,
+                    reason=repr(exc),
+                )
+                self.metrics.count("controller_faults", name=controller.name)
+            else:
+                return
+            await anyio.sleep(_RESTART_PAUSE_S)
+
+    async def _expire_entries(self) -> None:
+        """Takes out endpoints whose entries didn't come back."""
+        while True:
+            await anyio.sleep(_EXPIRE_S)
+            now_s = time.monotonic()
+            if not all(watcher.is_current for watcher in self.watchers):
+                self._store_failed_s = now_s
+                continue
+            for name in self.directory.expire(now_s):
+                self.log.note("endpoint_lapsed", name=name)
+
+    async def _shut_down(self) -> None:
+        """Takes no new callers, ends what is open, and goes."""
+        started_s = time.monotonic()
+        self.log.note("stop", open_requests=self.app.open_requests)
+        self._is_draining = True
+        self.app.is_draining = True
+        self.cluster.ping_all()
+        await anyio.sleep(_LEAVE_NOTICE_S)
+        self.callers_server.stop()
+        latest_s = started_s + _LEAVE_SHARE * self.cfg.grace_s
+        while self.app.open_requests and time.monotonic() < latest_s:
+            await anyio.sleep(_POLL_S)
+        self.readiness_server.stop()
+        self.metrics_server.stop()
+        self.log.note("stopped", open_requests=self.app.open_requests)
--- a/daisyhub/serving/_operators_app.py
+++ b/daisyhub/serving/_operators_app.py
@@ -19,6 +19,7 @@
         metrics: What `/metrics` shows.
         is_ready: Whether new requests should come here.
         get_status: Returns the daemon's status in plain JSON values.
+        ready_path: Where readiness is asked.
     """
 
     def __init__(
@@ -26,10 +27,12 @@
         metrics: Metrics,
         is_ready: Callable[[], bool],
         get_status: Callable[[], dict[str, object]],
+        ready_path: str = "/readyz",
     ):
         self._metrics = metrics
         self._is_ready = is_ready
         self._get_status = get_status
+        self._ready_path = ready_path
 
     async def __call__(
         self,
@@ -58,9 +61,9 @@
         match path:
             case "/healthz":
                 return 200, _TEXT, b"ok\n"
-            case "/readyz" if self._is_ready():
+            case self._ready_path if self._is_ready():
                 return 200, _TEXT, b"ready\n"
-            case "/readyz":
+            case self._ready_path:
                 return 503, _TEXT, b"not ready\n"
             case "/metrics":
                 return 200, _TEXT, self._metrics.render().encode()
