--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -7,6 +7,7 @@
 all that were open, so only those that proved themselves since are kept.
 """
 
+import contextlib
 import dataclasses
 import time
 from collections.abc import AsyncIterator
@@ -56,6 +57,7 @@
         self._address = address
         self._answer = answer
         self._timing = timing
+        self._has_failed = False
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the content; returns only if it is whole.
@@ -66,12 +68,16 @@
         parts = aiter(self._answer.stream)
         while True:
             chunk = None
-            with mapped_errors(
-                self._address,
-                lambda: self._conn.ran,
-                self._timing.deadline_s,
-            ):
-                chunk = await anext(parts, None)
+            try:
+                with mapped_errors(
+                    self._address,
+                    lambda: self._conn.ran,
+                    self._timing.deadline_s,
+                ):
+                    chunk = await anext(parts, None)
+            except RequestFailedError:
+                self._has_failed = True
+                raise
             if chunk is None:
                 # Ends the exchange; the connection is idle from here on.
                 await self._answer.aclose()
@@ -79,11 +85,24 @@
             yield chunk
 
     async def aclose(self) -> None:
-        """Keeps the connection if all was read, else closes it."""
+        """Keeps the connection if all was read, else closes it.
+
+        A reader that leaves early says nothing about other connections.
+        """
+        if not self._has_failed and not self._conn.http.is_idle():
+            await self._conn.aclose()
+            return
         await self._client.finish(
             self._address, self._conn, self._timing.started_s
         )
 
+    async def drain(self) -> None:
+        """Reads content that nobody wants, so that the connection is kept."""
+        with contextlib.suppress(RequestFailedError):
+            async for _ in self.chunks():
+                pass
+        await self.aclose()
+
 
 class AnswerStream(AsyncIterator[bytes]):
     """Content passed through; `aclose` ends it even before the first chunk.
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -263,7 +263,7 @@
             )
             return Outcome(AttemptAnswered(action.attempt), answer)
         if isinstance(answer, StreamedAnswer):
-            await answer.aclose()
+            await answer.drain()
         if read.is_other_endpoint:
             self._directory.note_failed(endpoint_id, token, now_s)
         else:
--- /dev/null
+++ b/daisyhub/lots/_filter.py
@@ -0,0 +1,112 @@
+"""Serves callers' calls about lots; other requests go on."""
+
+from daisyhub.base import Filter, Handler
+from daisyhub.catalog import RouteKind
+from daisyhub.cluster import TrueClock
+from daisyhub.exceptions import ErrorCode, Ran, Refusal
+from daisyhub.logs import DecisionLog
+from daisyhub.lots._calls import EndLot, ReadItemBody, ReadResults
+from daisyhub.lots._lot_store import LotStore
+from daisyhub.lots._reader import LotReader
+from daisyhub.lots._types import ItemResult
+from daisyhub.lots._wire import LotWire
+from daisyhub.messages import Request, Response
+from daisyhub.objects import ObjectStoreError
+
+__all__ = ["HandedInLotsFilter"]
+
+_ACCEPTED = 202
+_OK = 200
+# Bytes of text in one answer; the platform allows a megabyte of results.
+_ANSWER_BYTES = 700_000
+# Seconds after which a lot that couldn't be stored may be handed in again.
+_RETRY_AFTER_S = 0.3
+_JSON = (b"content-type", b"application/json")
+
+
+class HandedInLotsFilter(Filter):
+    """Accepts lots and serves their results.
+
+    Args:
+        lots: Lots in the store.
+        reader: Serves reads.
+        wire: How lots are spelled.
+        clock: The true time.
+        log: Where decisions are noted.
+    """
+
+    name = "handed_in_lots"
+
+    def __init__(
+        self,
+        lots: LotStore,
+        reader: LotReader,
+        wire: LotWire,
+        clock: TrueClock,
+        log: DecisionLog,
+    ):
+        self._lots = lots
+        self._reader = reader
+        self._wire = wire
+        self._clock = clock
+        self._log = log
+
+    async def handle(self, req: Request, call_next: Handler) -> Response:
+        """Serves the call, or passes a request that is about no lot."""
+        match req.lot_call:
+            case ReadResults(lot_id, after, wait_s):
+                total, results = await self._reader.results(
+                    lot_id, req.account, after, wait_s
+                )
+                shown = _bounded(results)
+                body = self._wire.write_results(total, after, shown)
+                return Response(status=_OK, headers=(_JSON,), body=body)
+            case ReadItemBody(lot_id, item_id):
+                body = await self._reader.body(lot_id, req.account, item_id)
+                return Response(status=_OK, body=body)
+            case EndLot(lot_id):
+                await self._reader.end(lot_id, req.account)
+                return Response(status=_OK)
+        if req.route.kind is RouteKind.ROLLOUT:
+            return await self._accept(req)
+        return await call_next(req)
+
+    async def _accept(self, req: Request) -> Response:
+        """Stores a lot; only what surely isn't stored is refused."""
+        spec = self._wire.read_lot(req, self._clock.now_s())
+        try:
+            head = await self._lots.accept(spec)
+        except ObjectStoreError as exc:
+            raise Refusal(
+                ErrorCode.DEADLINE_EXCEEDED
+                if exc.may_be_done
+                else ErrorCode.PLATFORM_UNAVAILABLE,
+                f"the lot isn't known to be stored: {exc}",
+                ran=Ran.UNKNOWN if exc.may_be_done else Ran.NOT_RUN,
+                retry_after_s=_RETRY_AFTER_S,
+            ) from exc
+        if head.account != req.account:
+            raise Refusal(
+                ErrorCode.LOT_CONFLICT, "another account has a lot of this id"
+            )
+        self._reader.note_accepted(head)
+        self._log.note(
+            "lot_accepted",
+            id=req.request_id,
+            account=req.account,
+            step=head.step,
+            oldest_version=head.oldest_version,
+            total=head.total,
+            is_repeat=head.accepted_s != spec.head.accepted_s,
+        )
+        return Response(status=_ACCEPTED)
+
+
+def _bounded(results: list[ItemResult]) -> list[ItemResult]:
+    """Returns as many results as one answer may hold, one at least."""
+    size = 0
+    for count, result in enumerate(results):
+        size += len(result.text)
+        if count and size > _ANSWER_BYTES:
+            return results[:count]
+    return results
--- /dev/null
+++ b/daisyhub/lots/_listing_core.py
@@ -0,0 +1,166 @@
+"""Decides when finished items of one lot are listed, and at which position.
+
+Results are listed in chunks at the true end of the list. The store decides
+what stands at a position; whatever stands there goes before what is kept
+here. Whole groups are listed at once, as trainers wait for whole groups.
+"""
+
+import dataclasses
+import math
+
+from daisyhub.base import Core
+from daisyhub.lots._types import ItemResult
+
+__all__ = [
+    "ChunkFailed",
+    "ChunkStands",
+    "ItemFinished",
+    "ListingCore",
+    "ListingTick",
+    "WriteChunk",
+]
+
+# Seconds for which a finished item waits for the rest of its group: half of
+# the pause between two reads of a trainer.
+_GROUP_WAIT_S = 0.25
+# Seconds after a failed write; some round trips to the store.
+_FAILED_PAUSE_S = 0.2
+# Bytes of text in one chunk; an object holds a megabyte with all escapes.
+_CHUNK_BYTES = 400_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ItemFinished:
+    """An item has its result.
+
+    Attributes:
+        result: What is to be listed.
+        is_group_done: Whether it was the last of its group.
+    """
+
+    result: ItemResult
+    is_group_done: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChunkStands:
+    """These results stand in the store from a position on."""
+
+    first: int
+    results: tuple[ItemResult, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChunkFailed:
+    """A write brought no usable answer; it may have taken effect."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListingTick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteChunk:
+    """Action: create the chunk, and tell what stands there then."""
+
+    first: int
+    results: tuple[ItemResult, ...]
+
+
+class ListingCore(Core):
+    """Lists the results of one lot.
+
+    Args:
+        total: Number of items of the lot.
+    """
+
+    def __init__(self, total: int):
+        self._total = total
+        self._listed: list[ItemResult] = []
+        self._listed_ids: set[str] = set()
+        self._chunks: list[int] = []
+        self._pending: dict[str, ItemResult] = {}
+        self._write_at_s = math.inf
+        self._paused_until_s = -math.inf
+        self._is_waiting = False
+
+    @property
+    def listed(self) -> list[ItemResult]:
+        """All results that stand in the store; not to be changed."""
+        return self._listed
+
+    @property
+    def chunks(self) -> list[int]:
+        """First positions of the chunks."""
+        return self._chunks
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every item is listed."""
+        return len(self._listed) >= self._total
+
+    @property
+    def next_wakeup_s(self) -> float | None:
+        """When waiting results are to be written."""
+        if self._is_waiting or not self._pending:
+            return None
+        return max(self._write_at_s, self._paused_until_s)
+
+    def is_listed(self, item_id: str) -> bool:
+        """Whether an item stands in the store."""
+        return item_id in self._listed_ids
+
+    def handle(self, event: object, now_s: float) -> list[object]:
+        """Takes one event; returns at most one `WriteChunk`."""
+        match event:
+            case ItemFinished():
+                self._on_finished(event, now_s)
+            case ChunkStands():
+                self._on_stands(event, now_s)
+            case ChunkFailed():
+                self._is_waiting = False
+                self._write_at_s = now_s
+                self._paused_until_s = now_s + _FAILED_PAUSE_S
+            case ListingTick():
+                pass
+            case _:
+                raise TypeError(f"not a listing event: {event!r}")
+        return self._write(now_s)
+
+    def _on_finished(self, event: ItemFinished, now_s: float) -> None:
+        result = event.result
+        if result.item_id in self._listed_ids:
+            return
+        self._pending[result.item_id] = result
+        is_last = len(self._listed) + len(self._pending) >= self._total
+        wait_s = 0.0 if event.is_group_done or is_last else _GROUP_WAIT_S
+        self._write_at_s = min(self._write_at_s, now_s + wait_s)
+
+    def _on_stands(self, event: ChunkStands, now_s: float) -> None:
+        self._is_waiting = False
+        if event.first != len(self._listed):
+            return
+        self._chunks.append(event.first)
+        for result in event.results:
+            self._listed.append(result)
+            self._listed_ids.add(result.item_id)
+            self._pending.pop(result.item_id, None)
+        if self._pending:
+            self._write_at_s = min(self._write_at_s, now_s + _GROUP_WAIT_S)
+
+    def _write(self, now_s: float) -> list[object]:
+        due_s = self.next_wakeup_s
+        if due_s is None or now_s < due_s:
+            return []
+        chosen = []
+        size = 0
+        for result in self._pending.values():
+            size += len(result.text)
+            if chosen and size > _CHUNK_BYTES:
+                break
+            chosen.append(result)
+        is_all = len(chosen) == len(self._pending)
+        self._write_at_s = math.inf if is_all else now_s
+        self._is_waiting = True
+        return [WriteChunk(len(self._listed), tuple(chosen))]
--- /dev/null
+++ b/daisyhub/lots/_rewards.py
@@ -0,0 +1,71 @@
+"""Makes the reward calls of whole texts."""
+
+import time
+
+from daisyhub.catalog import ManifestController
+from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.gateway import EndpointWire, Sender, SendTask
+from daisyhub.logs import DecisionLog
+from daisyhub.lots._run_types import RewardFailed, RewardPaid, StartReward
+
+__all__ = ["RewardCaller"]
+
+# Seconds that a reward call may take, where its route allows longer.
+_REWARD_S = 5.0
+_SUCCESS = range(200, 300)
+
+
+class RewardCaller:
+    """Sends reward calls through the routes that their hosts and paths name.
+
+    Args:
+        manifests: Holds the manifest in force.
+        sender: Sends them, as any idempotent request.
+        wire: How endpoints are spoken to.
+        log: Where failures are noted.
+    """
+
+    def __init__(
+        self,
+        manifests: ManifestController,
+        sender: Sender,
+        wire: EndpointWire,
+        log: DecisionLog,
+    ):
+        self._manifests = manifests
+        self._sender = sender
+        self._wire = wire
+        self._log = log
+
+    async def pay(self, action: StartReward) -> RewardPaid | RewardFailed:
+        """Makes one call; a success counts only with the endpoint's proof."""
+        item = action.item
+        reward = item.reward
+        route = self._manifests.manifest.find_route(reward.host, reward.path)
+        if route is None:
+            return self._failed(action, "no route serves it")
+        task = SendTask(
+            request_id=reward.request_id,
+            route=route,
+            method="POST",
+            target=reward.path,
+            host=reward.host,
+            body=reward.body,
+            deadline_s=time.monotonic() + min(_REWARD_S, route.timeout_s),
+        )
+        try:
+            resp = await self._sender.send(task)
+        except Refusal as exc:
+            return self._failed(action, exc.code)
+        answer = self._wire.read_answer(resp.status, resp.headers)
+        if resp.status not in _SUCCESS or not answer.proof:
+            is_counted = resp.status == ErrorCode.INTERNAL.status
+            return self._failed(action, f"status {resp.status}", is_counted)
+        return RewardPaid(action.lot_id, item.item_id, answer.proof)
+
+    def _failed(
+        self, action: StartReward, reason: str, is_counted: bool = False
+    ) -> RewardFailed:
+        item_id = action.item.item_id
+        self._log.note("reward_failed", id=item_id, reason=reason)
+        return RewardFailed(action.lot_id, item_id, is_counted)
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -13,6 +13,9 @@
 from daisyhub.cluster import (
     CLUSTER_PROTOCOL,
     ClusterController,
+    LotBodyAsked,
+    LotEndTold,
+    LotResultsAsked,
     ManifestAsked,
     PeerCarrier,
     PeerTable,
@@ -22,6 +25,7 @@
     TrueClock,
 )
 from daisyhub.connections import HttpClient
+from daisyhub.duties import DutyController, DutyCore
 from daisyhub.exceptions import DocumentError
 from daisyhub.filters import build_chain
 from daisyhub.fleet_settings import (
@@ -38,9 +42,19 @@
     SendFilter,
 )
 from daisyhub.logs import DecisionLog
+from daisyhub.lots import (
+    HandedInLotsFilter,
+    HolderTools,
+    ItemRunner,
+    LotHolder,
+    LotReader,
+    LotStore,
+    RewardCaller,
+)
 from daisyhub.metrics import Metrics
 from daisyhub.objects import KindWatcher, RelayedStore, StoredObject
 from daisyhub.peers import PeerNetwork
+from daisyhub.platform._lots_json import PlatformLotWire
 from daisyhub.platform._manifest import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -55,6 +69,7 @@
 
 _DAEMONS_KIND = "daemons"
 _US_PER_NS = 1000
+_MS_PER_S = 1000.0
 # Seconds after which a part that failed is started again.
 _RESTART_PAUSE_S = 0.5
 # Seconds between looks at entries that lapsed while the store was away.
@@ -83,6 +98,8 @@
         self.incarnation = time.time_ns() // _US_PER_NS
         self.log = DecisionLog(cfg.daemon_id)
         self.metrics = Metrics()
+        self._endpoint_wire = PlatformEndpointWire()
+        self._lot_wire = PlatformLotWire()
         self._is_draining = False
         self._store_failed_s = float("-inf")
         self._build_store()
@@ -140,21 +157,70 @@
             ),
         )
         self.cluster.set_watchers(self.watchers)
-
-    def _build_servers(self) -> None:
-        cfg = self.cfg
+        self.rollouts = self._duty("rollouts")
+        self.accounts = self._duty("accounts")
         self.sender = Sender(
             self.directory,
             self.http,
-            PlatformEndpointWire(),
+            self._endpoint_wire,
             self.metrics,
             self.log,
         )
+        self._build_lots()
+
+    def _duty(self, duty: str) -> DutyController:
+        cfg = self.cfg
+        core = DutyCore(
+            self.process, cfg.lease_ms / _MS_PER_S, cfg.fencing_checked
+        )
+        return DutyController(duty, core, self.store, self.peers, self.log)
+
+    def _build_lots(self) -> None:
+        self.lots = LotStore(self.store)
+        tools = HolderTools(
+            store=self.store,
+            lots=self.lots,
+            directory=self.directory,
+            manifests=self.manifests,
+            runner=ItemRunner(
+                self.directory, self.http, self._endpoint_wire, self._lot_wire
+            ),
+            rewards=RewardCaller(
+                self.manifests, self.sender, self._endpoint_wire, self.log
+            ),
+            is_loading=lambda _: False,
+            clock=self.clock,
+            metrics=self.metrics,
+            log=self.log,
+            status_s=self.cfg.status_s,
+        )
+        self.holder = LotHolder(self.rollouts, tools)
+        self.reader = LotReader(
+            self.rollouts.duty,
+            self.lots,
+            self.holder,
+            self.peers,
+            self.network,
+            self.log,
+        )
+        self.network.add_callee(LotResultsAsked, self.holder.answer_results)
+        self.network.add_callee(LotBodyAsked, self.holder.answer_body)
+        self.network.add_callee(LotEndTold, self.holder.answer_end)
+
+    def _build_servers(self) -> None:
+        cfg = self.cfg
         handler = build_chain(
             (
                 FindRouteFilter(self.manifests),
                 KeyFilter(self.manifests),
                 BodyFilter(self.manifests),
+                HandedInLotsFilter(
+                    self.lots,
+                    self.reader,
+                    self._lot_wire,
+                    self.clock,
+                    self.log,
+                ),
                 SendFilter(self.sender, self.meter),
             )
         )
@@ -173,7 +239,13 @@
     @property
     def controllers(self) -> tuple[Controller, ...]:
         """All controllers."""
-        return (self.cluster, *self.watchers)
+        return (
+            self.cluster,
+            *self.watchers,
+            self.rollouts,
+            self.accounts,
+            self.holder,
+        )
 
     def is_ready(self) -> bool:
         """Whether new callers should come here."""
@@ -205,11 +277,17 @@
             is_leaving=self._is_draining,
             reaches_store=self.store.is_direct,
             manifest_revision=self.manifests.revision,
+            duties=self._duties(),
             newest={w.kind: w.newest_change for w in self.watchers},
             usage=self.meter.snapshot(),
             closed_before=self.meter.closed_before(),
         )
 
+    def _duties(self) -> dict[str, int]:
+        """Returns the numbers of the duties that this daemon has."""
+        duties = (self.rollouts, self.accounts)
+        return {d.duty: d.fencing for d in duties if d.fencing}
+
     def _on_config(self, found: StoredObject) -> None:
         if found.name == CONFIG_NAME:
             self.manifests.adopt(found, "store")
@@ -326,6 +404,9 @@
         self.log.note("stop", open_requests=self.app.open_requests)
         self._is_draining = True
         self.app.is_draining = True
+        for duty in (self.rollouts, self.accounts):
+            duty.set_leaving()
+            await duty.release()
         self.cluster.ping_all()
         await anyio.sleep(_LEAVE_NOTICE_S)
         self.callers_server.stop()
--- /dev/null
+++ b/daisyhub/platform/_lots_json.py
@@ -0,0 +1,189 @@
+"""Lots and streams as the platform spells them.
+
+Where the platform's names mislead: `min-version` is the oldest weight version
+that may be used, `desired-count` the groups that the trainer waits for,
+`scorer` the reward call, `next-token` the position behind the last result,
+and `dead_letter` an item that was given up.
+"""
+
+import msgspec
+
+from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.lots import (
+    EventReader,
+    ItemResult,
+    ItemSpec,
+    LotHead,
+    LotSpec,
+    LotWire,
+    ResultState,
+    RewardSpec,
+    StreamEvent,
+)
+from daisyhub.messages import Request
+
+__all__ = ["PlatformLotWire"]
+
+_STATES = {
+    ResultState.COMPLETED: "completed",
+    ResultState.GIVEN_UP: "dead_letter",
+}
+_VERSION_LINE = b"daisyhub-weight-versions:"
+_ID_LINE = b"id:"
+_DATA_LINE = b"data:"
+# Bytes of an event that never ends; real ones have some hundred.
+_LONGEST_EVENT = 1 << 20
+
+
+class _Scorer(msgspec.Struct, frozen=True):
+    id: str
+    host: str
+    path: str
+    body: bytes = b""
+
+
+class _Item(msgspec.Struct, frozen=True):
+    id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    tokens: int = 0
+    group: str = ""
+    scorer: _Scorer | None = None
+
+
+class _Lot(msgspec.Struct, frozen=True, rename="kebab"):
+    items: tuple[_Item, ...]
+    step: int = 0
+    model: str = ""
+    min_version: int = 0
+    desired_count: int = 0
+
+
+class _Result(msgspec.Struct, frozen=True, omit_defaults=True):
+    id: str
+    state: str
+    text: str
+    versions: tuple[int, ...] = ()
+    score: str = ""
+
+
+class _Results(msgspec.Struct, frozen=True, rename="kebab"):
+    total: int
+    next_token: int
+    results: list[_Result]
+
+
+class PlatformLotWire(LotWire):
+    """How the platform's trainers and engines speak."""
+
+    def read_lot(self, req: Request, accepted_s: float) -> LotSpec:
+        """Returns the lot; see `LotWire.read_lot`."""
+        try:
+            found = msgspec.json.decode(req.body, type=_Lot)
+        except msgspec.DecodeError as exc:
+            raise Refusal(
+                ErrorCode.BODY_INVALID, f"the lot can't be read: {exc}"
+            ) from exc
+        items = tuple(_item(item) for item in found.items)
+        ids = {item.item_id for item in items}
+        if not req.request_id or not items or len(ids) != len(items):
+            raise Refusal(
+                ErrorCode.BODY_INVALID,
+                "a lot needs an id and items with ids of their own",
+            )
+        route = req.route
+        head = LotHead(
+            lot_id=req.request_id,
+            account=req.account,
+            host=req.host,
+            path=req.path,
+            step=found.step,
+            model=found.model,
+            oldest_version=found.min_version,
+            wanted_groups=found.desired_count,
+            total=len(items),
+            accepted_s=accepted_s,
+            due_s=route.due_s,
+            max_wait_s=route.max_wait_s,
+            max_attempts=route.max_attempts,
+            is_single_version=route.is_single_version,
+        )
+        return LotSpec(head=head, items=items)
+
+    def write_results(
+        self, total: int, after: int, results: list[ItemResult]
+    ) -> bytes:
+        """Returns the body; see `LotWire.write_results`."""
+        shown = [
+            _Result(
+                id=result.item_id,
+                state=_STATES[result.state],
+                text=result.text,
+                versions=result.versions,
+                score=result.score,
+            )
+            for result in results
+        ]
+        return msgspec.json.encode(
+            _Results(total=total, next_token=after + len(shown), results=shown)
+        )
+
+    def make_reader(self, version: int) -> EventReader:
+        """Returns a reader; see `LotWire.make_reader`."""
+        return _EventReader(version)
+
+
+def _item(item: _Item) -> ItemSpec:
+    scorer = item.scorer
+    return ItemSpec(
+        item_id=item.id,
+        path=item.path,
+        headers={key.lower(): value for key, value in item.headers.items()},
+        body=item.body,
+        group=item.group or item.id,
+        tokens=item.tokens,
+        reward=None
+        if scorer is None
+        else RewardSpec(
+            request_id=scorer.id,
+            host=scorer.host,
+            path=scorer.path,
+            body=scorer.body,
+        ),
+    )
+
+
+class _EventReader(EventReader):
+    """Reads `text/event-stream`, with a line that tells a new version."""
+
+    def __init__(self, version: int):
+        self._version = version
+        self._buffer = b""
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether nothing of a further event has come."""
+        return not self._buffer.strip()
+
+    def feed(self, chunk: bytes) -> list[StreamEvent]:
+        """Returns the events that are whole now; see `EventReader.feed`."""
+        self._buffer += chunk.replace(b"\r\n", b"\n")
+        *blocks, self._buffer = self._buffer.split(b"\n\n")
+        if len(self._buffer) > _LONGEST_EVENT:
+            raise ValueError(f"an event exceeds {_LONGEST_EVENT} bytes")
+        return [self._event(block) for block in blocks if block.strip()]
+
+    def _event(self, block: bytes) -> StreamEvent:
+        number = None
+        data = []
+        for line in block.split(b"\n"):
+            if line.startswith(_VERSION_LINE):
+                self._version = int(line[len(_VERSION_LINE) :])
+            elif line.startswith(_ID_LINE):
+                number = int(line[len(_ID_LINE) :])
+            elif line.startswith(_DATA_LINE):
+                data.append(line[len(_DATA_LINE) :].removeprefix(b" "))
+        if number is None:
+            raise ValueError(f"an event without a number: {block[:80]!r}")
+        return StreamEvent(number, b"\n".join(data).decode(), self._version)
