Stage new weights over the engines

Cause: no engine took the versions that trainers name. Change: StageCore orders a part of a pool's engines at a time and follows orders in doubt by reports; entries' sequence counts writes, not orders, so the count of orders comes from reports. A closed answer is closed once: a second close put its connection on the idle list twice.

--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -55,7 +55,6 @@
         is_leaving: Whether it takes no new work.
         is_cheap: Whether the platform may take it away.
         versions: Version of the weights by model.
-        orders_taken: Orders accepted since its start.
     """
 
     endpoint_id: str
@@ -67,7 +66,6 @@
     is_leaving: bool = False
     is_cheap: bool = False
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
-    orders_taken: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -284,6 +282,14 @@
             endpoint.told_at_s = now_s
             endpoint.heard_at_s = now_s
 
+    def note_versions(self, endpoint_id: str, versions: dict[str, int]) -> None:
+        """Takes the weights that an engine reports, newer than its entry."""
+        endpoint = self._endpoints.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.entry = dataclasses.replace(
+                endpoint.entry, versions=versions
+            )
+
     def usual_s(self, pools: Iterable[str]) -> float:
         """Returns the usual time of an answer of some pools."""
         return usual_latency_s(self.in_pool(pools))
--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -58,6 +58,7 @@
         self._answer = answer
         self._timing = timing
         self._has_failed = False
+        self._is_closed = False
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the content; returns only if it is whole.
@@ -88,7 +89,11 @@
         """Keeps the connection if all was read, else closes it.
 
         A reader that leaves early says nothing about other connections.
+        Closing it once more does nothing.
         """
+        if self._is_closed:
+            return
+        self._is_closed = True
         if not self._has_failed and not self._conn.http.is_idle():
             await self._conn.aclose()
             return
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -289,7 +289,7 @@
                 await controller.run()
             except Exception:
                 log.exception("the controller {} failed", controller.name)
-                self.metrics.count("controller_failures", name=controller.name)
+                self.metrics.count("controller_failures", part=controller.name)
             else:
                 return
             await anyio.sleep(_CONTROLLER_PAUSE_S)
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -54,6 +54,10 @@
 from daisyhub.metrics import Metrics
 from daisyhub.objects import KindWatcher, RelayedStore, StoredObject
 from daisyhub.peers import PeerNetwork
+from daisyhub.platform._engines import (
+    PlatformEnginePort,
+    PlatformVersionReader,
+)
 from daisyhub.platform._lots_json import PlatformLotWire
 from daisyhub.platform._manifest import (
     CONFIG_KIND,
@@ -64,6 +68,7 @@
 from daisyhub.platform._store import PlatformStore
 from daisyhub.platform._wire import PlatformCallerWire, PlatformEndpointWire
 from daisyhub.serving import HttpServer, OperatorsApp
+from daisyhub.weights import WeightStager
 
 __all__ = ["FleetDaemon"]
 
@@ -188,13 +193,25 @@
             rewards=RewardCaller(
                 self.manifests, self.sender, self._endpoint_wire, self.log
             ),
-            is_loading=lambda _: False,
+            is_loading=self._is_loading,
             clock=self.clock,
             metrics=self.metrics,
             log=self.log,
             status_s=self.cfg.status_s,
         )
         self.holder = LotHolder(self.rollouts, tools)
+        self.weights = WeightStager(
+            self.rollouts,
+            self.cfg.daemon_id,
+            self.store,
+            PlatformVersionReader(),
+            PlatformEnginePort(self.http, self.log),
+            self.directory,
+            self.manifests,
+            self.holder.runs_at,
+            self.cfg.loads_share,
+            self.log,
+        )
         self.reader = LotReader(
             self.rollouts.duty,
             self.lots,
@@ -207,6 +224,9 @@
         self.network.add_callee(LotBodyAsked, self.holder.answer_body)
         self.network.add_callee(LotEndTold, self.holder.answer_end)
 
+    def _is_loading(self, endpoint_id: str) -> bool:
+        return self.weights.is_loading(endpoint_id)
+
     def _build_servers(self) -> None:
         cfg = self.cfg
         handler = build_chain(
@@ -245,6 +265,7 @@
             self.rollouts,
             self.accounts,
             self.holder,
+            self.weights,
         )
 
     def is_ready(self) -> bool:
@@ -382,7 +403,7 @@
                     controller=controller.name,
                     reason=repr(exc),
                 )
-                self.metrics.count("controller_faults", name=controller.name)
+                self.metrics.count("controller_faults", part=controller.name)
             else:
                 return
             await anyio.sleep(_RESTART_PAUSE_S)
--- a/daisyhub/platform/_servers.py
+++ b/daisyhub/platform/_servers.py
@@ -1,9 +1,9 @@
 """Decodes entries of servers; one that can't be read names no endpoint.
 
-Where the platform's names mislead: `sequence` is the number of orders that the
-server accepted since its start, `slots` what it serves at one time, `version`
-(at the top) that of its software, `spot` that it may be taken away, `born` the
-Unix millisecond of its start.
+Where the platform's names mislead: `slots` is what the server serves at one
+time, `version` (at the top) that of its software, `spot` that it may be taken
+away, `born` the Unix millisecond of its start. `sequence` counts its writes
+here, not its orders as in its report, and isn't used.
 """
 
 import msgspec
@@ -28,7 +28,6 @@
     zone: str
     state: str
     slots: int = 1
-    sequence: int = 0
     born: int = 0
     spot: bool = False
     models: tuple[_Model, ...] = ()
@@ -56,5 +55,4 @@
         is_leaving=_STATES[found.state],
         is_cheap=found.spot,
         versions={model.name: model.version for model in found.models},
-        orders_taken=found.sequence,
     )
--- /dev/null
+++ b/daisyhub/weights/__init__.py
@@ -0,0 +1,40 @@
+"""New weight versions, brought to engines in stages."""
+
+from daisyhub.weights._controller import VersionReader, WeightStager
+from daisyhub.weights._port import (
+    EnginePort,
+    EngineReport,
+    LoadMode,
+    OrderOutcome,
+    VersionOrder,
+)
+from daisyhub.weights._stage_core import (
+    AskReport,
+    OrderAnswered,
+    ReportFailed,
+    ReportRead,
+    SendOrder,
+    Sight,
+    SightsTaken,
+    StageCore,
+    VersionNamed,
+)
+
+__all__ = [
+    "AskReport",
+    "EnginePort",
+    "EngineReport",
+    "LoadMode",
+    "OrderAnswered",
+    "OrderOutcome",
+    "ReportFailed",
+    "ReportRead",
+    "SendOrder",
+    "Sight",
+    "SightsTaken",
+    "StageCore",
+    "VersionNamed",
+    "VersionOrder",
+    "VersionReader",
+    "WeightStager",
+]
--- /dev/null
+++ b/daisyhub/weights/_controller.py
@@ -0,0 +1,225 @@
+"""Brings new weights to the engines while this daemon has the duty."""
+
+import abc
+import time
+from collections.abc import Callable
+
+import anyio
+
+from daisyhub.balancing import Endpoint, EndpointDirectory
+from daisyhub.base import Controller
+from daisyhub.catalog import ManifestController
+from daisyhub.duties import DutyController
+from daisyhub.logs import DecisionLog
+from daisyhub.objects import KindWatcher, ObjectStore, StoredObject
+from daisyhub.weights._port import (
+    EnginePort,
+    LoadMode,
+    OrderOutcome,
+    VersionOrder,
+)
+from daisyhub.weights._stage_core import (
+    AskReport,
+    OrderAnswered,
+    ReportFailed,
+    ReportRead,
+    SendOrder,
+    Sight,
+    SightsTaken,
+    StageCore,
+    VersionNamed,
+)
+
+__all__ = ["VersionReader", "WeightStager"]
+
+# Seconds between looks at the engines.
+_TICK_S = 0.1
+# Seconds between looks at a duty that others have.
+_IDLE_S = 0.5
+
+
+class VersionReader(abc.ABC):
+    """Reads the versions that trainers name in the store."""
+
+    kind: str
+
+    @abc.abstractmethod
+    def read(self, found: StoredObject) -> VersionNamed:
+        """Returns what an object names.
+
+        Raises:
+            ValueError: It can't be read.
+        """
+
+
+class WeightStager(Controller):
+    """Orders engines to load what trainers name.
+
+    Args:
+        duty: Tells whether this daemon is in charge.
+        holder: Machine name that orders carry.
+        store: Where versions are named.
+        reader: Reads them.
+        port: Talks to engines.
+        directory: Endpoints.
+        manifests: Tells which routes want samples of a single version.
+        runs_at: Tells how many runs are open at an engine.
+        loads_share: Share of a model's engines that load at one time.
+        log: Where decisions are noted.
+    """
+
+    name = "weights"
+
+    def __init__(
+        self,
+        duty: DutyController,
+        holder: str,
+        store: ObjectStore,
+        reader: VersionReader,
+        port: EnginePort,
+        directory: EndpointDirectory,
+        manifests: ManifestController,
+        runs_at: Callable[[str], int],
+        loads_share: float,
+        log: DecisionLog,
+    ):
+        self._duty = duty
+        self._holder = holder
+        self._store = store
+        self._reader = reader
+        self._port = port
+        self._directory = directory
+        self._manifests = manifests
+        self._runs_at = runs_at
+        self._loads_share = loads_share
+        self._log = log
+        self._cores: dict[str, StageCore] = {}
+        self._tasks = None
+
+    def is_loading(self, endpoint_id: str) -> bool:
+        """Whether an engine may be loading weights now."""
+        return any(c.is_loading(endpoint_id) for c in self._cores.values())
+
+    def status(self) -> dict[str, object]:
+        """Tells the newest version of each model."""
+        return {model: core.version for model, core in self._cores.items()}
+
+    async def run(self) -> None:
+        """Orders whenever the duty is here, until cancelled."""
+        while True:
+            if self._duty.fencing:
+                await self._hold()
+            with anyio.move_on_after(_IDLE_S):
+                await self._duty.changed.wait()
+
+    async def _hold(self) -> None:
+        watcher = KindWatcher(
+            self._store, self._reader.kind, self._log, self._on_version
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                tasks.start_soon(watcher.run)
+                while self._duty.fencing:
+                    for core in self._cores.values():
+                        self._handle(core, self._sights(core.model))
+                    await anyio.sleep(_TICK_S)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._tasks = None
+            self._cores.clear()
+
+    def _on_version(self, found: StoredObject) -> None:
+        if found.is_deleted:
+            return
+        try:
+            named = self._reader.read(found)
+        except ValueError as exc:
+            self._log.note(
+                "version_unreadable", name=found.name, reason=str(exc)
+            )
+            return
+        self._log.note(
+            "version_named",
+            model=named.model,
+            version=named.version,
+            revision=found.revision,
+        )
+        core = self._cores.get(named.model)
+        if core is None:
+            core = StageCore(named.model, self._loads_share)
+            self._cores[named.model] = core
+        self._handle(core, named)
+        self._handle(core, self._sights(named.model))
+
+    def _sights(self, model: str) -> SightsTaken:
+        engines = tuple(
+            self._sight(endpoint, model)
+            for endpoint in self._directory.all()
+            if model in endpoint.entry.versions
+            and not endpoint.entry.is_leaving
+        )
+        manifest = self._manifests.manifest
+        is_single = manifest is not None and any(
+            route.is_single_version for route in manifest.routes
+        )
+        return SightsTaken(
+            engines, LoadMode.FINISH if is_single else LoadMode.CONTINUE
+        )
+
+    def _sight(self, endpoint: Endpoint, model: str) -> Sight:
+        entry = endpoint.entry
+        return Sight(
+            endpoint_id=entry.endpoint_id,
+            incarnation=entry.incarnation,
+            version=entry.versions[model],
+            runs=self._runs_at(entry.endpoint_id),
+        )
+
+    def _handle(self, core: StageCore, event: object) -> None:
+        for action in core.handle(event, time.monotonic()):
+            if isinstance(action, SendOrder):
+                self._tasks.start_soon(self._order, core, action)
+            elif isinstance(action, AskReport):
+                self._tasks.start_soon(self._report, core, action)
+
+    async def _order(self, core: StageCore, action: SendOrder) -> None:
+        """Sends an order; the number is read as the last step before."""
+        endpoint = self._directory.get(action.endpoint_id)
+        fencing = self._duty.fencing
+        if endpoint is None or not fencing:
+            outcome = OrderOutcome.REFUSED
+        else:
+            order = VersionOrder(
+                endpoint_id=action.endpoint_id,
+                model=core.model,
+                version=action.version,
+                mode=action.mode,
+                holder=self._holder,
+                fencing=fencing,
+                orders_taken=action.orders_taken,
+            )
+            outcome = await self._port.order(endpoint.entry.address, order)
+        self._log.note(
+            "order",
+            endpoint=action.endpoint_id,
+            model=core.model,
+            version=action.version,
+            orders_taken=action.orders_taken,
+            fencing=fencing,
+            outcome=outcome.value,
+        )
+        if outcome is OrderOutcome.DEPOSED:
+            self._duty.depose(f"{action.endpoint_id} saw a higher number")
+        self._handle(core, OrderAnswered(action.endpoint_id, outcome))
+
+    async def _report(self, core: StageCore, action: AskReport) -> None:
+        endpoint = self._directory.get(action.endpoint_id)
+        report = None
+        if endpoint is not None:
+            report = await self._port.report(endpoint.entry.address)
+        if report is None:
+            self._handle(core, ReportFailed(action.endpoint_id))
+            return
+        self._directory.note_versions(action.endpoint_id, report.versions)
+        self._handle(core, ReportRead(action.endpoint_id, report))
