Report usage; share engines by model; give up watches with the store

Cause: usage windows never came; the core of one model ordered engines that were loading for another; a holder cut from the store waited ten seconds on watches that no longer heard it, so new lots and versions came late. Change: sealed windows, one stage core a pool with engines shared by model, acceptances told to the holder directly, and a failed call ends the waiting watches so that a peer carries them.

--- a/daisyhub/billing/__init__.py
+++ b/daisyhub/billing/__init__.py
@@ -1,5 +1,31 @@
-"""Requests of client accounts, counted by windows of true time."""
+"""Requests of client accounts, counted and reported by windows."""
 
+from daisyhub.billing._book import UsageBook
+from daisyhub.billing._controller import UsageReporter
+from daisyhub.billing._desk import DeskOutcome, OrderDesk
 from daisyhub.billing._meter import UsageMeter, WindowCounts
+from daisyhub.billing._window_core import (
+    ReportWindow,
+    SealFailed,
+    SealWindow,
+    WindowCore,
+    WindowReported,
+    WindowSealed,
+    WindowTick,
+)
 
-__all__ = ["UsageMeter", "WindowCounts"]
+__all__ = [
+    "DeskOutcome",
+    "OrderDesk",
+    "ReportWindow",
+    "SealFailed",
+    "SealWindow",
+    "UsageBook",
+    "UsageMeter",
+    "UsageReporter",
+    "WindowCore",
+    "WindowCounts",
+    "WindowReported",
+    "WindowSealed",
+    "WindowTick",
+]
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -11,8 +11,8 @@
     "LotAnswer",
     "LotBodyAsked",
     "LotEndTold",
-    "LotHandedOver",
     "LotResultsAsked",
+    "LotTold",
     "ManifestAnswer",
     "ManifestAsked",
     "Ping",
@@ -122,22 +122,16 @@
     item_id: str
 
 
-class LotEndTold(msgspec.Struct, frozen=True, kw_only=True, tag="le"):
-    """Tells a lot's holder that the lot was ended."""
-
-    lot_id: str
+class LotTold(msgspec.Struct, frozen=True, tag="lt"):
+    """Tells a lot's holder that the lot was accepted; `head` is encoded."""
 
+    head: bytes
 
-class LotHandedOver(msgspec.Struct, frozen=True, kw_only=True, tag="lh"):
-    """What a leaving holder has generated but not listed.
 
-    Attributes:
-        lot_id: The lot.
-        progress: Encoded progress of its unlisted items.
-    """
+class LotEndTold(msgspec.Struct, frozen=True, tag="le"):
+    """Tells a lot's holder that the lot was ended."""
 
     lot_id: str
-    progress: bytes
 
 
 class LotAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="la"):
@@ -158,14 +152,7 @@
     """Asks for one answer; `call_id` is unique for the sender."""
 
     call_id: int
-    content: (
-        StoreAsked
-        | ManifestAsked
-        | LotResultsAsked
-        | LotBodyAsked
-        | LotEndTold
-        | LotHandedOver
-    )
+    content: StoreAsked | ManifestAsked | LotResultsAsked | LotBodyAsked
 
 
 class _CallAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="answer"):
@@ -180,7 +167,7 @@
 
     sender: str
     incarnation: int
-    messages: tuple[Ping | _Call | _CallAnswer, ...]
+    messages: tuple[Ping | LotTold | LotEndTold | _Call | _CallAnswer, ...]
 
 
 CLUSTER_PROTOCOL = PeerProtocol(_Envelope, _Call, _CallAnswer)
--- a/daisyhub/fleet_settings.py
+++ b/daisyhub/fleet_settings.py
@@ -60,7 +60,7 @@
     usage_late_s: Annotated[float, Range(0.5, 86400, "s")] = 10.0
     status_s: Annotated[float, Range(1, 86400, "s")] = 120.0
     loads_share: Annotated[float, Range(0.01, 1)] = 0.4
-    call_timeout_s: Annotated[float, Range(0.05, 30, "s")] = 1.0
+    call_timeout_s: Annotated[float, Range(0.05, 30, "s")] = 0.7
     connection_idle_s: Annotated[float, Range(0.1, 600, "s")] = 30.0
     connect_timeout_s: Annotated[float, Range(0.01, 30, "s")] = 1.0
 
--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -313,7 +313,7 @@
         if isinstance(event, RewardPaid):
             return [self._complete(lot, item, event.score)]
         item.reward_failures += event.is_counted
-        if item.reward_failures >= lot.opened.spec.head.max_attempts:
+        if event.is_counted and item.reward_failures >= event.max_attempts:
             return self._give_up(lot, item)
         item.retry_at_s = now_s + _RETRY_S
         return []
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -16,6 +16,7 @@
     LotBodyAsked,
     LotEndTold,
     LotResultsAsked,
+    LotTold,
     TrueClock,
 )
 from daisyhub.duties import DutyController
@@ -132,6 +133,7 @@
         self._held: dict[str, _Held] = {}
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._texts: dict[str, Progress] = {}
+        self._demand: dict[str, float] = {}
         self._tasks = None
 
     @property
@@ -148,14 +150,9 @@
         """Returns the number of runs open at an engine."""
         return self._core.runs_at(endpoint_id)
 
-    def oldest_wanted(self, model: str) -> int:
-        """Returns the oldest version that an open lot of a model allows."""
-        versions = [
-            held.head.oldest_version
-            for lot_id, held in self._held.items()
-            if held.head.model == model and lot_id in self._core.open_lots
-        ]
-        return min(versions, default=0)
+    def demand(self) -> dict[str, float]:
+        """Returns the tokens asked for by the last lot of each model."""
+        return dict(self._demand)
 
     def status(self) -> dict[str, object]:
         """Tells the lots that are held and what they wait for."""
@@ -228,14 +225,17 @@
                 "lot_unreadable", lot=found.name, reason=str(exc)
             )
             return
-        held = self._held.get(head.lot_id)
-        if held is None:
-            held = _Held(head, ListingCore(head.total))
-            self._held[head.lot_id] = held
-            held.is_ended = status.is_ended
-            self._tasks.start_soon(self._open, held)
-        elif status.is_ended:
+        if status.is_ended:
             self.end(head.lot_id)
+        self._take(head, status.is_ended)
+
+    def _take(self, head: LotHead, is_ended: bool) -> None:
+        """Holds a lot that isn't held yet."""
+        if head.lot_id in self._held or self._tasks is None:
+            return
+        held = _Held(head, ListingCore(head.total), is_ended=is_ended)
+        self._held[head.lot_id] = held
+        self._tasks.start_soon(self._open, held)
 
     def end(self, lot_id: str) -> None:
         """Ends a lot that a caller no longer wants."""
@@ -279,6 +279,8 @@
                 await anyio.sleep(_READ_PAUSE_S)
         if held.is_ended:
             return
+        tokens = sum(item.tokens for item in held.spec.items)
+        self._demand[head.model] = float(tokens)
         age_s = self._tools.clock.now_s() - head.accepted_s
         now_s = time.monotonic()
         self._tools.log.note(
@@ -440,10 +442,18 @@
                 return LotAnswer(is_held=True, content=item.body)
         return LotAnswer(is_held=True, is_found=False)
 
-    async def answer_end(self, asked: LotEndTold) -> LotAnswer:
-        """Takes the end of a lot from the daemon that stored it."""
-        self.end(asked.lot_id)
-        return LotAnswer(is_held=True)
+    def take(self, head: LotHead) -> None:
+        """Holds a lot that was accepted just now, if the duty is here."""
+        if self._duty.fencing:
+            self._take(head, is_ended=False)
+
+    def receive(self, _, message: object) -> None:
+        """Takes news of a lot from the daemon that stored it."""
+        match message:
+            case LotTold(head):
+                self.take(msgspec.json.decode(head, type=LotHead))
+            case LotEndTold(lot_id):
+                self.end(lot_id)
 
     async def _delete_old(self, watcher: KindWatcher) -> None:
         """Deletes lots that need no longer be readable."""
--- a/daisyhub/lots/_reader.py
+++ b/daisyhub/lots/_reader.py
@@ -15,6 +15,7 @@
     LotBodyAsked,
     LotEndTold,
     LotResultsAsked,
+    LotTold,
     PeerTable,
 )
 from daisyhub.exceptions import DaisyhubError, ErrorCode, Refusal
@@ -125,11 +126,17 @@
         known.is_ended = True
         self._log.note("lot_ended", lot=lot_id)
         self._holder.end(lot_id)
-        await self._ask_holder(LotEndTold(lot_id=lot_id), 0.0)
+        self._tell_holder(LotEndTold(lot_id=lot_id))
 
     def note_accepted(self, head: LotHead) -> None:
-        """Keeps the head of a lot that was accepted here."""
+        """Keeps the head of a lot accepted here, and tells its holder.
+
+        The holder's watch brings the lot as well; this is for the time in
+        which its watch is silent or its way to the store is cut.
+        """
         self._keep(_Known(head, is_ended=False))
+        self._holder.take(head)
+        self._tell_holder(LotTold(head=msgspec.json.encode(head)))
 
     async def _find(self, lot_id: str, account: str) -> _Known:
         known = self._known.get(lot_id)
@@ -200,6 +207,11 @@
         except (ObjectStoreError, msgspec.DecodeError) as exc:
             raise _unsure(exc) from exc
 
+    def _tell_holder(self, message: object) -> None:
+        holder = self._peers.holder_of(self._duty)
+        if holder is not None:
+            self._network.send(holder.daemon_id, message)
+
     async def _ask_holder(self, asked: object, wait_s: float):
         """Calls the daemon that holds lots; None if it can't be asked."""
         holder = self._peers.holder_of(self._duty)
--- a/daisyhub/lots/_rewards.py
+++ b/daisyhub/lots/_rewards.py
@@ -60,12 +60,17 @@
         answer = self._wire.read_answer(resp.status, resp.headers)
         if resp.status not in _SUCCESS or not answer.proof:
             is_counted = resp.status == ErrorCode.INTERNAL.status
-            return self._failed(action, f"status {resp.status}", is_counted)
+            reason = f"status {resp.status}"
+            return self._failed(action, reason, is_counted, route.max_attempts)
         return RewardPaid(action.lot_id, item.item_id, answer.proof)
 
     def _failed(
-        self, action: StartReward, reason: str, is_counted: bool = False
+        self,
+        action: StartReward,
+        reason: str,
+        is_counted: bool = False,
+        max_attempts: int = 1,
     ) -> RewardFailed:
         item_id = action.item.item_id
         self._log.note("reward_failed", id=item_id, reason=reason)
-        return RewardFailed(action.lot_id, item_id, is_counted)
+        return RewardFailed(action.lot_id, item_id, is_counted, max_attempts)
--- a/daisyhub/lots/_run_types.py
+++ b/daisyhub/lots/_run_types.py
@@ -150,11 +150,14 @@
         lot_id: The lot.
         item_id: The item.
         is_counted: Whether the endpoint itself failed at it.
+        max_attempts: Failures of the endpoint after which the item may be
+            given up, by the reward call's own route.
     """
 
     lot_id: str
     item_id: str
     is_counted: bool
+    max_attempts: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/daisyhub/objects/_relayed.py
+++ b/daisyhub/objects/_relayed.py
@@ -10,6 +10,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+import anyio
+
 from daisyhub.logs import DecisionLog
 from daisyhub.objects._base import (
     ObjectConflictError,
@@ -56,6 +58,7 @@
         self._carrier = carrier
         self._log = log
         self._lost_at_s: float | None = None
+        self._direct_watches: set[anyio.CancelScope] = set()
 
     @property
     def is_direct(self) -> bool:
@@ -76,15 +79,36 @@
         """Waits for changes; see `ObjectStore.watch`."""
 
         def watch_at(store: ObjectStore) -> Awaitable[WatchBatch]:
-            is_direct = store is self._direct
+            if store is self._direct:
+                return self._watch_directly(kind, after_revision, wait_s)
             return store.watch(
                 kind,
                 after_revision=after_revision,
-                wait_s=wait_s if is_direct else min(wait_s, _RELAYED_WATCH_S),
+                wait_s=min(wait_s, _RELAYED_WATCH_S),
             )
 
         return await self._call(watch_at)
 
+    async def _watch_directly(
+        self, kind: str, after_revision: int, wait_s: float
+    ) -> WatchBatch:
+        """Waits at the store itself, as long as other calls reach it.
+
+        A watch that waits notices a cut only after its whole wait; a call
+        that fails meanwhile tells earlier.
+        """
+        with anyio.CancelScope() as scope:
+            self._direct_watches.add(scope)
+            try:
+                return await self._direct.watch(
+                    kind, after_revision=after_revision, wait_s=wait_s
+                )
+            finally:
+                self._direct_watches.discard(scope)
+        raise ObjectStoreError(
+            f"watch of {kind} given up: the store was lost", may_be_done=False
+        )
+
     async def create(self, kind: str, name: str, spec: bytes) -> StoredObject:
         """Creates an object; see `ObjectStore.create`."""
         return await self._write(
@@ -171,3 +195,5 @@
         if exc is not None and self._lost_at_s is None:
             self._lost_at_s = time.monotonic()
             self._log.note("store_lost", reason=str(exc))
+            for scope in list(self._direct_watches):
+                scope.cancel()
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -8,13 +8,12 @@
 
 from daisyhub.balancing import EndpointDirectory
 from daisyhub.base import Controller
-from daisyhub.billing import UsageMeter
+from daisyhub.billing import UsageBook, UsageMeter, UsageReporter
 from daisyhub.catalog import ManifestController
 from daisyhub.cluster import (
     CLUSTER_PROTOCOL,
     ClusterController,
     LotBodyAsked,
-    LotEndTold,
     LotResultsAsked,
     ManifestAsked,
     PeerCarrier,
@@ -54,6 +53,7 @@
 from daisyhub.metrics import Metrics
 from daisyhub.objects import KindWatcher, RelayedStore, StoredObject
 from daisyhub.peers import PeerNetwork
+from daisyhub.platform._desk import PlatformDesk
 from daisyhub.platform._engines import (
     PlatformEnginePort,
     PlatformVersionReader,
@@ -152,7 +152,9 @@
             self._ping,
             self.log,
         )
+        self.book = UsageBook()
         self.network.add_receiver(self.cluster.receive)
+        self.network.add_receiver(self._note_usage)
         self.network.add_callee(ManifestAsked, self.cluster.answer_manifest)
         self.watchers = (
             KindWatcher(self.store, CONFIG_KIND, self.log, self._on_config),
@@ -172,6 +174,35 @@
             self.log,
         )
         self._build_lots()
+        self.reporter = UsageReporter(
+            self.accounts,
+            self.book,
+            self._live_incarnations,
+            self.store,
+            PlatformDesk(
+                address_of(cfg.order_desk), cfg.daemon_id, self.http, self.log
+            ),
+            self.clock.now_s,
+            cfg.usage_window_s,
+            cfg.usage_late_s,
+            self.log,
+        )
+
+    def _live_incarnations(self) -> dict[str, int]:
+        """Returns who counts; the own counts are brought up to date."""
+        own = (self.cfg.daemon_id, self.incarnation)
+        self.book.note(*own, self.meter.snapshot(), self.meter.closed_before())
+        live = {p.daemon_id: p.incarnation for p in self.peers.live()}
+        return {**live, self.cfg.daemon_id: self.incarnation}
+
+    def _note_usage(self, envelope, message: object) -> None:
+        if isinstance(message, Ping):
+            self.book.note(
+                envelope.sender,
+                envelope.incarnation,
+                message.usage,
+                message.closed_before,
+            )
 
     def _duty(self, duty: str) -> DutyController:
         cfg = self.cfg
@@ -209,6 +240,7 @@
             self.directory,
             self.manifests,
             self.holder.runs_at,
+            self.holder.demand,
             self.cfg.loads_share,
             self.log,
         )
@@ -222,7 +254,7 @@
         )
         self.network.add_callee(LotResultsAsked, self.holder.answer_results)
         self.network.add_callee(LotBodyAsked, self.holder.answer_body)
-        self.network.add_callee(LotEndTold, self.holder.answer_end)
+        self.network.add_receiver(self.holder.receive)
 
     def _is_loading(self, endpoint_id: str) -> bool:
         return self.weights.is_loading(endpoint_id)
@@ -266,6 +298,7 @@
             self.accounts,
             self.holder,
             self.weights,
+            self.reporter,
         )
 
     def is_ready(self) -> bool:
--- /dev/null
+++ b/daisyhub/platform/_desk.py
@@ -0,0 +1,76 @@
+"""The platform's calls for usage (`usage`) and endpoint orders (`scale`)."""
+
+import msgspec
+
+from daisyhub.billing import DeskOutcome, OrderDesk
+from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.exceptions import Ran
+from daisyhub.logs import DecisionLog
+from daisyhub.settings import Address
+
+__all__ = ["PlatformDesk"]
+
+_OK = 200
+_CONFLICT = 409
+# Seconds for a call; the platform answers in milliseconds, or is slow.
+_TIMEOUT_S = 1.0
+
+
+class PlatformDesk(OrderDesk):
+    """Calls the platform's `cloud-api`.
+
+    Args:
+        address: Where it listens.
+        holder: Machine name that each call carries.
+        http: Sends the calls.
+        log: Where failures are noted.
+    """
+
+    def __init__(
+        self, address: Address, holder: str, http: HttpClient, log: DecisionLog
+    ):
+        self._address = address
+        self._holder = holder
+        self._http = http
+        self._log = log
+
+    async def report_usage(
+        self, window: int, counts: dict[str, int], fencing: int
+    ) -> DeskOutcome:
+        """Reports a window; see `OrderDesk.report_usage`."""
+        body = {"window-id": window, "counts": counts}
+        return await self._call("/usage", body, fencing, DeskOutcome.DEPOSED)
+
+    async def order_endpoints(
+        self, pool: str, domain: str, count: int, *, cheap: bool, fencing: int
+    ) -> DeskOutcome:
+        """Orders endpoints; a conflict here means that none are to be had."""
+        body = {"service": pool, "zone": domain, "desired-count": count}
+        if cheap:
+            body["spot"] = True
+        return await self._call("/scale", body, fencing, DeskOutcome.REFUSED)
+
+    async def _call(
+        self, path: str, body: dict, fencing: int, on_conflict: DeskOutcome
+    ) -> DeskOutcome:
+        headers = (
+            (b"content-type", b"application/json"),
+            (b"daisyhub-duty-holder", self._holder.encode()),
+            (b"daisyhub-fencing-token", str(fencing).encode()),
+        )
+        try:
+            answer = await self._http.request(
+                "POST",
+                self._address,
+                path,
+                headers=headers,
+                body=msgspec.json.encode(body),
+                timeout_s=_TIMEOUT_S,
+            )
+        except RequestFailedError as exc:
+            self._log.note("desk_call_failed", path=path, reason=str(exc))
+            is_sent = exc.ran is not Ran.NOT_RUN
+            return DeskOutcome.UNKNOWN if is_sent else DeskOutcome.REFUSED
+        if answer.status == _CONFLICT:
+            return on_conflict
+        return DeskOutcome.DONE if answer.status == _OK else DeskOutcome.REFUSED
--- a/daisyhub/weights/__init__.py
+++ b/daisyhub/weights/__init__.py
@@ -8,6 +8,7 @@
     OrderOutcome,
     VersionOrder,
 )
+from daisyhub.weights._sharing import share_engines
 from daisyhub.weights._stage_core import (
     AskReport,
     OrderAnswered,
@@ -37,4 +38,5 @@
     "VersionOrder",
     "VersionReader",
     "WeightStager",
+    "share_engines",
 ]
--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -18,6 +18,7 @@
     OrderOutcome,
     VersionOrder,
 )
+from daisyhub.weights._sharing import share_engines
 from daisyhub.weights._stage_core import (
     AskReport,
     OrderAnswered,
@@ -64,6 +65,7 @@
         directory: Endpoints.
         manifests: Tells which routes want samples of a single version.
         runs_at: Tells how many runs are open at an engine.
+        demand: Tells the work asked for by model.
         loads_share: Share of a model's engines that load at one time.
         log: Where decisions are noted.
     """
@@ -80,6 +82,7 @@
         directory: EndpointDirectory,
         manifests: ManifestController,
         runs_at: Callable[[str], int],
+        demand: Callable[[], dict[str, float]],
         loads_share: float,
         log: DecisionLog,
     ):
@@ -91,9 +94,12 @@
         self._directory = directory
         self._manifests = manifests
         self._runs_at = runs_at
+        self._demand = demand
         self._loads_share = loads_share
         self._log = log
         self._cores: dict[str, StageCore] = {}
+        self._named: dict[str, VersionNamed] = {}
+        self._serves: dict[str, str] = {}
         self._tasks = None
 
     def is_loading(self, endpoint_id: str) -> bool:
@@ -101,8 +107,11 @@
         return any(c.is_loading(endpoint_id) for c in self._cores.values())
 
     def status(self) -> dict[str, object]:
-        """Tells the newest version of each model."""
-        return {model: core.version for model, core in self._cores.items()}
+        """Tells the newest version of each model, and who serves which."""
+        return {
+            "named": {n.model: n.version for n in self._named.values()},
+            "serves": dict(self._serves),
+        }
 
     async def run(self) -> None:
         """Orders whenever the duty is here, until cancelled."""
@@ -121,13 +130,13 @@
                 self._tasks = tasks
                 tasks.start_soon(watcher.run)
                 while self._duty.fencing:
-                    for core in self._cores.values():
-                        self._handle(core, self._sights(core.model))
+                    self._look()
                     await anyio.sleep(_TICK_S)
                 tasks.cancel_scope.cancel()
         finally:
             self._tasks = None
             self._cores.clear()
+            self._named.clear()
 
     def _on_version(self, found: StoredObject) -> None:
         if found.is_deleted:
@@ -145,35 +154,59 @@
             version=named.version,
             revision=found.revision,
         )
-        core = self._cores.get(named.model)
-        if core is None:
-            core = StageCore(named.model, self._loads_share)
-            self._cores[named.model] = core
-        self._handle(core, named)
-        self._handle(core, self._sights(named.model))
-
-    def _sights(self, model: str) -> SightsTaken:
-        engines = tuple(
-            self._sight(endpoint, model)
-            for endpoint in self._directory.all()
-            if model in endpoint.entry.versions
-            and not endpoint.entry.is_leaving
+        self._named[named.model] = named
+        for core in self._cores.values():
+            self._handle(core, named)
+        self._look()
+
+    def _look(self) -> None:
+        """Shows each pool's engines to its core."""
+        pools: dict[str, list[Endpoint]] = {}
+        for endpoint in self._directory.all():
+            if endpoint.entry.versions and not endpoint.entry.is_leaving:
+                pools.setdefault(endpoint.entry.pool, []).append(endpoint)
+        for pool, engines in pools.items():
+            core = self._cores.get(pool)
+            if core is None:
+                core = self._cores[pool] = StageCore(self._loads_share)
+                for named in self._named.values():
+                    self._handle(core, named)
+            self._share(engines)
+            sights = tuple(self._sight(endpoint) for endpoint in engines)
+            self._handle(core, SightsTaken(sights, self._mode()))
+
+    def _share(self, engines: list[Endpoint]) -> None:
+        """Decides which engine of a pool serves which model."""
+        models = {m for e in engines for m in e.entry.versions}
+        demand = self._demand()
+        ids = [endpoint.entry.endpoint_id for endpoint in engines]
+        shared = share_engines(
+            ids,
+            {model: demand.get(model, 1.0) for model in models},
+            self._serves,
         )
+        changed = {e: m for e, m in shared.items() if self._serves.get(e) != m}
+        if changed:
+            self._log.note("engines_shared", changed=changed, demand=demand)
+        for endpoint_id in ids:
+            self._serves.pop(endpoint_id, None)
+        self._serves.update(shared)
+
+    def _mode(self) -> LoadMode:
         manifest = self._manifests.manifest
         is_single = manifest is not None and any(
             route.is_single_version for route in manifest.routes
         )
-        return SightsTaken(
-            engines, LoadMode.FINISH if is_single else LoadMode.CONTINUE
-        )
+        return LoadMode.FINISH if is_single else LoadMode.CONTINUE
 
-    def _sight(self, endpoint: Endpoint, model: str) -> Sight:
+    def _sight(self, endpoint: Endpoint) -> Sight:
         entry = endpoint.entry
         return Sight(
             endpoint_id=entry.endpoint_id,
             incarnation=entry.incarnation,
-            version=entry.versions[model],
+            versions=entry.versions,
             runs=self._runs_at(entry.endpoint_id),
+            model=self._serves.get(entry.endpoint_id, ""),
         )
 
     def _handle(self, core: StageCore, event: object) -> None:
@@ -192,7 +225,7 @@
         else:
             order = VersionOrder(
                 endpoint_id=action.endpoint_id,
-                model=core.model,
+                model=action.model,
                 version=action.version,
                 mode=action.mode,
                 holder=self._holder,
@@ -203,7 +236,7 @@
         self._log.note(
             "order",
             endpoint=action.endpoint_id,
-            model=core.model,
+            model=action.model,
             version=action.version,
             orders_taken=action.orders_taken,
             fencing=fencing,
--- a/daisyhub/weights/_stage_core.py
+++ b/daisyhub/weights/_stage_core.py
@@ -1,4 +1,4 @@
-"""Decides which engine loads which version of a model's weights, and when.
+"""Decides which engine loads which version of which model, and when.
 
 Answers the load of trainers that name a version every few seconds and whose
 next step needs it: a part of a pool's engines loads at one time, those with
@@ -57,19 +57,21 @@
     Attributes:
         endpoint_id: Its id.
         incarnation: Its start; a restart forgets orders.
-        version: Version of the model's weights.
+        versions: Weight version by model.
         runs: Runs open there.
+        model: The model that it serves; empty if it serves all.
     """
 
     endpoint_id: str
     incarnation: int
-    version: int
+    versions: dict[str, int]
     runs: int
+    model: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SightsTaken:
-    """The engines of a model that may be ordered.
+    """The engines of a pool that may be ordered.
 
     Attributes:
         engines: What is seen of each.
@@ -105,9 +107,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendOrder:
-    """Action: order a version."""
+    """Action: order a version of a model."""
 
     endpoint_id: str
+    model: str
     version: int
     mode: LoadMode
     orders_taken: int
@@ -139,7 +142,8 @@
         retry_at_s: When it may be ordered again.
         orders_taken: Orders that the next one must find taken; None until a
             report tells.
-        target: Version that was last ordered.
+        model: Model that was last ordered.
+        target: Its version.
         is_asked: Whether a report is on its way.
     """
 
@@ -149,29 +153,28 @@
     look_at_s: float = math.inf
     retry_at_s: float = -math.inf
     orders_taken: int | None = None
+    model: str = ""
     target: int = 0
     is_asked: bool = False
 
 
 class StageCore(Core):
-    """Decides about one model's engines.
+    """Decides about one pool's engines.
 
     Args:
-        model: The model.
         loads_share: Share of the engines that may load at one time.
     """
 
-    def __init__(self, model: str, loads_share: float):
-        self.model = model
+    def __init__(self, loads_share: float):
         self.loads_share = loads_share
-        self._version = 0
+        self._named: dict[str, int] = {}
         self._mode = LoadMode.CONTINUE
         self._engines: dict[str, _Engine] = {}
 
     @property
-    def version(self) -> int:
-        """The newest version that was named, 0 for none."""
-        return self._version
+    def named(self) -> dict[str, int]:
+        """The newest version that was named, by model."""
+        return self._named
 
     @property
     def next_wakeup_s(self) -> float | None:
@@ -187,7 +190,8 @@
         """Takes one stage event; returns `SendOrder` and `AskReport`."""
         match event:
             case VersionNamed():
-                self._version = max(self._version, event.version)
+                known = self._named.get(event.model, 0)
+                self._named[event.model] = max(known, event.version)
             case SightsTaken():
                 self._on_sights(event)
             case OrderAnswered():
@@ -214,7 +218,7 @@
             if not is_same:
                 known = self._engines[endpoint_id] = _Engine(sight)
             known.sight = sight
-            if known.phase is _Phase.LOADING and sight.version >= known.target:
+            if known.phase is _Phase.LOADING and _has_target(known):
                 _rest(known)
 
     def _on_answered(self, event: OrderAnswered, now_s: float) -> None:
@@ -227,9 +231,8 @@
                 self._load(engine, now_s)
             case OrderOutcome.HOLDS:
                 _rest(engine)
-                engine.sight = dataclasses.replace(
-                    engine.sight, version=engine.target
-                )
+                held = {**engine.sight.versions, engine.model: engine.target}
+                engine.sight = dataclasses.replace(engine.sight, versions=held)
             case OrderOutcome.UNKNOWN | OrderOutcome.CONFLICT:
                 engine.phase = _Phase.DOUBTFUL
                 engine.since_s = now_s
@@ -250,11 +253,13 @@
         engine.is_asked = False
         engine.look_at_s = now_s + _LOOK_S
         report = event.report
-        version = report.versions.get(self.model, 0)
         known = engine.orders_taken or 0
+        version = report.versions.get(engine.model, 0)
         if version >= engine.target and not report.is_busy:
             engine.orders_taken = max(known, report.orders_taken)
-            engine.sight = dataclasses.replace(engine.sight, version=version)
+            engine.sight = dataclasses.replace(
+                engine.sight, versions=report.versions
+            )
             _rest(engine)
             return
         if engine.orders_taken is None:
@@ -300,7 +305,17 @@
 
     def _is_behind(self, engine: _Engine) -> bool:
         is_idle = engine.phase is _Phase.IDLE
-        return is_idle and engine.sight.version < self._version
+        return is_idle and bool(self._missing(engine.sight))
+
+    def _missing(self, sight: Sight) -> str:
+        """Returns the model whose weights are furthest behind, or empty."""
+        behind = {
+            model: version - sight.versions[model]
+            for model, version in self._named.items()
+            if sight.versions.get(model, version) < version
+            and sight.model in ("", model)
+        }
+        return max(behind, key=lambda m: (behind[m], m), default="")
 
     def _look(self, now_s: float) -> list[object]:
         """Asks the engines whose order may have taken effect."""
@@ -334,11 +349,13 @@
         for engine in behind[: max(0, most - busy)]:
             engine.phase = _Phase.ORDERED
             engine.since_s = now_s
-            engine.target = self._version
+            engine.model = self._missing(engine.sight)
+            engine.target = self._named[engine.model]
             orders.append(
                 SendOrder(
                     engine.sight.endpoint_id,
-                    self._version,
+                    engine.model,
+                    engine.target,
                     self._mode,
                     engine.orders_taken,
                 )
@@ -346,6 +363,11 @@
         return orders
 
 
+def _has_target(engine: _Engine) -> bool:
+    """Whether an engine has the version that it was last ordered to load."""
+    return engine.sight.versions.get(engine.model, 0) >= engine.target
+
+
 def _rest(engine: _Engine) -> None:
     """Ends an order, whatever came of it."""
     engine.phase = _Phase.IDLE
