Verify watches by lists at one daemon

Cause: while the store drops its history, watches hear nothing of a change and end only after their whole wait, so a withdrawn key was in force for 5 s. Change: the holder of a duty lists config and servers each second beside the watches; a daemon whose peers are ahead lists anew; a failed watch is followed by a list, and by itself no longer counts as a lost store.

--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -17,6 +17,7 @@
 from daisyhub.cluster._peers import PeerState, PeerTable
 from daisyhub.cluster._store_calls import PeerCarrier, StoreCallee
 from daisyhub.cluster._true_clock import TrueClock
+from daisyhub.cluster._verifier import WatchVerifier
 
 __all__ = [
     "CLUSTER_PROTOCOL",
@@ -36,4 +37,5 @@
     "StoreAsked",
     "StoreCallee",
     "TrueClock",
+    "WatchVerifier",
 ]
--- a/daisyhub/objects/_relayed.py
+++ b/daisyhub/objects/_relayed.py
@@ -87,7 +87,7 @@
                 wait_s=min(wait_s, _RELAYED_WATCH_S),
             )
 
-        return await self._call(watch_at)
+        return await self._call(watch_at, is_telling=False)
 
     async def _watch_directly(
         self, kind: str, after_revision: int, wait_s: float
@@ -156,8 +156,17 @@
                 return found
             raise
 
-    async def _call(self, call: Callable[[ObjectStore], Awaitable]):
-        """Tries the direct way and peers; one unknown outcome taints all."""
+    async def _call(
+        self,
+        call: Callable[[ObjectStore], Awaitable],
+        *,
+        is_telling: bool = True,
+    ):
+        """Tries the direct way and peers; one unknown outcome taints all.
+
+        A failed watch doesn't tell that the direct way is lost, as the store
+        cuts watches while it answers all else.
+        """
         may_be_done = False
         failure: ObjectStoreError | None = None
         for store in self._ways():
@@ -166,7 +175,8 @@
             except ObjectStoreError as exc:
                 may_be_done = may_be_done or exc.may_be_done
                 failure = exc
-                self._note_outcome(store, exc)
+                if is_telling:
+                    self._note_outcome(store, exc)
             except ObjectConflictError:
                 self._note_outcome(store, None)
                 raise
--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -75,7 +75,7 @@
     @property
     def is_current(self) -> bool:
         """Whether the last call succeeded or is still waiting."""
-        return self._revision is not None and self._failed_since_s is None
+        return self.synced.is_set() and self._failed_since_s is None
 
     @property
     def newest_change(self) -> int:
@@ -93,15 +93,41 @@
         if self._behind_since_s is None:
             self._behind_since_s = now_s
             return
-        is_late = now_s - self._behind_since_s >= _BEHIND_S
-        if is_late and self._waiting is not None:
-            self._log.note(
-                "watch_silent",
-                kind=self._kind,
-                revision=self._newest,
-                peer_revision=revision,
-            )
+        if now_s - self._behind_since_s >= _BEHIND_S:
             self._behind_since_s = None
+            self._list_again(revision)
+
+    async def verify(self) -> None:
+        """Lists the kind beside the waiting watch, and compares.
+
+        While the store drops its history, a watch may hear nothing of a
+        change and end only after its whole wait.
+        """
+        if not self.is_current:
+            return
+        before = self._newest
+        try:
+            listed = await self._store.list_all(self._kind)
+        except ObjectStoreError as exc:
+            self._log.note("verify_failed", kind=self._kind, reason=str(exc))
+            return
+        if listed.revision < self._newest:
+            # The watch was faster; the list lacks what it brought.
+            return
+        self._adopt_list(listed.items)
+        if self._newest > before:
+            self._list_again(self._newest)
+
+    def _list_again(self, revision: int) -> None:
+        """Ends the waiting watch, which doesn't hear the store, and lists."""
+        self._log.note(
+            "watch_silent",
+            kind=self._kind,
+            revision=self._newest,
+            known_elsewhere=revision,
+        )
+        self._revision = None
+        if self._waiting is not None:
             self._waiting.cancel()
 
     def status(self) -> dict[str, object]:
@@ -123,6 +149,8 @@
                 self._revision = None
             except ObjectStoreError as exc:
                 self._note_failure(exc)
+                # A list is answered or fails at once; a watch may wait.
+                self._revision = None
                 await anyio.sleep(pause_s)
                 pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
                 continue
@@ -140,7 +168,7 @@
             batch = await self._store.watch(
                 self._kind, after_revision=self._revision, wait_s=_WATCH_WAIT_S
             )
-        if self._waiting.cancelled_caught:
+        if self._waiting.cancelled_caught or self._revision is None:
             return
         self._waiting = None
         for change in batch.changes:
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -22,6 +22,7 @@
     StoreAsked,
     StoreCallee,
     TrueClock,
+    WatchVerifier,
 )
 from daisyhub.connections import HttpClient
 from daisyhub.duties import DutyController, DutyCore
@@ -174,6 +175,7 @@
             self.log,
         )
         self._build_lots()
+        self.verifier = WatchVerifier(self.accounts, self.watchers[:2])
         self.reporter = UsageReporter(
             self.accounts,
             self.book,
@@ -299,6 +301,7 @@
             self.holder,
             self.weights,
             self.reporter,
+            self.verifier,
         )
 
     def is_ready(self) -> bool:
--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -35,6 +35,9 @@
 
 # Seconds between looks at the engines.
 _TICK_S = 0.1
+# Seconds between lists of the versions beside their watch; a version that is
+# seen later keeps a trainer's next step waiting.
+_VERIFY_S = 1.5
 # Seconds between looks at a duty that others have.
 _IDLE_S = 0.5
 
@@ -129,6 +132,7 @@
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 tasks.start_soon(watcher.run)
+                tasks.start_soon(self._verify, watcher)
                 while self._duty.fencing:
                     self._look()
                     await anyio.sleep(_TICK_S)
@@ -138,6 +142,11 @@
             self._cores.clear()
             self._named.clear()
 
+    async def _verify(self, watcher: KindWatcher) -> None:
+        while True:
+            await anyio.sleep(_VERIFY_S)
+            await watcher.verify()
+
     def _on_version(self, found: StoredObject) -> None:
         if found.is_deleted:
             return
