Learn an endpoint's pace against each route's usual time; answer retirements

Cause: one mean of latencies over all routes: routes whose answers take longer than their time-out made every endpoint look slow (usual 1.1 s for look-ups of 30 ms), so that hedges came after the deadline and choices were distorted. Calls of a daemon that nobody carries for waited 0.7 s each for a store known to be lost. Requests to empty a storage machine were never answered.

--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -2,33 +2,42 @@
 
 The platform's entries tell which endpoints there are. Own requests tell how
 long each takes to answer and how many are open there; answers and reports
-tell the load from others. What is known ages: an endpoint that was slow is
-tried again after a while, and one that is silent with requests open is passed
-over at once.
+tell the load from others. Routes differ in how long their answers take, so an
+endpoint's pace is learned against the usual time of each route. What is known
+ages: an endpoint that was slow is tried again after a while, and one that is
+silent with requests open is passed over at once.
 
 Answers the load of callers that wait for single answers while an endpoint
 turns slow, goes dark or fails.
 """
 
+import collections
 import dataclasses
 import math
+import statistics
 from collections.abc import Callable, Iterable
 
 from daisyhub.settings import Address
 
 __all__ = ["Endpoint", "EndpointDirectory", "EndpointEntry"]
 
-# Share of a new latency in the running mean: about the last ten answers.
-_LATENCY_SHARE = 0.2
-# Seconds after which half of what is known of a latency is forgotten, so that
-# a slow endpoint is tried again; some times shorter than a usual slow-down.
-_LATENCY_HALF_LIFE_S = 3.0
-# Seconds until a first answer is known; typical of a record look-up.
-_FIRST_LATENCY_S = 0.05
+# Share of a new answer in the running mean of the pace: about ten answers.
+_PACE_SHARE = 0.2
+# Seconds after which half of what is known of a pace is forgotten, so that a
+# slow endpoint is tried again; some times shorter than a usual slow-down.
+_PACE_HALF_LIFE_S = 3.0
+# Paces beyond this say no more: such an endpoint is used only if all are.
+_SLOWEST_PACE = 20.0
+# Seconds until a first answer of a route is known; typical of a look-up.
+_FIRST_USUAL_S = 0.05
+# Answers of a route whose median is its usual time.
+_USUAL_ANSWERS = 31
+# Answers of a route before its usual time says anything on silence.
+_FEWEST_ANSWERS = 3
 # Seconds for which a load told by an answer or a report is believed.
 _LOAD_AGE_S = 1.0
-# How often the usual latency an open request must have waited for its
-# endpoint to count as silent.
+# How often the usual time an open request must have waited for its endpoint
+# to count as silent.
 _SILENT_FACTOR = 4.0
 # Seconds for which an endpoint gets no new work after a failure; doubled with
 # each further one up to the limit. The bounds lie between the usual restart of
@@ -68,15 +77,30 @@
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _OpenRequest:
+    """A request that is open at an endpoint.
+
+    Attributes:
+        route: Its route.
+        sent_s: When it was sent.
+        patience_s: For how long its endpoint may be silent.
+    """
+
+    route: str
+    sent_s: float
+    patience_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Endpoint:
     """An endpoint and what is known of it here.
 
     Attributes:
         entry: The newest entry.
-        open_since: Start of each open request, by a token.
-        latency_s: Running mean of the time of an answer.
-        latency_at_s: When `latency_s` was last learned.
+        open: Open requests by token.
+        pace: Running mean of its answers' time against the usual one.
+        paced_at_s: When `pace` was last learned.
         told_load: Requests that it last told to have in hand.
         told_at_s: When it told.
         failures: Failures in a row.
@@ -86,9 +110,9 @@
     """
 
     entry: EndpointEntry
-    open_since: dict[int, float] = dataclasses.field(default_factory=dict)
-    latency_s: float = 0.0
-    latency_at_s: float = -math.inf
+    open: dict[int, _OpenRequest] = dataclasses.field(default_factory=dict)
+    pace: float = 1.0
+    paced_at_s: float = -math.inf
     told_load: int = 0
     told_at_s: float = -math.inf
     failures: int = 0
@@ -99,23 +123,21 @@
     def load(self, now_s: float) -> int:
         """Returns how many requests it is thought to have in hand."""
         if now_s - self.told_at_s > _LOAD_AGE_S:
-            return len(self.open_since)
-        return max(len(self.open_since), self.told_load)
-
-    def expected_s(self, usual_s: float, now_s: float) -> float:
-        """Returns the time of an answer, ageing towards the pool's usual."""
-        if self.latency_at_s == -math.inf:
-            return usual_s
-        age_s = now_s - self.latency_at_s
-        weight = 0.5 ** (age_s / _LATENCY_HALF_LIFE_S)
-        return weight * self.latency_s + (1 - weight) * usual_s
-
-    def waited_s(self, now_s: float) -> float:
-        """Returns for how long it has been silent with a request open."""
-        if not self.open_since:
-            return 0.0
-        since_s = max(min(self.open_since.values()), self.heard_at_s)
-        return now_s - since_s
+            return len(self.open)
+        return max(len(self.open), self.told_load)
+
+    def expected_pace(self, now_s: float) -> float:
+        """Returns the pace, ageing towards the usual one."""
+        age_s = now_s - self.paced_at_s
+        weight = 0.5 ** (age_s / _PACE_HALF_LIFE_S)
+        return weight * self.pace + (1 - weight)
+
+    def is_silent(self, now_s: float) -> bool:
+        """Whether it has said nothing for too long with a request open."""
+        return any(
+            now_s - max(req.sent_s, self.heard_at_s) > req.patience_s
+            for req in self.open.values()
+        )
 
 
 class EndpointDirectory:
@@ -128,6 +150,7 @@
     def __init__(self, random: Callable[[], float]):
         self._random = random
         self._endpoints: dict[str, Endpoint] = {}
+        self._answers: dict[str, collections.deque[float]] = {}
         self._tokens = 0
 
     def get(self, endpoint_id: str) -> Endpoint | None:
@@ -199,71 +222,81 @@
 
         Resting and silent ones are chosen only if no other is left.
         """
-        known = self.in_pool(pools)
-        found = [e for e in known if e.entry.endpoint_id not in excluded]
+        found = [
+            endpoint
+            for endpoint in self.in_pool(pools)
+            if endpoint.entry.endpoint_id not in excluded
+        ]
         if not found:
             return None
-        usual_s = usual_latency_s(known)
-        sound = [e for e in found if not _is_doubtful(e, usual_s, now_s)]
+        sound = [e for e in found if not _is_doubtful(e, now_s)]
         best = min(
-            sound or found,
-            key=lambda e: (self._finish_s(e, usual_s, now_s), self._random()),
+            sound or found, key=lambda e: (_finish(e, now_s), self._random())
         )
         return best.entry.endpoint_id
 
-    def _finish_s(
-        self, endpoint: Endpoint, usual_s: float, now_s: float
-    ) -> float:
-        """Estimates the time until an answer, in steps of a tenth."""
-        load = endpoint.load(now_s) + 1
-        slots = max(1, endpoint.entry.slots)
-        # Waiting starts with the last slots: others send there as well.
-        rounds = 1 + max(0.0, load - slots / 2) / slots
-        took_s = endpoint.expected_s(usual_s, now_s) * rounds
-        return round(took_s / (usual_s / 10)) * usual_s / 10
-
-    def note_sent(self, endpoint_id: str, now_s: float) -> int:
+    def usual_s(self, route: str) -> float:
+        """Returns the usual time of an answer of a route."""
+        answers = self._answers.get(route)
+        return statistics.median_low(answers) if answers else _FIRST_USUAL_S
+
+    def note_sent(self, endpoint_id: str, route: str, now_s: float) -> int:
         """Counts a request that is sent; returns its token."""
         self._tokens += 1
         endpoint = self._endpoints.get(endpoint_id)
         if endpoint is not None:
-            endpoint.open_since[self._tokens] = now_s
+            patience_s = math.inf
+            if len(self._answers.get(route, ())) >= _FEWEST_ANSWERS:
+                patience_s = _SILENT_FACTOR * self.usual_s(route)
+            endpoint.open[self._tokens] = _OpenRequest(route, now_s, patience_s)
         return self._tokens
 
-    def note_answered(
-        self, endpoint_id: str, token: int, took_s: float, now_s: float
-    ) -> None:
-        """Counts a whole answer that took `took_s`."""
+    def note_answered(self, endpoint_id: str, token: int, now_s: float) -> None:
+        """Counts a whole answer; its time tells the endpoint's pace."""
         endpoint = self._endpoints.get(endpoint_id)
         if endpoint is None:
             return
-        endpoint.open_since.pop(token, None)
+        req = endpoint.open.pop(token, None)
         endpoint.heard_at_s = now_s
         endpoint.failures = 0
         endpoint.resting_until_s = -math.inf
-        known_s = endpoint.latency_s
-        if endpoint.latency_at_s == -math.inf:
-            known_s = took_s
-        endpoint.latency_s = known_s + _LATENCY_SHARE * (took_s - known_s)
-        endpoint.latency_at_s = now_s
-
-    def note_overdue(
-        self, endpoint_id: str, token: int, waited_s: float, now_s: float
+        if req is None:
+            return
+        took_s = now_s - req.sent_s
+        self._learn_pace(endpoint, req.route, took_s, now_s)
+        answers = self._answers.setdefault(
+            req.route, collections.deque(maxlen=_USUAL_ANSWERS)
+        )
+        answers.append(took_s)
+
+    def _learn_pace(
+        self, endpoint: Endpoint, route: str, took_s: float, now_s: float
     ) -> None:
-        """Counts a request that was given up after `waited_s` of silence."""
+        ratio = min(_SLOWEST_PACE, took_s / self.usual_s(route))
+        known = endpoint.expected_pace(now_s)
+        endpoint.pace = known + _PACE_SHARE * (ratio - known)
+        endpoint.paced_at_s = now_s
+
+    def note_overdue(self, endpoint_id: str, token: int, now_s: float) -> None:
+        """Counts a request that was given up before its answer came.
+
+        One that waited longer than usual tells that the endpoint is slow.
+        """
         endpoint = self._endpoints.get(endpoint_id)
-        if endpoint is None:
+        req = endpoint.open.pop(token, None) if endpoint else None
+        if req is None or req.patience_s == math.inf:
             return
-        endpoint.open_since.pop(token, None)
-        endpoint.latency_s = max(endpoint.latency_s, waited_s)
-        endpoint.latency_at_s = now_s
+        ratio = (now_s - req.sent_s) / self.usual_s(req.route)
+        if ratio > endpoint.expected_pace(now_s):
+            endpoint.pace = min(_SLOWEST_PACE, ratio)
+            endpoint.paced_at_s = now_s
 
     def note_failed(self, endpoint_id: str, token: int, now_s: float) -> None:
         """Counts a failure; the endpoint rests for a time."""
         endpoint = self._endpoints.get(endpoint_id)
         if endpoint is None:
             return
-        endpoint.open_since.pop(token, None)
+        endpoint.open.pop(token, None)
         endpoint.failures += 1
         rest_s = _FIRST_REST_S * 2 ** (endpoint.failures - 1)
         endpoint.resting_until_s = now_s + min(rest_s, _LONGEST_REST_S)
@@ -272,7 +305,7 @@
         """Counts a request that its caller gave up."""
         endpoint = self._endpoints.get(endpoint_id)
         if endpoint is not None:
-            endpoint.open_since.pop(token, None)
+            endpoint.open.pop(token, None)
 
     def note_load(self, endpoint_id: str, load: int, now_s: float) -> None:
         """Takes the load that an endpoint told."""
@@ -290,22 +323,17 @@
                 endpoint.entry, versions=versions
             )
 
-    def usual_s(self, pools: Iterable[str]) -> float:
-        """Returns the usual time of an answer of some pools."""
-        return usual_latency_s(self.in_pool(pools))
-
 
-def usual_latency_s(endpoints: list[Endpoint]) -> float:
-    """Returns the median of the known latencies."""
-    known = sorted(
-        e.latency_s for e in endpoints if e.latency_at_s != -math.inf
-    )
-    if not known:
-        return _FIRST_LATENCY_S
-    return known[(len(known) - 1) // 2]
+def _finish(endpoint: Endpoint, now_s: float) -> float:
+    """Estimates the time until an answer, in tenths of the usual one."""
+    load = endpoint.load(now_s) + 1
+    slots = max(1, endpoint.entry.slots)
+    # Waiting starts with the last slots: others send there as well.
+    rounds = 1 + max(0.0, load - slots / 2) / slots
+    return round(endpoint.expected_pace(now_s) * rounds, 1)
 
 
-def _is_doubtful(endpoint: Endpoint, usual_s: float, now_s: float) -> bool:
+def _is_doubtful(endpoint: Endpoint, now_s: float) -> bool:
     if now_s < endpoint.resting_until_s or endpoint.lapsed_at_s is not None:
         return True
-    return endpoint.waited_s(now_s) > _SILENT_FACTOR * usual_s
+    return endpoint.is_silent(now_s)
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -43,7 +43,8 @@
 # Usual latencies until an endpoint that refused has a free place again.
 _RETRY_AFTER_FACTOR = 2.0
 _LEAST_RETRY_AFTER_S = 0.05
-_ANSWER_BYTES = 32 << 20
+# Answers from this status on tell nothing of the time that answers take.
+_FIRST_FAULT_STATUS = 500
 _DETAILS = {
     ErrorCode.DEADLINE_EXCEEDED: "the deadline passed before it was sent",
     ErrorCode.NO_ENDPOINT: "no endpoint of the route is known",
@@ -142,7 +143,7 @@
         """
         started_s = time.monotonic()
         pools = _choose_pools(task.route)
-        usual_s = self._directory.usual_s(pools)
+        usual_s = self._directory.usual_s(task.route.name)
         plan = ForwardPlan(
             idempotent=task.route.idempotent,
             deadline_s=task.deadline_s,
@@ -183,7 +184,9 @@
         sent_s = time.monotonic()
         endpoint_id = action.endpoint_id
         load = endpoint.load(sent_s)
-        token = self._directory.note_sent(endpoint_id, sent_s)
+        token = self._directory.note_sent(
+            endpoint_id, way.task.route.name, sent_s
+        )
         self._metrics.count("attempts", pool=endpoint.entry.pool)
         verdict = "cancelled"
         try:
@@ -200,28 +203,15 @@
                 incomplete=exc.ran is Ran.RAN,
             )
         except anyio.get_cancelled_exc_class():
-            self._note_cancelled(endpoint_id, token, sent_s)
+            now_s = time.monotonic()
+            self._directory.note_overdue(endpoint_id, token, now_s)
             raise
         finally:
             took_s = time.monotonic() - sent_s
             way.trace.append(
                 f"{endpoint_id} load {load}: {verdict} after {took_s:.3f} s"
             )
-        return await self._judge(action, token, answer, sent_s)
-
-    def _note_cancelled(
-        self, endpoint_id: str, token: int, sent_s: float
-    ) -> None:
-        """Learns from an attempt that was late, or whose caller left."""
-        now_s = time.monotonic()
-        endpoint = self._directory.get(endpoint_id)
-        if endpoint is None:
-            return
-        waited_s = now_s - sent_s
-        if waited_s > endpoint.latency_s:
-            self._directory.note_overdue(endpoint_id, token, waited_s, now_s)
-            return
-        self._directory.note_cancelled(endpoint_id, token)
+        return await self._judge(action, token, answer)
 
     async def _exchange(self, task: SendTask, entry, fresh: bool):
         left_s = max(0.0, task.deadline_s - time.monotonic())
@@ -251,16 +241,16 @@
         action: StartAttempt,
         token: int,
         answer: HttpAnswer | StreamedAnswer,
-        sent_s: float,
     ) -> Outcome:
         now_s = time.monotonic()
         endpoint_id = action.endpoint_id
         read = self._wire.read_answer(answer.status, answer.headers)
         self._learn(endpoint_id, read, now_s)
         if not read.is_not_run:
-            self._directory.note_answered(
-                endpoint_id, token, now_s - sent_s, now_s
-            )
+            if answer.status < _FIRST_FAULT_STATUS:
+                self._directory.note_answered(endpoint_id, token, now_s)
+            else:
+                self._directory.note_cancelled(endpoint_id, token)
             return Outcome(AttemptAnswered(action.attempt), answer)
         if isinstance(answer, StreamedAnswer):
             await answer.drain()
--- a/daisyhub/objects/_relayed.py
+++ b/daisyhub/objects/_relayed.py
@@ -168,7 +168,9 @@
         cuts watches while it answers all else.
         """
         may_be_done = False
-        failure: ObjectStoreError | None = None
+        failure: Exception = ObjectStoreError(
+            "the store is lost, and no peer reaches it", may_be_done=False
+        )
         for store in self._ways():
             try:
                 answer = await call(store)
@@ -192,7 +194,7 @@
         if time.monotonic() - self._lost_at_s >= _DIRECT_RETRY_S:
             self._lost_at_s = time.monotonic()
             return [self._direct, *peers]
-        return [*peers, self._direct]
+        return peers
 
     def _note_outcome(
         self, store: ObjectStore, exc: ObjectStoreError | None
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -65,6 +65,7 @@
     CONFIG_NAME,
     PlatformManifestReader,
 )
+from daisyhub.platform._retirements import Retirements
 from daisyhub.platform._servers import SERVERS_KIND, read_server
 from daisyhub.platform._store import PlatformStore
 from daisyhub.platform._wire import PlatformCallerWire, PlatformEndpointWire
@@ -176,6 +177,7 @@
         )
         self._build_lots()
         self.verifier = WatchVerifier(self.accounts, self.watchers[:2])
+        self.retirements = Retirements(self.accounts, self.store, self.log)
         self.reporter = UsageReporter(
             self.accounts,
             self.book,
@@ -302,6 +304,7 @@
             self.weights,
             self.reporter,
             self.verifier,
+            self.retirements,
         )
 
     def is_ready(self) -> bool:
