Start a lot's longest items first; reuse kept connections first

Cause: a long text that starts last keeps the whole step waiting; each look-up opened a connection to whichever endpoint the dice chose, and an exchange that timed out closed its connection though the endpoint answers at its deadline. Change: items by the caller's estimate of their length; a kept connection breaks ties; endpoints get a deadline 30 ms before the caller's.

--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -145,10 +145,17 @@
 
     Args:
         random: Returns numbers in [0, 1); breaks ties.
+        has_connection: Whether a kept connection to an address is idle; goes
+            before `random`, as new connections cost time there and here.
     """
 
-    def __init__(self, random: Callable[[], float]):
+    def __init__(
+        self,
+        random: Callable[[], float],
+        has_connection: Callable[[Address], bool] = lambda _: False,
+    ):
         self._random = random
+        self._has_connection = has_connection
         self._endpoints: dict[str, Endpoint] = {}
         self._answers: dict[str, collections.deque[float]] = {}
         self._tokens = 0
@@ -231,7 +238,12 @@
             return None
         sound = [e for e in found if not _is_doubtful(e, now_s)]
         best = min(
-            sound or found, key=lambda e: (_finish(e, now_s), self._random())
+            sound or found,
+            key=lambda e: (
+                _finish(e, now_s),
+                not self._has_connection(e.entry.address),
+                self._random(),
+            ),
         )
         return best.entry.endpoint_id
 
--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -266,6 +266,11 @@
             self.forget(address)
         await self._close_doomed()
 
+    def has_idle(self, address: Address) -> bool:
+        """Whether a kept connection to an address is idle."""
+        conns = self._idle.get(address)
+        return bool(conns) and self._is_recent(conns[-1], time.monotonic())
+
     def forget(self, address: Address) -> None:
         """Drops the idle connections of an address; they are in doubt."""
         self._doomed += self._idle.pop(address, [])
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -40,6 +40,9 @@
 # Usual latencies before which no hedge is sent: about one answer in ten is
 # later, and more hedges would add load where it is already high.
 _HEDGE_LEAST = 1.9
+# Seconds by which an endpoint's deadline is before the caller's: an answer's
+# way back with a margin for a busy daemon.
+_ENDPOINT_MARGIN_S = 0.03
 # Usual latencies until an endpoint that refused has a free place again.
 _RETRY_AFTER_FACTOR = 2.0
 _LEAST_RETRY_AFTER_S = 0.05
@@ -221,7 +224,7 @@
                 host=task.host,
                 endpoint_id=entry.endpoint_id,
                 account=task.account,
-                left_s=left_s,
+                left_s=_endpoint_left_s(left_s),
                 headers=task.headers,
             )
         )
@@ -284,6 +287,15 @@
     return max(latest_s, _HEDGE_LEAST * usual_s)
 
 
+def _endpoint_left_s(left_s: float) -> float:
+    """Returns the time for the endpoint: its own answer must come in time.
+
+    An endpoint answers at its deadline; if that answer is still read, its
+    connection can be kept.
+    """
+    return left_s - min(_ENDPOINT_MARGIN_S, left_s / 4)
+
+
 def _failed(
     action: StartAttempt,
     ran: Ran,
--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -1,8 +1,8 @@
 """Decides which item of which lot runs at which engine.
 
 Answers the load of trainers that wait for whole groups: lots in the order in
-which they are due, groups in the order in which the trainer names them. A run
-that falls silent goes on at another engine behind its last event; while slots
+which they are due, the items of a lot by their expected length. A run that
+falls silent goes on at another engine behind its last event; while slots
 are free, items on slow engines get a second run.
 
 Times are seconds on a monotonic clock.
@@ -59,7 +59,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Lot:
-    """An open lot; `waiting` keeps the trainer's order."""
+    """An open lot, its items in the order in which they are to start."""
 
     opened: LotOpened
     items: dict[str, Item]
@@ -160,7 +160,11 @@
     def _on_opened(self, opened: LotOpened) -> None:
         items = {}
         left: dict[str, int] = {}
-        for spec in opened.spec.items:
+        # The longest first: a long text that starts last keeps all waiting.
+        longest_first = sorted(
+            opened.spec.items, key=lambda spec: -spec.length_hint
+        )
+        for spec in longest_first:
             if spec.item_id in opened.listed:
                 continue
             known = opened.known.get(spec.item_id, Progress())
--- a/daisyhub/lots/_reader.py
+++ b/daisyhub/lots/_reader.py
@@ -119,6 +119,8 @@
             Refusal: There is no such lot, or the end isn't stored.
         """
         known = await self._find(lot_id, account)
+        if known.is_ended:
+            return
         try:
             await self._lots.end(lot_id)
         except ObjectStoreError as exc:
--- a/daisyhub/lots/_types.py
+++ b/daisyhub/lots/_types.py
@@ -38,6 +38,7 @@
         body: Content of its request.
         group: Items of one group share their prompt.
         tokens: Prompt tokens and the most output tokens together.
+        length_hint: Output tokens that the caller expects; 0 if not told.
         reward: Scores the text; None where texts aren't scored.
     """
 
@@ -47,6 +48,7 @@
     body: bytes
     group: str
     tokens: int = 0
+    length_hint: int = 0
     reward: RewardSpec | None = None
 
 
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -141,7 +141,7 @@
         self.clock = TrueClock()
         self.meter = UsageMeter(cfg.usage_window_s, self.clock.now_s)
         self.manifests = ManifestController(PlatformManifestReader(), self.log)
-        self.directory = EndpointDirectory(random.random)
+        self.directory = EndpointDirectory(random.random, self.http.has_idle)
         self.cluster = ClusterController(
             cfg.daemon_id,
             cfg.peer_address,
--- a/daisyhub/platform/_lots_json.py
+++ b/daisyhub/platform/_lots_json.py
@@ -29,6 +29,7 @@
     ResultState.GIVEN_UP: "dead_letter",
 }
 _VERSION_LINE = b"daisyhub-weight-versions:"
+_LENGTH_HINT = "daisyhub-length-hint"
 _ID_LINE = b"id:"
 _DATA_LINE = b"data:"
 # Bytes of an event that never ends; real ones have some hundred.
@@ -136,13 +137,16 @@
 
 def _item(item: _Item) -> ItemSpec:
     scorer = item.scorer
+    headers = {key.lower(): value for key, value in item.headers.items()}
+    hint = headers.get(_LENGTH_HINT, "")
     return ItemSpec(
         item_id=item.id,
         path=item.path,
-        headers={key.lower(): value for key, value in item.headers.items()},
+        headers=headers,
         body=item.body,
         group=item.group or item.id,
         tokens=item.tokens,
+        length_hint=int(hint) if hint.isdigit() else 0,
         reward=None
         if scorer is None
         else RewardSpec(
