--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -81,6 +81,7 @@
                 raise
             if chunk is None:
                 # Ends the exchange; the connection is idle from here on.
+                self._conn.end()
                 await self._answer.aclose()
                 return
             yield chunk
@@ -188,7 +189,7 @@
                 answer = await _exchange_heads(
                     conn, method, address, target, headers, body
                 )
-                content = await _read_all(answer, answer_bytes)
+                content = await _read_all(conn, answer, answer_bytes)
         except RequestFailedError:
             await self._discard(address, conn, started_s)
             raise
@@ -341,7 +342,9 @@
     return answer
 
 
-async def _read_all(answer: httpcore.Response, limit: int) -> bytes:
+async def _read_all(
+    conn: Connection, answer: httpcore.Response, limit: int
+) -> bytes:
     """Reads the content to its end."""
     chunks = []
     size = 0
@@ -353,6 +356,7 @@
             )
         chunks.append(chunk)
     # Ends the exchange; the connection is idle from here on.
+    conn.end()
     await answer.aclose()
     return b"".join(chunks)
 
--- a/daisyhub/connections/_connection.py
+++ b/daisyhub/connections/_connection.py
@@ -3,6 +3,8 @@
 import contextlib
 import re
 import select
+import socket
+import struct
 
 import anyio
 import httpcore
@@ -17,6 +19,8 @@
 # Seconds before the time that the peer states at which an idle connection is
 # no longer used; covers the way of the request there.
 _KEEP_MARGIN_S = 0.5
+# Closing resets the connection and drops what wasn't sent.
+_NO_LINGER = struct.pack("ii", 1, 0)
 _BACKEND = AnyIOBackend()
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
@@ -39,15 +43,39 @@
 
 
 class _Wire(AsyncNetworkStream):
-    """A network stream that notes when the first byte leaves."""
+    """A network stream that notes when the first byte leaves.
+
+    Attributes:
+        has_sent: Whether a byte of the present request has left.
+        in_exchange: Whether an answer is awaited or still being read.
+    """
 
     def __init__(self, stream: AsyncNetworkStream):
         self.has_sent = False
+        self.in_exchange = False
         self.stream = stream
         self.read = stream.read
-        self.aclose = stream.aclose
         self.get_extra_info = stream.get_extra_info
 
+    async def aclose(self) -> None:
+        """Closes the connection; resets it within an exchange.
+
+        A mere close leaves the kernel sending a request that was given up,
+        for as long as the network between is cut.
+        """
+        if self.in_exchange:
+            self._reset()
+        await self.stream.aclose()
+
+    def _reset(self) -> None:
+        sock = self.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        # anyio's own close ends the sending side in order first.
+        transport = getattr(self.stream._stream, "_transport", None)
+        if transport is not None:
+            transport.abort()
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         self.has_sent = True
         await self.stream.write(buffer, timeout)
@@ -75,8 +103,13 @@
     def begin(self) -> None:
         """Notes that a new request starts."""
         self._wire.has_sent = False
+        self._wire.in_exchange = True
         self.head_came = False
 
+    def end(self) -> None:
+        """Notes that the present request's answer was read whole."""
+        self._wire.in_exchange = False
+
     def note_headers(self, headers) -> None:
         """Takes the idle time that an answer's `Keep-Alive` states."""
         for name, value in headers:
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -60,6 +60,9 @@
 # Texts of unfinished items of ended lots that are kept: trainers hand in
 # again at most half of the groups of a step.
 _KEPT_TEXTS = 2000
+# Seconds between lists of the lots beside their watch; an end that its daemon
+# could not tell must be heard within three seconds.
+_VERIFY_S = 1.5
 # Seconds between looks for lots that may be deleted.
 _DELETE_S = 10.0
 # Seconds beyond the time for which a lot must stay readable.
@@ -183,6 +186,7 @@
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 tasks.start_soon(watcher.run)
+                tasks.start_soon(self._verify, watcher)
                 tasks.start_soon(self._delete_old, watcher)
                 while self._duty.fencing:
                     self._tick()
@@ -455,6 +459,11 @@
             case LotEndTold(lot_id):
                 self.end(lot_id)
 
+    async def _verify(self, watcher: KindWatcher) -> None:
+        while True:
+            await anyio.sleep(_VERIFY_S)
+            await watcher.verify()
+
     async def _delete_old(self, watcher: KindWatcher) -> None:
         """Deletes lots that need no longer be readable."""
         while True:
--- /dev/null
+++ b/daisyhub/lots/tests/test_proof_listing.py
@@ -0,0 +1,205 @@
+"""Proof: a listed result keeps its position, and no item is listed twice.
+
+Any number of daemons list one lot at one time, each with its own texts.
+Faults: answers lost, writes that land late, failures, daemons started anew.
+"""
+
+import unittest
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from daisyhub.lots._listing_core import (
+    ChunkFailed,
+    ChunkStands,
+    ItemFinished,
+    ListingCore,
+    ListingTick,
+    WriteChunk,
+)
+from daisyhub.lots._types import ItemResult, ResultState
+from daisyhub.testing.proofs import find_failure, run_proof
+
+ITEMS = tuple("abcdef")
+DAEMONS = (0, 1)
+
+
+def result(item_id, text):
+    return ItemResult(item_id=item_id, state=ResultState.COMPLETED, text=text)
+
+
+class ListingMachine(RuleBasedStateMachine):
+    """Two daemons, one store of chunks, and a reader that read all."""
+
+    core_class = ListingCore
+
+    @initialize()
+    def start(self):
+        self.now_s = 0.0
+        self.chunks = {}
+        self.read = []
+        self.cores = [self.core_class(len(ITEMS)) for _ in DAEMONS]
+        self.writes = {n: [] for n in DAEMONS}
+        self.late = []
+
+    def feed(self, number, event):
+        self.writes[number] += self.cores[number].handle(event, self.now_s)
+
+    @rule(
+        number=st.sampled_from(DAEMONS),
+        item_id=st.sampled_from(ITEMS),
+        is_group_done=st.booleans(),
+    )
+    def finish(self, number, item_id, is_group_done):
+        if self.cores[number].is_listed(item_id):
+            return
+        text = f"by {number}"
+        self.feed(number, ItemFinished(result(item_id, text), is_group_done))
+
+    @rule(seconds=st.sampled_from([0.1, 0.3, 1.0]))
+    def pass_time(self, seconds):
+        self.now_s += seconds
+        for number in DAEMONS:
+            self.feed(number, ListingTick())
+
+    @rule(
+        number=st.sampled_from(DAEMONS),
+        fate=st.sampled_from(["good", "good", "lost", "late", "fail"]),
+    )
+    def write(self, number, fate):
+        if not self.writes[number]:
+            return
+        action = self.writes[number].pop(0)
+        assert isinstance(action, WriteChunk)
+        if fate == "late":
+            self.late.append(action)
+        if fate in ("good", "lost"):
+            self.chunks.setdefault(action.first, action.results)
+        if fate == "good":
+            standing = self.chunks[action.first]
+            self.feed(number, ChunkStands(action.first, standing))
+        else:
+            self.feed(number, ChunkFailed())
+
+    @rule()
+    def late_write_lands(self):
+        if self.late:
+            action = self.late.pop(0)
+            self.chunks.setdefault(action.first, action.results)
+
+    @rule(number=st.sampled_from(DAEMONS))
+    def restart(self, number):
+        """A daemon starts anew and reads all chunks first."""
+        core = self.core_class(len(ITEMS))
+        while (first := len(core.listed)) in self.chunks:
+            core.handle(ChunkStands(first, self.chunks[first]), self.now_s)
+        self.cores[number] = core
+        self.writes[number] = []
+
+    def listing(self):
+        """What a reader at any daemon finds in the store."""
+        found = []
+        while len(found) in self.chunks:
+            found += self.chunks[len(found)]
+        return found
+
+    @invariant()
+    def positions_hold(self):
+        found = self.listing()
+        assert found[: len(self.read)] == self.read, "a position changed"
+        self.read = found
+
+    @invariant()
+    def no_item_stands_twice(self):
+        ids = [r.item_id for r in self.listing()]
+        assert len(ids) == len(set(ids)), f"an item stands twice: {ids}"
+
+    @invariant()
+    def daemons_show_only_what_stands(self):
+        found = self.listing()
+        for core in self.cores:
+            assert core.listed == found[: len(core.listed)]
+
+    def teardown(self):
+        """Once faults end, every finished item is listed."""
+        for number in DAEMONS:
+            for item_id in ITEMS:
+                if not self.cores[number].is_listed(item_id):
+                    self.feed(
+                        number, ItemFinished(result(item_id, "end"), False)
+                    )
+        for _ in range(40):
+            self.pass_time(1.0)
+            for number in DAEMONS:
+                self.write(number, "good")
+        assert len(self.listing()) == len(ITEMS)
+        self.positions_hold()
+        self.no_item_stands_twice()
+
+
+class KeepsOwn(ListingCore):
+    """Takes its own chunk for the one that stands."""
+
+    def _on_stands(self, event, now_s):
+        own = tuple(self._pending.values())
+        super()._on_stands(
+            ChunkStands(event.first, own or event.results), now_s
+        )
+
+
+class ListsAgain(ListingCore):
+    """Forgets which items stand already."""
+
+    def _on_finished(self, event, now_s):
+        self._listed_ids.discard(event.result.item_id)
+        super()._on_finished(event, now_s)
+
+    def is_listed(self, item_id):
+        return False
+
+
+class ForgetsFailed(ListingCore):
+    """Counts a failed write as done."""
+
+    def handle(self, event, now_s):
+        if isinstance(event, ChunkFailed):
+            self._pending.clear()
+        return super().handle(event, now_s)
+
+
+class ListingProof(unittest.TestCase):
+    def test_results_keep_their_positions_and_stand_once(self):
+        run_proof(ListingMachine, examples=200)
+
+    def test_broken_cores_are_caught(self):
+        for core in (KeepsOwn, ListsAgain, ForgetsFailed):
+            machine = type(
+                core.__name__, (ListingMachine,), {"core_class": core}
+            )
+            with self.subTest(core.__name__):
+                self.assertIsNotNone(find_failure(machine))
+
+
+class ListingCoreTest(unittest.TestCase):
+    def test_a_whole_group_is_listed_at_once(self):
+        core = ListingCore(4)
+        self.assertEqual(
+            core.handle(ItemFinished(result("a", ""), False), 0.0), []
+        )
+        (write,) = core.handle(ItemFinished(result("b", ""), True), 0.01)
+        self.assertEqual([r.item_id for r in write.results], ["a", "b"])
+
+    def test_large_texts_go_into_chunks_of_their_own(self):
+        core = ListingCore(2)
+        core.handle(ItemFinished(result("a", "x" * 300_000), False), 0.0)
+        (write,) = core.handle(
+            ItemFinished(result("b", "y" * 300_000), True), 0.0
+        )
+        self.assertEqual([r.item_id for r in write.results], ["a"])
+        (write,) = core.handle(ChunkStands(0, write.results), 0.3)
+        self.assertEqual(write.first, 1)
--- a/daisyhub/objects/_relayed.py
+++ b/daisyhub/objects/_relayed.py
@@ -28,8 +28,9 @@
 # Seconds for which calls go to a peer first after the direct way failed; the
 # next call after it tries the direct way again.
 _DIRECT_RETRY_S = 1.0
-# Seconds that a relayed watch is held; short, as its answer passes two links.
-_RELAYED_WATCH_S = 5.0
+# Seconds that a relayed watch is held; short, as the peer that carries it may
+# fall silent, and the end of a lot must be heard within three seconds.
+_RELAYED_WATCH_S = 1.5
 # Peers that are asked to carry one call.
 _MOST_CARRIERS = 2
 
