--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -327,7 +327,7 @@
             "is_ready": self.is_ready(),
             "manifest": manifest.version if manifest else 0,
             "open_requests": self.app.open_requests,
-            **{part.name: part.status() for part in self.controllers},
+            **{_title(part): part.status() for part in self.controllers},
         }
 
     def _ping(self) -> Ping:
@@ -477,3 +477,10 @@
         self.readiness_server.stop()
         self.metrics_server.stop()
         self.log.note("stopped", open_requests=self.app.open_requests)
+
+
+def _title(part: Controller) -> str:
+    """Returns the name of a part; several of one kind differ by subject."""
+    if isinstance(part, DutyController):
+        return f"duty {part.duty}"
+    return part.name
--- /dev/null
+++ b/daisyhub/platform/tests/test_wires.py
@@ -0,0 +1,337 @@
+"""The platform's names are decoded once, and bad input names nothing."""
+
+import json
+import unittest
+
+from daisyhub.catalog import ManifestController, ManifestError, RouteKind
+from daisyhub.exceptions import Refusal
+from daisyhub.gateway import SentRequest
+from daisyhub.logs import DecisionLog
+from daisyhub.lots import EndLot, ReadItemBody, ReadResults
+from daisyhub.messages import Request
+from daisyhub.objects import StoredObject
+from daisyhub.platform._lots_json import PlatformLotWire
+from daisyhub.platform._manifest import PlatformManifestReader
+from daisyhub.platform._servers import read_server
+from daisyhub.platform._wire import PlatformCallerWire, PlatformEndpointWire
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "a.example",
+            "path-prefix": "/x/",
+            "route-type": "safe",
+            "timeout-ms": 1500,
+            "target-latency-ms": 199,
+            "priority": 2,
+            "service": "s1",
+            "max-attempts": 4,
+            "public": True,
+        },
+        {
+            "name": "r2",
+            "host": "a.example",
+            "path-prefix": "/x/long/",
+            "route-type": "rollout",
+            "backends": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 0},
+            ],
+            "due-ms": 7500,
+            "max-wait-s": 40,
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "max-conns": 140,
+            "engine": {"models": [{"name": "m"}]},
+            "scaling": {"min": 1, "max": 3, "zone-prices": {"z": 0.85}},
+        },
+        {"name": "s2", "max-conns": 110, "unknown-field": [1]},
+    ],
+    "limits": {"max-body-bytes": 1000, "idle-timeout-ms": 15000},
+    "tenants": [{"name": "t", "api-keys": ["k1", "k2"], "priority": 1}],
+}
+SERVER = {
+    "service": "s1",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "sequence": 44,
+    "born": 1700000000000,
+    "spot": True,
+}
+
+
+def encoded(value):
+    return json.dumps(value).encode()
+
+
+class ManifestTest(unittest.TestCase):
+    def test_every_field_keeps_its_meaning(self):
+        manifest = PlatformManifestReader().read(encoded(CONFIG))
+        route = manifest.find_route("A.example", "/x/1")
+        self.assertEqual((route.name, route.timeout_s), ("r1", 1.5))
+        self.assertTrue(route.is_open and route.idempotent)
+        longest = manifest.find_route("a.example", "/x/long/1")
+        self.assertIs(longest.kind, RouteKind.ROLLOUT)
+        self.assertEqual([s.pool for s in longest.shares], ["s1"])
+        self.assertEqual((longest.due_s, longest.max_wait_s), (7.5, 40))
+        self.assertIsNone(manifest.find_route("a.example", "/y/"))
+        self.assertEqual(manifest.find_account("k2").name, "t")
+        self.assertIsNone(manifest.find_account("k3"))
+        self.assertEqual(manifest.pools["s1"].models, ("m",))
+        self.assertEqual(manifest.pools["s1"].scaling.most, 3)
+
+    def test_what_can_not_be_read_leaves_the_one_in_force(self):
+        lines = []
+        log = DecisionLog("d", write=lambda line: lines.append(line) or True)
+        manifests = ManifestController(PlatformManifestReader(), log)
+
+        def found(revision, value):
+            return StoredObject(
+                kind="config", name="main", revision=revision, spec=value
+            )
+
+        self.assertTrue(manifests.adopt(found(5, encoded(CONFIG)), "store"))
+        for bad in (b"{", encoded({**CONFIG, "version": "x"}), b"\xff"):
+            self.assertFalse(manifests.adopt(found(6, bad), "store"))
+        odd = {**CONFIG, "routes": [{**CONFIG["routes"][0], "route-type": "?"}]}
+        self.assertFalse(manifests.adopt(found(6, encoded(odd)), "store"))
+        self.assertEqual(manifests.manifest.version, 7)
+        self.assertTrue(any("manifest_unreadable" in line for line in lines))
+
+    def test_older_revisions_never_come_back(self):
+        log = DecisionLog("d", write=lambda _: True)
+        manifests = ManifestController(PlatformManifestReader(), log)
+        for revision, version, taken in (
+            (5, 7, True),
+            (4, 6, False),
+            (5, 7, False),
+            (9, 6, False),
+            (10, 8, True),
+        ):
+            value = encoded({**CONFIG, "version": version})
+            found = StoredObject(
+                kind="config", name="main", revision=revision, spec=value
+            )
+            self.assertEqual(manifests.adopt(found, "peer"), taken)
+
+    def test_a_manifest_of_another_type_is_an_error(self):
+        with self.assertRaises(ManifestError):
+            PlatformManifestReader().read(b"[]")
+
+
+class ServerEntryTest(unittest.TestCase):
+    def test_every_field_keeps_its_meaning(self):
+        entry = read_server("i-1", encoded(SERVER))
+        self.assertEqual(str(entry.address), "10.0.0.9:8080")
+        self.assertEqual(entry.versions, {"m": 3})
+        self.assertTrue(entry.is_cheap)
+        self.assertFalse(entry.is_leaving)
+        self.assertEqual(entry.incarnation, 1700000000000)
+
+    def test_entries_of_other_writers_name_no_endpoint(self):
+        for bad in (
+            b"",
+            b"\xff\x00",
+            b"[]",
+            encoded({}),
+            encoded({**SERVER, "state": "resting"}),
+            encoded({**SERVER, "slots": "eight"}),
+            encoded({**SERVER, "address": "nowhere"}),
+            encoded({**SERVER, "address": None}),
+            encoded({k: v for k, v in SERVER.items() if k != "service"}),
+        ):
+            with self.subTest(bad), self.assertRaises(ValueError):
+                read_server("i-1", bad)
+
+
+class CallerWireTest(unittest.TestCase):
+    def read(self, method="POST", path="/x/1", query="", **headers):
+        named = {"host": "a.example", **headers}
+        scope = {
+            "method": method,
+            "raw_path": path.encode(),
+            "query_string": query.encode(),
+            "headers": [
+                (k.replace("_", "-").encode(), v.encode())
+                for k, v in named.items()
+            ],
+        }
+        return PlatformCallerWire().read_request(scope, None, 100.0)
+
+    def test_the_deadline_is_a_duration(self):
+        req = self.read(daisyhub_deadline_ms="800", api_key="k")
+        self.assertAlmostEqual(req.deadline_s, 100.8)
+        self.assertEqual(req.key, "k")
+        odd = self.read(daisyhub_deadline_ms="soon")
+        self.assertGreater(odd.deadline_s, 200.0)
+
+    def test_a_request_without_a_host_is_refused(self):
+        with self.assertRaises(Refusal):
+            PlatformCallerWire().read_request(
+                {
+                    "method": "GET",
+                    "raw_path": b"/",
+                    "query_string": b"",
+                    "headers": [],
+                },
+                None,
+                0.0,
+            )
+
+    def test_calls_about_lots(self):
+        read = self.read(
+            "GET", "/v1/lots/L", "after=12", daisyhub_wait_ms="9000"
+        )
+        self.assertEqual(read.lot_call, ReadResults("L", 12, 1.0))
+        odd = self.read("GET", "/v1/lots/L", "after=-3")
+        self.assertEqual(odd.lot_call, ReadResults("L", 0, 0.0))
+        body = self.read("GET", "/v1/items/L", "id=e5")
+        self.assertEqual(body.lot_call, ReadItemBody("L", "e5"))
+        self.assertEqual(
+            self.read("DELETE", "/v1/lots/L").lot_call, EndLot("L")
+        )
+        self.assertIsNone(self.read().lot_call)
+
+
+class EndpointWireTest(unittest.TestCase):
+    def test_own_headers_are_overwritten_and_the_key_is_not_passed(self):
+        sent = SentRequest(
+            request_id="q1",
+            host="a.example",
+            endpoint_id="i-1",
+            account="t",
+            left_s=0.75,
+            headers=(
+                (b"api-key", b"secret"),
+                (b"daisyhub-tenant", b"forged"),
+                (b"daisyhub-expect-instance", b"forged"),
+                (b"connection", b"close"),
+                (b"x-own", b"1"),
+            ),
+            resume_after=4,
+        )
+        headers = PlatformEndpointWire().request_headers(sent)
+        self.assertEqual(
+            dict(headers),
+            {
+                b"host": b"a.example",
+                b"daisyhub-request-id": b"q1",
+                b"daisyhub-deadline-ms": b"750",
+                b"daisyhub-expect-instance": b"i-1",
+                b"daisyhub-tenant": b"t",
+                b"last-event-id": b"4",
+                b"x-own": b"1",
+            },
+        )
+        self.assertEqual(len(headers), len(dict(headers)))
+
+    def test_what_an_answer_says(self):
+        wire = PlatformEndpointWire()
+        full = wire.read_answer(503, ((b"daisyhub-not-executed", b"1"),))
+        self.assertTrue(full.is_not_run)
+        self.assertFalse(wire.read_answer(503, ()).is_not_run)
+        other = wire.read_answer(421, ())
+        self.assertTrue(other.is_not_run and other.is_other_endpoint)
+        told = wire.read_answer(
+            200,
+            (
+                (b"daisyhub-server-load", b"3,2,8"),
+                (b"daisyhub-server-stamp", b"s"),
+                (b"daisyhub-weight-versions", b"6"),
+            ),
+        )
+        self.assertEqual((told.load, told.proof), (5, "s"))
+        self.assertEqual(told.weight_version, 6)
+        odd = wire.read_answer(200, ((b"daisyhub-server-load", b"many"),))
+        self.assertIsNone(odd.load)
+
+
+class LotWireTest(unittest.TestCase):
+    def request(self, body):
+        route = PlatformManifestReader().read(encoded(CONFIG)).routes[1]
+        return Request(
+            request_id="L",
+            method="POST",
+            path="/x/long/1",
+            query="",
+            host="a.example",
+            headers=(),
+            read_body=None,
+            started_s=0.0,
+            deadline_s=1.0,
+            account="t",
+            route=route,
+            body=body,
+        )
+
+    def test_a_lot_keeps_its_meaning(self):
+        body = encoded(
+            {
+                "step": 7,
+                "model": "m",
+                "min-version": 6,
+                "desired-count": 2,
+                "items": [
+                    {
+                        "id": "e",
+                        "path": "/x/long/2",
+                        "headers": {"Daisyhub-Length-Hint": "40"},
+                        "body": "q83v",
+                        "tokens": 940,
+                        "group": "g",
+                        "scorer": {
+                            "id": "c",
+                            "host": "a.example",
+                            "path": "/x/3",
+                            "body": "3q2+7w==",
+                        },
+                    }
+                ],
+            }
+        )
+        spec = PlatformLotWire().read_lot(self.request(body), 5.0)
+        self.assertEqual(spec.head.oldest_version, 6)
+        self.assertEqual(spec.head.wanted_groups, 2)
+        (item,) = spec.items
+        self.assertEqual(item.body, b"\xab\xcd\xef")
+        self.assertEqual((item.length_hint, item.group), (40, "g"))
+        self.assertEqual(item.reward.body, b"\xde\xad\xbe\xef")
+
+    def test_lots_that_can_not_be_read_are_refused(self):
+        item = {"id": "e", "path": "/", "headers": {}, "body": ""}
+        for bad in (
+            b"{",
+            encoded({"items": []}),
+            encoded({"items": [item, item]}),
+            encoded({"items": [{**item, "body": 7}]}),
+        ):
+            with self.subTest(bad), self.assertRaises(Refusal):
+                PlatformLotWire().read_lot(self.request(bad), 5.0)
+
+    def test_events_come_whole_whatever_the_chunks(self):
+        stream = (
+            b"id: 1\ndata: a\n\n"
+            b"daisyhub-weight-versions: 4\nid: 2\ndata: b\n\n"
+            b"id: 3\ndata: c\n\n"
+        )
+        for size in (1, 2, 7, 100):
+            reader = PlatformLotWire().make_reader(3)
+            events = []
+            for start in range(0, len(stream), size):
+                events += reader.feed(stream[start : start + size])
+            told = [(e.number, e.data, e.version) for e in events]
+            self.assertEqual(told, [(1, "a", 3), (2, "b", 4), (3, "c", 4)])
+            self.assertTrue(reader.is_between_events)
+
+    def test_bytes_that_are_no_event_are_an_error(self):
+        with self.assertRaises(ValueError):
+            PlatformLotWire().make_reader(1).feed(b"garbage\n\n")
--- /dev/null
+++ b/daisyhub/testing/fleet.py
@@ -0,0 +1,369 @@
+"""Starts daemons on a stand-in of the users' platform, on loopback."""
+
+import base64
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+import anyio
+import msgspec
+
+from daisyhub.connections import HttpAnswer, HttpClient, RequestFailedError
+from daisyhub.settings import Address
+
+__all__ = ["Fleet"]
+
+KEY = "key-of-t"
+_LOOPBACK = "127.0.0.1"
+_START_WAIT_S = 20.0
+_DOMAINS = ("z1", "z2", "z3")
+
+
+class Fleet:
+    """Daemons, one store, and servers, each a process of its own.
+
+    Args:
+        daemons: Number of daemons, spread over three failure domains.
+        servers: Number of servers.
+        event_s: Seconds that an event or a look-up takes.
+    """
+
+    def __init__(self, daemons: int = 3, servers: int = 2, event_s=0.02):
+        self.daemon_names = [f"edge-{n}" for n in range(daemons)]
+        self.server_names = [f"i-{n}" for n in range(servers)]
+        self.event_s = event_s
+        self.ports: dict[str, int] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._folder = tempfile.TemporaryDirectory(prefix="daisyhub-fleet-")
+        self.folder = pathlib.Path(self._folder.name)
+        self.http = HttpClient(connect_timeout_s=1.0, idle_s=5.0)
+        self._version = 1
+
+    async def start(self) -> None:
+        """Starts everything; returns once every daemon is ready."""
+        self._start_fake("platform", "--role=platform")
+        for name in self.server_names:
+            self._start_fake(
+                name,
+                "--role=server",
+                f"--name={name}",
+                f"--event_s={self.event_s}",
+            )
+        await self._until_listening("platform", *self.server_names)
+        await self.write_config({"t": [KEY]})
+        for name in self.server_names:
+            await self.put("servers", name, self._entry(name))
+        for name in self.daemon_names:
+            self._reserve(name)
+        for name in self.daemon_names:
+            self.start_daemon(name)
+        for name in self.daemon_names:
+            await self.until_ready(name)
+
+    def stop(self) -> None:
+        """Ends every process that was started here."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        self._folder.cleanup()
+
+    def start_daemon(self, name: str) -> None:
+        """Starts a daemon, again if it ended before."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self._settings(name)), encoding="utf-8")
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "daisyhub.platform"],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={
+                    **os.environ,
+                    "PYTHONPATH": os.getcwd(),
+                    "DAISYHUB_NODE_FILE": str(path),
+                },
+            )
+
+    def signal(self, name: str, number: int) -> None:
+        """Sends a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    def log_of(self, name: str) -> list[dict]:
+        """Returns the structured lines of a daemon."""
+        text = (self.folder / f"{name}.log").read_text(encoding="utf-8")
+        return [
+            json.loads(line) for line in text.splitlines() if line[:1] == "{"
+        ]
+
+    async def status(self, name: str) -> dict:
+        """Returns a daemon's status."""
+        answer = await self._get(self.ports[f"{name}/metrics"], "/status")
+        return json.loads(answer.body)
+
+    async def holder(self, duty: str = "rollouts") -> str:
+        """Waits until a daemon has a duty; returns its name."""
+        with anyio.fail_after(_START_WAIT_S):
+            while True:
+                for name in self.daemon_names:
+                    if self.processes[name].poll() is not None:
+                        continue
+                    with contextlib.suppress(RequestFailedError):
+                        told = (await self.status(name)).get(f"duty {duty}")
+                        if told and told["fencing"]:
+                            return name
+                await anyio.sleep(0.05)
+
+    async def write_config(self, keys: dict[str, list[str]]) -> None:
+        """Writes a manifest with these accounts and keys."""
+        self._version += 1
+        common = {"host": "a.example", "service": "s", "max-attempts": 3}
+        config = {
+            "version": self._version,
+            "routes": [
+                {
+                    **common,
+                    "name": "records",
+                    "path-prefix": "/records/",
+                    "route-type": "safe",
+                    "timeout-ms": 2000,
+                    "target-latency-ms": 200,
+                },
+                {
+                    **common,
+                    "name": "reward",
+                    "path-prefix": "/reward/",
+                    "route-type": "safe",
+                    "timeout-ms": 2000,
+                    "target-latency-ms": 200,
+                    "public": True,
+                },
+                {
+                    **common,
+                    "name": "gen",
+                    "path-prefix": "/gen/",
+                    "route-type": "rollout",
+                    "timeout-ms": 10000,
+                    "due-ms": 7500,
+                    "max-wait-s": 60,
+                },
+            ],
+            "services": [{"name": "s", "engine": {"models": [{"name": "m"}]}}],
+            "tenants": [
+                {"name": name, "api-keys": held} for name, held in keys.items()
+            ],
+        }
+        await self.put("config", "main", config)
+
+    async def put(self, kind: str, name: str, spec: dict) -> None:
+        """Writes an object as an operator would."""
+        body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+        await self.http.request(
+            "PUT",
+            self._address("platform"),
+            f"/v1/objects/{kind}/{name}",
+            body=body,
+            timeout_s=5.0,
+        )
+
+    async def fault(self, name: str, fault: dict | None) -> None:
+        """Makes a stand-in misbehave; None ends all its faults."""
+        await self.http.request(
+            "POST" if fault else "DELETE",
+            self._address(name),
+            "/faults",
+            body=msgspec.json.encode(fault),
+            timeout_s=5.0,
+        )
+
+    async def usage(self) -> list[dict]:
+        """Returns the usage reports that the platform accepted."""
+        answer = await self._get(self.ports["platform"], "/admin/usage")
+        return json.loads(answer.body)
+
+    async def ran(self) -> list[dict]:
+        """Returns what ran at the servers."""
+        runs = []
+        for name in self.server_names:
+            answer = await self._get(self.ports[name], "/admin/ran")
+            runs += json.loads(answer.body)
+        return runs
+
+    async def call(
+        self,
+        daemon: str,
+        method: str,
+        target: str,
+        *,
+        request_id: str = "q",
+        key: str = KEY,
+        body: bytes = b"",
+        headers: tuple = (),
+        timeout_s: float = 5.0,
+    ) -> HttpAnswer:
+        """Calls a daemon as a client, on a connection of its own."""
+        return await self.http.request(
+            method,
+            self._address(f"{daemon}/front"),
+            target,
+            headers=(
+                (b"host", b"a.example"),
+                (b"daisyhub-request-id", request_id.encode()),
+                (b"daisyhub-deadline-ms", b"4000"),
+                *(((b"api-key", key.encode()),) if key else ()),
+                *headers,
+            ),
+            body=body,
+            timeout_s=timeout_s,
+            fresh=True,
+        )
+
+    async def hand_in(self, daemon: str, lot_id: str, groups=3) -> int:
+        """Hands a lot in; returns the status."""
+        items = [
+            {
+                "id": f"{lot_id}-{g}-{n}",
+                "path": f"/gen/{g}",
+                "headers": {},
+                "body": base64.b64encode(b"prompt").decode(),
+                "group": f"g{g}",
+                "scorer": {
+                    "id": f"{lot_id}-{g}-{n}-r",
+                    "host": "a.example",
+                    "path": "/reward/1",
+                    "body": "",
+                },
+            }
+            for g in range(groups)
+            for n in range(4)
+        ]
+        lot = {"step": 1, "model": "m", "min-version": 1, "items": items}
+        answer = await self.call(
+            daemon,
+            "POST",
+            "/gen/lot",
+            request_id=lot_id,
+            body=msgspec.json.encode(lot),
+        )
+        return answer.status
+
+    async def results(self, daemon: str, lot_id: str, after=0) -> dict | None:
+        """Reads results; None if the daemon can't tell."""
+        try:
+            answer = await self.call(
+                daemon,
+                "GET",
+                f"/v1/lots/{lot_id}?after={after}",
+                headers=((b"daisyhub-wait-ms", b"300"),),
+            )
+        except RequestFailedError:
+            return None
+        return json.loads(answer.body) if answer.status == 200 else None
+
+    async def until_listed(self, daemons: list[str], lot_id: str) -> list:
+        """Reads a lot whole, from each daemon in turn; checks positions."""
+        found: list[dict] = []
+        with anyio.fail_after(_START_WAIT_S):
+            turn = 0
+            while True:
+                daemon = daemons[turn % len(daemons)]
+                # Each third read starts at an earlier position.
+                after = len(found) if turn % 3 else len(found) // 2
+                turn += 1
+                told = await self.results(daemon, lot_id, after)
+                if told is None:
+                    await anyio.sleep(0.1)
+                    continue
+                listed = told["results"]
+                shared = len(found) - after
+                if listed[:shared] != found[after : after + len(listed)]:
+                    raise AssertionError(f"a position changed at {daemon}")
+                found += listed[shared:]
+                if len(found) == told["total"]:
+                    return found
+
+    async def until_ready(self, name: str) -> None:
+        """Waits until a daemon is ready."""
+        port = self.ports[f"{name}/ready"]
+        with anyio.fail_after(_START_WAIT_S):
+            while True:
+                with contextlib.suppress(RequestFailedError):
+                    answer = await self._get(port, "/v1/readiness")
+                    if answer.status == 200:
+                        return
+                await anyio.sleep(0.05)
+
+    async def _get(self, port: int, target: str) -> HttpAnswer:
+        address = Address(ip=_LOOPBACK, port=port)
+        return await self.http.request("GET", address, target, timeout_s=2.0)
+
+    def _address(self, name: str) -> Address:
+        return Address(ip=_LOOPBACK, port=self.ports[name])
+
+    def _entry(self, name: str) -> dict:
+        return {
+            "service": "s",
+            "address": str(self._address(name)),
+            "zone": "z1",
+            "slots": 4,
+            "state": "ready",
+            "models": [{"name": "m", "version": 1}],
+            "born": 1,
+        }
+
+    def _reserve(self, name: str) -> None:
+        for use in ("front", "ready", "peer", "metrics"):
+            self.ports[f"{name}/{use}"] = _free_port()
+
+    def _settings(self, name: str) -> dict:
+        def at(use: str, daemon: str = name) -> str:
+            return f"{_LOOPBACK}:{self.ports[f'{daemon}/{use}']}"
+
+        number = self.daemon_names.index(name)
+        return {
+            "daemon_id": name,
+            "failure_domain": _DOMAINS[number % len(_DOMAINS)],
+            "callers": at("front"),
+            "readiness": at("ready"),
+            "peer": at("peer"),
+            "metrics_port": self.ports[f"{name}/metrics"],
+            "seeds": [at("peer", d) for d in self.daemon_names[:3]],
+            "store": str(self._address("platform")),
+            "order_desk": str(self._address("platform")),
+            "usage_window_s": 1.0,
+            "usage_late_s": 2.0,
+        }
+
+    def _start_fake(self, name: str, *args: str) -> None:
+        self.ports[name] = _free_port()
+        command = [sys.executable, "-m", "daisyhub.testing.fake_fleet"]
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [*command, f"--port={self.ports[name]}", *args],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONPATH": os.getcwd()},
+            )
+
+    async def _until_listening(self, *names: str) -> None:
+        with anyio.fail_after(_START_WAIT_S):
+            for name in names:
+                while True:
+                    with contextlib.suppress(RequestFailedError):
+                        await self._get(self.ports[name], "/admin/none")
+                        break
+                    await anyio.sleep(0.05)
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind((_LOOPBACK, 0))
+        return sock.getsockname()[1]
--- a/daisyhub/weights/_sharing.py
+++ b/daisyhub/weights/_sharing.py
@@ -10,7 +10,7 @@
 __all__ = ["share_engines"]
 
 # Share of an engine by which a model must be short before it gets another.
-_SLACK = 0.6
+_SLACK = 0.75
 
 
 def share_engines(
