--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -159,6 +159,14 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._answers: dict[str, collections.deque[float]] = {}
         self._tokens = 0
+        self._cut_domains: frozenset[str] = frozenset()
+
+    def set_cut_domains(self, domains: frozenset[str]) -> None:
+        """Takes the failure domains that seem to be out of reach.
+
+        Their endpoints get work only if no other is left.
+        """
+        self._cut_domains = domains
 
     def get(self, endpoint_id: str) -> Endpoint | None:
         """Returns an endpoint, or None."""
@@ -236,7 +244,12 @@
         ]
         if not found:
             return None
-        sound = [e for e in found if not _is_doubtful(e, now_s)]
+        sound = [
+            endpoint
+            for endpoint in found
+            if endpoint.entry.domain not in self._cut_domains
+            and not _is_doubtful(endpoint, now_s)
+        ]
         best = min(
             sound or found,
             key=lambda e: (
--- a/daisyhub/balancing/tests/test_directory.py
+++ b/daisyhub/balancing/tests/test_directory.py
@@ -14,8 +14,7 @@
         endpoint_id=name,
         pool="p",
         address=Address(ip="127.0.0.1", port=ord(name[-1])),
-        domain="d",
-        **{"slots": 4, **fields},
+        **{"slots": 4, "domain": "d", **fields},
     )
 
 
@@ -91,6 +90,13 @@
         self.directory.remove("b", 9.0, is_store_stable=True)
         self.assertIsNone(self.directory.get("b"))
 
+    def test_endpoints_of_a_domain_out_of_reach_come_last(self):
+        """A cut-off daemon tried two endpoints it couldn't reach."""
+        self.directory.adopt(entry("c", domain="near"))
+        self.directory.set_cut_domains(frozenset({"d"}))
+        self.assertEqual({self.choose(1.0) for _ in range(5)}, {"c"})
+        self.assertIn(self.choose(1.0, frozenset("c")), "ab")
+
     def test_a_restart_forgets_what_was_known(self):
         token = self.directory.note_sent("a", "r", 1.0)
         self.directory.note_failed("a", token, 1.0)
--- a/daisyhub/cluster/_peers.py
+++ b/daisyhub/cluster/_peers.py
@@ -85,6 +85,11 @@
             return False
         return time.monotonic() - peer.heard_at_s <= SILENT_S
 
+    def silent_domains(self) -> frozenset[str]:
+        """Returns the failure domains of which no daemon is heard."""
+        known = {peer.ping.domain for peer in self._peers.values()}
+        return frozenset(known - {peer.ping.domain for peer in self.live()})
+
     def is_missing_some(self) -> bool:
         """Whether a daemon that was heard before is silent now."""
         return len(self.live()) < len(self._peers)
--- a/daisyhub/filters/_forward_core.py
+++ b/daisyhub/filters/_forward_core.py
@@ -81,12 +81,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class AttemptFailed:
-    """An attempt brought no whole answer."""
+    """An attempt brought no whole answer.
+
+    Attributes:
+        attempt: Its number.
+        ran: What can be said of the request.
+        timed_out: Whether time ran out.
+        incomplete: Whether an answer broke off.
+        was_sent: Whether the endpoint was reached at all; one that wasn't
+            counts neither as an attempt nor against the budget.
+    """
 
     attempt: int
     ran: Ran
     timed_out: bool = False
     incomplete: bool = False
+    was_sent: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,6 +158,7 @@
         self._tried: set[str] = set()
         self._open: set[int] = set()
         self._attempts = 0
+        self._unsent = 0
         self._worst = Ran.NOT_RUN
         self._timed_out = False
         self._incomplete = False
@@ -205,12 +216,23 @@
         self._hedge_at_s = None
         return self._start_again(now_s)
 
-    def _start_again(self, now_s: float) -> list[object]:
+    def _start_again(
+        self, now_s: float, *, is_free: bool = False
+    ) -> list[object]:
+        """Sends it again, to an endpoint that wasn't tried if there is one.
+
+        Args:
+            now_s: The time.
+            is_free: Whether the attempt before never reached its endpoint.
+        """
         plan = self.plan
-        if self._attempts >= plan.max_attempts or now_s >= plan.deadline_s:
+        sent = self._attempts - self._unsent
+        if sent >= plan.max_attempts or now_s >= plan.deadline_s:
             return []
-        candidate = self.choose(frozenset(self._tried)) or self.choose(_NONE)
-        if candidate is None or not self.budget.take():
+        candidate = self.choose(frozenset(self._tried))
+        if candidate is None and self._attempts < plan.max_attempts:
+            candidate = self.choose(_NONE)
+        if candidate is None or not (is_free or self.budget.take()):
             return []
         return self._start(candidate, fresh=True)
 
@@ -219,8 +241,11 @@
         self._timed_out |= event.timed_out
         self._incomplete |= event.incomplete
         self._worst = _worse(self._worst, event.ran)
+        self._unsent += not event.was_sent
         may_repeat = self.plan.idempotent or event.ran is Ran.NOT_RUN
-        actions = self._start_again(now_s) if may_repeat else []
+        actions = []
+        if may_repeat:
+            actions = self._start_again(now_s, is_free=not event.was_sent)
         if actions or self._open:
             return actions
         return [self._give_up(self._error())]
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -204,6 +204,7 @@
                 exc.ran,
                 timed_out=exc.timed_out,
                 incomplete=exc.ran is Ran.RAN,
+                was_sent=exc.ran is not Ran.NOT_RUN,
             )
         except anyio.get_cancelled_exc_class():
             now_s = time.monotonic()
@@ -302,6 +303,7 @@
     *,
     timed_out: bool = False,
     incomplete: bool = False,
+    was_sent: bool = True,
 ) -> Outcome:
     return Outcome(
         AttemptFailed(
@@ -309,6 +311,7 @@
             ran=ran,
             timed_out=timed_out,
             incomplete=incomplete,
+            was_sent=was_sent,
         )
     )
 
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -453,12 +453,18 @@
         while True:
             await anyio.sleep(_EXPIRE_S)
             now_s = time.monotonic()
+            self._note_cut_domains()
             if not all(watcher.is_current for watcher in self.watchers):
                 self._store_failed_s = now_s
                 continue
             for name in self.directory.expire(now_s):
                 self.log.note("endpoint_lapsed", name=name)
 
+    def _note_cut_domains(self) -> None:
+        """Tells the directory which failure domains seem to be cut off."""
+        own = frozenset((self.cfg.failure_domain,))
+        self.directory.set_cut_domains(self.peers.silent_domains() - own)
+
     async def _shut_down(self) -> None:
         """Takes no new callers, ends what is open, and goes."""
         started_s = time.monotonic()
