--- a/daisyhub/platform/__main__.py
+++ b/daisyhub/platform/__main__.py
@@ -1,5 +1,6 @@
 """Runs one daemon on the users' platform: `python -m daisyhub.platform`."""
 
+import faulthandler
 import os
 import signal
 import sys
@@ -18,6 +19,8 @@
 
 def main() -> int:
     """Serves until SIGTERM; returns 2 if the settings are wrong."""
+    # A crash in native code leaves the stacks of all threads on stderr.
+    faulthandler.enable()
     # Until the handler is there, a changed settings file must not end it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = os.environ.get(_SETTINGS_VARIABLE, "")
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -86,7 +86,6 @@
 _LEAVE_NOTICE_S = 2.3
 # Part of the grace time by which open requests must have ended.
 _LEAVE_SHARE = 0.75
-_POLL_S = 0.05
 # Seconds after the store's return within which lapsed entries come back.
 _STORE_SETTLE_S = 3.0
 
@@ -478,8 +477,9 @@
         await anyio.sleep(_LEAVE_NOTICE_S)
         self.callers_server.stop()
         latest_s = started_s + _LEAVE_SHARE * self.cfg.grace_s
-        while self.app.open_requests and time.monotonic() < latest_s:
-            await anyio.sleep(_POLL_S)
+        # The server itself waits for requests of which a part has come.
+        with anyio.move_on_after(max(0.0, latest_s - time.monotonic())):
+            await self.callers_server.stopped.wait()
         self.readiness_server.stop()
         self.metrics_server.stop()
         self.log.note("stopped", open_requests=self.app.open_requests)
--- a/daisyhub/platform/tests/test_fleet_processes.py
+++ b/daisyhub/platform/tests/test_fleet_processes.py
@@ -7,7 +7,7 @@
 import anyio
 
 from daisyhub.connections import RequestFailedError
-from daisyhub.testing.fleet import Fleet
+from daisyhub.testing.fleet import KEY, Fleet
 
 
 @contextlib.asynccontextmanager
@@ -157,6 +157,25 @@
             events = [line["event"] for line in fleet.log_of("edge-0")]
             self.assertIn("stopped", events)
 
+    async def test_a_request_half_sent_at_the_end_of_the_notice_is_served(self):
+        """The daemon left while a part of a request's head had come."""
+        request = (
+            b"POST /records/7 HTTP/1.1\r\nhost: a.example\r\n"
+            b"daisyhub-request-id: q\r\napi-key: " + KEY.encode() + b"\r\n"
+            b"content-length: 0\r\n\r\n"
+        )
+        async with running() as fleet:
+            fleet.signal("edge-0", signal.SIGTERM)
+            await anyio.sleep(2.1)
+            port = fleet.ports["edge-0/front"]
+            async with await anyio.connect_tcp("127.0.0.1", port) as conn:
+                await conn.send(request[:60])
+                await anyio.sleep(0.5)
+                await conn.send(request[60:])
+                answer = await conn.receive()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            self.assertEqual(fleet.processes["edge-0"].wait(10), 0)
+
     async def test_all_daemons_killed_lose_no_accepted_lot(self):
         async with running(event_s=0.1) as fleet:
             self.assertEqual(await fleet.hand_in("edge-0", "L"), 202)
--- a/daisyhub/serving/_server.py
+++ b/daisyhub/serving/_server.py
@@ -25,6 +25,9 @@
         app: The ASGI app.
         address: Where to listen.
         drain_limit_s: Longest wait for open requests after `stop`.
+
+    Attributes:
+        stopped: Set once every request has ended after `stop`.
     """
 
     def __init__(self, app, address: Address, drain_limit_s: float = 5.0):
@@ -46,6 +49,7 @@
         )
         self._address = address
         self._stop = anyio.Event()
+        self.stopped = anyio.Event()
 
     async def run_until_stopped(self) -> None:
         """Listens and serves; returns when all requests have ended."""
@@ -58,7 +62,10 @@
         # protocol number is given, which these are not; without it, the head
         # and the content of an answer wait for each other's acknowledgement.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await self.serve(sockets=[sock])
+        try:
+            await self.serve(sockets=[sock])
+        finally:
+            self.stopped.set()
 
     def stop(self) -> None:
         """Stops accepting; open requests go on to their end."""
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -17,7 +17,7 @@
 from daisyhub.connections import HttpAnswer, HttpClient, RequestFailedError
 from daisyhub.settings import Address
 
-__all__ = ["Fleet"]
+__all__ = ["KEY", "Fleet"]
 
 KEY = "key-of-t"
 _LOOPBACK = "127.0.0.1"
