--- a/daisyhub/reference.py
+++ b/daisyhub/reference.py
@@ -20,6 +20,7 @@
     LotClass,
     Route,
 )
+from daisyhub.fleet_settings import FleetSettings
 from daisyhub.settings import (
     Address,
     DaemonSettings,
@@ -51,6 +52,13 @@
             Address,
         ),
     ),
+    (
+        "Settings of a daemon on the users' platform",
+        "Filled in by the platform from `deploy/settings.jsonc.tmpl` at each"
+        " start; `python -m daisyhub.platform` reads the file that the"
+        " platform's variable names.",
+        (FleetSettings,),
+    ),
     (
         "Settings of the command line",
         "Read from the file of `daisyhub --settings`.",
