Hand unfinished texts over when a holder leaves

Cause: while daemons are stopped in turn every 1.5 s, each new holder began all items of the open lots anew; samples of 5 s never ended. Change: a leaving holder writes the texts of unfinished items to the store before it releases the duty; the next holder goes on behind their last events. Test that failed first: a leaving holder hands its texts over (test_fleet_processes).

--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -47,7 +47,12 @@
 from daisyhub.lots._runner import ItemRunner
 from daisyhub.lots._types import ItemResult, LotHead, LotSpec
 from daisyhub.metrics import Metrics
-from daisyhub.objects import KindWatcher, ObjectStore, ObjectStoreError
+from daisyhub.objects import (
+    KindWatcher,
+    ObjectConflictError,
+    ObjectStore,
+    ObjectStoreError,
+)
 
 __all__ = ["HolderTools", "LotHolder"]
 
@@ -60,6 +65,9 @@
 _LOOK_UP_S = 0.4
 # Seconds before the store is asked again for a lot that couldn't be read.
 _READ_PAUSE_S = 0.2
+# Seconds for keeping the text of unfinished items at a graceful end; a write
+# of the store takes milliseconds, and requests go on being served meanwhile.
+_HAND_OVER_S = 1.0
 # Texts of unfinished items of ended lots that are kept: trainers hand in
 # again at most half of the groups of a step.
 _KEPT_TEXTS = 2000
@@ -211,6 +219,26 @@
             self._held.clear()
             self._scopes.clear()
 
+    async def hand_over(self) -> None:
+        """Keeps the text of unfinished items, before the duty is released."""
+        with anyio.move_on_after(_HAND_OVER_S):
+            async with anyio.create_task_group() as tasks:
+                for lot_id in self._core.open_lots:
+                    tasks.start_soon(self._save_progress, lot_id)
+
+    async def _save_progress(self, lot_id: str) -> None:
+        progress = self._core.progress_of(lot_id)
+        if not progress:
+            return
+        try:
+            await self._tools.lots.save_progress(lot_id, progress)
+        except (ObjectStoreError, ObjectConflictError) as exc:
+            self._tools.log.note(
+                "progress_not_kept", lot=lot_id, reason=str(exc)
+            )
+            return
+        self._tools.log.note("progress_kept", lot=lot_id, items=len(progress))
+
     def _tick(self) -> None:
         tools = self._tools
         engines = tuple(
@@ -295,6 +323,9 @@
                 if held.is_ended or held.listing.is_whole:
                     return
                 held.spec = await self._tools.lots.items(head)
+                if held.is_inherited:
+                    kept = await self._tools.lots.progress(head.lot_id)
+                    self._texts.update(kept)
                 break
             except (ObjectStoreError, msgspec.DecodeError) as exc:
                 self._tools.log.note(
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from daisyhub.lots._run_types import Progress
 from daisyhub.lots._types import ItemResult, ItemSpec, LotHead, LotSpec
 from daisyhub.objects import (
     ObjectConflictError,
@@ -24,6 +25,7 @@
 LOTS_KIND = "lots"
 _ITEMS_KIND = "lot-items"
 _RESULTS_KIND = "lot-results"
+_PROGRESS_KIND = "lot-progress"
 # Bytes of one object; the platform's values hold a megabyte, and content is a
 # third larger in JSON than its bytes.
 _PART_BYTES = 500_000
@@ -169,6 +171,29 @@
             return standing
         return results
 
+    async def save_progress(
+        self, lot_id: str, progress: dict[str, Progress]
+    ) -> None:
+        """Keeps the text of unfinished items for the next holder."""
+        content = msgspec.json.encode(progress)
+        try:
+            await self._store.create(_PROGRESS_KIND, lot_id, content)
+        except ObjectConflictError as exc:
+            found = exc.found
+            if found is None:
+                found = await self._store.read(_PROGRESS_KIND, lot_id)
+            if found is not None:
+                await self._store.replace(
+                    _PROGRESS_KIND, lot_id, content, revision=found.revision
+                )
+
+    async def progress(self, lot_id: str) -> dict[str, Progress]:
+        """Returns the text that an earlier holder kept."""
+        found = await self._store.read(_PROGRESS_KIND, lot_id)
+        if found is None:
+            return {}
+        return msgspec.json.decode(found.spec, type=dict[str, Progress])
+
     async def end(self, lot_id: str) -> bool:
         """Ends a lot; returns False if there is none."""
         content = msgspec.json.encode(LotStatus(is_ended=True))
@@ -180,6 +205,7 @@
         for first in chunks:
             name = _chunk_name(head.lot_id, first)
             await self._store.delete(_RESULTS_KIND, name)
+        await self._store.delete(_PROGRESS_KIND, head.lot_id)
         for number in range(head.parts):
             name = _part_name(head.lot_id, number)
             await self._store.delete(_ITEMS_KIND, name)
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -488,6 +488,7 @@
         self.log.note("stop", open_requests=self.app.open_requests)
         self._is_draining = True
         self.app.is_draining = True
+        await self.holder.hand_over()
         for duty in (self.rollouts, self.accounts):
             duty.set_leaving()
             await duty.release()
--- a/daisyhub/platform/tests/test_fleet_processes.py
+++ b/daisyhub/platform/tests/test_fleet_processes.py
@@ -101,6 +101,19 @@
             listed = await fleet.until_listed(others, "L")
             self.check_lot(listed, "L")
 
+    async def test_a_leaving_holder_hands_its_texts_over(self):
+        """Daemons stopped in turn began every item of a lot anew."""
+        async with running(event_s=0.3) as fleet:
+            holder = await fleet.holder()
+            others = [d for d in fleet.daemon_names if d != holder]
+            self.assertEqual(await fleet.hand_in(others[0], "L"), 202)
+            await anyio.sleep(1.0)
+            fleet.signal(holder, signal.SIGTERM)
+            listed = await fleet.until_listed(others, "L")
+            self.check_lot(listed, "L")
+            ran = await fleet.ran()
+            self.assertTrue(any(run["resumed"] for run in ran))
+
     async def test_a_frozen_holder_that_wakes_up_changes_nothing(self):
         async with running(event_s=0.1) as fleet:
             holder = await fleet.holder()
--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -163,6 +163,7 @@
                 "id": call.headers["daisyhub-request-id"],
                 "account": call.headers.get("daisyhub-tenant", ""),
                 "has_key": "api-key" in call.headers,
+                "resumed": "last-event-id" in call.headers,
             }
         )
         if call.path.startswith("/gen/"):
