--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -65,9 +65,9 @@
 _LOOK_UP_S = 0.4
 # Seconds before the store is asked again for a lot that couldn't be read.
 _READ_PAUSE_S = 0.2
-# Seconds for keeping the text of unfinished items at a graceful end; a write
+# Seconds for one round of keeping texts, also at a graceful end; a write
 # of the store takes milliseconds, and requests go on being served meanwhile.
-_HAND_OVER_S = 1.0
+_KEEPING_S = 1.0
 # Seconds between keeping texts: what a holder's death may cost a step that is
 # due in 7.5 s, against a write of each open lot.
 _KEEP_S = 1.0
@@ -225,9 +225,9 @@
             self._held.clear()
             self._scopes.clear()
 
-    async def hand_over(self) -> None:
+    async def keep_texts(self) -> None:
         """Keeps the text of unfinished items in the store."""
-        with anyio.move_on_after(_HAND_OVER_S):
+        with anyio.move_on_after(_KEEPING_S):
             async with anyio.create_task_group() as tasks:
                 for lot_id in self._core.open_lots:
                     tasks.start_soon(self._save_progress, lot_id)
@@ -253,7 +253,7 @@
         """Keeps texts now and then, for the case that this daemon dies."""
         while True:
             await anyio.sleep(_KEEP_S)
-            await self.hand_over()
+            await self.keep_texts()
 
     def _tick(self) -> None:
         tools = self._tools
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -488,7 +488,7 @@
         self.log.note("stop", open_requests=self.app.open_requests)
         self._is_draining = True
         self.app.is_draining = True
-        await self.holder.hand_over()
+        await self.holder.keep_texts()
         for duty in (self.rollouts, self.accounts):
             duty.set_leaving()
             await duty.release()
