Share the loop of controllers that are bound to a duty

Cause: four controllers wrote the same loop around a duty, two of them the same verification of a watch. A lot that its trainer never ended is kept 20 times longer than an ended one, as it counts as open. Check replaced: the common checks looked at direct subclasses of a base only and called an abstract class between a fault; they now walk all classes below a base, so that more are checked, and an abstract class without a subclass still fails.

--- a/daisyhub/billing/_controller.py
+++ b/daisyhub/billing/_controller.py
@@ -3,7 +3,6 @@
 import anyio
 import msgspec
 
-from daisyhub.base import Controller
 from daisyhub.billing._book import UsageBook
 from daisyhub.billing._desk import DeskOutcome, OrderDesk
 from daisyhub.billing._window_core import (
@@ -15,6 +14,7 @@
     WindowSealed,
     WindowTick,
 )
+from daisyhub.duty_bound import DutyBoundController
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import (
     ObjectConflictError,
@@ -27,8 +27,6 @@
 _SEALS_KIND = "usage-windows"
 # Seconds between looks at the windows.
 _TICK_S = 0.25
-# Seconds between looks at a duty that others have.
-_IDLE_S = 0.5
 # Windows after which a seal is deleted; nobody reports one that old.
 _KEPT_SEALS = 24
 
@@ -39,7 +37,7 @@
     counts: dict[str, int]
 
 
-class UsageReporter(Controller):
+class UsageReporter(DutyBoundController):
     """Reports what all daemons counted.
 
     Args:
@@ -68,7 +66,7 @@
         late_s: float,
         log: DecisionLog,
     ):
-        self._duty = duty
+        super().__init__(duty)
         self._book = book
         self._live = live
         self._store = store
@@ -84,15 +82,8 @@
         """Tells the windows that wait for their report."""
         return {"waiting": list(self._core.open_windows)}
 
-    async def run(self) -> None:
-        """Reports whenever the duty is here, until cancelled."""
-        while True:
-            if self._duty.fencing:
-                await self._hold()
-            with anyio.move_on_after(_IDLE_S):
-                await self._duty.changed.wait()
-
-    async def _hold(self) -> None:
+    async def hold(self) -> None:
+        """Works until the duty is lost; see `DutyBoundController.hold`."""
         self._core = WindowCore(self._window_s, self._late_s)
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from daisyhub.balancing import EndpointDirectory
-from daisyhub.base import Controller
 from daisyhub.catalog import ManifestController
 from daisyhub.cluster import (
     LotAnswer,
@@ -20,6 +19,7 @@
     TrueClock,
 )
 from daisyhub.duties import DutyController
+from daisyhub.duty_bound import DutyBoundController
 from daisyhub.logs import DecisionLog
 from daisyhub.lots._dispatch_core import DispatchCore
 from daisyhub.lots._listing_core import (
@@ -58,8 +58,6 @@
 
 # Seconds between looks at silent runs and free slots; a few events' time.
 _TICK_S = 0.1
-# Seconds between looks at a duty that others have.
-_IDLE_S = 0.5
 # Seconds between looks at the end of a list that another daemon may have
 # extended; what was read anywhere must be readable everywhere within a second.
 _LOOK_UP_S = 0.4
@@ -79,6 +77,8 @@
 _VERIFY_S = 1.5
 # Seconds between looks for lots that may be deleted.
 _DELETE_S = 10.0
+# How many times longer a lot is kept that its trainer never ended.
+_FORGOTTEN = 20
 # Seconds beyond the time for which a lot must stay readable.
 _DELETE_MARGIN_S = 60.0
 
@@ -143,7 +143,7 @@
     news: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
-class LotHolder(Controller):
+class LotHolder(DutyBoundController):
     """Holds every open lot while the duty is this daemon's.
 
     Args:
@@ -154,7 +154,7 @@
     name = "lot_holder"
 
     def __init__(self, duty: DutyController, tools: HolderTools):
-        self._duty = duty
+        super().__init__(duty)
         self._tools = tools
         self._core = DispatchCore()
         self._held: dict[str, _Held] = {}
@@ -194,15 +194,7 @@
             "waiting": self._core.waiting_items,
         }
 
-    async def run(self) -> None:
-        """Holds lots whenever the duty is here, until cancelled."""
-        while True:
-            if self._duty.fencing:
-                await self._hold()
-            with anyio.move_on_after(_IDLE_S):
-                await self._duty.changed.wait()
-
-    async def _hold(self) -> None:
+    async def hold(self) -> None:
         """Holds lots until the duty is lost."""
         watcher = KindWatcher(
             self._tools.store, LOTS_KIND, self._tools.log, self._on_lot
@@ -212,7 +204,7 @@
                 self._tasks = tasks
                 self._held_since_s = time.monotonic()
                 tasks.start_soon(watcher.run)
-                tasks.start_soon(self._verify, watcher)
+                tasks.start_soon(self.verify, watcher, _VERIFY_S)
                 tasks.start_soon(self._delete_old, watcher)
                 tasks.start_soon(self._keep_progress)
                 while self._duty.fencing:
@@ -549,11 +541,6 @@
             case LotEndTold(lot_id):
                 self.end(lot_id)
 
-    async def _verify(self, watcher: KindWatcher) -> None:
-        while True:
-            await anyio.sleep(_VERIFY_S)
-            await watcher.verify()
-
     async def _delete_old(self, watcher: KindWatcher) -> None:
         """Deletes lots that need no longer be readable."""
         while True:
@@ -562,9 +549,10 @@
             limit_s = self._tools.status_s + _DELETE_MARGIN_S
             for found in list(watcher.objects.values()):
                 held = self._held.get(found.name)
-                if held is None or now_s - held.head.accepted_s < limit_s:
+                if held is None:
                     continue
-                if not held.is_ended and not held.listing.is_whole:
+                kept_s = limit_s if held.is_ended else _FORGOTTEN * limit_s
+                if now_s - held.head.accepted_s < kept_s:
                     continue
                 with contextlib.suppress(ObjectStoreError):
                     await self._tools.lots.delete(
--- a/daisyhub/platform/_retirements.py
+++ b/daisyhub/platform/_retirements.py
@@ -7,8 +7,8 @@
 import anyio
 import msgspec
 
-from daisyhub.base import Controller
 from daisyhub.duties import DutyController
+from daisyhub.duty_bound import DutyBoundController
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import (
     KindWatcher,
@@ -30,7 +30,7 @@
     state: str
 
 
-class Retirements(Controller):
+class Retirements(DutyBoundController):
     """Answers while this daemon has the duty.
 
     Args:
@@ -44,7 +44,7 @@
     def __init__(
         self, duty: DutyController, store: ObjectStore, log: DecisionLog
     ):
-        self._duty = duty
+        super().__init__(duty)
         self._store = store
         self._log = log
         self._waiting: set[str] = set()
@@ -53,14 +53,8 @@
         """Tells the machines whose request isn't answered."""
         return {"waiting": sorted(self._waiting)}
 
-    async def run(self) -> None:
-        """Answers until cancelled."""
-        while True:
-            if self._duty.fencing:
-                await self._hold()
-            await anyio.sleep(_PAUSE_S)
-
-    async def _hold(self) -> None:
+    async def hold(self) -> None:
+        """Works until the duty is lost; see `DutyBoundController.hold`."""
         watcher = KindWatcher(self._store, _KIND, self._log, self._on_request)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watcher.run)
--- a/daisyhub/tests/test_common_checks.py
+++ b/daisyhub/tests/test_common_checks.py
@@ -23,10 +23,18 @@
             importlib.import_module(found.name)
 
 
+def descendants(base):
+    """All classes below a base; abstract ones only if nothing derives."""
+    for kind in base.__subclasses__():
+        if not inspect.isabstract(kind) or not kind.__subclasses__():
+            yield kind
+        yield from descendants(kind)
+
+
 def implementations(base):
     import_all()
     found = []
-    for kind in base.__subclasses__():
+    for kind in dict.fromkeys(descendants(base)):
         if kind.__module__.startswith("daisyhub.") and ".tests" not in str(
             kind.__module__
         ):
--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -7,9 +7,9 @@
 import anyio
 
 from daisyhub.balancing import Endpoint, EndpointDirectory
-from daisyhub.base import Controller
 from daisyhub.catalog import ManifestController
 from daisyhub.duties import DutyController
+from daisyhub.duty_bound import DutyBoundController
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import KindWatcher, ObjectStore, StoredObject
 from daisyhub.weights._port import (
@@ -38,8 +38,6 @@
 # Seconds between lists of the versions beside their watch; a version that is
 # seen later keeps a trainer's next step waiting.
 _VERIFY_S = 1.5
-# Seconds between looks at a duty that others have.
-_IDLE_S = 0.5
 
 
 class VersionReader(abc.ABC):
@@ -56,7 +54,7 @@
         """
 
 
-class WeightStager(Controller):
+class WeightStager(DutyBoundController):
     """Orders engines to load what trainers name.
 
     Args:
@@ -89,7 +87,7 @@
         loads_share: float,
         log: DecisionLog,
     ):
-        self._duty = duty
+        super().__init__(duty)
         self._holder = holder
         self._store = store
         self._reader = reader
@@ -116,15 +114,8 @@
             "serves": dict(self._serves),
         }
 
-    async def run(self) -> None:
-        """Orders whenever the duty is here, until cancelled."""
-        while True:
-            if self._duty.fencing:
-                await self._hold()
-            with anyio.move_on_after(_IDLE_S):
-                await self._duty.changed.wait()
-
-    async def _hold(self) -> None:
+    async def hold(self) -> None:
+        """Works until the duty is lost; see `DutyBoundController.hold`."""
         watcher = KindWatcher(
             self._store, self._reader.kind, self._log, self._on_version
         )
@@ -132,7 +123,7 @@
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 tasks.start_soon(watcher.run)
-                tasks.start_soon(self._verify, watcher)
+                tasks.start_soon(self.verify, watcher, _VERIFY_S)
                 while self._duty.fencing:
                     self._look()
                     await anyio.sleep(_TICK_S)
@@ -142,11 +133,6 @@
             self._cores.clear()
             self._named.clear()
 
-    async def _verify(self, watcher: KindWatcher) -> None:
-        while True:
-            await anyio.sleep(_VERIFY_S)
-            await watcher.verify()
-
     def _on_version(self, found: StoredObject) -> None:
         if found.is_deleted:
             return
