--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -71,7 +71,7 @@
         log: Where decisions are noted.
     """
 
-    name = "weights"
+    name = "weight_stages"
 
     def __init__(
         self,
