--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 bench: $(STAMP)
 	$(PY) -m benchmarks.hop
+	$(PY) -m benchmarks.fleet_daemon
 
 prove: $(STAMP)
 	DAISYHUB_EXAMPLES=$(EXAMPLES) DAISYHUB_SEED=$(SEED) \
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -167,7 +167,7 @@
         body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
         await self.http.request(
             "PUT",
-            self._address("platform"),
+            self.address("platform"),
             f"/v1/objects/{kind}/{name}",
             body=body,
             timeout_s=5.0,
@@ -177,7 +177,7 @@
         """Makes a stand-in misbehave; None ends all its faults."""
         await self.http.request(
             "POST" if fault else "DELETE",
-            self._address(name),
+            self.address(name),
             "/faults",
             body=msgspec.json.encode(fault),
             timeout_s=5.0,
@@ -211,7 +211,7 @@
         """Calls a daemon as a client, on a connection of its own."""
         return await self.http.request(
             method,
-            self._address(f"{daemon}/front"),
+            self.address(f"{daemon}/front"),
             target,
             headers=(
                 (b"host", b"a.example"),
@@ -304,13 +304,14 @@
         address = Address(ip=_LOOPBACK, port=port)
         return await self.http.request("GET", address, target, timeout_s=2.0)
 
-    def _address(self, name: str) -> Address:
+    def address(self, name: str) -> Address:
+        """Returns where a stand-in or one of a daemon's listeners is."""
         return Address(ip=_LOOPBACK, port=self.ports[name])
 
     def _entry(self, name: str) -> dict:
         return {
             "service": "s",
-            "address": str(self._address(name)),
+            "address": str(self.address(name)),
             "zone": "z1",
             "slots": 4,
             "state": "ready",
@@ -335,8 +336,8 @@
             "peer": at("peer"),
             "metrics_port": self.ports[f"{name}/metrics"],
             "seeds": [at("peer", d) for d in self.daemon_names[:3]],
-            "store": str(self._address("platform")),
-            "order_desk": str(self._address("platform")),
+            "store": str(self.address("platform")),
+            "order_desk": str(self.address("platform")),
             "usage_window_s": 1.0,
             "usage_late_s": 2.0,
         }
