Stop an endless move of engines between models

Cause: with equal demand, 19 engines and 4 models, one model was short by 0.75 of an engine and the others over by 0.25. Moving one engine mirrored the picture, so _move_surplus never returned and the holder of the rollouts stood still (858,078 calls of its ranking function a daemon within 19 s in a trial with call counts). Ruled out: pings and watches of 55 daemons (about 880 messages each in the same 19 s). Change: a move must lower what both models are off by at least a quarter of an engine; at most one move an engine.

--- a/daisyhub/weights/_sharing.py
+++ b/daisyhub/weights/_sharing.py
@@ -11,6 +11,9 @@
 
 # Share of an engine by which a model must be short before it gets another.
 _SLACK = 0.75
+# Engines by which a move must lower what its two models are off together.
+# Above zero, so that moving an engine back is never worth it.
+_LEAST_GAIN = 0.25
 
 
 def share_engines(
@@ -55,12 +58,13 @@
 
 
 def _move_surplus(ids, models, wanted, shared, counts) -> None:
-    """Moves engines while one model is short by most of an engine."""
-    while True:
+    """Moves engines to models that are short by most of an engine."""
+    for _ in ids:
         poor = max(models, key=lambda m: (wanted[m] - counts[m], m))
         rich = min(models, key=lambda m: (wanted[m] - counts[m], m))
-        is_short = wanted[poor] - counts[poor] >= _SLACK
-        if not is_short or counts[rich] - wanted[rich] < 1 - _SLACK:
+        short = wanted[poor] - counts[poor]
+        gain = short + counts[rich] - wanted[rich] - 1
+        if short < _SLACK or gain < _LEAST_GAIN:
             return
         moved = next(e for e in reversed(ids) if shared[e] == rich)
         shared[moved] = poor
--- a/daisyhub/weights/tests/test_stage_core.py
+++ b/daisyhub/weights/tests/test_stage_core.py
@@ -146,6 +146,16 @@
     def test_too_few_engines_serve_all_models(self):
         self.assertEqual(share_engines("a", {"x": 1.0, "y": 1.0}, {}), {})
 
+    def test_equal_demand_that_engines_do_not_divide_settles(self):
+        # Found on a pool of 19: one model was short by 0.75 of an engine,
+        # the others were over by 0.25, and an engine moved without end.
+        for engines in range(1, 40):
+            ids = [f"e{n}" for n in range(engines)]
+            for models in range(1, 9):
+                demand = {f"m{n}": 1.0 for n in range(models)}
+                shared = share_engines(ids, demand, {})
+                self.assertEqual(share_engines(ids, demand, shared), shared)
+
     def test_it_ends_for_any_demand(self):
         for engines in range(1, 12):
             ids = [f"e{n}" for n in range(engines)]
