Spend fewer store calls on a large deployment; place duties on fast machines

Counted on the small twin: watches of servers, daemons and the manifest made most of them, and every daemon heard each other's record. The holder of all lots ran on whichever machine hashed first, also the slowest. With more than 24 daemons, pings in turn came later than the silence limit of 1.2 s, so that daemons lost and regained each other all the time. Change: daemons list each other once instead of watching; a daemon without a duty watches with the cheap kind while it hears a holder that would tell of changes by ping; duties go to machines with three quarters of the fastest one's processor; holders are pinged by all and ping all, the others in turn with a silence limit that fits the turns; no list beside a watch while changes gather.

--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -15,6 +15,7 @@
     StoreAsked,
 )
 from daisyhub.cluster._peers import PeerState, PeerTable
+from daisyhub.cluster._ping_plan import PingPlan, silent_after_s
 from daisyhub.cluster._store_calls import PeerCarrier, StoreCallee
 from daisyhub.cluster._true_clock import TrueClock
 from daisyhub.cluster._verifier import WatchVerifier
@@ -33,9 +34,11 @@
     "PeerState",
     "PeerTable",
     "Ping",
+    "PingPlan",
     "StoreAnswer",
     "StoreAsked",
     "StoreCallee",
     "TrueClock",
     "WatchVerifier",
+    "silent_after_s",
 ]
--- a/daisyhub/cluster/_controller.py
+++ b/daisyhub/cluster/_controller.py
@@ -10,6 +10,7 @@
 from daisyhub.catalog import ManifestController
 from daisyhub.cluster._messages import ManifestAnswer, ManifestAsked, Ping
 from daisyhub.cluster._peers import PeerTable
+from daisyhub.cluster._ping_plan import PING_S, PingPlan
 from daisyhub.cluster._true_clock import TrueClock
 from daisyhub.exceptions import DaisyhubError
 from daisyhub.logs import DecisionLog
@@ -27,12 +28,10 @@
 __all__ = ["ClusterController"]
 
 DAEMONS_KIND = "daemons"
-# Seconds between pings: a third of the time after which silence counts.
-_PING_S = 0.4
 _CALL_TIMEOUT_S = 0.5
 _REGISTER_PAUSE_S = 1.0
-# Most daemons that one daemon pings; bounds the cost at any size.
-_MOST_PINGED = 24
+# Seconds between looks at the store's list while no other daemon is heard.
+_LONELY_LOOK_S = 2.0
 
 
 class _DaemonRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -85,7 +84,7 @@
         self._log = log
         self._addresses: dict[str, str] = {}
         self._watchers: tuple[KindWatcher, ...] = ()
-        self._turn = 0
+        self._plan = PingPlan()
         self._is_fetching = False
 
     def set_watchers(self, watchers: tuple[KindWatcher, ...]) -> None:
@@ -105,15 +104,15 @@
         }
 
     async def run(self) -> None:
-        """Registers and pings until cancelled."""
+        """Registers, finds the others and pings until cancelled."""
         for number, seed in enumerate(self._seeds):
             if seed != self._own_address:
                 self._network.set_address(f"seed {number}", seed)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._register)
+            tasks.start_soon(self._find_others)
             while True:
                 self.ping_all()
-                await anyio.sleep(_PING_S)
+                await anyio.sleep(PING_S)
                 for daemon_id in self._peers.note_time():
                     self._addresses.pop(daemon_id, None)
                     self._network.drop_address(daemon_id)
@@ -125,12 +124,15 @@
         ping = msgspec.structs.replace(
             self._make_ping(), peers=dict(self._addresses)
         )
-        names = sorted(self._addresses)
-        if len(names) > _MOST_PINGED:
-            start = self._turn * _MOST_PINGED % len(names)
-            names = (names + names)[start : start + _MOST_PINGED]
-            self._turn += 1
-        unheard = not self._peers.live()
+        has_duty = bool(ping.duties)
+        self._peers.set_has_duty(has_duty)
+        live = self._peers.live()
+        names = self._plan.choose(
+            sorted(self._addresses),
+            {peer.daemon_id for peer in live if peer.ping.duties},
+            has_duty=has_duty,
+        )
+        unheard = not live
         seeds = [f"seed {n}" for n in range(len(self._seeds))]
         for name in [*names, *(seeds if unheard else ())]:
             self._network.send(name, ping)
@@ -165,10 +167,28 @@
             newest = message.newest.get(watcher.kind, 0)
             watcher.note_peer_revision(newest, now_s)
 
-    def on_daemon(self, found: StoredObject) -> None:
+    async def _find_others(self) -> None:
+        """Writes the own object, then reads those of the others.
+
+        Of two daemons, the one that wrote later finds the other and pings
+        it; so neither needs to watch.
+        """
+        await self._register()
+        while True:
+            try:
+                listed = await self._store.list_all(DAEMONS_KIND)
+            except ObjectStoreError as exc:
+                self._log.note("daemons_not_listed", reason=str(exc))
+                await anyio.sleep(_REGISTER_PAUSE_S)
+                continue
+            for found in listed.items:
+                self._note_daemon(found)
+            await anyio.sleep(_LONELY_LOOK_S)
+            while self._peers.live():
+                await anyio.sleep(_LONELY_LOOK_S)
+
+    def _note_daemon(self, found: StoredObject) -> None:
         """Takes a daemon's object from the store."""
-        if found.is_deleted:
-            return
         try:
             record = msgspec.json.decode(found.spec, type=_DaemonRecord)
         except msgspec.DecodeError as exc:
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -34,6 +34,7 @@
         newest: Revision of the newest change that it saw, by kind.
         duties: Fencing numbers of the duties that it holds.
         usage: What it counted in recent windows.
+        speed: Its machine's processor, in cores.
         closed_before: The first window whose counts may still rise there.
         peers: Addresses of the daemons that it hears, by id.
     """
@@ -41,6 +42,7 @@
     domain: str
     address: str
     wall_s: float
+    speed: float = 0.0
     is_leaving: bool = False
     reaches_store: bool = False
     manifest_revision: int = 0
--- a/daisyhub/cluster/_peers.py
+++ b/daisyhub/cluster/_peers.py
@@ -4,13 +4,11 @@
 import time
 
 from daisyhub.cluster._messages import Ping
+from daisyhub.cluster._ping_plan import silent_after_s
 from daisyhub.logs import DecisionLog
 
 __all__ = ["PeerState", "PeerTable"]
 
-# Seconds without a ping after which a daemon counts as silent: three pings,
-# and well under the time in which a lot's step is due.
-SILENT_S = 1.2
 # Seconds after which a silent daemon is forgotten; it may have been removed.
 _FORGET_S = 60.0
 
@@ -45,6 +43,11 @@
         self._log = log
         self._peers: dict[str, PeerState] = {}
         self._silent: set[str] = set()
+        self._has_duty = False
+
+    def set_has_duty(self, has_duty: bool) -> None:
+        """Notes whether this daemon has a duty, so that all ping it often."""
+        self._has_duty = has_duty
 
     def note_ping(self, daemon_id: str, incarnation: int, ping: Ping) -> bool:
         """Takes a ping; returns whether its sender is new or came back."""
@@ -73,17 +76,20 @@
         return [
             self._peers[key]
             for key in sorted(self._peers)
-            if now_s - self._peers[key].heard_at_s <= SILENT_S
+            if self._is_heard(self._peers[key], now_s)
         ]
 
+    def _is_heard(self, peer: PeerState, now_s: float) -> bool:
+        has_duty = self._has_duty or bool(peer.ping.duties)
+        limit_s = silent_after_s(len(self._peers), has_duty=has_duty)
+        return now_s - peer.heard_at_s <= limit_s
+
     def is_live(self, daemon_id: str) -> bool:
         """Whether a daemon pinged lately; this daemon always did."""
         if daemon_id == self.own_id:
             return True
         peer = self._peers.get(daemon_id)
-        if peer is None:
-            return False
-        return time.monotonic() - peer.heard_at_s <= SILENT_S
+        return peer is not None and self._is_heard(peer, time.monotonic())
 
     def silent_domains(self) -> frozenset[str]:
         """Returns the failure domains of which no daemon is heard."""
@@ -99,13 +105,20 @@
         holders = [p for p in self.live() if duty in p.ping.duties]
         return max(holders, key=lambda p: p.ping.duties[duty], default=None)
 
+    def hears_holder(self) -> bool:
+        """Whether a live daemon with a duty reaches the store."""
+        return any(
+            peer.ping.duties and peer.ping.reaches_store for peer in self.live()
+        )
+
     def note_time(self) -> list[str]:
         """Notes who fell silent; returns the ids of daemons forgotten now."""
         now_s = time.monotonic()
         forgotten = []
         for daemon_id, peer in list(self._peers.items()):
             quiet_s = now_s - peer.heard_at_s
-            if quiet_s > SILENT_S and daemon_id not in self._silent:
+            is_heard = self._is_heard(peer, now_s)
+            if not is_heard and daemon_id not in self._silent:
                 self._silent.add(daemon_id)
                 self._log.note(
                     "peer_lost",
--- a/daisyhub/cluster/_store_calls.py
+++ b/daisyhub/cluster/_store_calls.py
@@ -97,8 +97,14 @@
         return ObjectList(revision=answer.revision, items=answer.items)
 
     async def watch(
-        self, kind: str, *, after_revision: int, wait_s: float
+        self,
+        kind: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        may_be_late: bool = False,
     ) -> WatchBatch:
+        del may_be_late  # The few calls that peers carry are never late.
         asked = StoreAsked(
             verb="watch", kind=kind, revision=after_revision, wait_s=wait_s
         )
--- /dev/null
+++ b/daisyhub/cluster/tests/test_cluster_controller.py
@@ -0,0 +1,115 @@
+"""Daemons find each other without watching, and hear who has a duty."""
+
+import types
+import unittest
+from unittest import mock
+
+import anyio
+import msgspec
+
+from daisyhub.cluster import ClusterController, PeerTable, Ping, TrueClock
+from daisyhub.logs import DecisionLog
+from daisyhub.settings import Address
+from daisyhub.testing.object_store import Fault, MemoryStore
+
+LOG = DecisionLog("d", write=lambda _: True)
+
+
+class FakeNetwork:
+    """Delivers pings between controllers in one process."""
+
+    def __init__(self, hub, own_id):
+        self._hub = hub
+        self._own_id = own_id
+        self._addresses = {}
+
+    def set_address(self, name, address):
+        self._addresses[name] = address
+
+    def drop_address(self, name):
+        self._addresses.pop(name, None)
+
+    def send(self, name, message):
+        receiver = self._hub.get(str(self._addresses[name]))
+        envelope = types.SimpleNamespace(sender=self._own_id, incarnation=1)
+        if receiver is not None:
+            receiver.receive(envelope, message)
+
+
+def new_daemon(hub, store, number):
+    address = Address(ip="127.0.0.1", port=9000 + number)
+    peers = PeerTable(f"d{number}", LOG)
+    controller = ClusterController(
+        peers.own_id,
+        address,
+        (),
+        FakeNetwork(hub, peers.own_id),
+        peers,
+        TrueClock(),
+        types.SimpleNamespace(revision=0),
+        store,
+        lambda: Ping(domain="z", address=str(address), wall_s=0.0),
+        LOG,
+    )
+    hub[str(address)] = controller
+    return controller, peers
+
+
+class ClusterControllerTest(unittest.IsolatedAsyncioTestCase):
+    async def meet(self, store, count):
+        hub = {}
+        daemons = [new_daemon(hub, store, n) for n in range(count)]
+        async with anyio.create_task_group() as tasks:
+            for controller, _ in daemons:
+                tasks.start_soon(controller.run)
+            with anyio.fail_after(10):
+                while any(len(p.live()) < count - 1 for _, p in daemons):
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    async def test_daemons_that_start_together_find_each_other(self):
+        store = MemoryStore()
+        await self.meet(store, 8)
+        self.assertEqual(store.calls["watch"], 0)
+        self.assertEqual(store.calls["create"], 8)
+
+    async def test_a_list_that_fails_is_asked_for_again(self):
+        store = MemoryStore()
+        store.fail_next("list_all", Fault.REFUSED, Fault.REFUSED)
+        await self.meet(store, 3)
+
+
+class PeerTableTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 100.0
+        clock = mock.patch("time.monotonic", lambda: self.now_s)
+        clock.start()
+        self.addCleanup(clock.stop)
+        self.peers = PeerTable("own", LOG)
+
+    def hear(self, name, **told):
+        ping = Ping(domain="z", address="127.0.0.1:1", wall_s=0.0, **told)
+        self.peers.note_ping(name, 1, ping)
+
+    def test_many_daemons_ping_in_turn_and_count_as_live_meanwhile(self):
+        for number in range(54):
+            self.hear(f"d{number}")
+        self.hear("holder", duties={"rollouts": 1}, reaches_store=True)
+        self.now_s += 2.0
+        live = {peer.daemon_id for peer in self.peers.live()}
+        self.assertEqual(len(live), 54)
+        self.assertNotIn("holder", live)
+        self.assertFalse(self.peers.hears_holder())
+
+    def test_a_holder_that_reaches_the_store_tells_of_changes(self):
+        self.hear("a", duties={"rollouts": 1}, reaches_store=False)
+        self.assertFalse(self.peers.hears_holder())
+        self.hear("b", duties={"accounts": 1}, reaches_store=True)
+        self.assertTrue(self.peers.hears_holder())
+
+
+class PingTest(unittest.TestCase):
+    def test_a_ping_of_an_older_release_is_read(self):
+        old = {"type": "ping", "domain": "z", "address": "", "wall_s": 0.0}
+        ping = msgspec.msgpack.decode(msgspec.msgpack.encode(old), type=Ping)
+        self.assertEqual(ping.speed, 0.0)
--- a/daisyhub/duties/__init__.py
+++ b/daisyhub/duties/__init__.py
@@ -1,6 +1,6 @@
 """Duties that one daemon at a time has, with a number that rises."""
 
-from daisyhub.duties._controller import DutyController
+from daisyhub.duties._controller import DutyController, choose_candidate
 from daisyhub.duties._core import (
     DutyCallFailed,
     DutyCore,
@@ -22,4 +22,5 @@
     "DutyTick",
     "ReadDuty",
     "WriteDuty",
+    "choose_candidate",
 ]
--- a/daisyhub/duties/_controller.py
+++ b/daisyhub/duties/_controller.py
@@ -1,5 +1,7 @@
 """Carries out a duty core's decisions."""
 
+from collections.abc import Mapping
+
 import anyio
 import msgspec
 
@@ -25,7 +27,7 @@
     StoredObject,
 )
 
-__all__ = ["DutyController"]
+__all__ = ["DutyController", "choose_candidate"]
 
 DUTIES_KIND = "duties"
 # Seconds between looks at the peers; half of a ping's interval.
@@ -33,6 +35,9 @@
 # Seconds after the start during which a daemon that hears no peer takes no
 # duty: peers that start with it are heard within this time.
 _SETTLE_S = 1.5
+# Part of the fastest machine's processor that a machine needs to take a duty
+# while faster ones are heard: a holder does the work of all lots.
+_FAST_ENOUGH = 0.75
 
 
 class DutyController(Controller):
@@ -43,6 +48,7 @@
         core: Decides.
         store: Where the record lies.
         peers: Tells who lives and who holds what.
+        speed: The processor of this daemon's machine, in cores.
         log: Where changes are noted.
     """
 
@@ -54,12 +60,14 @@
         core: DutyCore,
         store: ObjectStore,
         peers: PeerTable,
+        speed: float,
         log: DecisionLog,
     ):
         self.duty = duty
         self._core = core
         self._store = store
         self._peers = peers
+        self._speed = speed
         self._log = log
         self._started_s = boot_time_s()
         self._told = 0
@@ -141,9 +149,11 @@
         known = len(self._peers.all()) + 1
         if 2 * (len(live) + 1) < known:
             return False
-        staying = [p.daemon_id for p in live if not p.ping.is_leaving]
-        ranked = rank_candidates(self.duty, [self._peers.own_id, *staying])
-        return ranked[0] == self._peers.own_id
+        speeds = {
+            p.daemon_id: p.ping.speed for p in live if not p.ping.is_leaving
+        }
+        speeds[self._peers.own_id] = self._speed
+        return choose_candidate(self.duty, speeds) == self._peers.own_id
 
     async def _carry_out(self, action: ReadDuty | WriteDuty) -> object:
         try:
@@ -194,3 +204,18 @@
         self._told = fencing
         self.changed.set()
         self.changed = anyio.Event()
+
+
+def choose_candidate(duty: str, speeds: Mapping[str, float]) -> str:
+    """Returns the daemon that should take a duty.
+
+    Answers the load of all lots at one daemon: a slow machine would serve
+    them late. Duties spread over the fast machines.
+
+    Args:
+        duty: Name of the duty.
+        speeds: Processors of the daemons that may take it, in cores.
+    """
+    least = _FAST_ENOUGH * max(speeds.values())
+    fast = [name for name, speed in speeds.items() if speed >= least]
+    return rank_candidates(duty, fast)[0]
--- a/daisyhub/fleet_settings.py
+++ b/daisyhub/fleet_settings.py
@@ -37,6 +37,9 @@
         usage_window_s: Length of a usage window.
         usage_late_s: Time after a window's end by which its report is due.
         status_s: How long a lot stays readable after its acceptance.
+        processor_share: Part of the time in which the machine's processor
+            works for this daemon.
+        processor_cores: How many times as fast as one core it is then.
         loads_share: Share of a pool's engines that load weights at one time.
         call_timeout_s: Longest wait for an answer of the store.
         connection_idle_s: An idle connection older than this is closed.
@@ -59,6 +62,8 @@
     usage_window_s: Annotated[float, Range(0.5, 86400, "s")] = 5.0
     usage_late_s: Annotated[float, Range(0.5, 86400, "s")] = 10.0
     status_s: Annotated[float, Range(1, 86400, "s")] = 120.0
+    processor_share: Annotated[float, Range(0.001, 1000)] = 1.0
+    processor_cores: Annotated[float, Range(0.001, 1000)] = 1.0
     loads_share: Annotated[float, Range(0.01, 1)] = 0.4
     call_timeout_s: Annotated[float, Range(0.05, 30, "s")] = 0.7
     connection_idle_s: Annotated[float, Range(0.1, 600, "s")] = 30.0
@@ -69,6 +74,11 @@
         """Where the peer socket listens."""
         return address_of(self.peer)
 
+    @property
+    def processor_speed(self) -> float:
+        """The processor of this daemon's machine, in cores."""
+        return self.processor_share * self.processor_cores
+
     @property
     def peers(self) -> tuple[PeerSettings, ...]:
         """Peers known from the settings: none, they are found in the store."""
--- a/daisyhub/objects/_base.py
+++ b/daisyhub/objects/_base.py
@@ -109,10 +109,22 @@
 
     @abc.abstractmethod
     async def watch(
-        self, kind: str, *, after_revision: int, wait_s: float
+        self,
+        kind: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        may_be_late: bool = False,
     ) -> WatchBatch:
         """Waits up to `wait_s` for changes of a kind.
 
+        Args:
+            kind: Their kind.
+            after_revision: The revision that the caller knows.
+            wait_s: Longest wait.
+            may_be_late: Whether changes may be told seconds late, which
+                costs the store less.
+
         Raises:
             HistoryGoneError: List again instead.
         """
--- a/daisyhub/objects/_relayed.py
+++ b/daisyhub/objects/_relayed.py
@@ -75,13 +75,20 @@
         return await self._call(lambda store: store.list_all(kind))
 
     async def watch(
-        self, kind: str, *, after_revision: int, wait_s: float
+        self,
+        kind: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        may_be_late: bool = False,
     ) -> WatchBatch:
         """Waits for changes; see `ObjectStore.watch`."""
 
         def watch_at(store: ObjectStore) -> Awaitable[WatchBatch]:
             if store is self._direct:
-                return self._watch_directly(kind, after_revision, wait_s)
+                return self._watch_directly(
+                    kind, after_revision, wait_s, may_be_late
+                )
             return store.watch(
                 kind,
                 after_revision=after_revision,
@@ -91,7 +98,11 @@
         return await self._call(watch_at, is_telling=False)
 
     async def _watch_directly(
-        self, kind: str, after_revision: int, wait_s: float
+        self,
+        kind: str,
+        after_revision: int,
+        wait_s: float,
+        may_be_late: bool,
     ) -> WatchBatch:
         """Waits at the store itself, as long as other calls reach it.
 
@@ -102,7 +113,10 @@
             self._direct_watches.add(scope)
             try:
                 return await self._direct.watch(
-                    kind, after_revision=after_revision, wait_s=wait_s
+                    kind,
+                    after_revision=after_revision,
+                    wait_s=wait_s,
+                    may_be_late=may_be_late,
                 )
             finally:
                 self._direct_watches.discard(scope)
--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -40,6 +40,8 @@
         on_change: Called with each new, changed or deleted object.
         gather_s: Returns for how long changes may gather after each watch
             that brought some; a call brings all of them then.
+        may_be_late: Whether the store may tell changes late, as peers tell
+            that there are some.
     """
 
     name = "watch"
@@ -51,6 +53,7 @@
         log: DecisionLog,
         on_change: Listener,
         gather_s: Callable[[], float] = lambda: 0.0,
+        may_be_late: Callable[[], bool] = lambda: False,
     ):
         self.name = f"watch-{kind}"
         self._store = store
@@ -58,11 +61,13 @@
         self._log = log
         self._on_change = on_change
         self._gather_s = gather_s
+        self._may_be_late = may_be_late
         self._objects: dict[str, StoredObject] = {}
         self._revision: int | None = None
         self._failed_since_s: float | None = None
         self._newest = 0
         self._behind_since_s: float | None = None
+        self._is_gathering = False
         self._waiting: anyio.CancelScope | None = None
         self.synced = anyio.Event()
 
@@ -92,7 +97,8 @@
         A peer that stays ahead shows that the call waiting here no longer
         hears the store; it is then made anew on another connection.
         """
-        if revision <= self._newest:
+        if revision <= self._newest or self._is_gathering:
+            # While changes gather, the next watch brings what is missing.
             return
         if self._behind_since_s is None:
             self._behind_since_s = now_s
@@ -170,7 +176,10 @@
             return
         with anyio.CancelScope() as self._waiting:
             batch = await self._store.watch(
-                self._kind, after_revision=self._revision, wait_s=_WATCH_WAIT_S
+                self._kind,
+                after_revision=self._revision,
+                wait_s=_WATCH_WAIT_S,
+                may_be_late=self._may_be_late(),
             )
         if self._waiting.cancelled_caught or self._revision is None:
             return
@@ -179,7 +188,15 @@
             self._adopt(change)
         self._revision = max(self._revision, batch.revision)
         if batch.changes:
+            await self._gather()
+
+    async def _gather(self) -> None:
+        self._is_gathering = True
+        try:
             await anyio.sleep(self._gather_s())
+        finally:
+            self._is_gathering = False
+            self._behind_since_s = None
 
     def _adopt_list(self, items: tuple[StoredObject, ...]) -> None:
         """Takes over a whole list; what it lacks was deleted."""
--- a/daisyhub/objects/tests/test_kind_watcher.py
+++ b/daisyhub/objects/tests/test_kind_watcher.py
@@ -40,6 +40,71 @@
         tasks.cancel_scope.cancel()
 
 
+class LateWatchTest(unittest.IsolatedAsyncioTestCase):
+    def new_watcher(self, store, **options):
+        log = DecisionLog("d", write=lambda _: True)
+        return KindWatcher(store, "k", log, lambda _: None, **options)
+
+    async def run_beside(self, watcher, test):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watcher.run)
+            with anyio.fail_after(10):
+                await watcher.synced.wait()
+                await test()
+            tasks.cancel_scope.cancel()
+
+    async def test_a_watch_is_late_only_while_a_peer_would_tell(self):
+        store = MemoryStore()
+        has_witness = False
+        watcher = self.new_watcher(store, may_be_late=lambda: has_witness)
+
+        async def test():
+            nonlocal has_witness
+            while not store.calls["watch"]:
+                await anyio.sleep(0.001)
+            self.assertEqual(store.calls["late watch"], 0)
+            has_witness = True
+            store.put("k", "a", b"1")
+            while not store.calls["late watch"]:
+                await anyio.sleep(0.001)
+
+        await self.run_beside(watcher, test)
+
+    async def test_a_peer_that_is_ahead_ends_a_late_watch_that_hears_nothing(
+        self,
+    ):
+        store = MemoryStore()
+        store.fail_next("watch", Fault.DEAF)
+        watcher = self.new_watcher(store, may_be_late=lambda: True)
+
+        async def test():
+            found = store.put("k", "a", b"1")
+            watcher.note_peer_revision(found.revision, 0.0)
+            watcher.note_peer_revision(found.revision, 1.0)
+            while "a" not in watcher.objects:
+                await anyio.sleep(0.001)
+
+        await self.run_beside(watcher, test)
+        self.assertEqual(store.calls["list_all"], 2)
+
+    async def test_changes_that_gather_are_not_listed_beside(self):
+        store = MemoryStore()
+        watcher = self.new_watcher(store, gather_s=lambda: 0.2)
+
+        async def test():
+            store.put("k", "a", b"1")
+            while "a" not in watcher.objects:
+                await anyio.sleep(0.001)
+            found = store.put("k", "b", b"1")
+            watcher.note_peer_revision(found.revision, 0.0)
+            watcher.note_peer_revision(found.revision, 1.0)
+            while "b" not in watcher.objects:
+                await anyio.sleep(0.001)
+
+        await self.run_beside(watcher, test)
+        self.assertEqual(store.calls["list_all"], 1)
+
+
 class KindWatcherTest(unittest.IsolatedAsyncioTestCase):
     async def test_changes_and_deletions_are_told_once(self):
         store = MemoryStore()
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -74,7 +74,6 @@
 
 __all__ = ["FleetDaemon"]
 
-_DAEMONS_KIND = "daemons"
 _US_PER_NS = 1000
 _MS_PER_S = 1000.0
 # Seconds after which a part that failed is started again.
@@ -162,16 +161,20 @@
         self.network.add_receiver(self._note_usage)
         self.network.add_callee(ManifestAsked, self.cluster.answer_manifest)
         self.watchers = (
-            KindWatcher(self.store, CONFIG_KIND, self.log, self._on_config),
+            KindWatcher(
+                self.store,
+                CONFIG_KIND,
+                self.log,
+                self._on_config,
+                may_be_late=self._may_be_late,
+            ),
             KindWatcher(
                 self.store,
                 SERVERS_KIND,
                 self.log,
                 self._on_server,
                 self._gather_s,
-            ),
-            KindWatcher(
-                self.store, _DAEMONS_KIND, self.log, self.cluster.on_daemon
+                self._may_be_late,
             ),
         )
         self.cluster.set_watchers(self.watchers)
@@ -185,7 +188,7 @@
             self.log,
         )
         self._build_lots()
-        self.verifier = WatchVerifier(self.accounts, self.watchers[:2])
+        self.verifier = WatchVerifier(self.accounts, self.watchers)
         self.retirements = Retirements(self.accounts, self.store, self.log)
         self.reporter = UsageReporter(
             self.accounts,
@@ -222,7 +225,9 @@
         core = DutyCore(
             self.process, cfg.lease_ms / _MS_PER_S, cfg.fencing_checked
         )
-        return DutyController(duty, core, self.store, self.peers, self.log)
+        return DutyController(
+            duty, core, self.store, self.peers, cfg.processor_speed, self.log
+        )
 
     def _build_lots(self) -> None:
         self.lots = LotStore(self.store)
@@ -344,6 +349,7 @@
             domain=self.cfg.failure_domain,
             address=self.cfg.peer,
             wall_s=time.time(),
+            speed=self.cfg.processor_speed,
             is_leaving=self._is_draining,
             reaches_store=self.store.is_direct,
             manifest_revision=self.manifests.revision,
@@ -366,6 +372,10 @@
         """
         return min(_LONGEST_GATHER_S, _GATHER_S * len(self.peers.all()))
 
+    def _may_be_late(self) -> bool:
+        """Whether a daemon with a duty would tell of changes missed here."""
+        return not self._duties() and self.peers.hears_holder()
+
     def _on_config(self, found: StoredObject) -> None:
         if found.name == CONFIG_NAME:
             self.manifests.adopt(found, "store")
--- a/daisyhub/platform/_store.py
+++ b/daisyhub/platform/_store.py
@@ -109,13 +109,20 @@
             after = page.items[-1].metadata.name
 
     async def watch(
-        self, kind: str, *, after_revision: int, wait_s: float
+        self,
+        kind: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        may_be_late: bool = False,
     ) -> WatchBatch:
         """Waits for changes; see `ObjectStore.watch`."""
         wait_ms = int(wait_s * _MS_PER_S)
+        # A member of the store answers it alone, and may be behind.
+        lateness = "&serializable=1" if may_be_late else ""
         answer = await self._call(
             "GET",
-            f"{_path(kind)}?watch={after_revision}&wait-ms={wait_ms}",
+            f"{_path(kind)}?watch={after_revision}&wait-ms={wait_ms}{lateness}",
             timeout_s=wait_s + self._timeout_s,
         )
         if answer.status == _GONE:
--- a/daisyhub/testing/object_store.py
+++ b/daisyhub/testing/object_store.py
@@ -79,10 +79,15 @@
         return self._meet("list_all", lambda: self._list(kind))
 
     async def watch(
-        self, kind: str, *, after_revision: int, wait_s: float
+        self,
+        kind: str,
+        *,
+        after_revision: int,
+        wait_s: float,
+        may_be_late: bool = False,
     ) -> WatchBatch:
         """See `ObjectStore.watch`."""
-        self.calls["watch"] += 1
+        self.calls["late watch" if may_be_late else "watch"] += 1
         fault = self._next_fault("watch")
         if fault is Fault.GONE:
             raise HistoryGoneError(kind)
