Look for free slots once, not once for each waiting item

Each ended run looked at every engine for every waiting item, and each tick did so twice. Change: within one look, a pool without a free slot for a model is passed over from then on; the usual pace is computed once; EnginesSeen is the tick. Test: test_items_that_wait_cost_nothing_while_all_slots_are_taken (500 looks before).

--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -14,7 +14,6 @@
 from daisyhub.base import Core
 from daisyhub.lots._run_types import (
     CancelRun,
-    DispatchTick,
     Engine,
     EnginesSeen,
     EventArrived,
@@ -127,8 +126,6 @@
         """Takes one dispatch event; returns actions."""
         actions: list[object] = []
         match event:
-            case DispatchTick():
-                pass
             case EventArrived():
                 return self._on_event(event, now_s)
             case EnginesSeen():
@@ -148,14 +145,23 @@
         return actions + self._go_on(now_s)
 
     def _go_on(self, now_s: float) -> list[object]:
-        """Ends silent runs, then fills free slots."""
+        """Ends silent runs, then fills free slots.
+
+        The cost of a look follows what it starts, not what waits: once no
+        engine has a free slot for a kind of item, the others of that kind
+        are passed over.
+        """
         actions = self._end_silent(now_s)
+        usual_s = self._usual_pace_s()
+        full: set[tuple[str, str, int]] = set()
         for lot in sorted(
             self._lots.values(), key=lambda lot: lot.opened.due_at_s
         ):
             for item in lot.items.values():
-                actions += self._start(lot, item, now_s)
-        return actions + self._start_seconds(now_s)
+                if _needs_nothing(item, now_s):
+                    continue
+                actions += self._start(lot, item, now_s, usual_s, full)
+        return actions + self._start_seconds(usual_s, now_s)
 
     def _on_opened(self, opened: LotOpened) -> None:
         items = {}
@@ -333,12 +339,24 @@
         )
         return self._finish(lot, item, result)
 
-    def _start(self, lot: _Lot, item: Item, now_s: float) -> list[object]:
-        """Starts what an item needs next, if anything can be started."""
-        if item.is_done or item.runs or item.is_rewarded:
-            return []
-        if now_s < item.retry_at_s:
-            return []
+    def _start(
+        self,
+        lot: _Lot,
+        item: Item,
+        now_s: float,
+        usual_s: float,
+        full: set[tuple[str, str, int]],
+    ) -> list[object]:
+        """Starts what an item needs next, if anything can be started.
+
+        Args:
+            lot: Its lot.
+            item: One that needs something.
+            now_s: The time.
+            usual_s: Usual time between events.
+            full: Pools, models and versions found to have no free slot in
+                this look; extended here.
+        """
         if item.progress.is_whole:
             if item.spec.reward is None:
                 return [self._complete(lot, item, "")]
@@ -346,8 +364,15 @@
             return [StartReward(lot.opened.spec.head.lot_id, item.spec)]
         if now_s >= lot.opened.give_up_at_s:
             return self._give_up(lot, item)
-        engine = self._choose(lot, item, now_s)
-        return [self._run(lot, item, engine, now_s)] if engine else []
+        head = lot.opened.spec.head
+        wanted = (lot.opened.pool, head.model, head.oldest_version)
+        if wanted in full:
+            return []
+        engine = self._choose(lot, now_s, usual_s)
+        if engine is None:
+            full.add(wanted)
+            return []
+        return [self._run(lot, item, engine, now_s)]
 
     def _run(
         self, lot: _Lot, item: Item, engine: Engine, now_s: float
@@ -374,7 +399,7 @@
             len(item.progress.texts),
         )
 
-    def _choose(self, lot: _Lot, item: Item, now_s: float) -> Engine | None:
+    def _choose(self, lot: _Lot, now_s: float, usual_s: float) -> Engine | None:
         """Returns the engine with the most free slots that may serve."""
         head = lot.opened.spec.head
         found = [
@@ -386,7 +411,6 @@
             and len(engine.runs) < engine.seen.slots
             and engine.seen.versions.get(head.model, 0) >= head.oldest_version
         ]
-        usual_s = self._usual_pace_s()
         return min(found, key=lambda e: _crowding(e, usual_s), default=None)
 
     def _usual_pace_s(self) -> float:
@@ -407,9 +431,8 @@
             self._note_failure(engine, now_s)
         return actions
 
-    def _start_seconds(self, now_s: float) -> list[object]:
+    def _start_seconds(self, usual_s: float, now_s: float) -> list[object]:
         """Gives items on slow engines a second run while slots are free."""
-        usual_s = self._usual_pace_s()
         actions: list[object] = []
         for engine in list(self._engines.values()):
             if not usual_s or engine.pace_s < _SLOW_FACTOR * usual_s:
@@ -427,12 +450,18 @@
         if len(item.runs) > 1:
             return []
         _keep(item, run)
-        engine = self._choose(lot, item, now_s)
+        engine = self._choose(lot, now_s, usual_s)
         if engine is None or engine.pace_s >= _SLOW_FACTOR * usual_s:
             return []
         return [self._run(lot, item, engine, now_s)]
 
 
+def _needs_nothing(item: Item, now_s: float) -> bool:
+    """Whether an item is done, at work, or must not be tried again yet."""
+    is_at_work = bool(item.runs) or item.is_rewarded
+    return item.is_done or is_at_work or now_s < item.retry_at_s
+
+
 def _keep(item: Item, run: Run) -> None:
     """Keeps a run's text if it is longer than the one at hand."""
     if item.progress.is_whole or len(run.texts) <= len(item.progress.texts):
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -34,7 +34,6 @@
 from daisyhub.lots._rewards import RewardCaller
 from daisyhub.lots._run_types import (
     CancelRun,
-    DispatchTick,
     EngineSeen,
     EnginesSeen,
     FinishItem,
@@ -261,7 +260,6 @@
             if endpoint.entry.versions and not endpoint.entry.is_leaving
         )
         self._handle(EnginesSeen(engines))
-        self._handle(DispatchTick())
         for held in list(self._held.values()):
             self._list(held, ListingTick())
 
--- a/daisyhub/lots/_run_types.py
+++ b/daisyhub/lots/_run_types.py
@@ -8,7 +8,6 @@
 
 __all__ = [
     "CancelRun",
-    "DispatchTick",
     "Engine",
     "EngineSeen",
     "EnginesSeen",
@@ -160,11 +159,6 @@
     max_attempts: int = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DispatchTick:
-    """Time has passed."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRun:
     """Action: send an item to an engine."""
--- a/daisyhub/lots/tests/test_dispatch_core.py
+++ b/daisyhub/lots/tests/test_dispatch_core.py
@@ -6,7 +6,6 @@
 from daisyhub.lots import DispatchCore, ItemSpec, LotHead, LotSpec, RewardSpec
 from daisyhub.lots._run_types import (
     CancelRun,
-    DispatchTick,
     EngineSeen,
     EnginesSeen,
     EventArrived,
@@ -74,13 +73,20 @@
         self.core = DispatchCore()
         self.now_s = 0.0
         self.actions = []
+        self.seen = EnginesSeen(())
 
     def feed(self, event, after_s=0.0):
         self.now_s += after_s
+        if isinstance(event, EnginesSeen):
+            self.seen = event
         actions = self.core.handle(event, self.now_s)
         self.actions += actions
         return actions
 
+    def tick(self, after_s=0.0):
+        """Shows the core the engines that it saw last."""
+        return self.feed(self.seen, after_s)
+
     def runs(self, actions):
         return [a for a in actions if isinstance(a, StartRun)]
 
@@ -112,6 +118,23 @@
         used = [run.endpoint_id for run in runs]
         self.assertEqual(sorted(used), ["e1", "e1", "e2", "e2"])
 
+    def test_items_that_wait_cost_nothing_while_all_slots_are_taken(self):
+        class Counting(DispatchCore):
+            looks = 0
+
+            def _choose(self, *args):
+                self.looks += 1
+                return super()._choose(*args)
+
+        self.driver.core = Counting()
+        self.feed(engines("e1", "e2"))
+        run, *_ = self.feed(lot(*(item(str(n)) for n in range(500))))
+        self.driver.stream(run.run, "x")
+        self.driver.core.looks = 0
+        self.feed(RunEnded(run.run))
+        # One look finds the slot that was freed, one finds no further.
+        self.assertLessEqual(self.driver.core.looks, 2)
+
     def test_the_longest_items_start_first(self):
         self.feed(engines("e1"))
         runs = self.feed(
@@ -129,7 +152,7 @@
         self.feed(engines("e1", "e2"))
         (run,) = self.feed(lot(item("a")))
         self.driver.stream(run.run, "x")
-        actions = self.feed(DispatchTick(), after_s=0.7)
+        actions = self.driver.tick(after_s=0.7)
         self.assertIsInstance(actions[0], CancelRun)
         (again,) = self.driver.runs(actions)
         self.assertEqual(again.resume_after, 1)
@@ -144,7 +167,7 @@
         (run,) = self.feed(lot(item("a"), item("b")))[:1]
         self.driver.stream(run.run, "x")
         self.feed(engines("e1", loading=("e1",)))
-        self.assertEqual(self.feed(DispatchTick(), after_s=1.5), [])
+        self.assertEqual(self.driver.tick(after_s=1.5), [])
 
     def test_a_broken_run_keeps_what_came(self):
         self.feed(engines("e1", "e2"))
@@ -165,14 +188,14 @@
         (run,) = self.feed(lot(item("a"), is_single_version=True))
         self.driver.stream(run.run, "x", version=1)
         self.feed(EventArrived(run.run, "y", 2))
-        (again,) = self.driver.runs(self.feed(DispatchTick(), after_s=0.2))
+        (again,) = self.driver.runs(self.driver.tick(after_s=0.2))
         self.assertEqual(again.resume_after, 0)
 
     def test_failures_of_the_engine_end_the_item_after_its_attempts(self):
         self.feed(engines("e1"))
         actions = self.feed(lot(item("a"), max_attempts=2))
         self.feed(RunFailed(actions[0].run, RunFault.FAILED))
-        (run,) = self.feed(DispatchTick(), after_s=0.2)
+        (run,) = self.driver.tick(after_s=0.2)
         (done,) = self.feed(RunFailed(run.run, RunFault.FAILED))
         self.assertEqual(done.result.state, "given_up")
 
@@ -181,7 +204,7 @@
         (run,) = self.feed(lot(item("a"), max_attempts=1))
         for _ in range(5):
             self.feed(RunFailed(run.run, RunFault.NOT_RUN))
-            (run,) = self.feed(DispatchTick(), after_s=0.2)
+            (run,) = self.driver.tick(after_s=0.2)
 
     def test_rewards_are_given_up_by_their_own_routes_attempts(self):
         """Items were given up after the lot's attempts, one too early."""
@@ -192,7 +215,7 @@
         failed = RewardFailed("L", "a", is_counted=True, max_attempts=4)
         for _ in range(3):
             self.assertEqual(self.feed(failed), [])
-            (reward,) = self.feed(DispatchTick(), after_s=0.2)
+            (reward,) = self.driver.tick(after_s=0.2)
             self.assertIsInstance(reward, StartReward)
         (done,) = self.feed(failed)
         self.assertIsInstance(done, FinishItem)
@@ -207,7 +230,7 @@
                 if not is_slow or number % 4 == 0:
                     self.feed(EventArrived(run.run, "x", 1), after_s=0.01)
             self.driver.now_s += 0.03
-        started = self.driver.runs(self.feed(DispatchTick()))
+        started = self.driver.runs(self.driver.tick())
         slow = next(r for r in runs if r.endpoint_id == "slow")
         self.assertEqual([r.item for r in started], [slow.item])
         self.assertEqual(started[0].resume_after, 3)
@@ -260,7 +283,7 @@
                 seen += 1
             if len(done) == len(ids):
                 break
-            driver.feed(DispatchTick(), after_s=0.05)
+            driver.tick(after_s=0.05)
             for run, sent in list(open_runs.items()):
                 dice = rng.random()
                 if dice < 0.05:
