Ask the holder for a lot's head before the store

Change: a daemon that doesn't know a lot asks its holder; the store decides when the holder doesn't have it or is silent. Test: test_reader.

--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -11,6 +11,7 @@
     "LotAnswer",
     "LotBodyAsked",
     "LotEndTold",
+    "LotHeadAsked",
     "LotResultsAsked",
     "LotTold",
     "ManifestAnswer",
@@ -124,6 +125,12 @@
     item_id: str
 
 
+class LotHeadAsked(msgspec.Struct, frozen=True, kw_only=True, tag="hq"):
+    """Asks a lot's holder for the lot without its items."""
+
+    lot_id: str
+
+
 class LotTold(msgspec.Struct, frozen=True, tag="lt"):
     """Tells a lot's holder that the lot was accepted; `head` is encoded."""
 
@@ -141,7 +148,7 @@
 
     Attributes:
         is_held: Whether the daemon holds the lot at all.
-        content: Encoded results, or an item's body.
+        content: Encoded results, an encoded head, or an item's body.
         is_found: Whether what was asked for exists.
     """
 
@@ -154,7 +161,13 @@
     """Asks for one answer; `call_id` is unique for the sender."""
 
     call_id: int
-    content: StoreAsked | ManifestAsked | LotResultsAsked | LotBodyAsked
+    content: (
+        StoreAsked
+        | ManifestAsked
+        | LotHeadAsked
+        | LotResultsAsked
+        | LotBodyAsked
+    )
 
 
 class _CallAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="answer"):
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -14,6 +14,7 @@
     LotAnswer,
     LotBodyAsked,
     LotEndTold,
+    LotHeadAsked,
     LotResultsAsked,
     LotTold,
     TrueClock,
@@ -508,6 +509,18 @@
         held.looked_at_s = now_s
         return True
 
+    def head(self, lot_id: str) -> LotHead | None:
+        """Returns a lot without its items; None if it isn't held."""
+        held = self._held.get(lot_id)
+        return held.head if held and self._duty.fencing else None
+
+    async def answer_head(self, asked: LotHeadAsked) -> LotAnswer:
+        """Answers a peer whose caller asks for a lot unknown there."""
+        head = self.head(asked.lot_id)
+        if head is None:
+            return LotAnswer(is_held=False)
+        return LotAnswer(is_held=True, content=msgspec.json.encode(head))
+
     async def answer_results(self, asked: LotResultsAsked) -> LotAnswer:
         """Answers a peer that reads results for its caller."""
         found = await self.results(asked.lot_id, asked.after, asked.wait_s)
--- a/daisyhub/lots/_reader.py
+++ b/daisyhub/lots/_reader.py
@@ -14,6 +14,7 @@
 from daisyhub.cluster import (
     LotBodyAsked,
     LotEndTold,
+    LotHeadAsked,
     LotResultsAsked,
     LotTold,
     PeerTable,
@@ -142,12 +143,25 @@
 
     async def _find(self, lot_id: str, account: str) -> _Known:
         known = self._known.get(lot_id)
+        if known is None:
+            known = await self._ask_head(lot_id)
         if known is None:
             known = await self._read_head(lot_id)
         if known is None or known.head.account != account:
             raise Refusal(ErrorCode.LOT_UNKNOWN, f"there is no lot {lot_id}")
         return known
 
+    async def _ask_head(self, lot_id: str) -> _Known | None:
+        """Asks the holder, which spares the store a call for each daemon."""
+        head = self._holder.head(lot_id)
+        if head is None:
+            answer = await self._ask_holder(LotHeadAsked(lot_id=lot_id), 0.0)
+            if answer is None or not answer.is_held:
+                return None
+            head = msgspec.json.decode(answer.content, type=LotHead)
+        self._keep(_Known(head, is_ended=False))
+        return self._known[lot_id]
+
     async def _read_head(self, lot_id: str) -> _Known | None:
         try:
             found = await self._lots.head(lot_id)
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -14,6 +14,7 @@
     CLUSTER_PROTOCOL,
     ClusterController,
     LotBodyAsked,
+    LotHeadAsked,
     LotResultsAsked,
     ManifestAsked,
     PeerCarrier,
@@ -271,6 +272,7 @@
             self.network,
             self.log,
         )
+        self.network.add_callee(LotHeadAsked, self.holder.answer_head)
         self.network.add_callee(LotResultsAsked, self.holder.answer_results)
         self.network.add_callee(LotBodyAsked, self.holder.answer_body)
         self.network.add_receiver(self.holder.receive)
