--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -269,13 +269,14 @@
             tasks.start_soon(self.callers_server.run_until_stopped)
             tasks.start_soon(self.operators_server.run_until_stopped)
             log.info("{} listens on {}", self.process_id, self._address)
+            # Open until the end: without it, a further signal would kill.
             with anyio.open_signal_receiver(
                 signal.SIGTERM, signal.SIGINT
             ) as signals:
                 async for _ in signals:
                     break
-            await self._shut_down()
-            tasks.cancel_scope.cancel()
+                await self._shut_down()
+                tasks.cancel_scope.cancel()
         await self.http.aclose()
         self.network.close()
 
--- a/daisyhub/platform/__main__.py
+++ b/daisyhub/platform/__main__.py
@@ -1,8 +1,14 @@
 """Runs one daemon on the users' platform: `python -m daisyhub.platform`."""
 
+import signal
+
+# The other imports take a quarter of a second, in which a changed settings
+# file must not end the process already.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+# ruff: noqa: E402
 import faulthandler
 import os
-import signal
 import sys
 
 import anyio
@@ -21,8 +27,6 @@
     """Serves until SIGTERM; returns 2 if the settings are wrong."""
     # A crash in native code leaves the stacks of all threads on stderr.
     faulthandler.enable()
-    # Until the handler is there, a changed settings file must not end it.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = os.environ.get(_SETTINGS_VARIABLE, "")
     if not path:
         print(f"{_SETTINGS_VARIABLE} is not set", file=sys.stderr)
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import time
+from collections.abc import AsyncIterator
 
 import anyio
 
@@ -438,19 +439,20 @@
                 self.metrics_server,
             ):
                 tasks.start_soon(server.run_until_stopped)
-            await self._wait_for_end()
-            await self._shut_down()
-            tasks.cancel_scope.cancel()
+            wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+            # Open until the end: without it, a further signal would kill.
+            with anyio.open_signal_receiver(*wanted) as signals:
+                await self._wait_for_end(signals)
+                await self._shut_down()
+                tasks.cancel_scope.cancel()
         await self.http.aclose()
         self.network.close()
 
-    async def _wait_for_end(self) -> None:
-        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*wanted) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    return
-                self._reload()
+    async def _wait_for_end(self, signals: AsyncIterator[int]) -> None:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                return
+            self._reload()
 
     def _reload(self) -> None:
         """Reads the settings again; what changes takes effect at a restart."""
--- a/daisyhub/platform/tests/test_fleet_processes.py
+++ b/daisyhub/platform/tests/test_fleet_processes.py
@@ -172,6 +172,9 @@
                 for number in range(6, 12):
                     tasks.start_soon(look_up, number)
                     await anyio.sleep(0.1)
+                    # Operators and tools may repeat themselves.
+                    again = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+                    fleet.signal("edge-0", again[number % 3])
             self.assertEqual(statuses, [200] * 12)
             self.assertEqual(fleet.processes["edge-0"].wait(10), 0)
             events = [line["event"] for line in fleet.log_of("edge-0")]
--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import random
 
 import anyio
 import msgspec
@@ -197,7 +198,8 @@
         return self._reply(
             # A stream that has nothing more to tell is empty, and whole.
             chunks=chunks or (b"",),
-            chunk_pause_s=self.event_s,
+            # Items end in another order each time that they run.
+            chunk_pause_s=self.event_s * random.uniform(0.7, 1.3),
             headers=((b"daisyhub-weight-versions", version),),
         )
 
--- a/daisyhub/testing/soak/__main__.py
+++ b/daisyhub/testing/soak/__main__.py
@@ -5,8 +5,8 @@
 import anyio
 from absl import app, flags
 
-from daisyhub.testing.soak._daemon import BROKEN
 from daisyhub.testing.soak._soak import Soak
+from daisyhub.testing.soaked_daemon import BROKEN
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the first soak.")
 _RUNS = flags.DEFINE_integer("runs", 1, "Soaks, each with the next seed.")
--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -23,7 +23,7 @@
 
 _ACCOUNT = "t"
 _OTHER_KEY = "key-of-u"
-_MODULE = "daisyhub.testing.soak._daemon"
+_MODULE = "daisyhub.testing.soaked_daemon"
 # Events of an item at the stand-in of a server.
 _EVENTS = 6
 # Seconds after the last disturbance within which service must be back.
@@ -37,7 +37,7 @@
 _GRACE_S = 8.0
 _LOOK_UP_PAUSE_S = 0.08
 _WRITE_PAUSE_S = 0.04
-_LOT_PAUSE_S = 1.2
+_LOT_PAUSE_S = 0.6
 _READ_PAUSE_S = 0.05
 # Seconds that a daemon stays down after it ended.
 _RESTART_S = 0.3
@@ -218,8 +218,17 @@
             await anyio.sleep(_RESTART_S)
 
     def _signal(self, name: str, number: int) -> None:
-        if name not in self._down:
-            self.fleet.signal(name, number)
+        """Signals a daemon, unless it is down or its interpreter starts.
+
+        No program can handle a signal before its first line.
+        """
+        if name in self._down:
+            return
+        if number == signal.SIGHUP and not _handles(
+            self.fleet.processes[name].pid, number
+        ):
+            return
+        self.fleet.signal(name, number)
 
     async def _restart(self, name: str, number: int) -> None:
         """Ends a daemon and starts it again; one at a time for each."""
@@ -444,3 +453,14 @@
             "\n".join(map(str, self.plan)), encoding="utf-8"
         )
         return str(folder)
+
+
+def _handles(pid: int, number: int) -> bool:
+    """Whether a process ignores or catches a signal now."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text("utf-8")
+    except OSError:
+        return False
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    masks = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+    return bool(masks >> (number - 1) & 1)
--- a/daisyhub/testing/soak/_daemon.py
+++ b/daisyhub/testing/soaked_daemon.py
@@ -4,6 +4,12 @@
 one of `BROKEN`, which the soak must find.
 """
 
+import signal
+
+# As the daemon does it, before other imports take their time.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+# ruff: noqa: E402
 import os
 import sys
 import time
