--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -124,6 +124,7 @@
         self._down: set[str] = set()
         self._calmed_at_s = float("inf")
         self._is_calling = True
+        self._callers_ended = anyio.Event()
         self._number = 0
 
     async def run(self) -> SoakReport:
@@ -132,8 +133,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 await self._start(tasks)
-                for caller in (self._look_up, self._write, self._train):
-                    tasks.start_soon(caller)
+                tasks.start_soon(self._call_all)
                 tasks.start_soon(self._watch_exits)
                 await self._disturb()
                 await self._recover()
@@ -293,6 +293,12 @@
     def _daemon(self) -> str:
         return self._rng.choice(self.fleet.daemon_names)
 
+    async def _call_all(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for caller in (self._look_up, self._write, self._train):
+                tasks.start_soon(caller)
+        self._callers_ended.set()
+
     async def _look_up(self) -> None:
         async with anyio.create_task_group() as tasks:
             while self._is_calling:
@@ -425,6 +431,8 @@
         in the store.
         """
         self._is_calling = False
+        with anyio.move_on_after(_FINISH_S):
+            await self._callers_ended.wait()
         await self._read_all()
         await self._kill_all()
         self._calmed_at_s = time.monotonic()
@@ -436,7 +444,7 @@
 
     async def _read_all(self) -> None:
         latest_s = time.monotonic() + _FINISH_S
-        for lot_id in self.ledger.lots:
+        for lot_id in tuple(self.ledger.lots):
             for daemon in self.fleet.daemon_names:
                 while not await self._read(daemon, lot_id, 0):
                     if time.monotonic() > latest_s:
