--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -2,19 +2,17 @@
 
 import contextlib
 import dataclasses
-import json
 import os
 import pathlib
-import random
 import signal
 import time
 
 import anyio
-import msgspec
 
-from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.connections import RequestFailedError
 from daisyhub.settings import Address
 from daisyhub.testing.fleet import KEY, Fleet
+from daisyhub.testing.soak._callers import Callers
 from daisyhub.testing.soak._ledger import Ledger
 from daisyhub.testing.soak._links import Link, LinkMode
 from daisyhub.testing.soak._plan import Disturbance, Kind, make_plan
@@ -30,21 +28,13 @@
 _RECOVER_S = 12.0
 # Seconds after that within which every lot must be listed whole.
 _FINISH_S = 20.0
-# Seconds after an acceptance, or after an end of all disturbances, from which
-# every daemon must know a lot.
-_SETTLE_S = 1.0
 # Seconds from SIGTERM within which a daemon must be gone.
 _GRACE_S = 8.0
-_LOOK_UP_PAUSE_S = 0.08
-_WRITE_PAUSE_S = 0.04
-_LOT_PAUSE_S = 0.6
+# Seconds between reads of a lot that a daemon doesn't list whole yet.
 _READ_PAUSE_S = 0.05
 # Seconds that a daemon stays down after it ended.
 _RESTART_S = 0.3
-_CALL_S = 4.0
 _OK = 200
-_ACCEPTED = 202
-_GONE = (404, 410)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,14 +108,10 @@
             seed, seconds, self.fleet.daemon_names, self.fleet.server_names
         )
         self.ledger = Ledger(_ACCOUNT)
-        self._rng = random.Random(f"{seed} calls")
+        self.callers = Callers(seed, self.fleet, self.ledger)
         self._broken = broken
-        self._http = HttpClient(connect_timeout_s=1.0, idle_s=10.0)
         self._down: set[str] = set()
         self._calmed_at_s = float("inf")
-        self._is_calling = True
-        self._callers_ended = anyio.Event()
-        self._number = 0
 
     async def run(self) -> SoakReport:
         """Starts all, disturbs, heals, checks, and ends all."""
@@ -133,7 +119,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 await self._start(tasks)
-                tasks.start_soon(self._call_all)
+                tasks.start_soon(self.callers.run)
                 tasks.start_soon(self._watch_exits)
                 await self._disturb()
                 await self._recover()
@@ -142,7 +128,7 @@
             if self.ledger.violations:
                 logs = self._keep_logs()
         finally:
-            await self._http.aclose()
+            await self.callers.aclose()
             await self.fleet.http.aclose()
             self.fleet.stop()
         return SoakReport(
@@ -284,126 +270,6 @@
                 self.ledger.note_exit(name, process.returncode)
                 self.fleet.start_daemon(name)
 
-    # What callers do.
-
-    def _next_id(self, prefix: str) -> str:
-        self._number += 1
-        return f"{prefix}{self._number}"
-
-    def _daemon(self) -> str:
-        return self._rng.choice(self.fleet.daemon_names)
-
-    async def _call_all(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            for caller in (self._look_up, self._write, self._train):
-                tasks.start_soon(caller)
-        self._callers_ended.set()
-
-    async def _look_up(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            while self._is_calling:
-                request_id = self._next_id("r")
-                has_key = self._rng.random() > 0.1
-                tasks.start_soon(
-                    self._ask, request_id, "/records/", True, has_key
-                )
-                await anyio.sleep(_LOOK_UP_PAUSE_S)
-
-    async def _write(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            while self._is_calling:
-                request_id = self._next_id("w")
-                tasks.start_soon(self._ask, request_id, "/writes/", False, True)
-                await anyio.sleep(_WRITE_PAUSE_S)
-
-    async def _ask(
-        self, request_id: str, prefix: str, is_safe: bool, has_key: bool
-    ) -> None:
-        path = f"{prefix}{request_id}"
-        self.ledger.note_sent(
-            request_id, path, is_repeatable=is_safe, has_key=has_key
-        )
-        key = KEY if has_key else "key-that-nobody-holds"
-        status, body, stamped = await self._call(
-            self._daemon(), "POST", path, request_id, key
-        )
-        told = None
-        if status == _OK:
-            with contextlib.suppress(msgspec.DecodeError):
-                told = msgspec.json.decode(body)
-        self.ledger.note_answer(request_id, status, told, is_stamped=stamped)
-
-    async def _call(
-        self, daemon, method, target, request_id, key=KEY, body=b"", extra=()
-    ) -> tuple[int, bytes, bool]:
-        """Calls a daemon over a kept connection; status 0 is no answer."""
-        try:
-            answer = await self._http.request(
-                method,
-                self.fleet.address(f"{daemon}/front"),
-                target,
-                headers=(
-                    (b"host", b"a.example"),
-                    (b"daisyhub-request-id", request_id.encode()),
-                    (b"daisyhub-deadline-ms", b"2000"),
-                    (b"api-key", key.encode()),
-                    *extra,
-                ),
-                body=body,
-                timeout_s=_CALL_S,
-            )
-        except RequestFailedError:
-            return 0, b"", False
-        is_stamped = any(
-            name.lower() == b"daisyhub-server-stamp"
-            for name, _ in answer.headers
-        )
-        return answer.status, answer.body, is_stamped
-
-    async def _train(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            while self._is_calling:
-                tasks.start_soon(self._one_lot, self._next_id("lot"))
-                await anyio.sleep(_LOT_PAUSE_S)
-
-    async def _one_lot(self, lot_id: str) -> None:
-        """Hands a lot in until it is accepted, then reads it whole."""
-        body = msgspec.json.encode(self.fleet.lot_of(lot_id, groups=2))
-        items = [i["id"] for i in self.fleet.lot_of(lot_id, groups=2)["items"]]
-        self.ledger.note_lot(lot_id, items)
-        status = 0
-        while status != _ACCEPTED:
-            status, _, _ = await self._call(
-                self._daemon(), "POST", "/gen/lot", lot_id, body=body
-            )
-            if status != _ACCEPTED:
-                await anyio.sleep(_RESTART_S)
-        self.ledger.note_accepted(lot_id)
-        await anyio.sleep(_SETTLE_S)
-        while self.ledger.listed(lot_id) < self.ledger.lots[lot_id]:
-            await self._read(self._daemon(), lot_id)
-            await anyio.sleep(_READ_PAUSE_S)
-
-    async def _read(self, daemon: str, lot_id: str, after: int | None = None):
-        """Reads a lot at a daemon; returns whether it answered."""
-        known = self.ledger.listed(lot_id)
-        if after is None:
-            after = known if self._rng.random() < 0.5 else known // 2
-        status, body, _ = await self._call(
-            daemon,
-            "GET",
-            f"/v1/lots/{lot_id}?after={after}",
-            self._next_id("read"),
-            extra=((b"daisyhub-wait-ms", b"200"),),
-        )
-        if status in _GONE:
-            self.ledger.note_missing(daemon, lot_id, status)
-        if status != _OK:
-            return False
-        told = json.loads(body)
-        self.ledger.note_results(daemon, lot_id, after, told["results"])
-        return after + len(told["results"]) >= told["total"]
-
     # What must hold in the end.
 
     async def _recover(self) -> None:
@@ -411,10 +277,10 @@
         latest_s = self._calmed_at_s + _RECOVER_S
         for daemon in self.fleet.daemon_names:
             while True:
-                request_id = self._next_id("r")
+                request_id = self.callers.next_id("r")
                 path = f"/records/{request_id}"
                 self.ledger.note_sent(request_id, path, is_repeatable=True)
-                status, _, _ = await self._call(
+                status, _, _ = await self.callers.call(
                     daemon, "POST", path, request_id
                 )
                 if status == _OK:
@@ -430,9 +296,9 @@
         All daemons are killed between two readings: what was listed must lie
         in the store.
         """
-        self._is_calling = False
+        self.callers.stop()
         with anyio.move_on_after(_FINISH_S):
-            await self._callers_ended.wait()
+            await self.callers.ended.wait()
         await self._read_all()
         await self._kill_all()
         self._calmed_at_s = time.monotonic()
@@ -446,7 +312,7 @@
         latest_s = time.monotonic() + _FINISH_S
         for lot_id in tuple(self.ledger.lots):
             for daemon in self.fleet.daemon_names:
-                while not await self._read(daemon, lot_id, 0):
+                while not await self.callers.read(daemon, lot_id, 0):
                     if time.monotonic() > latest_s:
                         break
                     await anyio.sleep(_READ_PAUSE_S)
