Tighten checks of the soak that could not fail

A test of its own now looks at the signal when the first long import begins; it fails on the daemon before the mend. - The test of a reset link took any exception for a reset, and tried no new connection, which its name promises. - A daemon that outlives its grace time goes through the ledger like the rest. - A lot is built once for its body and its items, the time of the last fault isn't kept, and read() says what it returns.

--- a/daisyhub/platform/tests/test_fleet_processes.py
+++ b/daisyhub/platform/tests/test_fleet_processes.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import signal
+import subprocess
+import sys
 import unittest
 
 import anyio
@@ -21,6 +23,30 @@
         fleet.stop()
 
 
+_SPY = """
+import signal, sys
+class Spy:
+    def find_spec(self, name, *_):
+        if name == "anyio":
+            print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+            sys.exit()
+sys.meta_path.insert(0, Spy())
+import daisyhub.platform.__main__
+"""
+
+
+class StartTest(unittest.TestCase):
+    def test_a_hang_up_is_ignored_before_the_long_imports(self):
+        """SIGHUP killed a daemon that still imported its modules."""
+        told = subprocess.run(
+            [sys.executable, "-c", _SPY],
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        self.assertEqual(told.stdout.strip(), "True")
+
+
 class FleetProcesses(unittest.IsolatedAsyncioTestCase):
     def check_lot(self, results, lot_id, groups=3):
         """Every item stands once, whole and scored."""
--- a/daisyhub/testing/soak/_callers.py
+++ b/daisyhub/testing/soak/_callers.py
@@ -140,9 +140,9 @@
 
     async def _one_lot(self, lot_id: str) -> None:
         """Hands a lot in until it is accepted, then reads it whole."""
-        body = msgspec.json.encode(self._fleet.lot_of(lot_id, groups=2))
-        items = [i["id"] for i in self._fleet.lot_of(lot_id, groups=2)["items"]]
-        self._ledger.note_lot(lot_id, items)
+        lot = self._fleet.lot_of(lot_id, groups=2)
+        body = msgspec.json.encode(lot)
+        self._ledger.note_lot(lot_id, [item["id"] for item in lot["items"]])
         status = 0
         while status != _ACCEPTED:
             status, _, _ = await self.call(
@@ -156,8 +156,14 @@
             await self.read(self._daemon(), lot_id)
             await anyio.sleep(_READ_PAUSE_S)
 
-    async def read(self, daemon: str, lot_id: str, after: int | None = None):
-        """Reads a lot at a daemon; returns whether it answered."""
+    async def read(
+        self, daemon: str, lot_id: str, after: int | None = None
+    ) -> bool:
+        """Reads a lot at a daemon; returns whether it told the last result.
+
+        Without `after` the read starts at the end of what is known, or at
+        its middle.
+        """
         known = self._ledger.listed(lot_id)
         if after is None:
             after = known if self._rng.random() < 0.5 else known // 2
--- a/daisyhub/testing/soak/_ledger.py
+++ b/daisyhub/testing/soak/_ledger.py
@@ -171,5 +171,9 @@
         """Notes a daemon that ended by itself."""
         self._break(f"FAULT {daemon} ended by itself with {code}")
 
+    def note_still_runs(self, daemon: str) -> None:
+        """Notes a daemon that outlived its grace time."""
+        self._break(f"DRAIN {daemon}: still runs")
+
     def _break(self, line: str) -> None:
         self.violations.append(line)
--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -111,7 +111,6 @@
         self.callers = Callers(seed, self.fleet, self.ledger)
         self._broken = broken
         self._down: set[str] = set()
-        self._calmed_at_s = float("inf")
 
     async def run(self) -> SoakReport:
         """Starts all, disturbs, heals, checks, and ends all."""
@@ -161,7 +160,6 @@
                 await anyio.sleep(max(0.0, wait_s))
                 self.ledger.counts[disturbance.kind.value] += 1
                 tasks.start_soon(self._apply, disturbance)
-        self._calmed_at_s = time.monotonic()
 
     async def _apply(self, what: Disturbance) -> None:
         fleet = self.fleet
@@ -230,7 +228,7 @@
             while process.poll() is None:
                 await anyio.sleep(0.02)
         if process.poll() is None:
-            self.ledger.violations.append(f"DRAIN {name}: still runs")
+            self.ledger.note_still_runs(name)
             process.kill()
         process.wait()
         await anyio.sleep(_RESTART_S)
@@ -273,8 +271,11 @@
     # What must hold in the end.
 
     async def _recover(self) -> None:
-        """Checks that each daemon serves again soon after the last fault."""
-        latest_s = self._calmed_at_s + _RECOVER_S
+        """Checks that each daemon serves again soon after the last fault.
+
+        To be called as soon as that is over.
+        """
+        latest_s = time.monotonic() + _RECOVER_S
         for daemon in self.fleet.daemon_names:
             while True:
                 request_id = self.callers.next_id("r")
@@ -301,7 +302,6 @@
             await self.callers.ended.wait()
         await self._read_all()
         await self._kill_all()
-        self._calmed_at_s = time.monotonic()
         await self._recover()
         await self._read_all()
         self.ledger.check_texts(_EVENTS)
--- a/daisyhub/testing/soak/tests/test_ledger.py
+++ b/daisyhub/testing/soak/tests/test_ledger.py
@@ -102,4 +102,5 @@
         self.ledger.note_missing("d0", "L", 404)
         self.ledger.note_exit("d0", 1)
         self.ledger.note_not_back("d0", "status 0")
-        self.assertEqual(self.broken(), ["LOST", "FAULT", "RECOVER"])
+        self.ledger.note_still_runs("d0")
+        self.assertEqual(self.broken(), ["LOST", "FAULT", "RECOVER", "DRAIN"])
--- a/daisyhub/testing/soak/tests/test_links.py
+++ b/daisyhub/testing/soak/tests/test_links.py
@@ -8,6 +8,9 @@
 from daisyhub.settings import Address
 from daisyhub.testing.soak import Link, LinkMode
 
+# What a reader sees of a connection that was reset.
+ENDED = (anyio.EndOfStream, anyio.BrokenResourceError)
+
 
 async def echo(stream):
     with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
@@ -43,8 +46,12 @@
             await conn.send(b"x")
             await conn.receive()
             link.set_mode(LinkMode.RESET)
-            with self.assertRaises((anyio.EndOfStream, OSError, Exception)):
+            with self.assertRaises(ENDED):
                 await conn.receive()
+            fresh = await anyio.connect_tcp("127.0.0.1", link.address.port)
+            async with fresh:
+                with self.assertRaises(ENDED):
+                    await fresh.receive()
 
     async def test_a_silent_link_holds_bytes_until_it_is_healed(self):
         for mode in (LinkMode.SILENT, LinkMode.ONE_WAY):
