Peers: one TCP connection a peer on demand, and datagrams for pings

Change: `PeerNetwork` keeps its interface and sends frames over asyncio connections that are opened when there is something to send and closed when idle. The receiver acknowledges frames; a connection whose frames stay without acknowledgement for 1.5 s is replaced, as ZeroMQ's heartbeats did. Messages that the next one repeats, such as pings, can go as datagrams. pyzmq is no longer needed, and with it its threads.

Result: tests of lost acknowledgements, idle and refused connections, large messages and garbage in `test_network`.

--- /dev/null
+++ b/daisyhub/peers/_links.py
@@ -0,0 +1,245 @@
+"""TCP connections that carry messages from one daemon to another.
+
+A link is one-way: its receiver returns only the number of frames that it has
+read. Frames without such an acknowledgement for too long show that the
+connection is dead, for example because an intermediate device lost its state.
+A link without frames in flight causes no traffic, so the cost of a daemon
+doesn't grow with the number of its peers.
+"""
+
+import asyncio
+import struct
+import time
+from collections.abc import Callable
+
+from daisyhub.settings import Address
+
+__all__ = ["IncomingLink", "OutgoingLink"]
+
+_FRAME_HEADER = struct.Struct("!I")
+_ACK = struct.Struct("!Q")
+# Largest frame accepted, in bytes: a manifest of many routes has a few million.
+_MAX_FRAME_BYTES = 1 << 26
+# Maximum number of frames that wait for the connection to be opened.
+_MAX_QUEUED_FRAMES = 64
+# Bytes that the peer hasn't read yet, above which frames are dropped: some of
+# the largest frames.
+_MAX_UNREAD_BYTES = 1 << 23
+# Seconds for one attempt to connect. Without it, an attempt waits for the
+# kernel's retransmissions, which take seconds after a partition has healed.
+_CONNECT_TIMEOUT_S = 0.5
+# Seconds after a failed attempt before the next one.
+_RECONNECT_DELAY_S = 0.2
+# Seconds without acknowledgement after which a connection is considered dead:
+# several round trips and the stalls of a busy daemon.
+_ACK_TIMEOUT_S = 1.5
+# Seconds without a frame after which the sender closes the connection.
+_IDLE_TIMEOUT_S = 30.0
+
+
+class OutgoingLink(asyncio.Protocol):
+    """Sends frames to one peer; connects when there is a frame to send.
+
+    Frames may be lost if the connection ends.
+
+    Args:
+        address: Where the peer listens.
+    """
+
+    def __init__(self, address: Address):
+        self._address = address
+        self._transport: asyncio.Transport | None = None
+        self._connecting: asyncio.Task | None = None
+        self._queue: list[bytes] = []
+        self._retry_at_s = 0.0
+        self._sent = 0
+        self._acked = 0
+        # When the oldest frame without acknowledgement was sent, or when the
+        # last acknowledgement arrived if that is later.
+        self._waiting_since_s = 0.0
+        self._last_sent_s = 0.0
+        self._ack_bytes = b""
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_closed = False
+
+    def send(self, frame: bytes) -> bool:
+        """Queues a frame; returns False if it was dropped."""
+        if self._is_closed:
+            return False
+        if self._transport is not None:
+            return self._write(frame)
+        if len(self._queue) >= _MAX_QUEUED_FRAMES:
+            return False
+        now_s = time.monotonic()
+        if self._connecting is None:
+            if now_s < self._retry_at_s:
+                return False
+            loop = asyncio.get_running_loop()
+            self._connecting = loop.create_task(self._connect())
+        self._queue.append(frame)
+        return True
+
+    def close(self) -> None:
+        """Sends what is buffered and closes the connection."""
+        self._is_closed = True
+        self._stop_timer()
+        if self._connecting is not None:
+            self._connecting.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes the connection without sending what is buffered."""
+        self.close()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Sends the frames that waited for the connection."""
+        self._transport = transport
+        self._sent = self._acked = 0
+        self._ack_bytes = b""
+        frames, self._queue = self._queue, []
+        for frame in frames:
+            self._write(frame)
+
+    def data_received(self, data: bytes) -> None:
+        """Reads the peer's counts of received frames; the last one holds."""
+        self._ack_bytes += data
+        complete = len(self._ack_bytes) // _ACK.size * _ACK.size
+        if not complete:
+            return
+        (self._acked,) = _ACK.unpack_from(self._ack_bytes, complete - _ACK.size)
+        self._ack_bytes = self._ack_bytes[complete:]
+        self._waiting_since_s = time.monotonic()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The next frame opens a new connection."""
+        del exc
+        self._transport = None
+        self._stop_timer()
+
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        address = self._address
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                await loop.create_connection(
+                    lambda: self, address.ip, address.port
+                )
+        except (OSError, TimeoutError):
+            # Unreachable peers are found and logged by their missing pings.
+            self._queue.clear()
+            self._retry_at_s = time.monotonic() + _RECONNECT_DELAY_S
+        finally:
+            self._connecting = None
+
+    def _write(self, frame: bytes) -> bool:
+        if self._transport.get_write_buffer_size() > _MAX_UNREAD_BYTES:
+            return False
+        now_s = time.monotonic()
+        if self._sent == self._acked:
+            self._waiting_since_s = now_s
+        self._sent += 1
+        self._last_sent_s = now_s
+        self._transport.write(_FRAME_HEADER.pack(len(frame)) + frame)
+        if self._timer is None:
+            self._start_timer(_ACK_TIMEOUT_S)
+        return True
+
+    def _start_timer(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._check)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _check(self) -> None:
+        """Ends a dead or idle connection, or checks again later."""
+        self._timer = None
+        if self._transport is None:
+            return
+        now_s = time.monotonic()
+        if self._sent > self._acked:
+            left_s = self._waiting_since_s + _ACK_TIMEOUT_S - now_s
+            if left_s <= 0:
+                self._transport.abort()
+                return
+            self._start_timer(left_s)
+            return
+        if now_s - self._last_sent_s >= _IDLE_TIMEOUT_S:
+            self._transport.close()
+            return
+        self._start_timer(_ACK_TIMEOUT_S)
+
+
+class IncomingLink(asyncio.Protocol):
+    """Receives the frames of one connection and acknowledges them.
+
+    Args:
+        on_frame: Called with each complete frame.
+        open_links: The open links of the daemon; this one adds and removes
+            itself.
+    """
+
+    def __init__(
+        self, on_frame: Callable[[bytes], None], open_links: set["IncomingLink"]
+    ):
+        self._on_frame = on_frame
+        self._open_links = open_links
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._received = 0
+        self._last_received_s = time.monotonic()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Registers the link."""
+        self._transport = transport
+        self._open_links.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Passes complete frames on, then acknowledges them."""
+        self._last_received_s = time.monotonic()
+        self._buffer += data
+        start = 0
+        count = 0
+        size = len(self._buffer)
+        while size - start >= _FRAME_HEADER.size:
+            (length,) = _FRAME_HEADER.unpack_from(self._buffer, start)
+            if length > _MAX_FRAME_BYTES:
+                self._transport.abort()
+                return
+            end = start + _FRAME_HEADER.size + length
+            if size < end:
+                break
+            self._on_frame(
+                bytes(self._buffer[start + _FRAME_HEADER.size : end])
+            )
+            start = end
+            count += 1
+        if not count:
+            return
+        del self._buffer[:start]
+        self._received += count
+        self._transport.write(_ACK.pack(self._received))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Removes the link."""
+        del exc
+        self._open_links.discard(self)
+
+    def abort(self) -> None:
+        """Closes the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self, now_s: float) -> None:
+        """Closes the link of a sender that is gone without closing it.
+
+        Args:
+            now_s: Current time on the monotonic clock.
+        """
+        if now_s - self._last_received_s > 2 * _IDLE_TIMEOUT_S:
+            self.abort()
--- a/daisyhub/peers/_network.py
+++ b/daisyhub/peers/_network.py
@@ -1,42 +1,35 @@
-"""Messages and calls between daemons over ZeroMQ.
+"""Messages and calls between daemons.
 
-Each daemon binds one PULL socket and connects one PUSH socket to each peer.
-Messages to an unreachable peer are dropped once a short queue is full.
+Messages that must arrive, such as calls, are sent over one TCP connection a
+peer, which is opened when needed. Frequent messages of which the next one
+repeats the last, such as pings, are sent as datagrams. Neither costs anything
+for peers that no message is sent to.
 """
 
+import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+import time
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 import msgspec
-import zmq
-import zmq.asyncio
 
 from daisyhub.exceptions import DaisyhubError
 from daisyhub.logs import get_logger
+from daisyhub.peers._links import IncomingLink, OutgoingLink
 from daisyhub.peers._messages import Call, CallResponse, Envelope
 from daisyhub.settings import Address, DaemonSettings
 
 __all__ = ["PeerNetwork", "PeerProtocol", "PeerUnreachableError"]
 
-# Maximum length of the queue to one peer.
-_MAX_QUEUED_MESSAGES = 64
-# Maximum wait for queued messages when the network is closed.
-_LINGER_MS = 200
+# Largest message that is sent as a datagram, in bytes: what fits into one
+# packet of an Ethernet link. Larger ones go over TCP.
+_MAX_DATAGRAM_BYTES = 1400
+# Seconds between checks for connections whose senders are gone.
+_SWEEP_INTERVAL_S = 30.0
 
 log = get_logger("peers")
 
-# Milliseconds between ZeroMQ heartbeats on a connection, and the time without a
-# response after which the connection is reopened. A dead connection may not
-# fail by itself.
-_HEARTBEAT_INTERVAL_MS = 500
-_HEARTBEAT_TIMEOUT_MS = 1500
-# Milliseconds for one attempt to connect, and the maximum interval between two.
-# Without the timeout, an attempt waits for the kernel's retransmissions, which
-# takes seconds after a network partition has healed.
-_CONNECT_TIMEOUT_MS = 500
-_MAX_RECONNECT_INTERVAL_MS = 500
-
 Receiver = Callable[[object, object], None]
 RequestHandler = Callable[[object], Awaitable[object]]
 
@@ -98,13 +91,14 @@
         self._protocol = protocol
         self._addresses = {p.daemon_id: p.address for p in cfg.peers}
         self._incarnation = incarnation
-        self._context = zmq.asyncio.Context()
-        self._sockets: dict[str, zmq.asyncio.Socket] = {}
+        self._links: dict[str, OutgoingLink] = {}
+        self._incoming: set[IncomingLink] = set()
+        self._datagrams: asyncio.DatagramTransport | None = None
+        self._tasks = None
         self._receivers: list[Receiver] = []
         self._request_handlers: dict[type, RequestHandler] = {}
         self._call_ids = itertools.count(1)
-        self._responses: dict[int, object] = {}
-        self._waiters: dict[int, anyio.Event] = {}
+        self._waiters: dict[int, asyncio.Future] = {}
 
     def add_receiver(self, receiver: Receiver) -> None:
         """Adds a receiver of all messages except calls and their responses.
@@ -129,28 +123,35 @@
         self._addresses[daemon_id] = address
 
     def drop_address(self, daemon_id: str) -> None:
-        """Removes a peer's address and closes the socket to it."""
+        """Removes a peer's address and closes the connection to it."""
         self._addresses.pop(daemon_id, None)
-        sock = self._sockets.pop(daemon_id, None)
-        if sock is not None:
-            sock.close(linger=0)
+        link = self._links.pop(daemon_id, None)
+        if link is not None:
+            link.abort()
 
     def send(self, daemon_id: str, *messages: object) -> bool:
         """Queues messages to a peer; returns False if they were dropped."""
-        sock = self._socket(daemon_id)
-        if sock is None or not messages:
-            return False
-        envelope = self._protocol.envelope(
-            sender=self._cfg.daemon_id,
-            incarnation=self._incarnation,
-            messages=messages,
-        )
-        try:
-            # The asyncio socket's own `send` would return a future.
-            zmq.Socket.send(sock, self._protocol.encode(envelope), zmq.NOBLOCK)
-        except zmq.Again:
+        if not messages:
             return False
-        return True
+        return self._send_frame(daemon_id, self._encode(messages))
+
+    def send_datagrams(
+        self, daemon_ids: Iterable[str], *messages: object
+    ) -> None:
+        """Sends messages that may be lost to several peers.
+
+        Messages too large for a datagram are sent like those of `send`.
+        """
+        frame = self._encode(messages)
+        is_small = len(frame) <= _MAX_DATAGRAM_BYTES
+        for daemon_id in daemon_ids:
+            address = self._addresses.get(daemon_id)
+            if address is None:
+                continue
+            if is_small and self._datagrams is not None:
+                self._datagrams.sendto(frame, (address.ip, address.port))
+            else:
+                self._send_frame(daemon_id, frame)
 
     async def call(
         self, daemon_id: str, content: object, timeout_s: float
@@ -162,62 +163,82 @@
                 couldn't serve it, or no response came within `timeout_s`.
         """
         call_id = next(self._call_ids)
-        waiter = anyio.Event()
+        loop = asyncio.get_running_loop()
+        waiter = loop.create_future()
         self._waiters[call_id] = waiter
+        timer = loop.call_later(timeout_s, _expire, waiter)
         try:
             call = self._protocol.call(call_id=call_id, content=content)
             if not self.send(daemon_id, call):
                 raise PeerUnreachableError(
-                    f"the request to {daemon_id} could not be sent: no address "
-                    "or a full queue"
+                    f"the request to {daemon_id} could not be sent: no "
+                    "address, no connection or a full queue"
                 )
-            with anyio.move_on_after(timeout_s):
-                await waiter.wait()
-            response = self._responses.pop(call_id, None)
+            response = await waiter
             if response is None:
                 raise PeerUnreachableError(
                     f"no response from {daemon_id} within {timeout_s} s"
                 )
             return response
         finally:
+            timer.cancel()
             del self._waiters[call_id]
 
     async def run(self) -> None:
         """Receives messages until cancelled."""
-        sock = self._context.socket(zmq.PULL)
-        sock.setsockopt(zmq.LINGER, 0)
-        sock.bind(f"tcp://{self._cfg.peer_address}")
+        loop = asyncio.get_running_loop()
+        own = self._cfg.peer_address
+        server = await loop.create_server(
+            lambda: IncomingLink(self._receive, self._incoming),
+            own.ip,
+            own.port,
+        )
+        self._datagrams, _ = await loop.create_datagram_endpoint(
+            lambda: _DatagramReceiver(self._receive),
+            local_addr=(own.ip, own.port),
+        )
         try:
-            async with anyio.create_task_group() as tasks:
+            async with anyio.create_task_group() as self._tasks:
                 while True:
-                    data = await sock.recv()
-                    self._receive(data, tasks)
+                    await anyio.sleep(_SWEEP_INTERVAL_S)
+                    now_s = time.monotonic()
+                    for link in list(self._incoming):
+                        link.close_if_idle(now_s)
         finally:
-            sock.close()
+            server.close()
+            self._datagrams.close()
+            self._datagrams = None
+            self._tasks = None
+            for link in list(self._incoming):
+                link.abort()
 
     def close(self) -> None:
-        """Closes every socket."""
-        self._context.destroy(linger=_LINGER_MS)
-
-    def _socket(self, daemon_id: str) -> zmq.asyncio.Socket | None:
-        sock = self._sockets.get(daemon_id)
-        if sock is not None:
-            return sock
-        address = self._addresses.get(daemon_id)
-        if address is None:
-            return None
-        sock = self._context.socket(zmq.PUSH)
-        sock.setsockopt(zmq.LINGER, _LINGER_MS)
-        sock.setsockopt(zmq.SNDHWM, _MAX_QUEUED_MESSAGES)
-        sock.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_TIMEOUT_MS)
-        sock.setsockopt(zmq.RECONNECT_IVL_MAX, _MAX_RECONNECT_INTERVAL_MS)
-        sock.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_INTERVAL_MS)
-        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
-        sock.connect(f"tcp://{address}")
-        self._sockets[daemon_id] = sock
-        return sock
-
-    def _receive(self, data: bytes, tasks) -> None:
+        """Closes the connections to all peers."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    def _encode(self, messages: tuple[object, ...]) -> bytes:
+        return self._protocol.encode(
+            self._protocol.envelope(
+                sender=self._cfg.daemon_id,
+                incarnation=self._incarnation,
+                messages=messages,
+            )
+        )
+
+    def _send_frame(self, daemon_id: str, frame: bytes) -> bool:
+        link = self._links.get(daemon_id)
+        if link is None:
+            address = self._addresses.get(daemon_id)
+            if address is None:
+                return False
+            link = self._links[daemon_id] = OutgoingLink(address)
+        return link.send(frame)
+
+    def _receive(self, data: bytes) -> None:
+        if self._tasks is None:
+            return
         try:
             envelope = self._protocol.decode(data)
         except msgspec.DecodeError as exc:
@@ -225,7 +246,7 @@
             return
         for message in envelope.messages:
             if isinstance(message, self._protocol.call):
-                tasks.start_soon(self._respond, envelope.sender, message)
+                self._tasks.start_soon(self._respond, envelope.sender, message)
             elif isinstance(message, self._protocol.response):
                 self._record_response(message)
             else:
@@ -251,7 +272,33 @@
         Without content, the peer couldn't serve the call, which then times out.
         """
         waiter = self._waiters.get(message.call_id)
-        if waiter is None or message.content is None:
+        if waiter is None or waiter.done() or message.content is None:
             return
-        self._responses[message.call_id] = message.content
-        waiter.set()
+        waiter.set_result(message.content)
+
+
+class _DatagramReceiver(asyncio.DatagramProtocol):
+    """Passes received datagrams on.
+
+    Args:
+        on_datagram: Called with each datagram.
+    """
+
+    def __init__(self, on_datagram: Callable[[bytes], None]):
+        self._on_datagram = on_datagram
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Passes a datagram on; the envelope names its sender."""
+        del addr
+        self._on_datagram(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignores reports that a peer's port is closed.
+
+        Such a peer is found and logged by its missing pings.
+        """
+
+
+def _expire(waiter: asyncio.Future) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
--- /dev/null
+++ b/daisyhub/peers/tests/test_network.py
@@ -0,0 +1,172 @@
+"""Messages between daemons survive dead, idle and refused connections."""
+
+import asyncio
+import contextlib
+import socket
+import types
+import unittest
+from unittest import mock
+
+import anyio
+
+from daisyhub.peers import (
+    Heartbeat,
+    PeerNetwork,
+    PeerUnreachableError,
+    _links,
+)
+from daisyhub.peers._messages import EndpointsRequest, EndpointsResponse
+from daisyhub.settings import Address
+
+TIMEOUT_S = 10
+
+
+def free_address():
+    with contextlib.closing(socket.socket()) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Address(ip="127.0.0.1", port=sock.getsockname()[1])
+
+
+def new_network(name, address):
+    cfg = types.SimpleNamespace(daemon_id=name, peer_address=address, peers=())
+    return PeerNetwork(cfg, 1)
+
+
+def beat(version):
+    return Heartbeat(incarnation=1, config_version=version, withdrawn_keys=0)
+
+
+class SilentPeer:
+    """Accepts connections and reads, but acknowledges nothing.
+
+    A connection whose state an intermediate device lost looks the same.
+    """
+
+    def __init__(self):
+        self.connections = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(ConnectionError):
+            while await reader.read(1000):
+                pass
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def two_networks():
+    """Yields two running networks that know each other, `a` and `b`."""
+    addresses = {"a": free_address(), "b": free_address()}
+    networks = {n: new_network(n, addresses[n]) for n in addresses}
+    networks["a"].set_address("b", addresses["b"])
+    networks["b"].set_address("a", addresses["a"])
+    async with anyio.create_task_group() as tasks:
+        for network in networks.values():
+            tasks.start_soon(network.run)
+        while not all(n._datagrams for n in networks.values()):
+            await anyio.sleep(0.01)
+        yield networks["a"], networks["b"]
+        tasks.cancel_scope.cancel()
+
+
+class PeerNetworkTest(unittest.IsolatedAsyncioTestCase):
+    def collect(self, network):
+        received = []
+        network.add_receiver(lambda envelope, message: received.append(message))
+        return received
+
+    async def wait_for(self, condition):
+        with anyio.fail_after(TIMEOUT_S):
+            while not condition():
+                await anyio.sleep(0.01)
+
+    async def test_messages_arrive_in_order_and_calls_are_answered(self):
+        async with two_networks() as (a, b):
+            received = self.collect(b)
+
+            async def handle(_):
+                return EndpointsResponse(records=())
+
+            b.add_request_handler(EndpointsRequest, handle)
+            for version in range(50):
+                self.assertTrue(a.send("b", beat(version)))
+            response = await a.call("b", EndpointsRequest(), TIMEOUT_S)
+            self.assertEqual(response, EndpointsResponse(records=()))
+            self.assertEqual(
+                [m.config_version for m in received], list(range(50))
+            )
+
+    async def test_a_large_message_arrives_whole(self):
+        async with two_networks() as (a, b):
+            received = self.collect(b)
+            large = Heartbeat(
+                incarnation=1,
+                config_version=1,
+                withdrawn_keys=0,
+                withdrawn_digest="x" * 3_000_000,
+            )
+            a.send_datagrams(["b"], large)
+            await self.wait_for(lambda: received == [large])
+
+    async def test_datagrams_open_no_connection(self):
+        async with two_networks() as (a, b):
+            received = self.collect(b)
+
+            def is_received():
+                a.send_datagrams(["b", "unknown"], beat(7))
+                return bool(received)
+
+            await self.wait_for(is_received)
+            self.assertEqual(received[0].config_version, 7)
+            self.assertFalse(a._links)
+
+    async def test_a_connection_without_acknowledgements_is_replaced(self):
+        silent = SilentPeer()
+        address = free_address()
+        server = await asyncio.start_server(
+            silent.serve, address.ip, address.port
+        )
+        a = new_network("a", free_address())
+        a.set_address("b", address)
+        with mock.patch.object(_links, "_ACK_TIMEOUT_S", 0.05):
+            async with server:
+
+                def is_replaced():
+                    a.send("b", beat(1))
+                    return silent.connections >= 3
+
+                await self.wait_for(is_replaced)
+                a.close()
+
+    async def test_an_idle_connection_is_closed_and_reopened(self):
+        with (
+            mock.patch.object(_links, "_ACK_TIMEOUT_S", 0.02),
+            mock.patch.object(_links, "_IDLE_TIMEOUT_S", 0.05),
+        ):
+            async with two_networks() as (a, b):
+                received = self.collect(b)
+                a.send("b", beat(1))
+                await self.wait_for(lambda: received)
+                await self.wait_for(lambda: a._links["b"]._transport is None)
+                await self.wait_for(lambda: not b._incoming)
+                self.assertTrue(a.send("b", beat(2)))
+                await self.wait_for(lambda: len(received) == 2)
+
+    async def test_a_call_to_a_peer_that_is_down_fails(self):
+        a = new_network("a", free_address())
+        with self.assertRaises(PeerUnreachableError):
+            await a.call("b", EndpointsRequest(), 0.1)
+        a.set_address("b", free_address())
+        with self.assertRaises(PeerUnreachableError):
+            await a.call("b", EndpointsRequest(), 0.1)
+
+    async def test_bytes_that_are_no_message_are_dropped(self):
+        async with two_networks() as (a, b):
+            received = self.collect(b)
+            port = b._cfg.peer_address.port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"\xff\xff\xff\xff garbage")
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+            a.send("b", beat(3))
+            await self.wait_for(lambda: received)
