Look-ups: a daemon prefers endpoints that it has a connection to

Cause: equal endpoints were chosen at random, so in time every daemon had connected to every endpoint, and idle connections ended before their next use.

Change: an endpoint without an open connection counts as slower by 0.3 median latencies, and equal ones are chosen in an order that differs by daemon, so each daemon uses few and all daemons use all.

--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -38,6 +38,10 @@
 _MAX_LATENCY_SAMPLES = 31
 # Responses of a route needed before its median is used to detect silence.
 _MIN_LATENCY_SAMPLES = 3
+# What a new connection may cost, in median latencies: a look-up on an open
+# connection may take that much longer. Connecting takes both sides time, and an
+# endpoint accepts a limited number of connections from all daemons.
+_NEW_CONNECTION_COST = 0.3
 # Time for which a reported load is used.
 _REPORTED_LOAD_TTL_S = 1.0
 # Multiple of the median latency after which an endpoint with an open request
@@ -155,18 +159,19 @@
     """All endpoints by id.
 
     Args:
-        random: Returns numbers in [0, 1); breaks ties.
+        tie_break: Returns a number for an endpoint's id; of equal endpoints
+            that with the lowest number is chosen. With numbers that differ by
+            daemon but not by request, a daemon uses few endpoints, and so few
+            connections, while all daemons together use all of them alike.
         has_connection: Whether an idle connection to an address is open.
-            Breaks ties before `random`, since a new connection costs both
-            sides time.
     """
 
     def __init__(
         self,
-        random: Callable[[], float],
+        tie_break: Callable[[str], float],
         has_connection: Callable[[Address], bool] = lambda _: False,
     ):
-        self._random = random
+        self._tie_break = tie_break
         self._has_connection = has_connection
         self._endpoints: dict[str, Endpoint] = {}
         # The most recent latencies by route.
@@ -284,15 +289,24 @@
             and not _is_suspect(endpoint, now_s)
         ]
         best = min(
-            healthy or candidates,
-            key=lambda e: (
-                _estimate_latency_ratio(e, now_s),
-                not self._has_connection(e.entry.address),
-                self._random(),
-            ),
+            healthy or candidates, key=lambda e: self._choice_key(e, now_s)
         )
         return best.entry.endpoint_id
 
+    def _choice_key(
+        self, endpoint: Endpoint, now_s: float
+    ) -> tuple[float, bool, float]:
+        """Returns a sort key; the endpoint with the lowest one is chosen."""
+        ratio = _estimate_latency_ratio(endpoint, now_s)
+        is_connected = self._has_connection(endpoint.entry.address)
+        if not is_connected:
+            ratio += _NEW_CONNECTION_COST
+        return (
+            ratio,
+            not is_connected,
+            self._tie_break(endpoint.entry.endpoint_id),
+        )
+
     def median_latency_s(self, route: str) -> float:
         """Returns the median latency of a route's recent responses.
 
--- a/daisyhub/balancing/tests/test_directory.py
+++ b/daisyhub/balancing/tests/test_directory.py
@@ -1,5 +1,7 @@
 """Tests that slow, silent, failed and unreachable endpoints are avoided."""
 
+import collections
+import random
 import unittest
 
 from daisyhub.balancing import EndpointDirectory, EndpointEntry
@@ -20,7 +22,7 @@
 
 class DirectoryTest(unittest.TestCase):
     def setUp(self):
-        self.directory = EndpointDirectory(lambda: 0.5)
+        self.directory = EndpointDirectory(lambda _: 0.5)
         for name in "abc":
             self.directory.upsert(entry(name))
 
@@ -122,8 +124,32 @@
 
     def test_idle_connection_breaks_ties(self):
         directory = EndpointDirectory(
-            lambda: 0.5, lambda address: address.port == ord("b")
+            lambda _: 0.5, lambda address: address.port == ord("b")
         )
         for name in "abc":
             directory.upsert(entry(name))
         self.assertEqual(directory.choose(POOL, NO_IDS, 1.0), "b")
+
+    def test_a_busy_endpoint_is_left_although_a_connection_is_open(self):
+        directory = EndpointDirectory(
+            lambda _: 0.5, lambda address: address.port == ord("b")
+        )
+        for name in "abc":
+            directory.upsert(entry(name))
+        directory.record_load("b", 3, 1.0)
+        self.assertNotEqual(directory.choose(POOL, NO_IDS, 1.1), "b")
+
+    def test_a_daemon_uses_few_endpoints_and_all_daemons_use_all(self):
+        names = [f"e{n}" for n in range(5)]
+        used = []
+        for daemon in range(200):
+            order = random.Random(daemon).sample(names, 5)
+            directory = EndpointDirectory(order.index)
+            for name in names:
+                directory.upsert(entry(name))
+            chosen = {directory.choose(POOL, NO_IDS, t) for t in range(9)}
+            self.assertEqual(len(chosen), 1)
+            used += chosen
+        counts = collections.Counter(used)
+        self.assertEqual(set(counts), set(names))
+        self.assertLess(max(counts.values()), 2 * min(counts.values()))
