--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -8,6 +8,7 @@
 from daisyhub.cluster._controller import ClusterController
 from daisyhub.cluster._messages import (
     CLUSTER_PROTOCOL,
+    HolderNews,
     LotAcceptedNotification,
     LotEndedNotification,
     LotHeadRequest,
@@ -17,17 +18,48 @@
     ManifestRequest,
     ManifestResponse,
     Ping,
+    RewardEnd,
+    RewardOrder,
+    RunEnd,
+    RunOrder,
+    RunProgress,
     StoreRequest,
     StoreResponse,
+    TaskOrders,
+    TaskReport,
+    UsageReport,
+)
+from daisyhub.cluster._peers import HolderView, PeerState, PeerTable
+from daisyhub.cluster._ping_plan import (
+    PING_INTERVAL_S,
+    STANDBY_COUNT,
+    PingPlan,
+    is_small_cluster,
+    ping_timeout_s,
+)
+from daisyhub.cluster._store_calls import (
+    PeerReaderProvider,
+    PeerRelayProvider,
+    StoreRequestHandler,
 )
-from daisyhub.cluster._peers import PeerState, PeerTable
-from daisyhub.cluster._ping_plan import PingPlan, ping_timeout_s
-from daisyhub.cluster._store_calls import PeerRelayProvider, StoreRequestHandler
 from daisyhub.cluster._verifier import WatchVerifier
 
 __all__ = [
     "CLUSTER_PROTOCOL",
     "ClusterController",
+    "HolderNews",
+    "HolderView",
+    "PING_INTERVAL_S",
+    "RewardEnd",
+    "RewardOrder",
+    "RunEnd",
+    "RunOrder",
+    "RunProgress",
+    "TaskOrders",
+    "TaskReport",
+    "UsageReport",
+    "STANDBY_COUNT",
+    "is_small_cluster",
     "LotResponse",
     "LotItemBodyRequest",
     "LotEndedNotification",
@@ -36,6 +68,7 @@
     "LotAcceptedNotification",
     "ManifestResponse",
     "ManifestRequest",
+    "PeerReaderProvider",
     "PeerRelayProvider",
     "PeerState",
     "PeerTable",
--- a/daisyhub/cluster/_controller.py
+++ b/daisyhub/cluster/_controller.py
@@ -1,5 +1,6 @@
 """Pings the other daemons of the cluster and handles their pings."""
 
+import random
 import time
 from collections.abc import Callable
 
@@ -9,9 +10,18 @@
 from daisyhub.base import Controller
 from daisyhub.catalog import ManifestController
 from daisyhub.cluster._cluster_clock import ClusterClock
-from daisyhub.cluster._messages import ManifestRequest, ManifestResponse, Ping
+from daisyhub.cluster._messages import (
+    ManifestRequest,
+    ManifestResponse,
+    Ping,
+    UsageReport,
+)
 from daisyhub.cluster._peers import PeerTable
-from daisyhub.cluster._ping_plan import PING_INTERVAL_S, PingPlan
+from daisyhub.cluster._ping_plan import (
+    PING_INTERVAL_S,
+    PingPlan,
+    rounds_per_report,
+)
 from daisyhub.exceptions import DaisyhubError
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import (
@@ -30,13 +40,20 @@
 DAEMONS_KIND = "daemons"
 _CALL_TIMEOUT_S = 0.5
 _RETRY_DELAY_S = 1.0
-# Every so many rounds, the pings carry the addresses of all known daemons. The
-# addresses are two thirds of a ping's bytes in a cluster of 55 daemons and
-# change only when a daemon joins.
+# Every so many rounds, the pings carry addresses. They are most of a ping's
+# bytes and change only when a daemon joins.
 _ADDRESS_LIST_ROUNDS = 5
-# Seconds between reads of the list of daemons in the store while no other
-# daemon is live.
+# Addresses in a ping: with them, it still fits into a datagram.
+_MAX_ADDRESSES = 16
+# Seconds after a new address during which each ping carries addresses, so that
+# a few hundred daemons that start together know each other soon.
+_NEW_ADDRESS_S = 5.0
+# Seconds between checks whether another daemon is live. While there is none,
+# the daemons in the store are listed.
 _DISCOVERY_INTERVAL_S = 2.0
+# Seconds between lists of the daemons by a daemon with a duty, which unite
+# groups of daemons that don't know of each other.
+_LIST_INTERVAL_S = 10.0
 
 
 class _DaemonRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,8 +80,10 @@
         clock: The clock to update with the peers' times of day.
         manifests: Receives newer manifests that peers have.
         store: The store with one object per daemon, used for discovery.
-        make_ping: Returns the ping to send, without `peers`, which this
-            controller fills in.
+        make_ping: Returns the ping to send, without `holders` and `peers`,
+            which this controller fills in.
+        make_usage_report: Returns the usage counts to send.
+        usage_duty: Name of the duty whose holder receives these counts.
         log: Log of decisions.
     """
 
@@ -81,6 +100,8 @@
         manifests: ManifestController,
         store: ObjectStore,
         make_ping: Callable[[], Ping],
+        make_usage_report: Callable[[], UsageReport],
+        usage_duty: str,
         log: DecisionLog,
     ):
         self._own_id = own_id
@@ -92,10 +113,15 @@
         self._manifests = manifests
         self._store = store
         self._make_ping = make_ping
+        self._make_usage_report = make_usage_report
+        self._usage_duty = usage_duty
         self._log = log
         self._addresses: dict[str, str] = {}
         self._watchers: tuple[KindWatcher, ...] = ()
         self._plan = PingPlan()
+        self._new_address_at_s = float("-inf")
+        self._has_duty = False
+        self._last_standbys: tuple[str, ...] = ()
         self._round = 0
         self._is_fetching = False
 
@@ -136,22 +162,66 @@
 
         The seeds are pinged as well while no peer is live.
         """
-        ping = self._make_ping()
-        if self._round % _ADDRESS_LIST_ROUNDS == 0:
-            ping = msgspec.structs.replace(ping, peers=dict(self._addresses))
+        ping = self._complete_ping()
         self._round += 1
-        has_duty = bool(ping.duties)
-        self._peers.set_has_duty(has_duty)
-        live = self._peers.live()
         names = self._plan.choose(
             sorted(self._addresses),
-            {peer.daemon_id for peer in live if peer.ping.duties},
-            has_duty=has_duty,
+            self._peers.live_holder_ids(),
+            self._peers.close_ids(),
+        )
+        if not self._peers.live():
+            names += [f"seed {n}" for n in range(len(self._seeds))]
+        self._network.send_datagrams(names, ping)
+        if self._round % rounds_per_report(len(self._addresses)) == 0:
+            self._send_usage()
+
+    def announce_shutdown(self) -> None:
+        """Sends a ping and the usage counts of a daemon that shuts down.
+
+        The standbys of the duties that it released get the ping, too.
+        """
+        standbys = self._last_standbys
+        ping = self._complete_ping()
+        names = {
+            *standbys,
+            *self._plan.choose(
+                sorted(self._addresses), self._peers.live_holder_ids(), ()
+            ),
+        }
+        self._network.send_datagrams(sorted(names), ping)
+        holder = self._peers.holder_of(self._usage_duty)
+        if holder is not None:
+            self._network.send(holder.daemon_id, self._make_usage_report())
+
+    def _send_usage(self) -> None:
+        """Sends usage counts; the next report repeats them if this is lost."""
+        holder = self._peers.holder_of(self._usage_duty)
+        if holder is not None:
+            self._network.send_datagrams(
+                [holder.daemon_id], self._make_usage_report()
+            )
+
+    def _complete_ping(self) -> Ping:
+        """Returns a ping with news of the holders and some addresses."""
+        ping = self._make_ping()
+        self._has_duty = bool(ping.duties)
+        self._last_standbys = ping.standbys or self._last_standbys
+        self._peers.set_own_duty(self._has_duty, frozenset(ping.standbys))
+        return msgspec.structs.replace(
+            ping,
+            holders=self._peers.make_holder_news(),
+            peers=self._choose_addresses(),
         )
-        has_no_live_peer = not live
-        seeds = [f"seed {n}" for n in range(len(self._seeds))]
-        for name in [*names, *(seeds if has_no_live_peer else ())]:
-            self._network.send(name, ping)
+
+    def _choose_addresses(self) -> dict[str, str]:
+        """Returns the addresses to send in a ping, in most rounds none."""
+        age_s = time.monotonic() - self._new_address_at_s
+        if age_s > _NEW_ADDRESS_S and self._round % _ADDRESS_LIST_ROUNDS:
+            return {}
+        names = list(self._addresses)
+        if len(names) > _MAX_ADDRESSES:
+            names = random.sample(names, _MAX_ADDRESSES)
+        return {name: self._addresses[name] for name in names}
 
     def set_peer_address(self, daemon_id: str, address: str) -> None:
         """Sets the address at which a daemon's peer socket listens.
@@ -169,19 +239,26 @@
             )
             return
         self._addresses[daemon_id] = address
+        self._new_address_at_s = time.monotonic()
         self._network.set_address(daemon_id, Address(ip=ip, port=int(port)))
         self._log.record("peer_learned", peer=daemon_id, address=address)
 
     def receive(self, envelope, message: object) -> None:
-        """Handles a ping of a peer; ignores other messages."""
-        if not isinstance(message, Ping) or envelope.sender == self._own_id:
-            return
+        """Handles a ping or a usage report of a peer."""
         sender = envelope.sender
+        if isinstance(message, UsageReport):
+            self._peers.record_contact(sender, envelope.incarnation)
+        if not isinstance(message, Ping) or sender == self._own_id:
+            return
         self.set_peer_address(sender, message.address)
         for daemon_id, address in message.peers.items():
             if daemon_id not in self._addresses:
                 self.set_peer_address(daemon_id, address)
-        self._peers.record_ping(sender, envelope.incarnation, message)
+        for news in message.holders:
+            self.set_peer_address(news.daemon_id, news.address)
+        is_new = self._peers.record_ping(sender, envelope.incarnation, message)
+        if is_new:
+            self._network.send_datagrams([sender], self._complete_ping())
         self._clock.record_peer_time(sender, message.wall_s)
         now_s = time.monotonic()
         for watcher in self._watchers:
@@ -189,24 +266,27 @@
             watcher.record_peer_revision(newest, now_s)
 
     async def _discover_peers(self) -> None:
-        """Writes this daemon's object, then reads those of the others.
+        """Writes this daemon's object; lists those of others if needed.
 
-        Of two daemons, the one that wrote its object later finds the other and
+        Usually the seeds' pings bring daemons together. Of two daemons
+        without seeds, the one that wrote its object later finds the other and
         pings it, so neither needs a watch.
         """
         await self._register()
+        listed_at_s = time.monotonic()
         while True:
+            await anyio.sleep(_DISCOVERY_INTERVAL_S)
+            is_due = time.monotonic() - listed_at_s >= _LIST_INTERVAL_S
+            if self._peers.live() and not (self._has_duty and is_due):
+                continue
+            listed_at_s = time.monotonic()
             try:
                 listed = await self._store.list_all(DAEMONS_KIND)
             except ObjectStoreError as exc:
                 self._log.record("daemons_not_listed", reason=str(exc))
-                await anyio.sleep(_RETRY_DELAY_S)
                 continue
             for found in listed.items:
                 self._add_listed_daemon(found)
-            await anyio.sleep(_DISCOVERY_INTERVAL_S)
-            while self._peers.live():
-                await anyio.sleep(_DISCOVERY_INTERVAL_S)
 
     def _add_listed_daemon(self, found: StoredObject) -> None:
         """Sets a daemon's address from its object unless the daemon is live."""
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "CLUSTER_PROTOCOL",
+    "HolderNews",
     "LotResponse",
     "LotItemBodyRequest",
     "LotEndedNotification",
@@ -17,11 +18,41 @@
     "ManifestResponse",
     "ManifestRequest",
     "Ping",
+    "RewardEnd",
+    "RewardOrder",
+    "RunEnd",
+    "RunOrder",
+    "RunProgress",
     "StoreResponse",
     "StoreRequest",
+    "TaskOrders",
+    "TaskReport",
+    "UsageReport",
 ]
 
 
+class HolderNews(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What the sender knows of the holder of a duty.
+
+    Attributes:
+        duty: The duty.
+        daemon_id: Its holder.
+        incarnation: Start of the holder's process.
+        fencing: The holder's fencing number.
+        address: Where its peer socket listens, `IP:PORT`.
+        reaches_store: Whether it reaches the store.
+        age_s: Seconds since a daemon received a ping of it.
+    """
+
+    duty: str
+    daemon_id: str
+    incarnation: int
+    fencing: int
+    address: str
+    reaches_store: bool
+    age_s: float
+
+
 class Ping(msgspec.Struct, frozen=True, kw_only=True, tag="ping"):
     """The state of a daemon, sent to its peers several times a second.
 
@@ -34,11 +65,11 @@
         manifest_revision: Revision of its active manifest, 0 for none.
         newest: Revision of the newest change that it received, by kind.
         duties: Fencing numbers of the duties that it holds, by duty.
-        usage: Its usage counts of recent windows.
+        standbys: The daemons that may take over its duties, which it pings in
+            each round.
+        holders: Other daemons that have a duty.
         speed: Processor speed available to it, in cores.
-        closed_before: Its first window whose counts may still increase.
-        peers: Addresses of the daemons that it knows, by id. Only some pings
-            carry them.
+        peers: Addresses of some daemons that it knows, by id.
     """
 
     domain: str
@@ -50,11 +81,23 @@
     manifest_revision: int = 0
     newest: dict[str, int] = {}
     duties: dict[str, int] = {}
-    usage: tuple[WindowCounts, ...] = ()
-    closed_before: int = 0
+    standbys: tuple[str, ...] = ()
+    holders: tuple[HolderNews, ...] = ()
     peers: dict[str, str] = {}
 
 
+class UsageReport(msgspec.Struct, frozen=True, kw_only=True, tag="us"):
+    """Usage counts of a daemon, sent to the holder that reports them.
+
+    Attributes:
+        usage: Its counts of recent windows.
+        closed_before: Its first window whose counts may still increase.
+    """
+
+    usage: tuple[WindowCounts, ...]
+    closed_before: int
+
+
 class StoreRequest(msgspec.Struct, frozen=True, kw_only=True, tag="sq"):
     """Requests that a peer relay a call to the store.
 
@@ -66,6 +109,7 @@
         content: The spec or the status to write, JSON.
         revision: Revision that a write expects, or after which a watch starts.
         wait_s: Maximum wait of a watch, in seconds.
+        of_copy: Whether to list or watch the peer's copy instead of the store.
     """
 
     verb: str
@@ -74,6 +118,7 @@
     content: bytes = b""
     revision: int = 0
     wait_s: float = 0.0
+    of_copy: bool = False
 
 
 class StoreResponse(msgspec.Struct, frozen=True, kw_only=True, tag="sa"):
@@ -165,6 +210,144 @@
     is_ended: bool = False
 
 
+class RunOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Orders a daemon to stream an item from an engine.
+
+    Attributes:
+        task_id: Id of the task, unique for a fencing number of the duty.
+        endpoint_id: The engine.
+        resume_after: Number of events after which the stream starts.
+        remaining_s: Seconds after which the result is useless.
+        item_id: The item.
+        host: Host name of its request.
+        account: Client account of its lot.
+        path: Path of its request.
+        headers: Headers of its request.
+        body: Body of its request.
+    """
+
+    task_id: int
+    endpoint_id: str
+    resume_after: int
+    remaining_s: float
+    item_id: str
+    host: str
+    account: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class RewardOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Orders a daemon to make a reward call.
+
+    Attributes:
+        task_id: Id of the task, unique for a fencing number of the duty.
+        item_id: The item, for the log.
+        request_id: Id of the call.
+        host: Host name that selects its route.
+        path: Its path.
+        body: Its body.
+    """
+
+    task_id: int
+    item_id: str
+    request_id: str
+    host: str
+    path: str
+    body: bytes
+
+
+class TaskOrders(msgspec.Struct, frozen=True, kw_only=True, tag="to"):
+    """The tasks that a holder wants one daemon to have.
+
+    Attributes:
+        fencing: Fencing number of the holder.
+        open_tasks: Ids of all tasks that the daemon is to have, the new ones
+            included. It cancels all others.
+        runs: New tasks that stream an item.
+        rewards: New tasks that make a reward call.
+    """
+
+    fencing: int
+    open_tasks: tuple[int, ...]
+    runs: tuple[RunOrder, ...] = ()
+    rewards: tuple[RewardOrder, ...] = ()
+
+
+class RunProgress(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Events that a task received since its last report.
+
+    Attributes:
+        task_id: The task.
+        first: Number of the first of these events within the text, from 1.
+        texts: Their data.
+        versions: Weight version of each.
+        interval_s: Mean time between them, and to the event before; 0 if
+            there is none before.
+        age_s: Seconds since the last one was received.
+    """
+
+    task_id: int
+    first: int
+    texts: tuple[str, ...]
+    versions: tuple[int, ...]
+    interval_s: float
+    age_s: float
+
+
+class RunEnd(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """How the stream of a task ended.
+
+    Attributes:
+        task_id: The task.
+        fault: Value of a `RunFault`; empty if the stream is complete.
+        events: Number of the last event within the text.
+        detail: Description for the log.
+    """
+
+    task_id: int
+    fault: str
+    events: int
+    detail: str
+
+
+class RewardEnd(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """How the reward call of a task ended.
+
+    Attributes:
+        task_id: The task.
+        score: The proof in the endpoint's response; empty if it failed.
+        is_endpoint_failure: Whether the endpoint itself failed.
+        max_attempts: Number of such failures after which the item is given
+            up, set by the route of the call.
+    """
+
+    task_id: int
+    score: str
+    is_endpoint_failure: bool
+    max_attempts: int
+
+
+class TaskReport(msgspec.Struct, frozen=True, kw_only=True, tag="tr"):
+    """What a daemon's tasks did since its last report.
+
+    Attributes:
+        fencing: Fencing number of the orders.
+        progress: Events of streams.
+        runs: Streams that ended. They are repeated until the holder no longer
+            names the task.
+        rewards: Reward calls that ended, likewise.
+        unknown: Tasks that the holder named, but of which no order arrived.
+    """
+
+    fencing: int
+    progress: tuple[RunProgress, ...] = ()
+    runs: tuple[RunEnd, ...] = ()
+    rewards: tuple[RewardEnd, ...] = ()
+    unknown: tuple[int, ...] = ()
+
+
 class _Call(msgspec.Struct, frozen=True, kw_only=True, tag="call"):
     """A request that expects one response; `call_id` is unique per sender."""
 
@@ -192,6 +375,9 @@
     incarnation: int
     messages: tuple[
         Ping
+        | UsageReport
+        | TaskOrders
+        | TaskReport
         | LotAcceptedNotification
         | LotEndedNotification
         | _Call
--- a/daisyhub/cluster/_peers.py
+++ b/daisyhub/cluster/_peers.py
@@ -1,17 +1,25 @@
 """The state of the other daemons, from their pings."""
 
 import dataclasses
+import math
 import time
 
-from daisyhub.cluster._messages import Ping
-from daisyhub.cluster._ping_plan import ping_timeout_s
+from daisyhub.cluster._messages import HolderNews, Ping
+from daisyhub.cluster._ping_plan import is_small_cluster, ping_timeout_s
 from daisyhub.logs import DecisionLog
 
-__all__ = ["PeerState", "PeerTable"]
+__all__ = ["HolderView", "PeerState", "PeerTable"]
 
-# Seconds without a ping after which a lost daemon is removed from the table: it
-# may have been taken out of the cluster.
-_EXPIRY_S = 60.0
+# Minimum number of seconds without a ping after which a lost daemon is removed
+# from the table: it may have been taken out of the cluster.
+_MIN_EXPIRY_S = 60.0
+# Seconds without news of a holder after which a daemon that is no standby of
+# it considers it lost: news travels over a few rounds of pings.
+_NEWS_TIMEOUT_S = 3.0
+# Seconds without a ping of any daemon of a failure domain after which the
+# domain counts as unreachable in a large cluster. Each daemon gets several
+# pings a second from each domain.
+_DOMAIN_TIMEOUT_S = 2.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,7 +30,8 @@
         daemon_id: Its id.
         incarnation: Start of its process, microseconds since 1970.
         ping: Its last ping.
-        last_received_at_s: When that ping was received, on the monotonic clock.
+        last_received_at_s: When its last message was received, on the
+            monotonic clock.
     """
 
     daemon_id: str
@@ -31,6 +40,32 @@
     last_received_at_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class HolderView:
+    """What is known of the holder of a duty.
+
+    Attributes:
+        daemon_id: The holder.
+        incarnation: Start of its process.
+        fencing: Its fencing number.
+        address: Where its peer socket listens, `IP:PORT`.
+        reaches_store: Whether it reaches the store.
+        heard_at_s: When a daemon last received a ping of it, on this daemon's
+            monotonic clock.
+        standbys: The daemons that it pings in each round; empty if unknown.
+        is_released: Whether it gave the duty up.
+    """
+
+    daemon_id: str
+    incarnation: int
+    fencing: int
+    address: str
+    reaches_store: bool
+    heard_at_s: float
+    standbys: frozenset[str] = frozenset()
+    is_released: bool = False
+
+
 class PeerTable:
     """The other daemons that have pinged this one.
 
@@ -44,14 +79,26 @@
         self._log = log
         self._peers: dict[str, PeerState] = {}
         self._lost: set[str] = set()
+        self._domain_heard_at_s: dict[str, float] = {}
+        self._holders: dict[str, HolderView] = {}
+        self._own_standbys: frozenset[str] = frozenset()
         self._has_duty = False
+        # The live peers, valid until `_live_until_s`.
+        self._live: list[PeerState] = []
+        self._live_until_s = -math.inf
 
-    def set_has_duty(self, has_duty: bool) -> None:
-        """Sets whether this daemon has a duty.
-
-        All others then ping it in each round, so the ping timeout is shorter.
-        """
+    def set_own_duty(self, has_duty: bool, standbys: frozenset[str]) -> None:
+        """Sets whether this daemon has a duty, and its standbys."""
+        if (has_duty, standbys) == (self._has_duty, self._own_standbys):
+            return
         self._has_duty = has_duty
+        self._own_standbys = standbys
+        self._live_until_s = -math.inf
+
+    @property
+    def has_duty(self) -> bool:
+        """Whether this daemon has a duty."""
+        return self._has_duty
 
     def record_ping(self, daemon_id: str, incarnation: int, ping: Ping) -> bool:
         """Records a ping and returns whether its sender is new or regained.
@@ -63,12 +110,33 @@
         if known is not None and incarnation < known.incarnation:
             return False
         is_new = known is None or daemon_id in self._lost
-        self._peers[daemon_id] = PeerState(daemon_id, incarnation, ping, now_s)
+        if known is None:
+            self._peers[daemon_id] = PeerState(
+                daemon_id, incarnation, ping, now_s
+            )
+        else:
+            if now_s >= self._live_until_s:
+                is_new = is_new or not self._is_within_timeout(known, now_s)
+            known.incarnation = incarnation
+            known.ping = ping
+            known.last_received_at_s = now_s
+        if is_new:
+            self._live_until_s = -math.inf
+        self._domain_heard_at_s[ping.domain] = now_s
         if daemon_id in self._lost:
             self._lost.discard(daemon_id)
             self._log.record("peer_regained", peer=daemon_id)
+        self._record_duties(daemon_id, incarnation, ping, now_s)
+        for news in ping.holders:
+            self._record_holder_news(news, now_s)
         return is_new
 
+    def record_contact(self, daemon_id: str, incarnation: int) -> None:
+        """Records that a known daemon sent another message than a ping."""
+        known = self._peers.get(daemon_id)
+        if known is not None and incarnation == known.incarnation:
+            known.last_received_at_s = time.monotonic()
+
     def get(self, daemon_id: str) -> PeerState | None:
         """Returns the state of a daemon, or None if it is unknown."""
         return self._peers.get(daemon_id)
@@ -78,18 +146,23 @@
         return list(self._peers.values())
 
     def live(self) -> list[PeerState]:
-        """Returns the daemons within their ping timeout, sorted by id."""
-        now_s = time.monotonic()
-        return [
-            self._peers[key]
-            for key in sorted(self._peers)
-            if self._is_within_timeout(self._peers[key], now_s)
-        ]
+        """Returns the daemons within their ping timeout, sorted by id.
 
-    def _is_within_timeout(self, peer: PeerState, now_s: float) -> bool:
-        has_duty = self._has_duty or bool(peer.ping.duties)
-        timeout_s = ping_timeout_s(len(self._peers), has_duty=has_duty)
-        return now_s - peer.last_received_at_s <= timeout_s
+        The list must not be modified. It is made anew only when a daemon is
+        new or may have become silent, since each request uses it.
+        """
+        now_s = time.monotonic()
+        if now_s <= self._live_until_s:
+            return self._live
+        self._live = []
+        self._live_until_s = math.inf
+        for daemon_id in sorted(self._peers):
+            peer = self._peers[daemon_id]
+            until_s = peer.last_received_at_s + self._timeout_s(peer)
+            if now_s <= until_s:
+                self._live.append(peer)
+                self._live_until_s = min(self._live_until_s, until_s)
+        return self._live
 
     def is_live(self, daemon_id: str) -> bool:
         """Whether a daemon is this one or within its ping timeout."""
@@ -102,35 +175,107 @@
 
     def unreachable_domains(self) -> frozenset[str]:
         """Returns the known failure domains without a live daemon."""
-        known = {peer.ping.domain for peer in self._peers.values()}
-        return frozenset(known - {peer.ping.domain for peer in self.live()})
+        if is_small_cluster(len(self._peers)):
+            known = {peer.ping.domain for peer in self._peers.values()}
+            return frozenset(known - {p.ping.domain for p in self.live()})
+        oldest_s = time.monotonic() - _DOMAIN_TIMEOUT_S
+        return frozenset(
+            domain
+            for domain, heard_at_s in self._domain_heard_at_s.items()
+            if heard_at_s < oldest_s
+        )
 
     def has_lost_peers(self) -> bool:
         """Whether a known daemon isn't live."""
         return len(self.live()) < len(self._peers)
 
-    def holder_of(self, duty: str) -> PeerState | None:
-        """Returns the live daemon with the highest fencing number of a duty.
+    def holder_of(self, duty: str) -> HolderView | None:
+        """Returns the holder of a duty, or None if no live one is known."""
+        view = self._holders.get(duty)
+        if view is None or not self._is_recent(view, time.monotonic()):
+            return None
+        return view
 
-        None if no live daemon holds the duty.
-        """
-        holders = [p for p in self.live() if duty in p.ping.duties]
-        return max(holders, key=lambda p: p.ping.duties[duty], default=None)
+    def last_holder_of(self, duty: str) -> HolderView | None:
+        """Returns the last known holder of a duty, also if it is lost."""
+        return self._holders.get(duty)
+
+    def is_holder_live(self, duty: str, daemon_id: str, incarnation: str):
+        """Whether a process that the store names as a holder is live."""
+        peer = self._peers.get(daemon_id)
+        if peer is not None and peer.ping.is_leaving:
+            return False
+        view = self._holders.get(duty)
+        if (
+            view is not None
+            and view.daemon_id == daemon_id
+            and str(view.incarnation) == incarnation
+        ):
+            return self._is_recent(view, time.monotonic())
+        return (
+            peer is not None
+            and str(peer.incarnation) == incarnation
+            and self.is_live(daemon_id)
+        )
 
     def has_live_holder_with_store(self) -> bool:
         """Whether a live daemon with a duty reaches the store."""
+        now_s = time.monotonic()
         return any(
-            peer.ping.duties and peer.ping.reaches_store for peer in self.live()
+            view.reaches_store and self._is_recent(view, now_s)
+            for view in self._holders.values()
+        )
+
+    def live_holder_ids(self) -> set[str]:
+        """Returns the ids of the other daemons that have a duty."""
+        now_s = time.monotonic()
+        return {
+            view.daemon_id
+            for view in self._holders.values()
+            if self._is_recent(view, now_s) and view.daemon_id != self.own_id
+        }
+
+    def close_ids(self) -> set[str]:
+        """Returns the daemons to exchange pings with in each round.
+
+        These are this holder's standbys, or the holder for which this daemon is
+        a standby, and its other standbys.
+        """
+        close = set(self._own_standbys)
+        for view in self._holders.values():
+            if self.own_id in view.standbys:
+                close |= view.standbys
+                close.add(view.daemon_id)
+        close.discard(self.own_id)
+        return close
+
+    def make_holder_news(self) -> tuple[HolderNews, ...]:
+        """Returns news of the live holders for a ping."""
+        now_s = time.monotonic()
+        return tuple(
+            HolderNews(
+                duty=duty,
+                daemon_id=view.daemon_id,
+                incarnation=view.incarnation,
+                fencing=view.fencing,
+                address=view.address,
+                reaches_store=view.reaches_store,
+                age_s=max(0.0, now_s - view.heard_at_s),
+            )
+            for duty, view in self._holders.items()
+            if self._is_recent(view, now_s) and view.daemon_id != self.own_id
         )
 
     def expire_peers(self) -> list[str]:
         """Logs lost daemons; removes expired ones and returns their ids."""
         now_s = time.monotonic()
+        if now_s <= self._live_until_s:
+            return []
         removed = []
         for daemon_id, peer in list(self._peers.items()):
             quiet_s = now_s - peer.last_received_at_s
-            is_live_now = self._is_within_timeout(peer, now_s)
-            if not is_live_now and daemon_id not in self._lost:
+            timeout_s = self._timeout_s(peer)
+            if quiet_s > timeout_s and daemon_id not in self._lost:
                 self._lost.add(daemon_id)
                 self._log.record(
                     "peer_lost",
@@ -138,8 +283,92 @@
                     quiet_s=round(quiet_s, 2),
                     was_leaving=peer.ping.is_leaving,
                 )
-            if quiet_s > _EXPIRY_S:
+            if quiet_s > max(_MIN_EXPIRY_S, 2 * timeout_s):
                 del self._peers[daemon_id]
                 self._lost.discard(daemon_id)
                 removed.append(daemon_id)
+        if removed:
+            known = {peer.ping.domain for peer in self._peers.values()}
+            for domain in set(self._domain_heard_at_s) - known:
+                del self._domain_heard_at_s[domain]
         return removed
+
+    def _record_duties(
+        self, daemon_id: str, incarnation: int, ping: Ping, now_s: float
+    ) -> None:
+        """Updates the holders from a ping of a holder or a former one."""
+        for duty, fencing in ping.duties.items():
+            view = self._holders.get(duty)
+            if view is not None and view.fencing > fencing:
+                continue
+            standbys = frozenset(ping.standbys)
+            if view is None or view.standbys != standbys:
+                self._live_until_s = -math.inf
+            self._holders[duty] = HolderView(
+                daemon_id,
+                incarnation,
+                fencing,
+                ping.address,
+                ping.reaches_store,
+                now_s,
+                standbys,
+            )
+        for duty, view in self._holders.items():
+            if view.daemon_id == daemon_id and duty not in ping.duties:
+                view.is_released = True
+
+    def _record_holder_news(self, news: HolderNews, now_s: float) -> None:
+        if news.daemon_id == self.own_id:
+            return
+        view = self._holders.get(news.duty)
+        heard_at_s = now_s - news.age_s
+        peer = self._peers.get(news.daemon_id)
+        if (
+            peer is not None
+            and peer.last_received_at_s >= heard_at_s
+            and news.duty not in peer.ping.duties
+        ):
+            # Its own later ping says that it no longer holds the duty.
+            return
+        if view is None or news.fencing > view.fencing:
+            self._holders[news.duty] = HolderView(
+                news.daemon_id,
+                news.incarnation,
+                news.fencing,
+                news.address,
+                news.reaches_store,
+                heard_at_s,
+            )
+        elif news.fencing == view.fencing and heard_at_s > view.heard_at_s:
+            view.heard_at_s = heard_at_s
+            view.reaches_store = news.reaches_store
+
+    def _is_recent(self, view: HolderView, now_s: float) -> bool:
+        """Whether a holder was heard within the timeout for its news."""
+        if view.is_released:
+            return False
+        known = len(self._peers)
+        is_close = self.own_id in view.standbys or is_small_cluster(known)
+        timeout_s = (
+            ping_timeout_s(known, is_close=True)
+            if is_close
+            else _NEWS_TIMEOUT_S
+        )
+        return now_s - view.heard_at_s <= timeout_s
+
+    def _timeout_s(self, peer: PeerState) -> float:
+        known = len(self._peers)
+        if is_small_cluster(known):
+            return ping_timeout_s(known, is_close=True)
+        is_close = peer.daemon_id in self._own_standbys or any(
+            self.own_id in view.standbys
+            and (
+                peer.daemon_id == view.daemon_id
+                or peer.daemon_id in view.standbys
+            )
+            for view in self._holders.values()
+        )
+        return ping_timeout_s(known, is_close=is_close, has_duty=self._has_duty)
+
+    def _is_within_timeout(self, peer: PeerState, now_s: float) -> bool:
+        return now_s - peer.last_received_at_s <= self._timeout_s(peer)
--- a/daisyhub/cluster/_store_calls.py
+++ b/daisyhub/cluster/_store_calls.py
@@ -4,21 +4,27 @@
 
 from daisyhub.cluster._messages import StoreRequest, StoreResponse
 from daisyhub.cluster._peers import PeerTable
+from daisyhub.hosting import rank_candidates
 from daisyhub.objects import (
     HistoryGoneError,
     ObjectConflictError,
     ObjectList,
+    ObjectSource,
     ObjectStore,
     ObjectStoreError,
+    ReaderProvider,
     RelayProvider,
     StoredObject,
     WatchBatch,
 )
 from daisyhub.peers import PeerNetwork, PeerUnreachableError
 
-__all__ = ["PeerRelayProvider", "StoreRequestHandler"]
+__all__ = ["PeerReaderProvider", "PeerRelayProvider", "StoreRequestHandler"]
 
 _READS = frozenset({"read", "list", "watch"})
+# Number of other daemons from which on watches are shared. In a smaller
+# cluster they cost little, and a reader is one more thing that can fail.
+_MIN_SHARING_PEERS = 12
 
 
 class StoreRequestHandler:
@@ -26,10 +32,12 @@
 
     Args:
         store: Calls the store directly, never through a peer.
+        copy: This daemon's copies of watched kinds.
     """
 
-    def __init__(self, store: ObjectStore):
+    def __init__(self, store: ObjectStore, copy: ObjectSource):
         self._store = store
+        self._copy = copy
 
     async def handle(self, request: StoreRequest) -> StoreResponse:
         """Makes one store call and returns its result or failure."""
@@ -50,16 +58,17 @@
 
     async def _execute(self, request: StoreRequest) -> StoreResponse:
         store, kind, name = self._store, request.kind, request.name
+        source = self._copy if request.of_copy else store
         match request.verb:
             case "read":
                 return StoreResponse(found=await store.read(kind, name))
             case "list":
-                listed = await store.list_all(kind)
+                listed = await source.list_all(kind)
                 return StoreResponse(
                     revision=listed.revision, items=listed.items
                 )
             case "watch":
-                batch = await store.watch(
+                batch = await source.watch(
                     kind, after_revision=request.revision, wait_s=request.wait_s
                 )
                 return StoreResponse(
@@ -86,12 +95,20 @@
 
 
 class _PeerStore(ObjectStore):
-    """Calls the store through one peer."""
+    """Calls the store through one peer, or lists and watches its copy."""
 
-    def __init__(self, network: PeerNetwork, peer_id: str, timeout_s: float):
+    def __init__(
+        self,
+        network: PeerNetwork,
+        peer_id: str,
+        timeout_s: float,
+        *,
+        of_copy: bool = False,
+    ):
         self._network = network
         self._peer_id = peer_id
         self._timeout_s = timeout_s
+        self._of_copy = of_copy
 
     async def read(
         self, kind: str, name: str, *, can_be_stale: bool = False
@@ -103,7 +120,9 @@
         return response.found
 
     async def list_all(self, kind: str) -> ObjectList:
-        response = await self._call(StoreRequest(verb="list", kind=kind))
+        response = await self._call(
+            StoreRequest(verb="list", kind=kind, of_copy=self._of_copy)
+        )
         return ObjectList(revision=response.revision, items=response.items)
 
     async def watch(
@@ -116,7 +135,11 @@
     ) -> WatchBatch:
         del can_be_stale
         request = StoreRequest(
-            verb="watch", kind=kind, revision=after_revision, wait_s=wait_s
+            verb="watch",
+            kind=kind,
+            revision=after_revision,
+            wait_s=wait_s,
+            of_copy=self._of_copy,
         )
         response = await self._call(request, wait_s)
         return WatchBatch(revision=response.revision, changes=response.items)
@@ -196,10 +219,73 @@
         self._timeout_s = timeout_s
 
     def stores(self) -> list[ObjectStore]:
-        """Returns the relays, those in other failure domains last."""
+        """Returns the relays, those in other failure domains last.
+
+        In a large cluster a daemon may be lost for long before this one
+        learns of it, so daemons that were heard last come first.
+        """
         connected = [p for p in self._peers.live() if p.ping.reaches_store]
-        connected.sort(key=lambda p: p.ping.domain != self._domain)
+        connected.sort(
+            key=lambda p: (
+                p.ping.domain != self._domain,
+                -p.last_received_at_s,
+            )
+        )
         return [
             _PeerStore(self._network, p.daemon_id, self._timeout_s)
             for p in connected
         ]
+
+
+class PeerReaderProvider(ReaderProvider):
+    """Chooses the reader among the live daemons of the failure domain.
+
+    A daemon with a duty reads itself, since it must be up to date.
+
+    Args:
+        network: Calls peers.
+        peers: Known peers.
+        domain: Failure domain of this daemon.
+        timeout_s: Timeout of a call in seconds, to which a watch adds its own
+            wait.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        peers: PeerTable,
+        domain: str,
+        timeout_s: float,
+    ):
+        self._network = network
+        self._peers = peers
+        self._domain = domain
+        self._timeout_s = timeout_s
+
+    @property
+    def knows_peers(self) -> bool:
+        """Whether another daemon is live; see `ReaderProvider`."""
+        return bool(self._peers.live())
+
+    def choose(self, excluded: frozenset[str]) -> str | None:
+        """Returns the first daemon by rank; see `ReaderProvider.choose`."""
+        live = self._peers.live()
+        if len(live) < _MIN_SHARING_PEERS or self._peers.has_duty:
+            return None
+        names = [
+            p.daemon_id
+            for p in live
+            if p.ping.domain == self._domain
+            and p.ping.reaches_store
+            and not p.ping.is_leaving
+            and p.daemon_id not in excluded
+        ]
+        names.append(self._peers.own_id)
+        first = rank_candidates(f"reader/{self._domain}", names)[0]
+        return None if first == self._peers.own_id else first
+
+    def copy_of(self, reader_id: str) -> ObjectSource:
+        """Returns the copy of a reader; see `ReaderProvider.copy_of`."""
+        return _PeerStore(
+            self._network, reader_id, self._timeout_s, of_copy=True
+        )
--- a/daisyhub/duties/_controller.py
+++ b/daisyhub/duties/_controller.py
@@ -1,5 +1,7 @@
 """Runs a duty core against the object store and the peer table."""
 
+import functools
+import time
 from collections.abc import Mapping
 
 import anyio
@@ -7,7 +9,11 @@
 
 from daisyhub.base import Controller
 from daisyhub.clocks import boot_time_s
-from daisyhub.cluster import PeerTable
+from daisyhub.cluster import (
+    STANDBY_COUNT,
+    PeerTable,
+    is_small_cluster,
+)
 from daisyhub.duties._core import (
     DutyCallFailed,
     DutyCore,
@@ -27,7 +33,7 @@
     StoredObject,
 )
 
-__all__ = ["DutyController", "choose_candidate"]
+__all__ = ["DutyController", "choose_candidate", "rank_daemons"]
 
 _DUTIES_KIND = "duties"
 # Interval between checks of the peers: half of a ping's interval.
@@ -38,6 +44,11 @@
 # Minimum processor speed of a candidate, relative to the fastest live one,
 # since the holder does the work of all lots.
 _MIN_SPEED_RATIO = 0.75
+# Seconds without news of a holder after which daemons other than its standbys
+# are candidates. A standby takes over within two.
+_STANDBYS_FIRST_S = 5.0
+# Seconds between the attempts of two daemons of successive rank.
+_RANK_DELAY_S = 0.5
 
 
 class DutyController(Controller):
@@ -124,27 +135,32 @@
         """Marks this daemon as shutting down; it acquires no duty any more."""
         self._is_leaving = True
 
+    def standbys(self) -> tuple[str, ...]:
+        """Returns the live daemons that may take over this duty, by rank."""
+        speeds = self._live_speeds()
+        del speeds[self._peers.own_id]
+        if not speeds:
+            return ()
+        return tuple(rank_daemons(self.duty, speeds)[:STANDBY_COUNT])
+
     def _tick(self) -> DutyTick:
         """Returns a tick with the current state of the peers."""
         record = self._core.record
-        live = self._peers.live()
-        holder = record.holder if record else ""
-        holder_id, _, incarnation = holder.rpartition("/")
-        peer = self._peers.get(holder_id)
-        is_holder_live = (
-            peer is not None
-            and self._peers.is_live(holder_id)
-            and str(peer.incarnation) == incarnation
+        holder_id, _, incarnation = (
+            record.holder if record else ""
+        ).rpartition("/")
+        is_holder_live = bool(holder_id) and self._peers.is_holder_live(
+            self.duty, holder_id, incarnation
         )
-        fencing_numbers = [p.ping.duties.get(self.duty, 0) for p in live]
+        view = self._peers.last_holder_of(self.duty)
         return DutyTick(
-            is_candidate=self._is_preferred_candidate(live),
+            is_candidate=self._is_preferred_candidate(),
             is_holder_live=is_holder_live,
-            has_lost_peers=len(live) < len(self._peers.all()),
-            max_peer_fencing=max(fencing_numbers, default=0),
+            has_lost_peers=self._peers.has_lost_peers(),
+            max_peer_fencing=view.fencing if view else 0,
         )
 
-    def _is_preferred_candidate(self, live) -> bool:
+    def _is_preferred_candidate(self) -> bool:
         """Whether this daemon ranks first among those not shutting down.
 
         A daemon for which less than half of the known daemons are live, itself
@@ -153,16 +169,56 @@
         """
         if self._is_leaving:
             return False
+        live = self._peers.live()
         if not live and boot_time_s() - self._started_s < _PEER_DISCOVERY_S:
             return False
         known_count = len(self._peers.all()) + 1
         if 2 * (len(live) + 1) < known_count:
             return False
+        speeds = self._live_speeds()
+        if is_small_cluster(known_count - 1):
+            return choose_candidate(self.duty, speeds) == self._peers.own_id
+        return self._is_candidate_of_many(speeds)
+
+    def _is_candidate_of_many(self, speeds: dict[str, float]) -> bool:
+        """Whether this daemon ranks first in a large cluster.
+
+        Only the holder and its standbys learn soon that one of them is lost,
+        so the first of them by rank is the candidate. If all of them are
+        lost, the others follow one after the other, since each may consider
+        lost daemons live.
+
+        Args:
+            speeds: Processor speed by live daemon, this one included.
+        """
+        own_id = self._peers.own_id
+        view = self._peers.last_holder_of(self.duty)
+        if view is None:
+            started_s = self._started_s
+        elif own_id in view.standbys:
+            group = {*view.standbys, view.daemon_id}
+            speeds = {n: s for n, s in speeds.items() if n in group}
+            return choose_candidate(self.duty, speeds) == own_id
+        else:
+            started_s = view.heard_at_s + boot_time_s() - time.monotonic()
+            if boot_time_s() - started_s < _STANDBYS_FIRST_S:
+                return False
+            started_s += _STANDBYS_FIRST_S
+        ranking = rank_daemons(self.duty, speeds)
+        if own_id not in ranking:
+            return False
+        delay_s = ranking.index(own_id) * _RANK_DELAY_S
+        return boot_time_s() - started_s >= _PEER_DISCOVERY_S + delay_s
+
+    def _live_speeds(self) -> dict[str, float]:
+        """Returns the speed of each live daemon that isn't shutting down."""
         speeds = {
-            p.daemon_id: p.ping.speed for p in live if not p.ping.is_leaving
+            p.daemon_id: p.ping.speed
+            for p in self._peers.live()
+            if not p.ping.is_leaving
         }
         speeds[self._peers.own_id] = self._speed
-        return choose_candidate(self.duty, speeds) == self._peers.own_id
+        return speeds
 
     async def _carry_out(self, action: ReadDuty | WriteDuty) -> object:
         """Calls the store; returns the event for the core."""
@@ -223,6 +279,17 @@
 def choose_candidate(duty: str, speeds: Mapping[str, float]) -> str:
     """Returns the id of the daemon that should take a duty.
 
+    Args:
+        duty: Name of the duty.
+        speeds: Processor speed of each candidate by daemon id, in cores; not
+            empty.
+    """
+    return rank_daemons(duty, speeds)[0]
+
+
+def rank_daemons(duty: str, speeds: Mapping[str, float]) -> list[str]:
+    """Returns the daemons that may have a duty, the preferred one first.
+
     The holder carries the load of all lots, and a slow machine would serve
     them late. Duties are therefore spread over the fast machines only.
 
@@ -232,5 +299,13 @@
             empty.
     """
     min_speed = _MIN_SPEED_RATIO * max(speeds.values())
-    eligible = [name for name, speed in speeds.items() if speed >= min_speed]
-    return rank_candidates(duty, eligible)[0]
+    eligible = frozenset(
+        name for name, speed in speeds.items() if speed >= min_speed
+    )
+    return list(_rank(duty, eligible))
+
+
+@functools.lru_cache(maxsize=16)
+def _rank(duty: str, eligible: frozenset[str]) -> tuple[str, ...]:
+    """Returns the ranking; cached, as the live daemons rarely change."""
+    return tuple(rank_candidates(duty, sorted(eligible)))
--- a/daisyhub/lots/__init__.py
+++ b/daisyhub/lots/__init__.py
@@ -1,9 +1,9 @@
 """Lots that trainers submit whole, and whose results are read by position.
 
 A lot is a set of items to generate. The daemon that holds the duty for lots
-runs their items on engines and lists the results: each one is written to the
-store at a position that never changes. Any daemon accepts lots and serves
-their results.
+decides which item runs on which engine, has workers stream the items, and lists
+the results: each one is written to the store at a position that never changes.
+Any daemon accepts lots, works for the holder and serves results.
 """
 
 from daisyhub.lots._calls import EndLot, LotCall, ReadItemBody, ReadResults
@@ -24,6 +24,8 @@
     RewardSpec,
 )
 from daisyhub.lots._wire import EventReader, LotWire, StreamEvent
+from daisyhub.lots._worker import TaskWorker
+from daisyhub.lots._worker_pool import WorkerPool
 
 __all__ = [
     "DispatchCore",
@@ -48,4 +50,6 @@
     "RewardSpec",
     "StreamEvent",
     "SubmittedLotsFilter",
+    "TaskWorker",
+    "WorkerPool",
 ]
--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -14,6 +14,7 @@
 """
 
 import dataclasses
+import math
 import statistics
 
 from daisyhub.base import Core
@@ -34,7 +35,7 @@
     RunFault,
     StartRewardCall,
     StartRun,
-    StreamEventReceived,
+    StreamEventsReceived,
 )
 from daisyhub.lots._types import ItemResult, ResultState
 
@@ -68,6 +69,9 @@
 # Weight of the latest interval between events in the moving average, which
 # thus covers about ten events.
 _EVENT_INTERVAL_WEIGHT = 0.2
+# Seconds between two searches for silent runs, which look at all of them: a
+# sixth of the shortest timeout.
+_SILENCE_CHECK_INTERVAL_S = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,11 +83,38 @@
         items: Items that weren't listed when it was opened, by id, in the
             order in which they are to start.
         unfinished_in_group: Number of items without a result, by group.
+        to_run: The items that need a run, in the order in which to start them
+            if `is_sorted`.
+        to_score: The items with a whole text that need a reward call.
+        is_sorted: Whether no item returned to `to_run` since it was sorted.
     """
 
     opened: LotOpened
     items: dict[str, Item]
     unfinished_in_group: dict[str, int]
+    to_run: dict[str, Item] = dataclasses.field(default_factory=dict)
+    to_score: dict[str, Item] = dataclasses.field(default_factory=dict)
+    is_sorted: bool = True
+
+    def requeue(self, item: Item) -> None:
+        """Adds an item to the queue of what it needs next, if anything."""
+        item_id = item.spec.item_id
+        if item.is_done or item.runs or item.is_reward_pending:
+            return
+        if item.progress.is_whole:
+            self.to_score[item_id] = item
+        elif item_id not in self.to_run:
+            self.to_run[item_id] = item
+            self.is_sorted = False
+
+    def sort(self) -> None:
+        """Restores the order of `to_run`."""
+        if self.is_sorted:
+            return
+        self.to_run = dict(
+            sorted(self.to_run.items(), key=lambda entry: entry[1].rank)
+        )
+        self.is_sorted = True
 
 
 class DispatchCore(Core):
@@ -94,13 +125,14 @@
         self._engines: dict[str, Engine] = {}
         self._runs: dict[int, Run] = {}
         self._last_run_id = 0
+        self._silence_check_at_s = -math.inf
 
     @property
     def next_wakeup_s(self) -> float | None:
         """Earliest time at which a run may time out; None without runs.
 
-        There is no tick event: every event but `StreamEventReceived` checks
-        for timeouts.
+        There is no tick event: every event but `StreamEventsReceived` checks
+        for timeouts, at most once per `_SILENCE_CHECK_INTERVAL_S`.
         """
         starts = [run.last_event_at_s for run in self._runs.values()]
         return min(starts) + _SILENCE_TIMEOUT_S if starts else None
@@ -113,11 +145,7 @@
     @property
     def waiting_items(self) -> int:
         """Number of items that wait for a run."""
-        return sum(
-            not item.is_done and not item.runs and not item.progress.is_whole
-            for lot in self._lots.values()
-            for item in lot.items.values()
-        )
+        return sum(len(lot.to_run) for lot in self._lots.values())
 
     @property
     def total_open_runs(self) -> int:
@@ -158,8 +186,8 @@
         """
         actions: list[object] = []
         match event:
-            case StreamEventReceived():
-                return self._on_stream_event(event, now_s)
+            case StreamEventsReceived():
+                return self._on_stream_events(event, now_s)
             case EnginesListed():
                 self._on_engines(event)
             case LotOpened():
@@ -179,9 +207,9 @@
     def _schedule(self, now_s: float) -> list[object]:
         """Cancels silent runs, then fills free slots.
 
-        Engines are searched for each started run, not for each waiting item:
-        when no engine has a free slot for a combination of pool, model and
-        version, all further items of that combination are skipped.
+        All items of a lot need an engine of the same pool, model and version.
+        When no such engine has a free slot, the other lots with the same
+        requirement are skipped.
         """
         actions = self._cancel_silent_runs(now_s)
         median_interval_s = self._median_event_interval_s()
@@ -189,14 +217,67 @@
         for lot in sorted(
             self._lots.values(), key=lambda lot: lot.opened.due_at_s
         ):
-            for item in lot.items.values():
-                if _needs_no_action(item, now_s):
-                    continue
-                actions += self._start_next_step(
-                    lot, item, now_s, median_interval_s, exhausted
+            actions += self._score_items(lot, now_s)
+            if now_s >= lot.opened.give_up_at_s:
+                actions += self._give_up_unstarted(lot, now_s)
+            elif lot.to_run:
+                actions += self._start_items(
+                    lot, now_s, median_interval_s, exhausted
                 )
         return actions + self._start_backup_runs(median_interval_s, now_s)
 
+    def _score_items(self, lot: _Lot, now_s: float) -> list[object]:
+        """Starts the reward calls of whole texts, or finishes the items."""
+        actions: list[object] = []
+        for item_id, item in list(lot.to_score.items()):
+            if now_s < item.retry_at_s:
+                continue
+            del lot.to_score[item_id]
+            if item.spec.reward is None:
+                actions.append(self._complete(lot, item, ""))
+                continue
+            item.is_reward_pending = True
+            actions.append(
+                StartRewardCall(lot.opened.spec.head.lot_id, item.spec)
+            )
+        return actions
+
+    def _give_up_unstarted(self, lot: _Lot, now_s: float) -> list[object]:
+        due = [i for i in lot.to_run.values() if now_s >= i.retry_at_s]
+        return [action for item in due for action in self._give_up(lot, item)]
+
+    def _start_items(
+        self,
+        lot: _Lot,
+        now_s: float,
+        median_interval_s: float,
+        exhausted: set[tuple[str, str, int]],
+    ) -> list[object]:
+        """Starts runs of a lot's items while an engine has a free slot.
+
+        Args:
+            lot: The lot.
+            now_s: The time.
+            median_interval_s: Median interval between events; 0 if unknown.
+            exhausted: Combinations of pool, model and oldest version for
+                which no engine has a free slot; extended here.
+        """
+        head = lot.opened.spec.head
+        requirement = (lot.opened.pool, head.model, head.oldest_version)
+        if requirement in exhausted:
+            return []
+        actions: list[object] = []
+        lot.sort()
+        for item in list(lot.to_run.values()):
+            if now_s < item.retry_at_s:
+                continue
+            engine = self._choose_engine(lot, now_s, median_interval_s)
+            if engine is None:
+                exhausted.add(requirement)
+                break
+            actions.append(self._start_run(lot, item, engine, now_s))
+        return actions
+
     def _on_opened(self, opened: LotOpened) -> None:
         items = {}
         unfinished: dict[str, int] = {}
@@ -210,9 +291,14 @@
                 continue
             earlier = opened.progress.get(spec.item_id, Progress())
             reusable = _reusable_progress(earlier, opened.spec.head)
-            items[spec.item_id] = Item(spec, progress=reusable)
+            item = Item(spec, rank=len(items), progress=reusable)
+            items[spec.item_id] = item
             unfinished[spec.group] = unfinished.get(spec.group, 0) + 1
-        self._lots[opened.spec.head.lot_id] = _Lot(opened, items, unfinished)
+        lot = _Lot(opened, items, unfinished)
+        for item in items.values():
+            lot.requeue(item)
+        lot.is_sorted = True
+        self._lots[opened.spec.head.lot_id] = lot
 
     def _on_closed(self, event: LotClosed) -> list[object]:
         lot = self._lots.pop(event.lot_id, None)
@@ -239,36 +325,44 @@
                 }
             engine.view = view
 
-    def _on_stream_event(
-        self, event: StreamEventReceived, now_s: float
+    def _on_stream_events(
+        self, event: StreamEventsReceived, now_s: float
     ) -> list[object]:
         run = self._runs.get(event.run)
         if run is None:
             return []
-        lot = self._lots[run.lot_id]
-        if event.version < lot.opened.spec.head.oldest_version:
+        known = len(run.texts) - (event.first - 1)
+        if known < 0:
+            return self._abandon_run(event.run, "events of it were lost")
+        texts, versions = event.texts[known:], event.versions[known:]
+        if not texts:
+            return []
+        head = self._lots[run.lot_id].opened.spec.head
+        if min(versions) < head.oldest_version:
             return self._abandon_run(event.run, "its weights are too old")
-        if _violates_single_version(
-            lot.opened.spec.head, run.versions, event.version
-        ):
+        if _violates_single_version(head, run.versions, versions):
             return self._abandon_run(event.run, "its weights changed")
         engine = self._engines.get(run.endpoint_id)
         if engine is not None:
             engine.consecutive_failures = 0
             engine.backoff_until_s = min(engine.backoff_until_s, now_s)
-            if run.event_count:
-                self._update_event_interval(engine, now_s - run.last_event_at_s)
-        run.texts.append(event.data)
-        run.versions.append(event.version)
-        run.event_count += 1
-        run.last_event_at_s = now_s
+            if event.interval_s:
+                self._update_event_interval(
+                    engine, event.interval_s, len(texts)
+                )
+        run.texts += texts
+        run.versions += versions
+        run.event_count += len(texts)
+        run.last_event_at_s = now_s - event.age_s
         return []
 
-    def _update_event_interval(self, engine: Engine, interval_s: float) -> None:
+    def _update_event_interval(
+        self, engine: Engine, interval_s: float, count: int
+    ) -> None:
+        """Adds `count` intervals of this mean to the moving average."""
         mean_s = engine.event_interval_s or interval_s
-        engine.event_interval_s = mean_s + _EVENT_INTERVAL_WEIGHT * (
-            interval_s - mean_s
-        )
+        weight = 1 - (1 - _EVENT_INTERVAL_WEIGHT) ** count
+        engine.event_interval_s = mean_s + weight * (interval_s - mean_s)
 
     def _abandon_run(self, run_id: int, reason: str) -> list[object]:
         """Cancels a run, but keeps its text if it can be reused."""
@@ -277,6 +371,7 @@
         item = lot.items[run.item_id]
         _update_progress(item, run)
         item.progress = _reusable_progress(item.progress, lot.opened.spec.head)
+        lot.requeue(item)
         return [CancelRun(run_id, reason)]
 
     def _remove_run(self, run_id: int) -> Run:
@@ -292,15 +387,17 @@
     def _on_completed(self, event: RunCompleted, now_s: float) -> list[object]:
         """Stores a complete text; cancels the item's other runs.
 
-        A run that completed without any text is discarded, and the item is
-        run again.
+        A run that completed without any text, or of which events were lost,
+        is discarded, and the item is run again.
         """
         if event.run not in self._runs:
             return []
         run = self._remove_run(event.run)
         lot = self._lots[run.lot_id]
         item = lot.items[run.item_id]
-        if not run.texts or item.progress.is_whole:
+        if not run.texts or len(run.texts) != event.events:
+            _update_progress(item, run)
+            lot.requeue(item)
             return []
         item.progress = Progress(
             tuple(run.texts), tuple(run.versions), is_whole=True
@@ -308,6 +405,7 @@
         others = list(item.runs)
         for run_id in others:
             self._remove_run(run_id)
+        lot.requeue(item)
         return [CancelRun(r, "another run completed first") for r in others]
 
     def _on_failed(self, event: RunFailed, now_s: float) -> list[object]:
@@ -334,6 +432,7 @@
                 pass
             case _:
                 self._record_failure(engine, now_s)
+        lot.requeue(item)
         return []
 
     def _record_failure(self, engine: Engine | None, now_s: float) -> None:
@@ -351,6 +450,8 @@
 
     def _finish(self, lot: _Lot, item: Item, result: ItemResult) -> FinishItem:
         item.is_done = True
+        lot.to_run.pop(item.spec.item_id, None)
+        lot.to_score.pop(item.spec.item_id, None)
         lot.unfinished_in_group[item.spec.group] -= 1
         return FinishItem(
             lot.opened.spec.head.lot_id,
@@ -375,6 +476,7 @@
         ):
             return self._give_up(lot, item)
         item.retry_at_s = now_s + _RETRY_DELAY_S
+        lot.requeue(item)
         return []
 
     def _complete(self, lot: _Lot, item: Item, score: str) -> FinishItem:
@@ -388,44 +490,6 @@
         )
         return self._finish(lot, item, result)
 
-    def _start_next_step(
-        self,
-        lot: _Lot,
-        item: Item,
-        now_s: float,
-        median_interval_s: float,
-        exhausted: set[tuple[str, str, int]],
-    ) -> list[object]:
-        """Starts an item's run or reward call, or finishes the item.
-
-        Returns no action while no engine has a free slot for its run.
-
-        Args:
-            lot: Its lot.
-            item: An item that is neither done, in progress nor waiting for
-                its retry.
-            now_s: The time.
-            median_interval_s: Median interval between events; 0 if unknown.
-            exhausted: Combinations of pool, model and oldest version for
-                which no engine has a free slot; extended here.
-        """
-        if item.progress.is_whole:
-            if item.spec.reward is None:
-                return [self._complete(lot, item, "")]
-            item.is_reward_pending = True
-            return [StartRewardCall(lot.opened.spec.head.lot_id, item.spec)]
-        if now_s >= lot.opened.give_up_at_s:
-            return self._give_up(lot, item)
-        head = lot.opened.spec.head
-        requirement = (lot.opened.pool, head.model, head.oldest_version)
-        if requirement in exhausted:
-            return []
-        engine = self._choose_engine(lot, now_s, median_interval_s)
-        if engine is None:
-            exhausted.add(requirement)
-            return []
-        return [self._start_run(lot, item, engine, now_s)]
-
     def _start_run(
         self, lot: _Lot, item: Item, engine: Engine, now_s: float
     ) -> StartRun:
@@ -443,6 +507,7 @@
         )
         item.runs.add(run_id)
         engine.runs.add(run_id)
+        lot.to_run.pop(item.spec.item_id, None)
         return StartRun(
             run_id,
             lot_id,
@@ -487,6 +552,9 @@
     def _cancel_silent_runs(self, now_s: float) -> list[object]:
         """Cancels runs that received no event within their timeout."""
         actions: list[object] = []
+        if now_s < self._silence_check_at_s:
+            return actions
+        self._silence_check_at_s = now_s + _SILENCE_CHECK_INTERVAL_S
         for run_id, run in list(self._runs.items()):
             timeout_s = (
                 _SILENCE_TIMEOUT_S
@@ -542,12 +610,6 @@
         return [self._start_run(lot, item, engine, now_s)]
 
 
-def _needs_no_action(item: Item, now_s: float) -> bool:
-    """Whether an item is done, in progress, or must not be retried yet."""
-    is_in_progress = bool(item.runs) or item.is_reward_pending
-    return item.is_done or is_in_progress or now_s < item.retry_at_s
-
-
 def _update_progress(item: Item, run: Run) -> None:
     """Replaces an item's text by a run's if that is longer."""
     if item.progress.is_whole or len(run.texts) <= len(item.progress.texts):
@@ -569,9 +631,11 @@
     return progress
 
 
-def _violates_single_version(head, versions: list[int], version: int) -> bool:
-    """Whether an event mixes versions in a lot that requires just one."""
-    return head.is_single_version and bool(versions) and versions[-1] != version
+def _violates_single_version(
+    head, known: list[int], versions: tuple[int, ...]
+) -> bool:
+    """Whether events mix versions in a lot that requires just one."""
+    return head.is_single_version and len({*known[-1:], *versions}) > 1
 
 
 def _engine_rank(
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -32,7 +32,6 @@
     WriteChunk,
 )
 from daisyhub.lots._lot_store import LOTS_KIND, LotStore, decode_head
-from daisyhub.lots._rewards import RewardCaller
 from daisyhub.lots._run_types import (
     CancelRun,
     EnginesListed,
@@ -44,9 +43,8 @@
     StartRewardCall,
     StartRun,
 )
-from daisyhub.lots._runner import ItemRunner
 from daisyhub.lots._types import ItemResult, LotHead, LotSpec
-from daisyhub.metrics import Metrics
+from daisyhub.lots._worker_pool import WorkerPool
 from daisyhub.objects import (
     KindWatcher,
     ObjectConflictError,
@@ -97,14 +95,12 @@
         lots: Lots in that store.
         directory: Known endpoints.
         manifests: Provides the active manifest.
-        runner: Runs items on engines.
-        rewards: Makes reward calls.
+        pool: Has items run and reward calls made.
         is_loading: Returns whether the engine of an endpoint id is loading
             weights.
         has_lost_peers: Returns whether a peer that was reachable before is
             unreachable now.
         clock: Clock that all daemons agree on.
-        metrics: Counts runs.
         log: Log of decisions.
         status_s: Seconds for which a lot must stay readable.
     """
@@ -113,12 +109,10 @@
     lots: LotStore
     directory: EndpointDirectory
     manifests: ManifestController
-    runner: ItemRunner
-    rewards: RewardCaller
+    pool: WorkerPool
     is_loading: Callable[[str], bool]
     has_lost_peers: Callable[[], bool]
     clock: ClusterClock
-    metrics: Metrics
     log: DecisionLog
     status_s: float
 
@@ -168,7 +162,6 @@
         self._deps = deps
         self._core = DispatchCore()
         self._lots: dict[str, _LotState] = {}
-        self._run_scopes: dict[int, anyio.CancelScope] = {}
         self._unfinished_texts: dict[str, Progress] = {}
         self._demand: dict[str, float] = {}
         self._tasks = None
@@ -213,6 +206,11 @@
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 self._duty_since_s = time.monotonic()
+                tasks.start_soon(
+                    self._deps.pool.run,
+                    self._duty.fencing,
+                    self._feed_dispatch,
+                )
                 tasks.start_soon(watcher.run)
                 tasks.start_soon(self.verify, watcher, _VERIFY_INTERVAL_S)
                 tasks.start_soon(self._delete_expired_lots, watcher)
@@ -225,7 +223,6 @@
             self._tasks = None
             self._core = DispatchCore()
             self._lots.clear()
-            self._run_scopes.clear()
 
     async def save_unfinished_texts(self) -> None:
         """Saves the text of unfinished items to the store."""
@@ -409,58 +406,22 @@
         for action in self._core.handle(event, time.monotonic()):
             match action:
                 case StartRun():
-                    self._tasks.start_soon(self._run_item, action)
+                    lot = self._lots[action.lot_id]
+                    remaining_s = max(1.0, lot.head.max_wait_s)
+                    self._deps.pool.start_run(action, lot.head, remaining_s)
                 case CancelRun():
-                    self._cancel_run(action)
+                    self._deps.log.record(
+                        "run_cancelled", run=action.run, reason=action.reason
+                    )
+                    self._deps.pool.cancel_run(action.run)
                 case StartRewardCall():
-                    self._tasks.start_soon(self._call_reward, action)
+                    self._deps.pool.start_reward(action)
                 case FinishItem():
                     lot = self._lots[action.lot_id]
                     self._feed_listing(
                         lot, ItemFinished(action.result, action.is_group_done)
                     )
 
-    def _cancel_run(self, action: CancelRun) -> None:
-        scope = self._run_scopes.pop(action.run, None)
-        if scope is not None:
-            self._deps.log.record(
-                "run_cancelled", run=action.run, reason=action.reason
-            )
-            scope.cancel()
-
-    async def _run_item(self, action: StartRun) -> None:
-        """Runs an item on an engine, and logs the outcome."""
-        run = self._core.find_run(action.run)
-        if run is None:
-            # It was cancelled before this task started.
-            return
-        self._deps.metrics.count("runs")
-        lot = self._lots[action.lot_id]
-        give_up_at_s = time.monotonic() + max(1.0, lot.head.max_wait_s)
-        started_s = time.monotonic()
-        outcome = "cancelled"
-        with anyio.CancelScope() as scope:
-            self._run_scopes[action.run] = scope
-            try:
-                outcome = await self._deps.runner.run(
-                    action, lot.head, give_up_at_s, self._feed_dispatch
-                )
-            finally:
-                self._run_scopes.pop(action.run, None)
-                self._deps.log.record(
-                    "run",
-                    run=action.run,
-                    id=action.item.item_id,
-                    lot=action.lot_id,
-                    endpoint=action.endpoint_id,
-                    resume_after=action.resume_after,
-                    outcome=outcome,
-                    took_s=round(time.monotonic() - started_s, 3),
-                )
-
-    async def _call_reward(self, action: StartRewardCall) -> None:
-        self._feed_dispatch(await self._deps.rewards.request_score(action))
-
     def _feed_listing(self, lot: _LotState, event: object) -> None:
         """Passes an event to a lot's listing core and runs its actions."""
         for action in lot.listing.handle(event, time.monotonic()):
--- a/daisyhub/lots/_rewards.py
+++ b/daisyhub/lots/_rewards.py
@@ -3,14 +3,10 @@
 import time
 
 from daisyhub.catalog import ManifestController
+from daisyhub.cluster import RewardEnd, RewardOrder
 from daisyhub.exceptions import ErrorCode, Refusal
 from daisyhub.gateway import EndpointWire, Sender, SendTask
 from daisyhub.logs import DecisionLog
-from daisyhub.lots._run_types import (
-    RewardCallFailed,
-    RewardCallSucceeded,
-    StartRewardCall,
-)
 
 __all__ = ["RewardCaller"]
 
@@ -41,51 +37,57 @@
         self._wire = wire
         self._log = log
 
-    async def request_score(
-        self, action: StartRewardCall
-    ) -> RewardCallSucceeded | RewardCallFailed:
+    async def request_score(self, order: RewardOrder) -> RewardEnd:
         """Makes one reward call.
 
         It succeeds only if the response has a success status and the
         endpoint's proof, which is returned as the score.
         """
-        item = action.item
-        reward = item.reward
-        route = self._manifests.manifest.find_route(reward.host, reward.path)
+        manifest = self._manifests.manifest
+        route = (
+            manifest.find_route(order.host, order.path) if manifest else None
+        )
         if route is None:
-            return self._failed(action, "no route for its host and path")
+            return self._failed(order, "no route for its host and path")
         task = SendTask(
-            request_id=reward.request_id,
+            request_id=order.request_id,
             route=route,
             method="POST",
-            target=reward.path,
-            host=reward.host,
-            body=reward.body,
+            target=order.path,
+            host=order.host,
+            body=order.body,
             deadline_s=time.monotonic()
             + min(_MAX_REWARD_TIMEOUT_S, route.timeout_s),
         )
         try:
             resp = await self._sender.send(task)
         except Refusal as exc:
-            return self._failed(action, exc.code)
+            return self._failed(order, exc.code)
         decoded = self._wire.read_response_head(resp.status, resp.headers)
         if resp.status not in _SUCCESS or not decoded.proof:
             is_endpoint_failure = resp.status == ErrorCode.INTERNAL.status
             reason = f"status {resp.status}"
             return self._failed(
-                action, reason, is_endpoint_failure, route.max_attempts
+                order, reason, is_endpoint_failure, route.max_attempts
             )
-        return RewardCallSucceeded(action.lot_id, item.item_id, decoded.proof)
+        return RewardEnd(
+            task_id=order.task_id,
+            score=decoded.proof,
+            is_endpoint_failure=False,
+            max_attempts=route.max_attempts,
+        )
 
     def _failed(
         self,
-        action: StartRewardCall,
+        order: RewardOrder,
         reason: str,
         is_endpoint_failure: bool = False,
         max_attempts: int = 1,
-    ) -> RewardCallFailed:
-        item_id = action.item.item_id
-        self._log.record("reward_failed", id=item_id, reason=reason)
-        return RewardCallFailed(
-            action.lot_id, item_id, is_endpoint_failure, max_attempts
+    ) -> RewardEnd:
+        self._log.record("reward_failed", id=order.item_id, reason=reason)
+        return RewardEnd(
+            task_id=order.task_id,
+            score="",
+            is_endpoint_failure=is_endpoint_failure,
+            max_attempts=max_attempts,
         )
--- a/daisyhub/lots/_run_types.py
+++ b/daisyhub/lots/_run_types.py
@@ -28,7 +28,7 @@
     "RunFault",
     "StartRewardCall",
     "StartRun",
-    "StreamEventReceived",
+    "StreamEventsReceived",
 ]
 
 
@@ -127,25 +127,38 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class StreamEventReceived:
-    """An event of a run's stream was received.
+class StreamEventsReceived:
+    """Consecutive events of a run's stream were received.
 
     Attributes:
         run: The run.
-        data: The piece of text that the event adds.
-        version: Weight version that generated it.
+        first: Number of the first of them within the item's text, from 1.
+        texts: The piece of text that each event adds.
+        versions: Weight version that generated each.
+        interval_s: Mean time between them, and to the run's event before; 0
+            if there is none before.
+        age_s: Seconds since the last of them was received.
     """
 
     run: int
-    data: str
-    version: int
+    first: int
+    texts: tuple[str, ...]
+    versions: tuple[int, ...]
+    interval_s: float = 0.0
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunCompleted:
-    """A run's stream ended normally; its text is complete."""
+    """A run's stream ended normally.
+
+    Attributes:
+        run: The run.
+        events: Number of events of the item's text.
+    """
 
     run: int
+    events: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -272,6 +285,7 @@
 
     Attributes:
         spec: What to generate.
+        rank: Its position in the order in which its lot's items are started.
         progress: The longest text received so far.
         runs: Ids of its open runs.
         failures: Number of runs that failed in the engine itself.
@@ -282,6 +296,7 @@
     """
 
     spec: ItemSpec
+    rank: int
     progress: Progress = Progress()
     runs: set[int] = dataclasses.field(default_factory=set)
     failures: int = 0
--- a/daisyhub/lots/_runner.py
+++ b/daisyhub/lots/_runner.py
@@ -1,24 +1,18 @@
-"""Streams items from engines and emits events for the dispatch core."""
+"""Streams items from engines."""
 
 import time
 from collections.abc import Callable
 
 from daisyhub.balancing import EndpointDirectory
+from daisyhub.cluster import RunEnd, RunOrder
 from daisyhub.connections import (
     HttpClient,
     RequestFailedError,
     StreamedResponse,
 )
 from daisyhub.gateway import EndpointRequest, EndpointWire
-from daisyhub.lots._run_types import (
-    RunCompleted,
-    RunFailed,
-    RunFault,
-    StartRun,
-    StreamEventReceived,
-)
-from daisyhub.lots._types import LotHead
-from daisyhub.lots._wire import LotWire
+from daisyhub.lots._run_types import RunFault
+from daisyhub.lots._wire import LotWire, StreamEvent
 
 __all__ = ["ItemRunner"]
 
@@ -26,7 +20,7 @@
 _IMPOSSIBLE_STATUS = 422
 _FAILED_STATUS = 500
 
-EventSink = Callable[[object], None]
+EventSink = Callable[[StreamEvent], None]
 
 
 class ItemRunner:
@@ -51,64 +45,55 @@
         self._endpoint_wire = endpoint_wire
         self._lot_wire = lot_wire
 
-    async def run(
-        self,
-        action: StartRun,
-        head: LotHead,
-        give_up_at_s: float,
-        emit: EventSink,
-    ) -> str:
-        """Streams an item; emits its events, then how the run ended.
+    async def run(self, order: RunOrder, emit: EventSink) -> RunEnd:
+        """Streams an item and emits its events in order.
 
         Args:
-            action: The run to start.
-            head: The item's lot.
-            give_up_at_s: Monotonic time after which the result is useless.
-            emit: Callback that takes events of the dispatch core.
+            order: What to run.
+            emit: Called with each event.
 
         Returns:
-            The outcome of the run, for the log.
+            How the run ended.
         """
-        endpoint = self._directory.get(action.endpoint_id)
+        started_s = time.monotonic()
+        endpoint = self._directory.get(order.endpoint_id)
         if endpoint is None:
-            emit(RunFailed(action.run, RunFault.ELSEWHERE))
-            return "unknown endpoint"
-        remaining_s = max(0.0, give_up_at_s - time.monotonic())
-        item = action.item
+            return _end(order, RunFault.ELSEWHERE, 0, "unknown endpoint")
         headers = self._endpoint_wire.request_headers(
             EndpointRequest(
-                request_id=item.item_id,
-                host=head.host,
-                endpoint_id=action.endpoint_id,
-                account=head.account,
-                remaining_s=remaining_s,
+                request_id=order.item_id,
+                host=order.host,
+                endpoint_id=order.endpoint_id,
+                account=order.account,
+                remaining_s=order.remaining_s,
                 headers=tuple(
                     (name.encode(), value.encode())
-                    for name, value in item.headers.items()
+                    for name, value in order.headers.items()
                 ),
-                resume_after=action.resume_after,
+                resume_after=order.resume_after,
             )
         )
         try:
             response = await self._http.open(
                 "POST",
                 endpoint.entry.address,
-                item.path,
+                order.path,
                 headers=headers,
-                body=item.body,
-                timeout_s=remaining_s,
+                body=order.body,
+                timeout_s=max(
+                    0.0, order.remaining_s + started_s - time.monotonic()
+                ),
             )
         except RequestFailedError as exc:
-            emit(RunFailed(action.run, RunFault.UNREACHABLE))
-            return str(exc)
+            return _end(order, RunFault.UNREACHABLE, 0, str(exc))
         try:
-            return await self._read(action, response, emit)
+            return await self._read(order, response, emit)
         finally:
             await response.aclose()
 
     async def _read(
-        self, action: StartRun, response: StreamedResponse, emit: EventSink
-    ) -> str:
+        self, order: RunOrder, response: StreamedResponse, emit: EventSink
+    ) -> RunEnd:
         decoded = self._endpoint_wire.read_response_head(
             response.status, response.headers
         )
@@ -116,36 +101,41 @@
             fault = RunFault.NOT_RUN
             if decoded.is_misdirected:
                 fault = RunFault.ELSEWHERE
-            emit(RunFailed(action.run, fault))
             await response.drain()
-            return f"status {response.status}, not run"
+            detail = f"status {response.status}, not run"
+            return _end(order, fault, 0, detail)
         if response.status != _OK:
             fault = {
                 _IMPOSSIBLE_STATUS: RunFault.IMPOSSIBLE,
                 _FAILED_STATUS: RunFault.FAILED,
             }.get(response.status, RunFault.BROKEN)
-            emit(RunFailed(action.run, fault))
             await response.drain()
-            return f"status {response.status}"
+            return _end(order, fault, 0, f"status {response.status}")
         reader = self._lot_wire.make_reader(decoded.weight_version)
-        next_number = action.resume_after + 1
+        last = order.resume_after
         try:
             async for chunk in response.chunks():
                 for event in reader.feed(chunk):
-                    if event.number != next_number:
+                    if event.number != last + 1:
                         raise ValueError(
-                            f"expected event {next_number}, got {event.number}"
+                            f"expected event {last + 1}, got {event.number}"
                         )
-                    next_number += 1
-                    emit(
-                        StreamEventReceived(
-                            action.run, event.data, event.version
-                        )
-                    )
+                    last += 1
+                    emit(event)
             if not reader.is_between_events:
                 raise ValueError("the stream ended in the middle of an event")
         except (RequestFailedError, ValueError) as exc:
-            emit(RunFailed(action.run, RunFault.BROKEN))
-            return f"after event {next_number - 1}: {exc}"
-        emit(RunCompleted(action.run))
-        return f"complete after event {next_number - 1}"
+            detail = f"after event {last}: {exc}"
+            return _end(order, RunFault.BROKEN, last, detail)
+        return _end(order, None, last, f"complete after event {last}")
+
+
+def _end(
+    order: RunOrder, fault: RunFault | None, events: int, detail: str
+) -> RunEnd:
+    return RunEnd(
+        task_id=order.task_id,
+        fault=fault.value if fault else "",
+        events=events,
+        detail=detail,
+    )
--- /dev/null
+++ b/daisyhub/lots/_worker_pool.py
@@ -0,0 +1,369 @@
+"""Has the holder's tasks executed by workers and receives their reports."""
+
+import dataclasses
+import itertools
+from collections.abc import Callable
+
+import anyio
+
+from daisyhub.balancing import EndpointDirectory
+from daisyhub.clocks import boot_time_s
+from daisyhub.cluster import (
+    PeerTable,
+    RewardEnd,
+    RewardOrder,
+    RunEnd,
+    RunOrder,
+    RunProgress,
+    TaskOrders,
+    TaskReport,
+)
+from daisyhub.logs import DecisionLog
+from daisyhub.lots._run_types import (
+    RewardCallFailed,
+    RewardCallSucceeded,
+    RunCompleted,
+    RunFailed,
+    RunFault,
+    StartRewardCall,
+    StartRun,
+    StreamEventsReceived,
+)
+from daisyhub.lots._types import LotHead
+from daisyhub.lots._worker_pool_core import (
+    ORDER_INTERVAL_S,
+    AssignTask,
+    FailTasks,
+    PoolTick,
+    SendOrders,
+    TaskClosed,
+    TaskRequested,
+    WorkerAnswered,
+    WorkerPoolCore,
+    WorkersListed,
+    WorkerView,
+)
+from daisyhub.peers import PeerNetwork
+
+__all__ = ["WorkerPool"]
+
+# Slots of engines per core of its machine up to which a holder executes all
+# tasks itself. A stream takes about a hundredth of a core.
+_MAX_SLOTS_PER_CORE = 40
+# Seconds for which orders to a worker are gathered, so that one message has
+# several: a small part of the time between two events.
+_GATHER_S = 0.005
+
+EventSink = Callable[[object], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RewardTask:
+    """The item of a reward call."""
+
+    lot_id: str
+    item_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class _PendingOrders:
+    """New tasks of one worker that were not sent yet."""
+
+    runs: list[RunOrder] = dataclasses.field(default_factory=list)
+    rewards: list[RewardOrder] = dataclasses.field(default_factory=list)
+
+
+class WorkerPool:
+    """Passes tasks to workers and events back to the dispatch core.
+
+    Args:
+        own_id: Id of this daemon.
+        speed: Processor speed available to this daemon, in cores.
+        peers: Known daemons.
+        network: Sends orders.
+        directory: Provides the failure domain of engines.
+        deliver_locally: Passes orders to this daemon's own worker.
+        log: Log of decisions.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        speed: float,
+        peers: PeerTable,
+        network: PeerNetwork,
+        directory: EndpointDirectory,
+        deliver_locally: Callable[[TaskOrders], None],
+        log: DecisionLog,
+    ):
+        self._own_id = own_id
+        self._speed = speed
+        self._peers = peers
+        self._network = network
+        self._directory = directory
+        self._deliver_locally = deliver_locally
+        self._log = log
+        self._sink: EventSink = lambda _: None
+        self._reset()
+
+    def _reset(self) -> None:
+        self._core = WorkerPoolCore(self._own_id)
+        self._fencing = 0
+        self._tasks = None
+        self._task_ids = itertools.count(1)
+        # The run or reward call of each open task, and the task of each run.
+        self._open: dict[int, StartRun | _RewardTask] = {}
+        self._task_by_run: dict[int, int] = {}
+        self._pending: dict[str, _PendingOrders] = {}
+        self._is_flush_due = False
+        # The engine of the last run of each item whose reward call may follow.
+        self._engine_by_item: dict[str, str] = {}
+
+    async def run(self, fencing: int, sink: EventSink) -> None:
+        """Orders tasks under a fencing number until cancelled.
+
+        Args:
+            fencing: The holder's fencing number.
+            sink: Takes events of the dispatch core.
+        """
+        self._reset()
+        self._fencing = fencing
+        self._sink = sink
+        try:
+            async with anyio.create_task_group() as self._tasks:
+                while True:
+                    self._feed(WorkersListed(self._list_workers()))
+                    self._feed(PoolTick())
+                    await anyio.sleep(ORDER_INTERVAL_S / 2)
+        finally:
+            for worker_id in self._core.busy_workers:
+                self._send_orders(
+                    worker_id, TaskOrders(fencing=fencing, open_tasks=())
+                )
+            self._reset()
+
+    def start_run(
+        self, action: StartRun, head: LotHead, remaining_s: float
+    ) -> None:
+        """Has an item streamed from an engine.
+
+        Args:
+            action: The run to start.
+            head: The item's lot.
+            remaining_s: Seconds after which the result is useless.
+        """
+        item = action.item
+        task_id, worker_id = self._open_task(action, action.endpoint_id)
+        self._task_by_run[action.run] = task_id
+        self._engine_by_item[item.item_id] = action.endpoint_id
+        self._pending_orders(worker_id).runs.append(
+            RunOrder(
+                task_id=task_id,
+                endpoint_id=action.endpoint_id,
+                resume_after=action.resume_after,
+                remaining_s=remaining_s,
+                item_id=item.item_id,
+                host=head.host,
+                account=head.account,
+                path=item.path,
+                headers=item.headers,
+                body=item.body,
+            )
+        )
+        self._log.record(
+            "run_ordered",
+            run=action.run,
+            id=item.item_id,
+            lot=action.lot_id,
+            endpoint=action.endpoint_id,
+            resume_after=action.resume_after,
+            task=task_id,
+            worker=worker_id,
+        )
+
+    def start_reward(self, action: StartRewardCall) -> None:
+        """Has a reward call made, by a worker of the item's last engine."""
+        item = action.item
+        engine_id = self._engine_by_item.pop(item.item_id, action.lot_id)
+        task_id, worker_id = self._open_task(
+            _RewardTask(action.lot_id, item.item_id), engine_id
+        )
+        reward = item.reward
+        self._pending_orders(worker_id).rewards.append(
+            RewardOrder(
+                task_id=task_id,
+                item_id=item.item_id,
+                request_id=reward.request_id,
+                host=reward.host,
+                path=reward.path,
+                body=reward.body,
+            )
+        )
+
+    def cancel_run(self, run_id: int) -> None:
+        """Has a run cancelled; its later reports are ignored."""
+        task_id = self._task_by_run.get(run_id)
+        if task_id is None:
+            return
+        worker_id = self._core.worker_of(task_id)
+        self._close_task(task_id)
+        if worker_id is not None:
+            self._pending_orders(worker_id)
+
+    def receive(self, sender: str, report: TaskReport) -> None:
+        """Handles a worker's report."""
+        if report.fencing != self._fencing or not self._fencing:
+            return
+        self._feed(WorkerAnswered(sender))
+        for progress in report.progress:
+            self._on_progress(progress)
+        for run_end in report.runs:
+            self._on_run_end(run_end)
+        for reward_end in report.rewards:
+            self._on_reward_end(reward_end)
+        for task_id in report.unknown:
+            if self._core.worker_of(task_id) == sender:
+                self._fail_task(task_id, "its order was lost")
+
+    def _on_progress(self, progress: RunProgress) -> None:
+        action = self._open.get(progress.task_id)
+        if isinstance(action, StartRun):
+            self._sink(
+                StreamEventsReceived(
+                    action.run,
+                    progress.first,
+                    progress.texts,
+                    progress.versions,
+                    progress.interval_s,
+                    progress.age_s,
+                )
+            )
+
+    def _on_run_end(self, end: RunEnd) -> None:
+        action = self._open.get(end.task_id)
+        if not isinstance(action, StartRun):
+            return
+        self._close_task(end.task_id)
+        self._log.record(
+            "run",
+            run=action.run,
+            id=action.item.item_id,
+            lot=action.lot_id,
+            endpoint=action.endpoint_id,
+            task=end.task_id,
+            outcome=end.detail,
+        )
+        if end.fault:
+            self._sink(RunFailed(action.run, RunFault(end.fault)))
+        else:
+            self._sink(RunCompleted(action.run, end.events))
+
+    def _on_reward_end(self, end: RewardEnd) -> None:
+        task = self._open.get(end.task_id)
+        if not isinstance(task, _RewardTask):
+            return
+        self._close_task(end.task_id)
+        if end.score:
+            self._sink(
+                RewardCallSucceeded(task.lot_id, task.item_id, end.score)
+            )
+            return
+        self._sink(
+            RewardCallFailed(
+                task.lot_id,
+                task.item_id,
+                end.is_endpoint_failure,
+                end.max_attempts,
+            )
+        )
+
+    def _fail_task(self, task_id: int, reason: str) -> None:
+        """Fails a task whose outcome is unknown."""
+        action = self._open.get(task_id)
+        self._close_task(task_id)
+        if isinstance(action, StartRun):
+            self._log.record("run_lost", run=action.run, reason=reason)
+            self._sink(RunFailed(action.run, RunFault.ELSEWHERE))
+        elif isinstance(action, _RewardTask):
+            self._sink(RewardCallFailed(action.lot_id, action.item_id, False))
+
+    def _open_task(
+        self, content: StartRun | _RewardTask, engine_id: str
+    ) -> tuple[int, str]:
+        """Opens a task; returns its id and its worker."""
+        task_id = next(self._task_ids)
+        self._open[task_id] = content
+        endpoint = self._directory.get(engine_id)
+        domain = endpoint.entry.domain if endpoint else ""
+        (action,) = self._core.handle(
+            TaskRequested(task_id, engine_id, domain), boot_time_s()
+        )
+        return task_id, action.daemon_id
+
+    def _close_task(self, task_id: int) -> None:
+        action = self._open.pop(task_id, None)
+        if isinstance(action, StartRun):
+            self._task_by_run.pop(action.run, None)
+        self._feed(TaskClosed(task_id))
+
+    def _pending_orders(self, worker_id: str) -> _PendingOrders:
+        """Returns the orders that are sent to a worker soon."""
+        if not self._is_flush_due:
+            self._is_flush_due = True
+            self._tasks.start_soon(self._flush_soon)
+        return self._pending.setdefault(worker_id, _PendingOrders())
+
+    async def _flush_soon(self) -> None:
+        await anyio.sleep(_GATHER_S)
+        self._is_flush_due = False
+        pending, self._pending = self._pending, {}
+        for worker_id, orders in pending.items():
+            self._send(worker_id, orders)
+
+    def _send(self, worker_id: str, orders: _PendingOrders) -> None:
+        message = TaskOrders(
+            fencing=self._fencing,
+            open_tasks=self._core.tasks_of(worker_id),
+            runs=tuple(orders.runs),
+            rewards=tuple(orders.rewards),
+        )
+        self._send_orders(worker_id, message)
+
+    def _send_orders(self, worker_id: str, message: TaskOrders) -> None:
+        if worker_id == self._own_id:
+            self._deliver_locally(message)
+        elif not self._network.send(worker_id, message):
+            self._log.record("orders_not_sent", worker=worker_id)
+
+    def _feed(self, event: object) -> None:
+        for action in self._core.handle(event, boot_time_s()):
+            match action:
+                case SendOrders(worker_id):
+                    self._pending_orders(worker_id)
+                case FailTasks(worker_id, task_ids):
+                    self._log.record(
+                        "worker_lost", worker=worker_id, tasks=len(task_ids)
+                    )
+                    for task_id in task_ids:
+                        self._fail_task(task_id, f"{worker_id} is silent")
+                case AssignTask():
+                    raise TypeError("tasks are assigned by `_open_task`")
+
+    def _list_workers(self) -> tuple[WorkerView, ...]:
+        """Returns the other daemons that execute tasks.
+
+        None while this daemon's processor can receive the streams of all
+        engines. Daemons with a duty are left out, as theirs are busy.
+        """
+        slots = sum(
+            endpoint.entry.slots
+            for endpoint in self._directory.all()
+            if endpoint.entry.versions
+        )
+        if slots <= _MAX_SLOTS_PER_CORE * self._speed:
+            return ()
+        return tuple(
+            WorkerView(p.daemon_id, p.ping.domain, p.ping.speed)
+            for p in self._peers.live()
+            if not p.ping.is_leaving and not p.ping.duties
+        )
--- /dev/null
+++ b/daisyhub/lots/_worker_pool_core.py
@@ -0,0 +1,285 @@
+"""Decides which daemon executes the holder's tasks.
+
+A task streams one item from an engine or makes one reward call. Where one
+process can't receive the streams of all engines, the holder of the duty for
+lots executes none itself. The tasks of an engine go to a few daemons,
+those of its own failure domain first, so that few daemons hold connections to
+it and reuse them.
+
+A worker is ordered by stating all tasks that it is to have. It answers each
+order, and a worker with tasks that doesn't answer for too long is lost: its
+tasks fail, and it gets no new ones for a while.
+
+Times are seconds on CLOCK_BOOTTIME, which counts suspended time.
+"""
+
+import dataclasses
+import math
+
+from daisyhub.base import Core
+from daisyhub.hosting import rank_candidates
+
+__all__ = [
+    "AssignTask",
+    "FailTasks",
+    "PoolTick",
+    "SendOrders",
+    "TaskClosed",
+    "TaskRequested",
+    "WorkerAnswered",
+    "WorkerPoolCore",
+    "WorkerView",
+    "WorkersListed",
+]
+
+# Seconds between two orders to a worker with tasks. Each order extends the
+# term for which the worker continues its tasks.
+ORDER_INTERVAL_S = 0.25
+# Seconds without an answer after which a worker with tasks is lost: four
+# orders. A run without events is moved to another engine a little sooner.
+_ANSWER_TIMEOUT_S = 1.0
+# Seconds for which a lost worker gets no tasks, doubled with each loss up to
+# the maximum: the time of a restart, and that of a long freeze.
+_MIN_EXCLUSION_S = 2.0
+_MAX_EXCLUSION_S = 16.0
+# Seconds with answers after which earlier losses are forgotten.
+_RECOVERY_S = 30.0
+# Workers among which the tasks of one engine are divided. With two, an engine
+# keeps half of its runs when a worker is lost.
+_WORKERS_PER_ENGINE = 2
+# Minimum processor speed of a worker, relative to the fastest one.
+_MIN_SPEED_RATIO = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerView:
+    """A daemon that may execute tasks.
+
+    Attributes:
+        daemon_id: Its id.
+        domain: Its failure domain.
+        speed: Processor speed available to it, in cores.
+    """
+
+    daemon_id: str
+    domain: str
+    speed: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkersListed:
+    """The daemons that may execute tasks, besides the holder itself.
+
+    Empty while the holder can execute all tasks itself.
+    """
+
+    workers: tuple[WorkerView, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskRequested:
+    """A task is to be executed.
+
+    Attributes:
+        task_id: Its id.
+        engine_id: The engine that it concerns.
+        domain: The failure domain of that engine.
+    """
+
+    task_id: int
+    engine_id: str
+    domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskClosed:
+    """A task ended or was cancelled."""
+
+    task_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerAnswered:
+    """A worker answered an order or reported on its tasks."""
+
+    daemon_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolTick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AssignTask:
+    """Action: order a worker to execute a task."""
+
+    task_id: int
+    daemon_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendOrders:
+    """Action: state to a worker which tasks it is to have."""
+
+    daemon_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FailTasks:
+    """Action: treat tasks as failed, since their worker is lost."""
+
+    daemon_id: str
+    task_ids: tuple[int, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Worker:
+    """State of one worker.
+
+    Attributes:
+        tasks: Ids of its open tasks.
+        ordered_at_s: When the last order was sent.
+        waiting_since_s: When it got its first open task, or last answered.
+        losses: Number of times that it was lost.
+        lost_at_s: When it was last lost.
+        excluded_until_s: Time until which it gets no tasks.
+    """
+
+    tasks: set[int] = dataclasses.field(default_factory=set)
+    ordered_at_s: float = -math.inf
+    waiting_since_s: float = -math.inf
+    losses: int = 0
+    lost_at_s: float = -math.inf
+    excluded_until_s: float = -math.inf
+
+
+class WorkerPoolCore(Core):
+    """Assigns tasks to workers.
+
+    Args:
+        own_id: Id of the holder, which executes tasks itself if there is no
+            worker.
+    """
+
+    def __init__(self, own_id: str):
+        self._own_id = own_id
+        self._views: dict[str, WorkerView] = {}
+        self._workers: dict[str, _Worker] = {}
+        self._worker_by_task: dict[int, str] = {}
+        self._rankings: dict[str, tuple[str, ...]] = {}
+
+    @property
+    def next_wakeup_s(self) -> float | None:
+        """None: the pool sends periodic ticks."""
+        return None
+
+    @property
+    def busy_workers(self) -> tuple[str, ...]:
+        """The workers with open tasks."""
+        return tuple(name for name, w in self._workers.items() if w.tasks)
+
+    def tasks_of(self, daemon_id: str) -> tuple[int, ...]:
+        """Returns the open tasks of a worker in ascending order."""
+        worker = self._workers.get(daemon_id)
+        return tuple(sorted(worker.tasks)) if worker else ()
+
+    def worker_of(self, task_id: int) -> str | None:
+        """Returns the worker of an open task, or None."""
+        return self._worker_by_task.get(task_id)
+
+    def handle(self, event: object, now_s: float) -> list[object]:
+        """Handles one event; returns actions."""
+        match event:
+            case TaskRequested():
+                return [self._assign(event, now_s)]
+            case TaskClosed(task_id):
+                self._close(task_id)
+            case WorkerAnswered(daemon_id):
+                worker = self._workers.get(daemon_id)
+                if worker is not None:
+                    worker.waiting_since_s = now_s
+            case WorkersListed(workers):
+                self._on_workers(workers)
+            case PoolTick():
+                return self._on_tick(now_s)
+            case _:
+                raise TypeError(f"not an event of the pool: {event!r}")
+        return []
+
+    def _on_workers(self, workers: tuple[WorkerView, ...]) -> None:
+        views = {view.daemon_id: view for view in workers}
+        if views != self._views:
+            self._views = views
+            self._rankings.clear()
+
+    def _assign(self, event: TaskRequested, now_s: float) -> AssignTask:
+        daemon_id = self._choose(event, now_s)
+        worker = self._workers.setdefault(daemon_id, _Worker())
+        if not worker.tasks:
+            worker.waiting_since_s = now_s
+        worker.tasks.add(event.task_id)
+        worker.ordered_at_s = now_s
+        self._worker_by_task[event.task_id] = daemon_id
+        return AssignTask(event.task_id, daemon_id)
+
+    def _choose(self, event: TaskRequested, now_s: float) -> str:
+        """Returns the least loaded of the engine's first workers."""
+        usable = []
+        for daemon_id in self._ranking(event.engine_id, event.domain):
+            worker = self._workers.get(daemon_id)
+            if worker is None or now_s >= worker.excluded_until_s:
+                usable.append(daemon_id)
+            if len(usable) == _WORKERS_PER_ENGINE:
+                break
+        return min(usable, key=self._load, default=self._own_id)
+
+    def _ranking(self, engine_id: str, domain: str) -> tuple[str, ...]:
+        """Returns the workers in the order in which an engine prefers them."""
+        ranking = self._rankings.get(engine_id)
+        if ranking is None:
+            top_speed = max((v.speed for v in self._views.values()), default=0)
+            names = [
+                view.daemon_id
+                for view in self._views.values()
+                if view.speed >= _MIN_SPEED_RATIO * top_speed
+            ]
+            ranked = rank_candidates(engine_id, names)
+            ranked.sort(key=lambda n: self._views[n].domain != domain)
+            ranking = self._rankings[engine_id] = tuple(ranked)
+        return ranking
+
+    def _load(self, daemon_id: str) -> float:
+        worker = self._workers.get(daemon_id)
+        count = len(worker.tasks) if worker else 0
+        return count / max(self._views[daemon_id].speed, 1e-3)
+
+    def _close(self, task_id: int) -> None:
+        daemon_id = self._worker_by_task.pop(task_id, None)
+        if daemon_id is not None:
+            self._workers[daemon_id].tasks.discard(task_id)
+
+    def _on_tick(self, now_s: float) -> list[object]:
+        actions: list[object] = []
+        for daemon_id, worker in self._workers.items():
+            if daemon_id == self._own_id:
+                continue
+            if now_s - worker.lost_at_s > _RECOVERY_S:
+                worker.losses = 0
+            silent_s = now_s - worker.waiting_since_s
+            if worker.tasks and silent_s > _ANSWER_TIMEOUT_S:
+                actions.append(self._lose(daemon_id, worker, now_s))
+            if worker.tasks and now_s - worker.ordered_at_s >= ORDER_INTERVAL_S:
+                worker.ordered_at_s = now_s
+                actions.append(SendOrders(daemon_id))
+        return actions
+
+    def _lose(self, daemon_id: str, worker: _Worker, now_s: float) -> FailTasks:
+        tasks = tuple(sorted(worker.tasks))
+        for task_id in tasks:
+            self._close(task_id)
+        exclusion_s = min(_MIN_EXCLUSION_S * 2**worker.losses, _MAX_EXCLUSION_S)
+        worker.losses += 1
+        worker.lost_at_s = now_s
+        worker.excluded_until_s = now_s + exclusion_s
+        return FailTasks(daemon_id, tasks)
--- a/daisyhub/objects/__init__.py
+++ b/daisyhub/objects/__init__.py
@@ -4,6 +4,7 @@
     HistoryGoneError,
     ObjectConflictError,
     ObjectList,
+    ObjectSource,
     ObjectStore,
     ObjectStoreError,
     StoredObject,
@@ -12,6 +13,11 @@
     is_same_json,
 )
 from daisyhub.objects._relayed import RelayedStore, RelayProvider
+from daisyhub.objects._shared_watch import (
+    ReaderProvider,
+    SharedWatch,
+    WatchedCopy,
+)
 from daisyhub.objects._watcher import KindWatcher
 
 __all__ = [
@@ -19,12 +25,16 @@
     "KindWatcher",
     "ObjectConflictError",
     "ObjectList",
+    "ObjectSource",
     "ObjectStore",
     "ObjectStoreError",
+    "ReaderProvider",
     "RelayedStore",
     "RelayProvider",
+    "SharedWatch",
     "StoredObject",
     "WatchBatch",
+    "WatchedCopy",
     "encode_value",
     "is_same_json",
 ]
--- a/daisyhub/objects/_base.py
+++ b/daisyhub/objects/_base.py
@@ -15,6 +15,7 @@
     "HistoryGoneError",
     "ObjectConflictError",
     "ObjectList",
+    "ObjectSource",
     "ObjectStore",
     "ObjectStoreError",
     "StoredObject",
@@ -94,25 +95,12 @@
     code = "store_history_gone"
 
 
-class ObjectStore(abc.ABC):
-    """A store of versioned objects.
+class ObjectSource(abc.ABC):
+    """Objects that can be listed and watched.
 
     Every method raises `ObjectStoreError` if it gets no usable response.
     """
 
-    @abc.abstractmethod
-    async def read(
-        self, kind: str, name: str, *, can_be_stale: bool = False
-    ) -> StoredObject | None:
-        """Returns an object, or None if it doesn't exist.
-
-        Args:
-            kind: Its kind.
-            name: Its name.
-            can_be_stale: Whether the result may miss changes of the last
-                seconds, which costs the store less.
-        """
-
     @abc.abstractmethod
     async def list_all(self, kind: str) -> ObjectList:
         """Returns all objects of a kind, as of the list's revision or later."""
@@ -140,6 +128,26 @@
                 `after_revision`; the caller must list the kind instead.
         """
 
+
+class ObjectStore(ObjectSource):
+    """A store of versioned objects.
+
+    Every method raises `ObjectStoreError` if it gets no usable response.
+    """
+
+    @abc.abstractmethod
+    async def read(
+        self, kind: str, name: str, *, can_be_stale: bool = False
+    ) -> StoredObject | None:
+        """Returns an object, or None if it doesn't exist.
+
+        Args:
+            kind: Its kind.
+            name: Its name.
+            can_be_stale: Whether the result may miss changes of the last
+                seconds, which costs the store less.
+        """
+
     @abc.abstractmethod
     async def create(self, kind: str, name: str, spec: bytes) -> StoredObject:
         """Creates and returns an object.
--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -1,5 +1,6 @@
 """Keeps a local copy of all objects of one kind up to date."""
 
+import collections
 import time
 from collections.abc import Callable
 
@@ -9,7 +10,7 @@
 from daisyhub.logs import DecisionLog
 from daisyhub.objects._base import (
     HistoryGoneError,
-    ObjectStore,
+    ObjectSource,
     ObjectStoreError,
     StoredObject,
 )
@@ -19,9 +20,13 @@
 # Maximum wait of one watch in seconds. The platform allows 30 s, but without
 # peers a dead connection is detected only after this time.
 _WATCH_WAIT_S = 10.0
-# Seconds for which a peer may have a newer revision before the connection of
-# the waiting watch is assumed to be dead. Several round trips to the platform.
+# Default seconds for which a peer may have a newer revision before the
+# connection of the waiting watch is assumed to be dead: several round trips to
+# the platform.
 _MAX_LAG_S = 0.3
+# Changes that are kept for daemons that watch this copy: those of some seconds
+# of a large cluster. A daemon further behind lists the copy.
+_MAX_KEPT_CHANGES = 500
 # Seconds between attempts while the store is unreachable, doubled up to the
 # maximum, which is far below the time in which a change must be active (2 s).
 _MIN_BACKOFF_S = 0.1
@@ -42,21 +47,25 @@
             changes, so that the next one returns several changes at once.
         can_be_stale: Returns whether the store may return changes late, because
             peers report newer revisions anyway.
+        max_lag_s: Returns the seconds for which a peer may have a newer
+            revision.
 
     Attributes:
         synced: Set after the first list.
+        changed: Set, and replaced, after each batch of changes.
     """
 
     name = "watch"
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: ObjectSource,
         kind: str,
         log: DecisionLog,
         on_change: Listener,
         batch_delay_s: Callable[[], float] = lambda: 0.0,
         can_be_stale: Callable[[], bool] = lambda: False,
+        max_lag_s: Callable[[], float] = lambda: _MAX_LAG_S,
     ):
         self.name = f"watch-{kind}"
         self._store = store
@@ -72,7 +81,13 @@
         self._behind_since_s: float | None = None
         self._is_batching = False
         self._watch_scope: anyio.CancelScope | None = None
+        self._max_lag_s = max_lag_s
+        # The changes after `_kept_after`, in the order of their revisions.
+        self._kept: collections.deque[StoredObject] = collections.deque()
+        self._kept_after = 0
+        self._copied_revision = 0
         self.synced = anyio.Event()
+        self.changed = anyio.Event()
 
     @property
     def kind(self) -> str:
@@ -84,6 +99,20 @@
         """The last received objects, by name; must not be modified."""
         return self._objects
 
+    @property
+    def revision(self) -> int:
+        """The revision up to which the copy has all changes, 0 for none."""
+        return self._copied_revision
+
+    def changes_after(self, revision: int) -> tuple[StoredObject, ...] | None:
+        """Returns the received changes after a revision.
+
+        None if not all of them are kept any more.
+        """
+        if revision < self._kept_after:
+            return None
+        return tuple(c for c in self._kept if c.revision > revision)
+
     @property
     def is_current(self) -> bool:
         """Whether the kind has been listed and the last call didn't fail."""
@@ -111,7 +140,7 @@
         if self._behind_since_s is None:
             self._behind_since_s = now_s
             return
-        if now_s - self._behind_since_s >= _MAX_LAG_S:
+        if now_s - self._behind_since_s >= self._max_lag_s():
             self._behind_since_s = None
             self._restart_with_list(revision)
 
@@ -134,6 +163,7 @@
             return
         self._apply_list(listed.items)
         if self._newest_revision > before:
+            # The list that follows also updates the followers.
             self._restart_with_list(self._newest_revision)
 
     def _restart_with_list(self, revision: int) -> None:
@@ -180,7 +210,10 @@
             listed = await self._store.list_all(self._kind)
             self._apply_list(listed.items)
             self._revision = listed.revision
+            self._kept.clear()
+            self._kept_after = self._copied_revision = listed.revision
             self.synced.set()
+            self._wake_followers()
             return
         with anyio.CancelScope() as self._watch_scope:
             batch = await self._store.watch(
@@ -195,9 +228,22 @@
         for change in batch.changes:
             self._apply_change(change)
         self._revision = max(self._revision, batch.revision)
+        self._copied_revision = self._revision
+        self._keep(batch.changes)
         if batch.changes:
+            self._wake_followers()
             await self._wait_for_batch()
 
+    def _keep(self, changes: tuple[StoredObject, ...]) -> None:
+        """Keeps changes for followers; drops the oldest if there are many."""
+        self._kept.extend(changes)
+        while len(self._kept) > _MAX_KEPT_CHANGES:
+            self._kept_after = self._kept.popleft().revision
+
+    def _wake_followers(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
     async def _wait_for_batch(self) -> None:
         self._is_batching = True
         try:
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -1,6 +1,7 @@
 """Assembles a daemon from the product's components and platform adapters."""
 
-import random
+import functools
+import hashlib
 import signal
 import time
 from collections.abc import AsyncIterator
@@ -19,11 +20,15 @@
     LotItemBodyRequest,
     LotResultsRequest,
     ManifestRequest,
+    PeerReaderProvider,
     PeerRelayProvider,
     PeerTable,
     Ping,
     StoreRequest,
     StoreRequestHandler,
+    TaskOrders,
+    TaskReport,
+    UsageReport,
     WatchVerifier,
 )
 from daisyhub.connections import HttpClient
@@ -52,9 +57,17 @@
     LotStore,
     RewardCaller,
     SubmittedLotsFilter,
+    TaskWorker,
+    WorkerPool,
 )
 from daisyhub.metrics import Metrics
-from daisyhub.objects import KindWatcher, RelayedStore, StoredObject
+from daisyhub.objects import (
+    KindWatcher,
+    RelayedStore,
+    SharedWatch,
+    StoredObject,
+    WatchedCopy,
+)
 from daisyhub.peers import PeerNetwork
 from daisyhub.platform._desk import PlatformOrderDeskClient
 from daisyhub.platform._engines import (
@@ -77,13 +90,19 @@
 __all__ = ["FleetDaemon"]
 
 _NS_PER_US = 1000
+# Names of the duties, and of their records in the store.
+_ROLLOUTS_DUTY = "rollouts"
+_ACCOUNTS_DUTY = "accounts"
 _MS_PER_S = 1000.0
 # Seconds until a failed controller is restarted.
 _CONTROLLER_RESTART_DELAY_S = 0.5
 # Seconds for which server changes are batched, per known peer, and the maximum:
-# half of the 2 s within which a leaving endpoint must be taken out of use.
+# a third of the 2 s within which a leaving endpoint must be taken out of use.
 _BATCH_DELAY_PER_PEER_S = 0.03
-_MAX_BATCH_DELAY_S = 1.0
+_MAX_BATCH_DELAY_S = 0.6
+# Seconds for which a peer may have received newer changes than a watch before
+# the watch is restarted: several round trips to the store.
+_MAX_WATCH_LAG_S = 0.3
 # Seconds between checks for endpoints whose entries expired while the store was
 # unavailable and did not reappear.
 _EXPIRY_CHECK_INTERVAL_S = 0.25
@@ -141,15 +160,20 @@
             self.network, self.peers, cfg.failure_domain, cfg.call_timeout_s
         )
         self.store = RelayedStore(direct, relay_provider, self.log)
-        request_handler = StoreRequestHandler(direct)
-        self.network.add_request_handler(StoreRequest, request_handler.handle)
+        self._direct_store = direct
+        readers = PeerReaderProvider(
+            self.network, self.peers, cfg.failure_domain, cfg.call_timeout_s
+        )
+        self.shared_watch = SharedWatch(self.store, readers, self.log)
 
     def _build_state(self) -> None:
         cfg = self.cfg
         self.clock = ClusterClock()
         self.meter = UsageMeter(cfg.usage_window_s, self.clock.now_s)
         self.manifests = ManifestController(PlatformManifestReader(), self.log)
-        self.directory = EndpointDirectory(random.random, self.http.has_idle)
+        self.directory = EndpointDirectory(
+            functools.lru_cache(self._rank_endpoint), self.http.has_idle
+        )
         self.cluster = ClusterController(
             cfg.daemon_id,
             cfg.peer_address,
@@ -160,6 +184,8 @@
             self.manifests,
             self.store,
             self._ping,
+            self._make_usage_report,
+            _ACCOUNTS_DUTY,
             self.log,
         )
         self.usage_aggregator = UsageAggregator()
@@ -170,26 +196,31 @@
         )
         self.watchers = (
             KindWatcher(
-                self.store,
+                self.shared_watch,
                 CONFIG_KIND,
                 self.log,
                 self._on_config,
                 can_be_stale=self._can_be_stale,
             ),
             KindWatcher(
-                self.store,
+                self.shared_watch,
                 SERVERS_KIND,
                 self.log,
                 self._on_server,
                 self._batch_delay_s,
                 self._can_be_stale,
+                self._max_servers_lag_s,
             ),
         )
+        request_handler = StoreRequestHandler(
+            self._direct_store, WatchedCopy(self.watchers)
+        )
+        self.network.add_request_handler(StoreRequest, request_handler.handle)
         self.cluster.set_watchers(self.watchers)
         # The holder of the first duty runs lots and weight loads; the holder of
         # the second reports usage, completes retirements and verifies watches.
-        self.rollouts = self._build_duty("rollouts")
-        self.accounts = self._build_duty("accounts")
+        self.rollouts = self._build_duty(_ROLLOUTS_DUTY)
+        self.accounts = self._build_duty(_ACCOUNTS_DUTY)
         self.sender = Sender(
             self.directory,
             self.http,
@@ -219,6 +250,12 @@
             self.log,
         )
 
+    def _rank_endpoint(self, endpoint_id: str) -> float:
+        """Returns a number for an endpoint that differs by daemon."""
+        text = f"{self.cfg.daemon_id}/{endpoint_id}".encode()
+        digest = hashlib.blake2b(text, digest_size=6).digest()
+        return float(int.from_bytes(digest))
+
     def _live_incarnations(self) -> dict[str, int]:
         """Returns the live daemons' incarnations by id, this one included.
 
@@ -232,7 +269,7 @@
         return {**live, self.cfg.daemon_id: self.incarnation}
 
     def _record_usage(self, envelope, message: object) -> None:
-        if isinstance(message, Ping):
+        if isinstance(message, UsageReport):
             self.usage_aggregator.update(
                 envelope.sender,
                 envelope.incarnation,
@@ -251,21 +288,36 @@
 
     def _build_lots(self) -> None:
         self.lots = LotStore(self.store)
+        self.worker = TaskWorker(
+            ItemRunner(
+                self.directory, self.http, self._endpoint_wire, self._lot_wire
+            ),
+            RewardCaller(
+                self.manifests, self.sender, self._endpoint_wire, self.log
+            ),
+            self._send_task_report,
+            self.metrics,
+            self.log,
+        )
+        self.pool = WorkerPool(
+            self.cfg.daemon_id,
+            self.cfg.processor_speed,
+            self.peers,
+            self.network,
+            self.directory,
+            lambda orders: self.worker.receive(self.cfg.daemon_id, orders),
+            self.log,
+        )
+        self.network.add_receiver(self._receive_task_message)
         dependencies = LotHolderDependencies(
             store=self.store,
             lots=self.lots,
             directory=self.directory,
             manifests=self.manifests,
-            runner=ItemRunner(
-                self.directory, self.http, self._endpoint_wire, self._lot_wire
-            ),
-            rewards=RewardCaller(
-                self.manifests, self.sender, self._endpoint_wire, self.log
-            ),
+            pool=self.pool,
             is_loading=self._is_loading,
             has_lost_peers=self.peers.has_lost_peers,
             clock=self.clock,
-            metrics=self.metrics,
             log=self.log,
             status_s=self.cfg.status_s,
         )
@@ -302,6 +354,18 @@
         )
         self.network.add_receiver(self.holder.receive)
 
+    def _send_task_report(self, holder_id: str, report: TaskReport) -> None:
+        if holder_id == self.cfg.daemon_id:
+            self.pool.receive(holder_id, report)
+        else:
+            self.network.send(holder_id, report)
+
+    def _receive_task_message(self, envelope, message: object) -> None:
+        if isinstance(message, TaskOrders):
+            self.worker.receive(envelope.sender, message)
+        elif isinstance(message, TaskReport):
+            self.pool.receive(envelope.sender, message)
+
     def _is_loading(self, endpoint_id: str) -> bool:
         """Calls `weights.is_loading`; `weights` is built after the holder."""
         return self.weights.is_loading(endpoint_id)
@@ -345,6 +409,7 @@
             *self.watchers,
             self.rollouts,
             self.accounts,
+            self.worker,
             self.holder,
             self.weights,
             self.reporter,
@@ -385,10 +450,23 @@
             manifest_revision=self.manifests.revision,
             duties=self._held_duties(),
             newest={w.kind: w.newest_revision for w in self.watchers},
+            standbys=self._choose_standbys(),
+        )
+
+    def _make_usage_report(self) -> UsageReport:
+        return UsageReport(
             usage=self.meter.snapshot(),
             closed_before=self.meter.closed_before(),
         )
 
+    def _choose_standbys(self) -> tuple[str, ...]:
+        """Returns the daemons that may take over the duties held here."""
+        chosen: set[str] = set()
+        for duty in (self.rollouts, self.accounts):
+            if duty.fencing:
+                chosen.update(duty.standbys())
+        return tuple(sorted(chosen))
+
     def _held_duties(self) -> dict[str, int]:
         """Returns the fencing numbers of the duties that are held here."""
         duties = (self.rollouts, self.accounts)
@@ -397,14 +475,26 @@
     def _batch_delay_s(self) -> float:
         """Returns how many seconds to batch changes before the next watch.
 
-        Every change causes a store call by every daemon, so the delay grows
-        with their number. It is limited because a leaving endpoint must
-        receive no requests after two seconds.
+        Every change causes a store call by every reader, so the delay grows
+        with the number of daemons. It is limited because a leaving endpoint
+        must receive no requests after two seconds. What a reader passes on is
+        batched already.
         """
+        if self.shared_watch.is_follower:
+            return 0.0
         return min(
             _MAX_BATCH_DELAY_S, _BATCH_DELAY_PER_PEER_S * len(self.peers.all())
         )
 
+    def _max_servers_lag_s(self) -> float:
+        """Returns the seconds for which a peer may know newer servers.
+
+        A follower gets changes after its reader's batch delay.
+        """
+        if self.shared_watch.is_follower:
+            return _MAX_WATCH_LAG_S + _MAX_BATCH_DELAY_S
+        return _MAX_WATCH_LAG_S
+
     def _can_be_stale(self) -> bool:
         """Whether watches may return stale data.
 
@@ -556,7 +646,7 @@
         for duty in (self.rollouts, self.accounts):
             duty.set_leaving()
             await duty.release()
-        self.cluster.send_pings()
+        self.cluster.announce_shutdown()
         await anyio.sleep(_DRAIN_NOTICE_S)
         self.callers_server.stop()
         drain_end_s = started_s + _DRAIN_SHARE_OF_GRACE * self.cfg.grace_s
