--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -69,6 +69,9 @@
 # Weight of the latest interval between events in the moving average, which
 # thus covers about ten events.
 _EVENT_INTERVAL_WEIGHT = 0.2
+# Weight of the latest run in the usual duration of a model's runs, which thus
+# covers about the items of one lot.
+_DURATION_WEIGHT = 0.02
 # Seconds between two searches for silent runs, which look at all of them: a
 # sixth of the shortest timeout.
 _SILENCE_CHECK_INTERVAL_S = 0.1
@@ -126,6 +129,8 @@
         self._runs: dict[int, Run] = {}
         self._last_run_id = 0
         self._silence_check_at_s = -math.inf
+        # Moving average of the duration of whole runs by model.
+        self._mean_run_s: dict[str, float] = {}
 
     @property
     def next_wakeup_s(self) -> float | None:
@@ -157,6 +162,10 @@
         engine = self._engines.get(endpoint_id)
         return len(engine.runs) if engine else 0
 
+    def mean_run_s(self, model: str) -> float:
+        """Returns the usual duration of a model's runs; 0 if unknown."""
+        return self._mean_run_s.get(model, 0.0)
+
     def find_run(self, run_id: int) -> Run | None:
         """Returns the open run with this id, or None."""
         return self._runs.get(run_id)
@@ -399,6 +408,7 @@
             _update_progress(item, run)
             lot.requeue(item)
             return []
+        self._record_duration(lot.opened.spec.head.model, run, now_s)
         item.progress = Progress(
             tuple(run.texts), tuple(run.versions), is_whole=True
         )
@@ -408,6 +418,15 @@
         lot.requeue(item)
         return [CancelRun(r, "another run completed first") for r in others]
 
+    def _record_duration(self, model: str, run: Run, now_s: float) -> None:
+        """Adds a whole run to the model's usual duration."""
+        if run.event_count < len(run.texts):
+            # It resumed another run.
+            return
+        took_s = now_s - run.started_at_s
+        mean_s = self._mean_run_s.get(model, took_s)
+        self._mean_run_s[model] = mean_s + _DURATION_WEIGHT * (took_s - mean_s)
+
     def _on_failed(self, event: RunFailed, now_s: float) -> list[object]:
         if event.run not in self._runs:
             return []
@@ -426,6 +445,8 @@
                 return self._give_up(lot, item)
             case RunFault.NOT_RUN:
                 _back_off(engine, now_s, _NO_SLOT_BACKOFF_S)
+            case RunFault.WORKER_LOST:
+                pass
             case RunFault.BROKEN if run.event_count:
                 # A stream that broke after some events says little about
                 # the engine.
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -163,7 +163,8 @@
         self._core = DispatchCore()
         self._lots: dict[str, _LotState] = {}
         self._unfinished_texts: dict[str, Progress] = {}
-        self._demand: dict[str, float] = {}
+        # Number of items of the latest lot by model.
+        self._items_by_model: dict[str, int] = {}
         self._tasks = None
         self._duty_since_s = 0.0
 
@@ -182,8 +183,23 @@
         return self._core.open_run_count(endpoint_id)
 
     def demand(self) -> dict[str, float]:
-        """Returns the number of tokens of the latest lot, by model."""
-        return dict(self._demand)
+        """Returns the work of the latest lot by model, in engine slots.
+
+        The unit is seconds of a slot. Tokens don't tell the work: most are of
+        the prompt, which is read at once, while a slot is taken for as long
+        as the text grows. Models whose runs have no known duration yet get
+        the mean of the others.
+        """
+        known_s = {
+            model: run_s
+            for model in self._items_by_model
+            if (run_s := self._core.mean_run_s(model))
+        }
+        default_s = sum(known_s.values()) / len(known_s) if known_s else 1.0
+        return {
+            model: count * known_s.get(model, default_s)
+            for model, count in self._items_by_model.items()
+        }
 
     def status(self) -> dict[str, object]:
         """Returns listed and total items by lot, and the numbers of runs."""
@@ -358,8 +374,7 @@
                 await anyio.sleep(_READ_RETRY_DELAY_S)
         if lot.is_ended:
             return
-        tokens = sum(item.tokens for item in lot.spec.items)
-        self._demand[head.model] = float(tokens)
+        self._items_by_model[head.model] = head.total
         age_s = self._deps.clock.now_s() - head.accepted_s
         now_s = time.monotonic()
         self._deps.log.record(
--- a/daisyhub/lots/_run_types.py
+++ b/daisyhub/lots/_run_types.py
@@ -43,6 +43,8 @@
         BROKEN: The stream was cut or malformed, or the status was unexpected.
         FAILED: The engine failed at the item; counted as an attempt.
         IMPOSSIBLE: The engine can never serve the item; it is given up.
+        WORKER_LOST: The daemon that received the stream is lost, or the order
+            to it; the engine isn't at fault.
     """
 
     NOT_RUN = "not_run"
@@ -51,6 +53,7 @@
     BROKEN = "broken"
     FAILED = "failed"
     IMPOSSIBLE = "impossible"
+    WORKER_LOST = "worker_lost"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/daisyhub/lots/_worker.py
+++ b/daisyhub/lots/_worker.py
@@ -136,8 +136,12 @@
         self._group = None
 
     def status(self) -> dict[str, object]:
-        """Returns the holder that is served and the number of open tasks."""
-        return {"holder": self._holder, "tasks": len(self._tasks)}
+        """Returns the served holder, its number, and the number of tasks."""
+        return {
+            "holder": self._holder,
+            "fencing": self._fencing,
+            "tasks": len(self._tasks),
+        }
 
     async def run(self) -> None:
         """Executes tasks until cancelled."""
--- a/daisyhub/lots/_worker_pool.py
+++ b/daisyhub/lots/_worker_pool.py
@@ -283,7 +283,7 @@
         self._close_task(task_id)
         if isinstance(action, StartRun):
             self._log.record("run_lost", run=action.run, reason=reason)
-            self._sink(RunFailed(action.run, RunFault.ELSEWHERE))
+            self._sink(RunFailed(action.run, RunFault.WORKER_LOST))
         elif isinstance(action, _RewardTask):
             self._sink(RewardCallFailed(action.lot_id, action.item_id, False))
 
--- a/daisyhub/lots/tests/test_dispatch_core.py
+++ b/daisyhub/lots/tests/test_dispatch_core.py
@@ -248,6 +248,23 @@
         (again,) = self.feed(RunFailed(run.run, RunFault.BROKEN))
         self.assertEqual(again.resume_after, 2)
 
+    def test_an_engine_is_not_blamed_for_a_lost_worker(self):
+        self.feed(engines("e1"))
+        (run,) = self.feed(lot(item("a")))
+        (again,) = self.feed(RunFailed(run.run, RunFault.WORKER_LOST))
+        self.assertEqual(again.endpoint_id, "e1")
+
+    def test_the_usual_duration_of_runs_is_kept_by_model(self):
+        self.feed(engines("e1", slots=9))
+        self.assertEqual(self.driver.core.mean_run_s("m"), 0.0)
+        runs = self.feed(lot(*(item(n) for n in "abc")))
+        self.driver.now_s += 2.0
+        for run in runs:
+            self.driver.stream(run.run, "x")
+            self.driver.complete(run.run)
+        self.assertAlmostEqual(self.driver.core.mean_run_s("m"), 2.0)
+        self.assertEqual(self.driver.core.mean_run_s("other"), 0.0)
+
     def test_a_report_with_a_gap_ends_the_run_and_keeps_its_text(self):
         self.feed(engines("e1", "e2"))
         (run,) = self.feed(lot(item("a")))
--- a/daisyhub/weights/_sharing.py
+++ b/daisyhub/weights/_sharing.py
@@ -10,7 +10,7 @@
 __all__ = ["assign_engines"]
 
 # Minimum shortage of a model, in engines, for an engine to be moved to it.
-_MIN_SHORTAGE = 0.75
+_MIN_SHORTAGE = 0.8
 # Minimum reduction of the combined deviation of the two models, in engines, for
 # an engine to be moved. It is above zero, so that moving the engine back never
 # qualifies.
@@ -56,10 +56,22 @@
 def _compute_targets(
     engine_count: int, models: list[str], demand: Mapping[str, float]
 ) -> dict[str, float]:
-    """Returns the fractional number of engines by model, at least 1."""
-    total = sum(demand.values()) or 1.0
-    spare_count = engine_count - len(models)
-    return {model: 1 + spare_count * demand[model] / total for model in models}
+    """Returns the fractional number of engines by model, at least 1.
+
+    The other engines are divided in proportion to the demand.
+    """
+    targets: dict[str, float] = {}
+    left = set(models)
+    while left:
+        total = sum(demand[model] for model in left) or 1.0
+        count = engine_count - len(models) + len(left)
+        shares = {model: count * demand[model] / total for model in left}
+        small = {model for model in left if shares[model] < 1}
+        if not small:
+            return targets | shares
+        targets |= dict.fromkeys(small, 1.0)
+        left -= small
+    return targets
 
 
 def _rebalance(ids, models, targets, assigned, counts) -> None:
--- a/daisyhub/weights/tests/test_load_core.py
+++ b/daisyhub/weights/tests/test_load_core.py
@@ -145,6 +145,15 @@
         self.assertGreaterEqual(counts[0], 1)
         self.assertGreater(counts[1], counts[0])
 
+    def test_engines_are_divided_in_proportion_to_the_work(self):
+        ids = [f"e{n:02}" for n in range(20)]
+        work = {"x": 6.0, "y": 3.0, "z": 1.0, "idle": 0.0}
+        assigned = assign_engines(ids, work, {})
+        counts = {m: sum(v == m for v in assigned.values()) for m in work}
+        self.assertEqual(counts["idle"], 1)
+        for model, share in (("x", 11.4), ("y", 5.7), ("z", 1.9)):
+            self.assertLessEqual(abs(counts[model] - share), 1, model)
+
     def test_engines_keep_their_model(self):
         previous = assign_engines("abcde", {"x": 1.0, "y": 1.0}, {})
         again = assign_engines("abcde", {"x": 1.1, "y": 0.9}, previous)
