--- a/daisyhub/cluster/_controller.py
+++ b/daisyhub/cluster/_controller.py
@@ -317,8 +317,14 @@
 
     async def _fetch_manifest(self) -> None:
         """Fetches the manifest from the live peer that has the newest one."""
-        peers = self._peers.live()
-        newest = max(peers, key=lambda p: p.ping.manifest_revision)
+        newest = max(
+            self._peers.live(),
+            key=lambda p: p.ping.manifest_revision,
+            default=None,
+        )
+        if newest is None:
+            # The peer that had it was lost since.
+            return
         self._is_fetching = True
         try:
             response = await self._network.call(
@@ -359,7 +365,13 @@
             found = exc.found or await self._store.read(
                 DAEMONS_KIND, self._own_id
             )
-            if found is None or is_same_json(found.spec, spec):
+            if found is None:
+                # It was deleted since; a new attempt creates it.
+                raise ObjectStoreError(
+                    f"the object of {self._own_id} was deleted",
+                    may_be_done=False,
+                ) from exc
+            if is_same_json(found.spec, spec):
                 return
             await self._store.replace(
                 DAEMONS_KIND, self._own_id, spec, revision=found.revision
--- a/daisyhub/cluster/tests/test_cluster_controller.py
+++ b/daisyhub/cluster/tests/test_cluster_controller.py
@@ -16,6 +16,7 @@
     UsageReport,
 )
 from daisyhub.logs import DecisionLog
+from daisyhub.objects import ObjectConflictError
 from daisyhub.settings import Address
 from daisyhub.testing.object_store import Fault, MemoryStore
 
@@ -86,6 +87,29 @@
         self.assertEqual(store.calls["watch"], 0)
         self.assertEqual(store.calls["create"], 8)
 
+    async def test_a_daemon_registers_although_its_object_vanishes(self):
+        """It once took an object that was deleted meanwhile as its own."""
+
+        class VanishingStore(MemoryStore):
+            vanishes = True
+
+            async def create(self, kind, name, spec):
+                if self.vanishes:
+                    self.vanishes = False
+                    raise ObjectConflictError("it exists", None)
+                return await super().create(kind, name, spec)
+
+        store = VanishingStore()
+        controller, _ = new_daemon({}, store, 1)
+        with anyio.fail_after(10):
+            await controller._register()
+        self.assertIsNotNone(await store.read("daemons", "d1"))
+
+    async def test_a_manifest_of_a_peer_that_was_lost_is_not_fetched(self):
+        controller, _ = new_daemon({}, MemoryStore(), 1)
+        await controller._fetch_manifest()
+        self.assertFalse(controller._is_fetching)
+
     async def test_a_failed_list_is_retried(self):
         store = MemoryStore()
         store.fail_next("list_all", Fault.REFUSED, Fault.REFUSED)
--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -59,6 +59,10 @@
 _NO_SLOT_BACKOFF_S = 0.1
 # Seconds before a failed run or reward call of an item is retried.
 _RETRY_DELAY_S = 0.1
+# Maximum delay of a further reward call, in seconds. The delay doubles with
+# each call that no endpoint answered, as the reason may last, such as a missing
+# route.
+_MAX_REWARD_RETRY_DELAY_S = 2.0
 # An engine is slow if its event interval is at least this many times the
 # median. Engines of one kind differ by some percent, those of different kinds
 # by a third.
@@ -491,12 +495,14 @@
         if isinstance(event, RewardCallSucceeded):
             return [self._complete(lot, item, event.score)]
         item.reward_failures += event.is_endpoint_failure
+        item.reward_obstacles += not event.is_endpoint_failure
         if (
             event.is_endpoint_failure
             and item.reward_failures >= event.max_attempts
         ):
             return self._give_up(lot, item)
-        item.retry_at_s = now_s + _RETRY_DELAY_S
+        delay_s = _RETRY_DELAY_S * 2 ** max(0, item.reward_obstacles - 1)
+        item.retry_at_s = now_s + min(delay_s, _MAX_REWARD_RETRY_DELAY_S)
         lot.requeue(item)
         return []
 
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -414,7 +414,8 @@
             results = await self._deps.lots.chunk(lot.head.lot_id, first)
             if results is None:
                 return
-            lot.listing.handle(ChunkStored(first, results), time.monotonic())
+            # A result that became due during a write is listed now.
+            self._feed_listing(lot, ChunkStored(first, results))
 
     def _feed_dispatch(self, event: object) -> None:
         """Passes an event to the dispatch core and runs its actions."""
@@ -484,9 +485,7 @@
         lot = self._lots.get(lot_id)
         if lot is None or not lot.is_listing_loaded or not self._duty.fencing:
             return None
-        if lot.is_ended:
-            return None
-        if len(lot.listing.listed) <= after:
+        if len(lot.listing.listed) <= after and not lot.is_ended:
             with anyio.move_on_after(wait_s):
                 await lot.results_added.wait()
         is_empty = len(lot.listing.listed) <= after
@@ -544,7 +543,12 @@
             lot = self._lots.get(request.lot_id)
             is_ended = lot is not None and lot.is_ended
             return LotResponse(is_held=False, is_ended=is_ended)
-        return LotResponse(is_held=True, content=msgspec.json.encode(found))
+        lot = self._lots.get(request.lot_id)
+        return LotResponse(
+            is_held=True,
+            content=msgspec.json.encode(found),
+            is_ended=lot is not None and lot.is_ended,
+        )
 
     async def handle_body_request(
         self, request: LotItemBodyRequest
--- a/daisyhub/lots/_reader.py
+++ b/daisyhub/lots/_reader.py
@@ -1,9 +1,9 @@
 """Serves reads of lots on any daemon.
 
 Results are requested from the holder, the daemon that has the duty for lots,
-and cached here, as listed results never change. If the holder can't be reached,
-the chunks in the store are read. The results of ended lots are also read from
-the store, which leaves the link to the holder free for open lots.
+and cached here, as listed results never change. The holder has those of an
+ended lot in one piece, while the store has many chunks of them. If the holder
+can't be reached or doesn't know the lot, the chunks are read.
 """
 
 import dataclasses
@@ -219,7 +219,7 @@
             remaining_s = max(0.0, deadline_s - time.monotonic())
             first = len(lot.results)
             found = None
-            if not lot.is_ended:
+            if not lot.is_ended or not lot.results:
                 found = await self._results_from_holder(lot, first, remaining_s)
             if found is None:
                 found = await self._results_from_store(lot_id, first)
--- a/daisyhub/lots/_run_types.py
+++ b/daisyhub/lots/_run_types.py
@@ -293,6 +293,7 @@
         runs: Ids of its open runs.
         failures: Number of runs that failed in the engine itself.
         reward_failures: Number of reward calls that failed in their endpoint.
+        reward_obstacles: Number of reward calls that no endpoint answered.
         is_reward_pending: Whether a reward call is in progress.
         retry_at_s: When the next run or reward call may start.
         is_done: Whether it has its result.
@@ -304,6 +305,7 @@
     runs: set[int] = dataclasses.field(default_factory=set)
     failures: int = 0
     reward_failures: int = 0
+    reward_obstacles: int = 0
     is_reward_pending: bool = False
     retry_at_s: float = -math.inf
     is_done: bool = False
--- a/daisyhub/lots/tests/test_dispatch_core.py
+++ b/daisyhub/lots/tests/test_dispatch_core.py
@@ -241,6 +241,26 @@
         self.feed(engines("e1", loading=("e1",)))
         self.assertEqual(self.driver.tick(after_s=1.5), [])
 
+    def test_loading_engine_gets_no_new_runs(self):
+        self.feed(engines("e1", "e2", loading=("e1",)))
+        runs = self.feed(lot(*(item(n) for n in "abc")))
+        self.assertEqual([r.endpoint_id for r in runs], ["e2", "e2"])
+
+    def test_reward_calls_that_keep_failing_are_repeated_less_often(self):
+        self.feed(engines("e1"))
+        (run,) = self.feed(lot(item("a")))
+        self.driver.stream(run.run, "x")
+        self.driver.complete(run.run)
+        self.feed(RewardCallFailed("L", "a", False))
+        times_s = []
+        for _ in range(1000):
+            if self.driver.tick(after_s=0.01):
+                times_s.append(self.driver.now_s)
+                self.feed(RewardCallFailed("L", "a", False))
+        # After 0.1, 0.2, 0.4 s and so on, then every two seconds.
+        self.assertGreaterEqual(len(times_s), 6)
+        self.assertLessEqual(len(times_s), 10)
+
     def test_broken_run_resumes_after_received_events(self):
         self.feed(engines("e1", "e2"))
         (run,) = self.feed(lot(item("a")))
--- /dev/null
+++ b/daisyhub/lots/tests/test_holder.py
@@ -0,0 +1,87 @@
+"""The holder lists every result, whichever way it learns of its chunks."""
+
+import types
+import unittest
+
+import msgspec
+
+from daisyhub.logs import DecisionLog
+from daisyhub.lots import ItemResult, LotHead, LotHolder, LotStore
+from daisyhub.lots._holder import LotHolderDependencies, _LotState
+from daisyhub.lots._listing_core import ItemFinished, ListingCore
+from daisyhub.testing.object_store import MemoryStore
+
+LOG = DecisionLog("d", write=lambda _: True)
+
+
+class RecordedTasks:
+    """A task group that only records what would be started."""
+
+    def __init__(self):
+        self.started = []
+
+    def start_soon(self, function, *args):
+        self.started.append((function.__name__, args))
+
+
+def result(item_id):
+    return ItemResult(item_id=item_id, state="completed", text="t")
+
+
+class LotHolderTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.lots = LotStore(MemoryStore())
+        deps = LotHolderDependencies(
+            store=None,
+            lots=self.lots,
+            directory=None,
+            manifests=None,
+            pool=None,
+            is_loading=None,
+            has_lost_peers=lambda: False,
+            clock=None,
+            log=LOG,
+            status_s=60.0,
+        )
+        duty = types.SimpleNamespace(fencing=1)
+        self.holder = LotHolder(duty, deps)
+        self.tasks = self.holder._tasks = RecordedTasks()
+        head = LotHead(
+            lot_id="L",
+            account="a",
+            host="h",
+            path="/p",
+            step=1,
+            model="m",
+            oldest_version=1,
+            wanted_groups=1,
+            total=2,
+        )
+        self.lot = _LotState(head, ListingCore(2), is_listing_loaded=True)
+        self.holder._lots["L"] = self.lot
+
+    def writes(self):
+        return [
+            args[1].results
+            for name, args in self.tasks.started
+            if name == "_write_chunk"
+        ]
+
+    async def test_a_result_finished_during_a_write_is_listed(self):
+        """It stayed unlisted if the own chunk was read before its write."""
+        self.holder._feed_listing(self.lot, ItemFinished(result("a"), True))
+        self.assertEqual(self.writes(), [(result("a"),)])
+        self.holder._feed_listing(self.lot, ItemFinished(result("b"), True))
+        await self.lots.write_chunk("L", 0, (result("a"),))
+        await self.holder._load_listed_chunks(self.lot)
+        self.assertEqual(self.writes()[1:], [(result("b"),)])
+
+    async def test_an_ended_lot_is_served_from_memory(self):
+        await self.lots.write_chunk("L", 0, (result("a"),))
+        await self.holder._load_listed_chunks(self.lot)
+        self.lot.is_ended = True
+        request = types.SimpleNamespace(lot_id="L", after=0, wait_s=1.0)
+        response = await self.holder.handle_results_request(request)
+        self.assertTrue(response.is_held and response.is_ended)
+        found = msgspec.json.decode(response.content, type=list[ItemResult])
+        self.assertEqual(found, [result("a")])
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -233,22 +233,28 @@
         self.retirements = RetirementController(
             self.accounts, self.store, self.log
         )
-        self.reporter = UsageReporter(
+        self.reporters = self._build_reporters()
+
+    def _build_reporters(self) -> tuple[UsageReporter, ...]:
+        """Returns the usage reporter; nothing without an order desk."""
+        cfg = self.cfg
+        if not cfg.order_desk:
+            return ()
+        order_desk = PlatformOrderDeskClient(
+            parse_address(cfg.order_desk), cfg.daemon_id, self.http, self.log
+        )
+        reporter = UsageReporter(
             self.accounts,
             self.usage_aggregator,
             self._live_incarnations,
             self.store,
-            PlatformOrderDeskClient(
-                parse_address(cfg.order_desk),
-                cfg.daemon_id,
-                self.http,
-                self.log,
-            ),
+            order_desk,
             self.clock.now_s,
             cfg.usage_window_s,
             cfg.usage_late_s,
             self.log,
         )
+        return (reporter,)
 
     def _rank_endpoint(self, endpoint_id: str) -> float:
         """Returns a number for an endpoint that differs by daemon."""
@@ -412,7 +418,7 @@
             self.worker,
             self.holder,
             self.weights,
-            self.reporter,
+            *self.reporters,
             self.verifier,
             self.retirements,
         )
--- a/daisyhub/platform/_desk.py
+++ b/daisyhub/platform/_desk.py
@@ -12,6 +12,8 @@
 
 _OK = 200
 _CONFLICT = 409
+_MIN_SERVER_ERROR = 500
+_UNAVAILABLE = 503
 # Timeout of a call; the platform normally responds in milliseconds.
 _CALL_TIMEOUT_S = 1.0
 
@@ -81,8 +83,15 @@
             )
         if response.status == _CONFLICT:
             return on_conflict
+        if response.status == _OK:
+            return OrderDeskOutcome.DONE
+        self._log.record(
+            "desk_call_failed", path=path, reason=f"status {response.status}"
+        )
+        # Any server error other than 503 may follow the call's effect.
         return (
-            OrderDeskOutcome.DONE
-            if response.status == _OK
-            else OrderDeskOutcome.REFUSED
+            OrderDeskOutcome.REFUSED
+            if response.status < _MIN_SERVER_ERROR
+            or response.status == _UNAVAILABLE
+            else OrderDeskOutcome.UNKNOWN
         )
--- a/daisyhub/platform/_lots_json.py
+++ b/daisyhub/platform/_lots_json.py
@@ -173,15 +173,20 @@
     def __init__(self, version: int):
         self._version = version
         self._buffer = b""
+        self._held_back = b""
 
     @property
     def is_between_events(self) -> bool:
         """Whether no part of a further event was received."""
-        return not self._buffer.strip()
+        return not (self._buffer + self._held_back).strip()
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Returns the events that are complete now; see `EventReader.feed`."""
-        self._buffer += chunk.replace(b"\r\n", b"\n")
+        data = self._held_back + chunk
+        # The line feed of a CRLF may come with the next chunk.
+        self._held_back = data[-1:] if data.endswith(b"\r") else b""
+        data = data.removesuffix(b"\r")
+        self._buffer += data.replace(b"\r\n", b"\n")
         *blocks, self._buffer = self._buffer.split(b"\n\n")
         if len(self._buffer) > _MAX_EVENT_BYTES:
             raise ValueError(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
--- a/daisyhub/platform/_wire.py
+++ b/daisyhub/platform/_wire.py
@@ -118,11 +118,12 @@
         ]
         if req.account:
             headers.append((_ACCOUNT, req.account.encode("latin-1")))
+        not_forwarded = _NOT_FORWARDED_HEADERS
         if req.resume_after:
             headers.append((_RESUME_AFTER, str(req.resume_after).encode()))
-        headers += [
-            h for h in req.headers if h[0] not in _NOT_FORWARDED_HEADERS
-        ]
+            # The caller resumes its own stream elsewhere, or not at all.
+            not_forwarded = not_forwarded | {_RESUME_AFTER}
+        headers += [h for h in req.headers if h[0] not in not_forwarded]
         return tuple(headers)
 
     def read_response_head(
--- a/daisyhub/platform/tests/test_wires.py
+++ b/daisyhub/platform/tests/test_wires.py
@@ -225,6 +225,7 @@
                 (b"daisyhub-expect-instance", b"forged"),
                 (b"connection", b"close"),
                 (b"x-own", b"1"),
+                (b"last-event-id", b"2"),
             ),
             resume_after=4,
         )
@@ -345,6 +346,17 @@
             self.assertEqual(parsed, [(1, "a", 3), (2, "b", 4), (3, "c", 4)])
             self.assertTrue(reader.is_between_events)
 
+    def test_line_ends_of_two_bytes_may_be_split_between_chunks(self):
+        stream = b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"
+        for size in range(1, len(stream)):
+            reader = PlatformLotWire().make_reader(3)
+            events = []
+            for start in range(0, len(stream), size):
+                events += reader.feed(stream[start : start + size])
+            parsed = [(e.number, e.data) for e in events]
+            self.assertEqual(parsed, [(1, "a"), (2, "b")], size)
+            self.assertTrue(reader.is_between_events)
+
     def test_invalid_event_is_an_error(self):
         with self.assertRaises(ValueError):
             PlatformLotWire().make_reader(1).feed(b"garbage\n\n")
