Look-ups keep to open connections; ended lots from the holder within limits

Change: an open connection may cost 0.7 median latencies as long as its endpoint isn't busy, else 0.3. The holder leaves ended lots to the store while more than a megabyte waits to be sent.

--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -38,10 +38,16 @@
 _MAX_LATENCY_SAMPLES = 31
 # Responses of a route needed before its median is used to detect silence.
 _MIN_LATENCY_SAMPLES = 3
-# What a new connection may cost, in median latencies: a look-up on an open
+# What a new connection costs, in median latencies: a request on an open
 # connection may take that much longer. Connecting takes both sides time, and an
-# endpoint accepts a limited number of connections from all daemons.
-_NEW_CONNECTION_COST = 0.3
+# endpoint accepts a limited number of connections from all daemons. A daemon
+# with few requests knows an endpoint's latency from a few samples only, of
+# which one in a hundred is five times the median, so its estimate may be off by
+# the first value. Load is known better: to a busy endpoint the second applies.
+_NEW_CONNECTION_COST = 0.7
+_NEW_CONNECTION_COST_IF_BUSY = 0.3
+# Factor by which queueing lengthens requests from which on an endpoint is busy.
+_BUSY_FACTOR = 1.2
 # Time for which a reported load is used.
 _REPORTED_LOAD_TTL_S = 1.0
 # Multiple of the median latency after which an endpoint with an open request
@@ -299,8 +305,13 @@
         """Returns a sort key; the endpoint with the lowest one is chosen."""
         ratio = _estimate_latency_ratio(endpoint, now_s)
         is_connected = self._has_connection(endpoint.entry.address)
-        if not is_connected:
-            ratio += _NEW_CONNECTION_COST
+        if is_connected:
+            is_busy = _queueing_factor(endpoint, now_s) > _BUSY_FACTOR
+            ratio -= (
+                _NEW_CONNECTION_COST_IF_BUSY
+                if is_busy
+                else _NEW_CONNECTION_COST
+            )
         return (
             ratio,
             not is_connected,
@@ -438,12 +449,19 @@
     The estimate is relative to the route's median and rounded to one decimal:
     near-equal endpoints tie, and the other criteria decide.
     """
+    ratio = endpoint.expected_latency_ratio(now_s)
+    return round(ratio * _queueing_factor(endpoint, now_s), 1)
+
+
+def _queueing_factor(endpoint: Endpoint, now_s: float) -> float:
+    """Estimates by what factor queueing lengthens a further request.
+
+    Requests are assumed to queue once half of the slots are taken, since other
+    daemons send to the endpoint as well.
+    """
     load = endpoint.load(now_s) + 1
     slots = max(1, endpoint.entry.slots)
-    # Requests are assumed to queue once half of the slots are taken, since
-    # other daemons send to the endpoint as well.
-    queueing_factor = 1 + max(0.0, load - slots / 2) / slots
-    return round(endpoint.expected_latency_ratio(now_s) * queueing_factor, 1)
+    return 1 + max(0.0, load - slots / 2) / slots
 
 
 def _is_suspect(endpoint: Endpoint, now_s: float) -> bool:
--- a/daisyhub/balancing/tests/test_directory.py
+++ b/daisyhub/balancing/tests/test_directory.py
@@ -139,6 +139,21 @@
         directory.record_load("b", 3, 1.0)
         self.assertNotEqual(directory.choose(POOL, NO_IDS, 1.1), "b")
 
+    def test_one_slow_response_opens_no_connection_elsewhere(self):
+        directory = EndpointDirectory(
+            lambda _: 0.5, lambda address: address.port == ord("b")
+        )
+        for name in "abc":
+            directory.upsert(entry(name))
+        for latency_s in (0.03, 0.03, 0.03, 0.12):
+            token = directory.record_sent("b", "r", 1.0 - latency_s)
+            directory.record_answered("b", token, 1.0)
+        self.assertEqual(directory.choose(POOL, NO_IDS, 1.1), "b")
+        for _ in range(4):
+            token = directory.record_sent("b", "r", 0.8)
+            directory.record_answered("b", token, 1.0)
+        self.assertNotEqual(directory.choose(POOL, NO_IDS, 1.1), "b")
+
     def test_a_daemon_uses_few_endpoints_and_all_daemons_use_all(self):
         names = [f"e{n}" for n in range(5)]
         used = []
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -77,6 +77,10 @@
 # that ended a lot couldn't notify the holder, the end must take effect within
 # three seconds.
 _VERIFY_INTERVAL_S = 1.5
+# Bytes that wait to be sent above which reads of ended lots are left to the
+# store, so that many at once, as after a loss of power, neither fill the memory
+# nor delay open lots: a few lots.
+_MAX_UNSENT_BYTES = 1_000_000
 # Seconds between checks for lots that may be deleted.
 _DELETE_INTERVAL_S = 10.0
 # A lot that its trainer never ended is retained this many times longer.
@@ -102,6 +106,7 @@
             unreachable now.
         clock: Clock that all daemons agree on.
         log: Log of decisions.
+        unsent_bytes: Returns the bytes of messages that wait to be sent.
         status_s: Seconds for which a lot must stay readable.
     """
 
@@ -114,6 +119,7 @@
     has_lost_peers: Callable[[], bool]
     clock: ClusterClock
     log: DecisionLog
+    unsent_bytes: Callable[[], int]
     status_s: float
 
 
@@ -485,6 +491,8 @@
         lot = self._lots.get(lot_id)
         if lot is None or not lot.is_listing_loaded or not self._duty.fencing:
             return None
+        if lot.is_ended and self._deps.unsent_bytes() > _MAX_UNSENT_BYTES:
+            return None
         if len(lot.listing.listed) <= after and not lot.is_ended:
             with anyio.move_on_after(wait_s):
                 await lot.results_added.wait()
--- a/daisyhub/lots/tests/test_holder.py
+++ b/daisyhub/lots/tests/test_holder.py
@@ -30,6 +30,7 @@
 
 class LotHolderTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
+        self.unsent_bytes = 0
         self.lots = LotStore(MemoryStore())
         deps = LotHolderDependencies(
             store=None,
@@ -41,6 +42,7 @@
             has_lost_peers=lambda: False,
             clock=None,
             log=LOG,
+            unsent_bytes=lambda: self.unsent_bytes,
             status_s=60.0,
         )
         duty = types.SimpleNamespace(fencing=1)
@@ -85,3 +87,12 @@
         self.assertTrue(response.is_held and response.is_ended)
         found = msgspec.json.decode(response.content, type=list[ItemResult])
         self.assertEqual(found, [result("a")])
+
+    async def test_ended_lots_are_left_to_the_store_while_links_are_slow(self):
+        """After a loss of power, a holder once used 228 MB for them."""
+        await self.lots.write_chunk("L", 0, (result("a"),))
+        await self.holder._load_listed_chunks(self.lot)
+        self.unsent_bytes = 10_000_000
+        self.assertEqual(await self.holder.results("L", 0, 0.0), [result("a")])
+        self.lot.is_ended = True
+        self.assertIsNone(await self.holder.results("L", 0, 0.0))
--- a/daisyhub/peers/_links.py
+++ b/daisyhub/peers/_links.py
@@ -79,6 +79,14 @@
         self._queue.append(frame)
         return True
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were queued but not passed to the kernel."""
+        queued = sum(len(frame) for frame in self._queue)
+        if self._transport is not None:
+            queued += self._transport.get_write_buffer_size()
+        return queued
+
     def close(self) -> None:
         """Sends what is buffered and closes the connection."""
         self._is_closed = True
--- a/daisyhub/peers/_network.py
+++ b/daisyhub/peers/_network.py
@@ -153,6 +153,11 @@
             else:
                 self._send_frame(daemon_id, frame)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of messages to all peers that wait for slow links."""
+        return sum(link.unsent_bytes for link in self._links.values())
+
     async def call(
         self, daemon_id: str, content: object, timeout_s: float
     ) -> object:
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -325,6 +325,7 @@
             has_lost_peers=self.peers.has_lost_peers,
             clock=self.clock,
             log=self.log,
+            unsent_bytes=lambda: self.network.unsent_bytes,
             status_s=self.cfg.status_s,
         )
         self.holder = LotHolder(self.rollouts, dependencies)
