Fewer connections, a report loop, and daemons that were stalled themselves

Change: - An engine without an open order is asked for its report at intervals. - A daemon that didn't look at its peers for 0.7 s starts their timeouts anew. - Runs of an engine go to one worker while it has capacity, and reward calls to three; reward calls are hedged only after their target latency.

--- a/daisyhub/cluster/_peers.py
+++ b/daisyhub/cluster/_peers.py
@@ -16,6 +16,10 @@
 # Seconds without news of a holder after which a daemon that is no standby of
 # it considers it lost: news travels over a few rounds of pings.
 _NEWS_TIMEOUT_S = 3.0
+# Seconds between two looks at the table after which this daemon itself is
+# considered to have been stalled: it is looked at several times in each round.
+# Pings that arrived meanwhile are still unread, so the timeouts start anew.
+_MAX_OWN_PAUSE_S = 0.7
 # Seconds without a ping of any daemon of a failure domain after which the
 # domain counts as unreachable in a large cluster. Each daemon gets several
 # pings a second from each domain.
@@ -85,7 +89,23 @@
         self._has_duty = False
         # The live peers, valid until `_live_until_s`.
         self._live: list[PeerState] = []
+        self._live_ids: set[str] = set()
         self._live_until_s = -math.inf
+        self._looked_at_s = math.inf
+        self._resumed_at_s = -math.inf
+
+    def _now_s(self) -> float:
+        """Returns the time; notes if this daemon was stalled before."""
+        now_s = time.monotonic()
+        if now_s - self._looked_at_s > _MAX_OWN_PAUSE_S:
+            self._resumed_at_s = now_s
+            self._live_until_s = -math.inf
+        self._looked_at_s = now_s
+        return now_s
+
+    def _heard_at_s(self, received_at_s: float) -> float:
+        """Returns the time from which the silence of a daemon counts."""
+        return max(received_at_s, self._resumed_at_s)
 
     def set_own_duty(self, has_duty: bool, standbys: frozenset[str]) -> None:
         """Sets whether this daemon has a duty, and its standbys."""
@@ -105,22 +125,21 @@
 
         Pings of older incarnations are ignored.
         """
-        now_s = time.monotonic()
+        now_s = self._now_s()
         known = self._peers.get(daemon_id)
         if known is not None and incarnation < known.incarnation:
             return False
-        is_new = known is None or daemon_id in self._lost
+        is_new = daemon_id not in self._live_ids
         if known is None:
             self._peers[daemon_id] = PeerState(
                 daemon_id, incarnation, ping, now_s
             )
         else:
-            if now_s >= self._live_until_s:
-                is_new = is_new or not self._is_within_timeout(known, now_s)
             known.incarnation = incarnation
             known.ping = ping
             known.last_received_at_s = now_s
         if is_new:
+            self._live_ids.add(daemon_id)
             self._live_until_s = -math.inf
         self._domain_heard_at_s[ping.domain] = now_s
         if daemon_id in self._lost:
@@ -135,7 +154,7 @@
         """Records that a known daemon sent another message than a ping."""
         known = self._peers.get(daemon_id)
         if known is not None and incarnation == known.incarnation:
-            known.last_received_at_s = time.monotonic()
+            known.last_received_at_s = self._now_s()
 
     def get(self, daemon_id: str) -> PeerState | None:
         """Returns the state of a daemon, or None if it is unknown."""
@@ -151,17 +170,19 @@
         The list must not be modified. It is made anew only when a daemon is
         new or may have become silent, since each request uses it.
         """
-        now_s = time.monotonic()
+        now_s = self._now_s()
         if now_s <= self._live_until_s:
             return self._live
         self._live = []
         self._live_until_s = math.inf
         for daemon_id in sorted(self._peers):
             peer = self._peers[daemon_id]
-            until_s = peer.last_received_at_s + self._timeout_s(peer)
+            heard_at_s = self._heard_at_s(peer.last_received_at_s)
+            until_s = heard_at_s + self._timeout_s(peer)
             if now_s <= until_s:
                 self._live.append(peer)
                 self._live_until_s = min(self._live_until_s, until_s)
+        self._live_ids = {peer.daemon_id for peer in self._live}
         return self._live
 
     def is_live(self, daemon_id: str) -> bool:
@@ -169,20 +190,18 @@
         if daemon_id == self.own_id:
             return True
         peer = self._peers.get(daemon_id)
-        return peer is not None and self._is_within_timeout(
-            peer, time.monotonic()
-        )
+        return peer is not None and self._is_within_timeout(peer, self._now_s())
 
     def unreachable_domains(self) -> frozenset[str]:
         """Returns the known failure domains without a live daemon."""
         if is_small_cluster(len(self._peers)):
             known = {peer.ping.domain for peer in self._peers.values()}
             return frozenset(known - {p.ping.domain for p in self.live()})
-        oldest_s = time.monotonic() - _DOMAIN_TIMEOUT_S
+        oldest_s = self._now_s() - _DOMAIN_TIMEOUT_S
         return frozenset(
             domain
             for domain, heard_at_s in self._domain_heard_at_s.items()
-            if heard_at_s < oldest_s
+            if self._heard_at_s(heard_at_s) < oldest_s
         )
 
     def has_lost_peers(self) -> bool:
@@ -192,7 +211,7 @@
     def holder_of(self, duty: str) -> HolderView | None:
         """Returns the holder of a duty, or None if no live one is known."""
         view = self._holders.get(duty)
-        if view is None or not self._is_recent(view, time.monotonic()):
+        if view is None or not self._is_recent(view, self._now_s()):
             return None
         return view
 
@@ -211,7 +230,7 @@
             and view.daemon_id == daemon_id
             and str(view.incarnation) == incarnation
         ):
-            return self._is_recent(view, time.monotonic())
+            return self._is_recent(view, self._now_s())
         return (
             peer is not None
             and str(peer.incarnation) == incarnation
@@ -220,7 +239,7 @@
 
     def has_live_holder_with_store(self) -> bool:
         """Whether a live daemon with a duty reaches the store."""
-        now_s = time.monotonic()
+        now_s = self._now_s()
         return any(
             view.reaches_store and self._is_recent(view, now_s)
             for view in self._holders.values()
@@ -228,7 +247,7 @@
 
     def live_holder_ids(self) -> set[str]:
         """Returns the ids of the other daemons that have a duty."""
-        now_s = time.monotonic()
+        now_s = self._now_s()
         return {
             view.daemon_id
             for view in self._holders.values()
@@ -251,7 +270,7 @@
 
     def make_holder_news(self) -> tuple[HolderNews, ...]:
         """Returns news of the live holders for a ping."""
-        now_s = time.monotonic()
+        now_s = self._now_s()
         return tuple(
             HolderNews(
                 duty=duty,
@@ -268,12 +287,10 @@
 
     def expire_peers(self) -> list[str]:
         """Logs lost daemons; removes expired ones and returns their ids."""
-        now_s = time.monotonic()
-        if now_s <= self._live_until_s:
-            return []
+        now_s = self._now_s()
         removed = []
         for daemon_id, peer in list(self._peers.items()):
-            quiet_s = now_s - peer.last_received_at_s
+            quiet_s = now_s - self._heard_at_s(peer.last_received_at_s)
             timeout_s = self._timeout_s(peer)
             if quiet_s > timeout_s and daemon_id not in self._lost:
                 self._lost.add(daemon_id)
@@ -354,7 +371,7 @@
             if is_close
             else _NEWS_TIMEOUT_S
         )
-        return now_s - view.heard_at_s <= timeout_s
+        return now_s - self._heard_at_s(view.heard_at_s) <= timeout_s
 
     def _timeout_s(self, peer: PeerState) -> float:
         known = len(self._peers)
@@ -371,4 +388,5 @@
         return ping_timeout_s(known, is_close=is_close, has_duty=self._has_duty)
 
     def _is_within_timeout(self, peer: PeerState, now_s: float) -> bool:
-        return now_s - peer.last_received_at_s <= self._timeout_s(peer)
+        heard_at_s = self._heard_at_s(peer.last_received_at_s)
+        return now_s - heard_at_s <= self._timeout_s(peer)
--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -8,6 +8,8 @@
 that completed a response after the failed request started are kept.
 """
 
+import asyncio
+import collections
 import contextlib
 import dataclasses
 import time
@@ -28,6 +30,10 @@
 
 __all__ = ["HttpClient", "HttpResponse", "ResponseStream", "StreamedResponse"]
 
+# Maximum seconds for which a request waits for a connection in use instead of
+# opening another one: small beside the latency of a look-up, and long beside
+# that of the shortest requests.
+_MAX_RELEASE_WAIT_S = 0.015
 _REQUEST_ID_HEADER = b"daisyhub-request-id"
 _NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 _NO_BODY_STATUSES = frozenset({204, 304})
@@ -161,6 +167,10 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle_s = idle_s
         self._idle: dict[Address, list[Connection]] = {}
+        # Buffered requests in progress by address, and those that wait for
+        # the connection of one of them.
+        self._in_use: collections.Counter[Address] = collections.Counter()
+        self._waiters: dict[Address, collections.deque[asyncio.Future]] = {}
         self._dropped: list[Connection] = []
         self._sweep_at_s = 0.0
 
@@ -175,6 +185,7 @@
         timeout_s: float,
         max_body_bytes: int = 1 << 23,
         fresh: bool = False,
+        may_wait: bool = False,
     ) -> HttpResponse:
         """Sends a request and returns the complete response.
 
@@ -188,6 +199,8 @@
             timeout_s: Timeout of the whole exchange, connecting included.
             max_body_bytes: Maximum size of the response's body.
             fresh: Whether to open a new connection instead of reusing one.
+            may_wait: Whether to wait a little for a connection in use before
+                opening another one.
 
         Raises:
             RequestFailedError: No complete response was received, or it is
@@ -195,7 +208,50 @@
         """
         started_s = time.monotonic()
         deadline_s = anyio.current_time() + timeout_s
-        conn = await self._acquire(address, fresh, deadline_s)
+        is_shared = may_wait and self.has_connection(address)
+        self._in_use[address] += 1
+        try:
+            conn = None
+            if is_shared and not self._idle.get(address):
+                conn = await self._wait_for_release(address)
+            if conn is not None and conn.is_readable():
+                await conn.aclose()
+                conn = None
+            if conn is None:
+                conn = await self._acquire(address, fresh, deadline_s)
+            return await self._exchange(
+                conn,
+                (method, address, target, headers, body),
+                started_s,
+                deadline_s,
+                max_body_bytes,
+            )
+        finally:
+            self._in_use[address] -= 1
+            if not self._in_use[address]:
+                del self._in_use[address]
+
+    async def _exchange(
+        self,
+        conn: Connection,
+        request: tuple[str, Address, str, tuple[Header, ...], bytes],
+        started_s: float,
+        deadline_s: float,
+        max_body_bytes: int,
+    ) -> HttpResponse:
+        """Sends a request on a connection; returns the complete response.
+
+        Args:
+            conn: The connection.
+            request: Method, address, target, headers and body.
+            started_s: Monotonic time of the start.
+            deadline_s: Deadline on anyio's clock.
+            max_body_bytes: Maximum size of the response's body.
+
+        Raises:
+            RequestFailedError: See `request`.
+        """
+        method, address, target, headers, body = request
         conn.begin_exchange()
         try:
             with mapped_errors(address, lambda: conn.ran, deadline_s):
@@ -282,6 +338,8 @@
             await conn.aclose()
             return
         conn.idle_since_s = time.monotonic()
+        if self._hand_over(address, conn):
+            return
         self._idle.setdefault(address, []).append(conn)
         await self._sweep(conn.idle_since_s)
 
@@ -291,11 +349,45 @@
             self.drop_idle_connections(address)
         await self._close_dropped()
 
-    def has_idle(self, address: Address) -> bool:
-        """Whether the pool has an unexpired connection to an address."""
+    def has_connection(self, address: Address) -> bool:
+        """Whether a connection to an address is idle, or soon may be."""
+        if self._in_use[address]:
+            return True
         conns = self._idle.get(address)
         return bool(conns) and self._is_recent(conns[-1], time.monotonic())
 
+    async def _wait_for_release(self, address: Address) -> Connection | None:
+        """Returns a connection that is released soon, or None."""
+        waiter = asyncio.get_running_loop().create_future()
+        waiters = self._waiters.setdefault(address, collections.deque())
+        waiters.append(waiter)
+        try:
+            with anyio.move_on_after(_MAX_RELEASE_WAIT_S):
+                await waiter
+            # It may have been handed over just when the time was up.
+            is_handed_over = waiter.done() and not waiter.cancelled()
+            return waiter.result() if is_handed_over else None
+        except BaseException:
+            if waiter.done() and not waiter.cancelled():
+                # The connection was handed over to a cancelled request.
+                self._idle.setdefault(address, []).append(waiter.result())
+            raise
+        finally:
+            if waiter in waiters:
+                waiters.remove(waiter)
+            if not waiters:
+                self._waiters.pop(address, None)
+
+    def _hand_over(self, address: Address, conn: Connection) -> bool:
+        """Passes a released connection to a waiting request, if any."""
+        waiters = self._waiters.get(address)
+        while waiters:
+            waiter = waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(conn)
+                return True
+        return False
+
     def drop_idle_connections(self, address: Address) -> None:
         """Removes the idle connections to an address, which are suspect.
 
--- a/daisyhub/connections/tests/test_complete_responses.py
+++ b/daisyhub/connections/tests/test_complete_responses.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 import os
 import random
 import unittest
@@ -74,6 +75,7 @@
                 headers=((b"daisyhub-request-id", request_id.encode()),),
                 timeout_s=0.05,
                 fresh=is_fresh,
+                may_wait=not is_fresh and self.random.random() < 0.5,
             )
         except RequestFailedError:
             self.failed_count += 1
@@ -100,6 +102,8 @@
         self.assertGreater(fuzz.completed_count, REQUESTS / 4)
         self.assertGreater(fuzz.failed_count, REQUESTS / 20)
         self.assertGreater(len(fuzz.server.reused_ids), REQUESTS / 10)
+        self.assertFalse(fuzz.client._in_use)
+        self.assertFalse(fuzz.client._waiters)
 
     def test_the_fuzz_detects_a_client_that_checks_no_connection(self):
         """Without the client's checks, the fuzz must find faults."""
@@ -147,6 +151,29 @@
         self.assertEqual(response.body, expected_body("again"))
         self.assertEqual(self.server.connections, 6)
 
+    async def test_short_requests_wait_for_a_connection_in_use(self):
+        with mock.patch.object(client_module, "_MAX_RELEASE_WAIT_S", 5.0):
+            async with anyio.create_task_group() as tasks:
+                for number in range(5):
+                    tasks.start_soon(
+                        functools.partial(
+                            self.get, f"/r{number}/ok", may_wait=True
+                        )
+                    )
+        self.assertEqual(self.server.connections, 1)
+
+    async def test_long_requests_get_connections_of_their_own(self):
+        with mock.patch.object(client_module, "_MAX_RELEASE_WAIT_S", 0.001):
+            async with anyio.create_task_group() as tasks:
+                for number in range(3):
+                    tasks.start_soon(
+                        functools.partial(
+                            self.get, f"/r{number}/late", may_wait=True
+                        )
+                    )
+                    await anyio.sleep(0)
+        self.assertEqual(self.server.connections, 3)
+
     async def test_fresh_requests_open_new_connections(self):
         for number in range(3):
             await self.get(f"/r{number}/ok", fresh=True)
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -81,6 +81,8 @@
         account: Client account to send; empty for none.
         deadline_s: Monotonic time by which the response must be complete.
         is_streamed: Whether the response is streamed instead of buffered.
+        is_background: Whether no caller waits for this response itself. A
+            hedge is then sent only after the target latency.
     """
 
     request_id: str
@@ -93,6 +95,7 @@
     account: str = ""
     deadline_s: float
     is_streamed: bool = False
+    is_background: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -249,16 +252,16 @@
                 headers=task.headers,
             )
         )
-        call = self._http.open if task.is_streamed else self._http.request
-        return await call(
-            task.method,
-            entry.address,
-            task.target,
-            headers=headers,
-            body=task.body,
-            timeout_s=remaining_s,
-            fresh=fresh,
-        )
+        args = (task.method, entry.address, task.target)
+        kwargs = {
+            "headers": headers,
+            "body": task.body,
+            "timeout_s": remaining_s,
+            "fresh": fresh,
+        }
+        if task.is_streamed:
+            return await self._http.open(*args, **kwargs)
+        return await self._http.request(*args, **kwargs, may_wait=not fresh)
 
     async def _evaluate_response(
         self,
@@ -318,6 +321,8 @@
     """
     if task.is_streamed or not task.route.idempotent:
         return 0.0
+    if task.is_background:
+        return max(task.route.target_latency_s, _HEDGE_LEAD_FACTOR * median_s)
     latest_s = task.route.target_latency_s - _HEDGE_LEAD_FACTOR * median_s
     return max(latest_s, _MIN_HEDGE_DELAY_FACTOR * median_s)
 
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -171,6 +171,7 @@
         self._unfinished_texts: dict[str, Progress] = {}
         # Number of items of the latest lot by model.
         self._items_by_model: dict[str, int] = {}
+        self._demand: dict[str, float] = {}
         self._tasks = None
         self._duty_since_s = 0.0
 
@@ -189,12 +190,19 @@
         return self._core.open_run_count(endpoint_id)
 
     def demand(self) -> dict[str, float]:
-        """Returns the work of the latest lot by model, in engine slots.
+        """Returns the work of the latest lot by model, in seconds of a slot.
 
-        The unit is seconds of a slot. Tokens don't tell the work: most are of
-        the prompt, which is read at once, while a slot is taken for as long
-        as the text grows. Models whose runs have no known duration yet get
-        the mean of the others.
+        It changes only when a lot is opened, so that engines don't change
+        their model with each small change of the usual duration of runs.
+        """
+        return dict(self._demand)
+
+    def _estimate_demand(self) -> dict[str, float]:
+        """Estimates the work of the latest lot by model.
+
+        Tokens don't tell it: most are of the prompt, which is read at once,
+        while a slot is taken for as long as the text grows. Models whose runs
+        have no known duration yet get the mean of the others.
         """
         known_s = {
             model: run_s
@@ -381,6 +389,7 @@
         if lot.is_ended:
             return
         self._items_by_model[head.model] = head.total
+        self._demand = self._estimate_demand()
         age_s = self._deps.clock.now_s() - head.accepted_s
         now_s = time.monotonic()
         self._deps.log.record(
--- a/daisyhub/lots/_rewards.py
+++ b/daisyhub/lots/_rewards.py
@@ -58,6 +58,7 @@
             body=order.body,
             deadline_s=time.monotonic()
             + min(_MAX_REWARD_TIMEOUT_S, route.timeout_s),
+            is_background=True,
         )
         try:
             resp = await self._sender.send(task)
--- a/daisyhub/lots/_worker_pool.py
+++ b/daisyhub/lots/_worker_pool.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import zlib
 from collections.abc import Callable
 
 import anyio
@@ -31,6 +32,7 @@
 )
 from daisyhub.lots._types import LotHead
 from daisyhub.lots._worker_pool_core import (
+    MAX_TASKS_PER_CORE,
     ORDER_INTERVAL_S,
     AssignTask,
     FailTasks,
@@ -47,9 +49,9 @@
 
 __all__ = ["WorkerPool"]
 
-# Slots of engines per core of its machine up to which a holder executes all
-# tasks itself. A stream takes about a hundredth of a core.
-_MAX_SLOTS_PER_CORE = 40
+# Workers that make all reward calls. Each call takes some milliseconds of
+# processor time, so that three carry a few hundred a second.
+_REWARD_WORKERS = 3
 # Seconds for which orders to a worker are gathered, so that one message has
 # several: a small part of the time between two events.
 _GATHER_S = 0.005
@@ -116,8 +118,6 @@
         self._task_by_run: dict[int, int] = {}
         self._pending: dict[str, _PendingOrders] = {}
         self._is_flush_due = False
-        # The engine of the last run of each item whose reward call may follow.
-        self._engine_by_item: dict[str, str] = {}
 
     async def run(self, fencing: int, sink: EventSink) -> None:
         """Orders tasks under a fencing number until cancelled.
@@ -153,9 +153,10 @@
             remaining_s: Seconds after which the result is useless.
         """
         item = action.item
-        task_id, worker_id = self._open_task(action, action.endpoint_id)
+        endpoint = self._directory.get(action.endpoint_id)
+        domain = endpoint.entry.domain if endpoint else ""
+        task_id, worker_id = self._open_task(action, action.endpoint_id, domain)
         self._task_by_run[action.run] = task_id
-        self._engine_by_item[item.item_id] = action.endpoint_id
         self._pending_orders(worker_id).runs.append(
             RunOrder(
                 task_id=task_id,
@@ -182,11 +183,12 @@
         )
 
     def start_reward(self, action: StartRewardCall) -> None:
-        """Has a reward call made, by a worker of the item's last engine."""
+        """Has a reward call made."""
         item = action.item
-        engine_id = self._engine_by_item.pop(item.item_id, action.lot_id)
+        digest = zlib.crc32(item.item_id.encode())
         task_id, worker_id = self._open_task(
-            _RewardTask(action.lot_id, item.item_id), engine_id
+            _RewardTask(action.lot_id, item.item_id),
+            f"rewards/{digest % _REWARD_WORKERS}",
         )
         reward = item.reward
         self._pending_orders(worker_id).rewards.append(
@@ -288,15 +290,13 @@
             self._sink(RewardCallFailed(action.lot_id, action.item_id, False))
 
     def _open_task(
-        self, content: StartRun | _RewardTask, engine_id: str
+        self, content: StartRun | _RewardTask, key: str, domain: str = ""
     ) -> tuple[int, str]:
         """Opens a task; returns its id and its worker."""
         task_id = next(self._task_ids)
         self._open[task_id] = content
-        endpoint = self._directory.get(engine_id)
-        domain = endpoint.entry.domain if endpoint else ""
         (action,) = self._core.handle(
-            TaskRequested(task_id, engine_id, domain), boot_time_s()
+            TaskRequested(task_id, key, domain), boot_time_s()
         )
         return task_id, action.daemon_id
 
@@ -360,7 +360,7 @@
             for endpoint in self._directory.all()
             if endpoint.entry.versions
         )
-        if slots <= _MAX_SLOTS_PER_CORE * self._speed:
+        if slots <= MAX_TASKS_PER_CORE * self._speed:
             return ()
         return tuple(
             WorkerView(p.daemon_id, p.ping.domain, p.ping.speed)
--- a/daisyhub/lots/_worker_pool_core.py
+++ b/daisyhub/lots/_worker_pool_core.py
@@ -2,9 +2,10 @@
 
 A task streams one item from an engine or makes one reward call. Where one
 process can't receive the streams of all engines, the holder of the duty for
-lots executes none itself. The tasks of an engine go to a few daemons,
-those of its own failure domain first, so that few daemons hold connections to
-it and reuse them.
+lots executes none itself. All runs of an engine go to one daemon, of its own
+failure domain if possible, and all reward calls to a few. An endpoint then gets
+about as many connections as it has requests at one time, since requests of
+different daemons can't share connections.
 
 A worker is ordered by stating all tasks that it is to have. It answers each
 order, and a worker with tasks that doesn't answer for too long is lost: its
@@ -44,9 +45,11 @@
 _MAX_EXCLUSION_S = 16.0
 # Seconds with answers after which earlier losses are forgotten.
 _RECOVERY_S = 30.0
-# Workers among which the tasks of one engine are divided. With two, an engine
-# keeps half of its runs when a worker is lost.
-_WORKERS_PER_ENGINE = 2
+# Open tasks per core of its machine up to which a worker gets more. A stream
+# takes about a hundredth of a core, and the daemon has other work as well.
+MAX_TASKS_PER_CORE = 40
+# Processor speed that is assumed of a daemon that reports none, in cores.
+_MIN_SPEED = 0.01
 # Minimum processor speed of a worker, relative to the fastest one.
 _MIN_SPEED_RATIO = 0.2
 
@@ -82,13 +85,14 @@
 
     Attributes:
         task_id: Its id.
-        engine_id: The engine that it concerns.
-        domain: The failure domain of that engine.
+        key: Tasks of the same key go to the same worker.
+        domain: The failure domain in which a worker is preferred; empty for
+            none.
     """
 
     task_id: int
-    engine_id: str
-    domain: str
+    key: str
+    domain: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,6 +143,8 @@
 
     Attributes:
         tasks: Ids of its open tasks.
+        knows_tasks: Whether the last order may have named tasks, so that a
+            further order must tell the worker to forget them.
         ordered_at_s: When the last order was sent.
         waiting_since_s: When it got its first open task, or last answered.
         losses: Number of times that it was lost.
@@ -147,6 +153,7 @@
     """
 
     tasks: set[int] = dataclasses.field(default_factory=set)
+    knows_tasks: bool = False
     ordered_at_s: float = -math.inf
     waiting_since_s: float = -math.inf
     losses: int = 0
@@ -167,7 +174,7 @@
         self._views: dict[str, WorkerView] = {}
         self._workers: dict[str, _Worker] = {}
         self._worker_by_task: dict[int, str] = {}
-        self._rankings: dict[str, tuple[str, ...]] = {}
+        self._rankings: dict[tuple[str, str], tuple[str, ...]] = {}
 
     @property
     def next_wakeup_s(self) -> float | None:
@@ -219,24 +226,37 @@
         if not worker.tasks:
             worker.waiting_since_s = now_s
         worker.tasks.add(event.task_id)
+        worker.knows_tasks = True
         worker.ordered_at_s = now_s
         self._worker_by_task[event.task_id] = daemon_id
         return AssignTask(event.task_id, daemon_id)
 
     def _choose(self, event: TaskRequested, now_s: float) -> str:
-        """Returns the least loaded of the engine's first workers."""
+        """Returns the first worker of the key's ranking that has capacity.
+
+        Lost workers are skipped. If none has capacity, the least loaded one
+        is returned.
+        """
         usable = []
-        for daemon_id in self._ranking(event.engine_id, event.domain):
+        for daemon_id in self._ranking(event.key, event.domain):
             worker = self._workers.get(daemon_id)
-            if worker is None or now_s >= worker.excluded_until_s:
-                usable.append(daemon_id)
-            if len(usable) == _WORKERS_PER_ENGINE:
-                break
+            if worker is None:
+                return daemon_id
+            if now_s < worker.excluded_until_s:
+                continue
+            if self._load(daemon_id) < MAX_TASKS_PER_CORE:
+                return daemon_id
+            usable.append(daemon_id)
         return min(usable, key=self._load, default=self._own_id)
 
-    def _ranking(self, engine_id: str, domain: str) -> tuple[str, ...]:
-        """Returns the workers in the order in which an engine prefers them."""
-        ranking = self._rankings.get(engine_id)
+    def _load(self, daemon_id: str) -> float:
+        """Returns a worker's number of open tasks per core."""
+        speed = max(self._views[daemon_id].speed, _MIN_SPEED)
+        return len(self._workers[daemon_id].tasks) / speed
+
+    def _ranking(self, key: str, domain: str) -> tuple[str, ...]:
+        """Returns the workers in the order in which a key prefers them."""
+        ranking = self._rankings.get((key, domain))
         if ranking is None:
             top_speed = max((v.speed for v in self._views.values()), default=0)
             names = [
@@ -244,16 +264,12 @@
                 for view in self._views.values()
                 if view.speed >= _MIN_SPEED_RATIO * top_speed
             ]
-            ranked = rank_candidates(engine_id, names)
-            ranked.sort(key=lambda n: self._views[n].domain != domain)
-            ranking = self._rankings[engine_id] = tuple(ranked)
+            ranked = rank_candidates(key, names)
+            if domain:
+                ranked.sort(key=lambda n: self._views[n].domain != domain)
+            ranking = self._rankings[key, domain] = tuple(ranked)
         return ranking
 
-    def _load(self, daemon_id: str) -> float:
-        worker = self._workers.get(daemon_id)
-        count = len(worker.tasks) if worker else 0
-        return count / max(self._views[daemon_id].speed, 1e-3)
-
     def _close(self, task_id: int) -> None:
         daemon_id = self._worker_by_task.pop(task_id, None)
         if daemon_id is not None:
@@ -269,8 +285,10 @@
             silent_s = now_s - worker.waiting_since_s
             if worker.tasks and silent_s > _ANSWER_TIMEOUT_S:
                 actions.append(self._lose(daemon_id, worker, now_s))
-            if worker.tasks and now_s - worker.ordered_at_s >= ORDER_INTERVAL_S:
+            is_due = now_s - worker.ordered_at_s >= ORDER_INTERVAL_S
+            if worker.knows_tasks and is_due:
                 worker.ordered_at_s = now_s
+                worker.knows_tasks = bool(worker.tasks)
                 actions.append(SendOrders(daemon_id))
         return actions
 
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -97,9 +97,9 @@
 # Seconds until a failed controller is restarted.
 _CONTROLLER_RESTART_DELAY_S = 0.5
 # Seconds for which server changes are batched, per known peer, and the maximum:
-# a third of the 2 s within which a leaving endpoint must be taken out of use.
+# half of the 2 s within which a leaving endpoint must be taken out of use.
 _BATCH_DELAY_PER_PEER_S = 0.03
-_MAX_BATCH_DELAY_S = 0.6
+_MAX_BATCH_DELAY_S = 1.0
 # Seconds for which a peer may have received newer changes than a watch before
 # the watch is restarted: several round trips to the store.
 _MAX_WATCH_LAG_S = 0.3
@@ -172,7 +172,7 @@
         self.meter = UsageMeter(cfg.usage_window_s, self.clock.now_s)
         self.manifests = ManifestController(PlatformManifestReader(), self.log)
         self.directory = EndpointDirectory(
-            functools.lru_cache(self._rank_endpoint), self.http.has_idle
+            functools.lru_cache(self._rank_endpoint), self.http.has_connection
         )
         self.cluster = ClusterController(
             cfg.daemon_id,
--- a/daisyhub/weights/_load_core.py
+++ b/daisyhub/weights/_load_core.py
@@ -330,6 +330,9 @@
             return
         engine.is_report_pending = False
         engine.report_due_s = now_s + _REPORT_INTERVAL_S
+        if engine.phase is _Phase.IDLE:
+            # The report was to tell the number of orders before the first one.
+            return
         limit_s = _LOAD_TIMEOUT_S
         if engine.phase is _Phase.DOUBTFUL:
             limit_s = 2 * _DOUBT_TIMEOUT_S
--- a/daisyhub/weights/tests/test_load_core.py
+++ b/daisyhub/weights/tests/test_load_core.py
@@ -59,6 +59,22 @@
             )
         return core, [o for o in orders if isinstance(o, SendOrder)]
 
+    def test_an_engine_that_gives_no_report_is_asked_at_intervals(self):
+        """A crashed engine was once asked several hundred times a second."""
+        core = WeightLoadCore(0.5)
+        core.handle(observed({"a": 1}), 0.0)
+        actions = core.handle(VersionPublished("m", 2), 0.0)
+        fetches = 0
+        for step in range(100):
+            now_s = step / 100
+            while any(isinstance(a, FetchReport) for a in actions):
+                fetches += 1
+                self.assertLess(fetches, 10)
+                actions = core.handle(ReportFailed("a"), now_s)
+            actions = core.handle(observed({"a": 1}), now_s)
+        self.assertGreaterEqual(fetches, 3)
+        self.assertLessEqual(fetches, 5)
+
     def test_half_of_the_engines_load_concurrently(self):
         core, orders = self.make_core(dict.fromkeys("abcd", 1))
         self.assertEqual(len(orders), 2)
