--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -32,6 +32,9 @@
 _LATENCY_RATIO_HALF_LIFE_S = 3.0
 # Upper bound of the ratio. An endpoint this slow is used only if all are.
 _MAX_LATENCY_RATIO = 20.0
+# Added to latencies before they are compared, in seconds: differences of some
+# milliseconds between short requests tell nothing about an endpoint.
+_LATENCY_FLOOR_S = 0.02
 # Latency assumed for a route without responses so far; typical of a lookup.
 _DEFAULT_LATENCY_S = 0.05
 # Most recent responses of a route over which the median is taken.
@@ -376,7 +379,9 @@
         self, endpoint: Endpoint, route: str, latency_s: float, now_s: float
     ) -> None:
         ratio = min(
-            _MAX_LATENCY_RATIO, latency_s / self.median_latency_s(route)
+            _MAX_LATENCY_RATIO,
+            (latency_s + _LATENCY_FLOOR_S)
+            / (self.median_latency_s(route) + _LATENCY_FLOOR_S),
         )
         known = endpoint.expected_latency_ratio(now_s)
         endpoint.latency_ratio = known + _LATENCY_RATIO_SMOOTHING * (
--- a/daisyhub/balancing/tests/test_directory.py
+++ b/daisyhub/balancing/tests/test_directory.py
@@ -154,6 +154,14 @@
             directory.record_answered("b", token, 1.0)
         self.assertNotEqual(directory.choose(POOL, NO_IDS, 1.1), "b")
 
+    def test_milliseconds_of_short_requests_tell_nothing_of_an_endpoint(self):
+        for n in range(12):
+            self.answer("abc"[n % 3], 0.004, 1.0)
+        self.answer("a", 0.016, 1.5)
+        self.assertLess(
+            self.directory.get("a").expected_latency_ratio(1.5), 1.15
+        )
+
     def test_a_daemon_uses_few_endpoints_and_all_daemons_use_all(self):
         names = [f"e{n}" for n in range(5)]
         used = []
