Weights: a next holder's repeated order no longer stops an engine for good

Cause: a holder that takes over orders engines to load what they are loading. An engine accepts that (202) without counting it; the holder counted one more and sent that number with all further orders, which the engine rejected (409).

Change: when a report shows that an order was not accepted, the reported number holds, also if it is lower; likewise at the end of a load.

Test: `test_an_engine_that_counted_fewer_orders_gets_further_ones` failed before.

--- a/daisyhub/weights/_load_core.py
+++ b/daisyhub/weights/_load_core.py
@@ -61,6 +61,8 @@
         versions: Version of the weights by model.
         runs: Number of open runs; a run is one stream of a lot's item.
         model: The model that it serves; empty if it serves all.
+        is_deferred: Whether it should get runs before its next load; see
+            `should_defer_load`.
     """
 
     endpoint_id: str
@@ -68,6 +70,7 @@
     versions: dict[str, int]
     runs: int
     model: str = ""
+    is_deferred: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -282,10 +285,9 @@
         engine.is_report_pending = False
         engine.report_due_s = now_s + _REPORT_INTERVAL_S
         report = event.report
-        known = engine.orders_taken or 0
         version = report.versions.get(engine.model, 0)
         if version >= engine.target_version and not report.is_busy:
-            engine.orders_taken = max(known, report.orders_taken)
+            engine.orders_taken = report.orders_taken
             engine.observation = dataclasses.replace(
                 engine.observation, versions=report.versions
             )
@@ -307,7 +309,10 @@
             self._start_load(engine, now_s)
         elif now_s - engine.phase_since_s >= _DOUBT_TIMEOUT_S:
             # A delayed copy expects the same number of accepted orders, so the
-            # engine accepts only one of the two.
+            # engine accepts only one of the two. The reported number may also
+            # be the lower one: an engine that is told by the next holder to
+            # load what it is loading accepts that without counting it.
+            engine.orders_taken = report.orders_taken
             _end_order(engine)
 
     def _check_load_timeout(
@@ -393,6 +398,7 @@
             engine
             for engine in self._engines.values()
             if self._needs_load(engine)
+            and not engine.observation.is_deferred
             and engine.orders_taken is not None
             and now_s >= engine.retry_at_s
         ]
--- a/daisyhub/weights/tests/test_load_core.py
+++ b/daisyhub/weights/tests/test_load_core.py
@@ -120,6 +120,23 @@
         self.assertFalse(core.is_loading("a"))
         self.assertEqual(core.handle(observed({"a": 2}), 1.6), [])
 
+    def test_an_engine_that_counted_fewer_orders_gets_further_ones(self):
+        """After a change of holder, engines loaded nothing any more.
+
+        The next holder repeated the order of a load in progress. The engine
+        accepted it without counting it, and rejected all later orders.
+        """
+        core, _ = self.make_core({"a": 1}, share=1.0)
+        core.handle(OrderAnswered("a", OrderOutcome.ACCEPTED), 0.1)
+        core.handle(VersionPublished("m", 3), 0.5)
+        (order,) = core.handle(observed({"a": 2}), 1.0)
+        self.assertEqual(order.orders_taken, 1)
+        core.handle(OrderAnswered("a", OrderOutcome.CONFLICT), 1.1)
+        core.handle(ReportReceived("a", report(2, 0)), 1.2)
+        core.handle(observed({"a": 2}), 1.6)
+        (again,) = core.handle(ReportReceived("a", report(2, 0)), 1.8)
+        self.assertEqual((again.version, again.orders_taken), (3, 0))
+
     def test_restarted_engine_must_report_its_orders_again(self):
         core, _ = self.make_core({"a": 1}, share=1.0)
         core.handle(OrderAnswered("a", OrderOutcome.ACCEPTED), 0.1)
