--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -166,16 +166,6 @@
         engine = self._engines.get(endpoint_id)
         return len(engine.runs) if engine else 0
 
-    def waiting_by_version(self, model: str) -> dict[int, int]:
-        """Returns a model's waiting items by the oldest version accepted."""
-        counts: dict[int, int] = {}
-        for lot in self._lots.values():
-            head = lot.opened.spec.head
-            if head.model == model and lot.to_run:
-                oldest = head.oldest_version
-                counts[oldest] = counts.get(oldest, 0) + len(lot.to_run)
-        return counts
-
     def mean_run_s(self, model: str) -> float:
         """Returns the usual duration of a model's runs; 0 if unknown."""
         return self._mean_run_s.get(model, 0.0)
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -189,10 +189,6 @@
         """Returns the number of open runs at an engine."""
         return self._core.open_run_count(endpoint_id)
 
-    def waiting_by_version(self, model: str) -> dict[int, int]:
-        """Returns a model's waiting items by the oldest version accepted."""
-        return self._core.waiting_by_version(model)
-
     def demand(self) -> dict[str, float]:
         """Returns the work of the latest lot by model, in seconds of a slot.
 
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -338,7 +338,6 @@
             self.directory,
             self.manifests,
             self.holder.open_run_count,
-            self.holder.waiting_by_version,
             self.holder.demand,
             self.cfg.loads_share,
             self.log,
--- a/daisyhub/weights/__init__.py
+++ b/daisyhub/weights/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from daisyhub.weights._controller import VersionReader, WeightLoadController
-from daisyhub.weights._deferral import LoadSituation, should_defer_load
 from daisyhub.weights._engine_client import (
     EngineClient,
     EngineReport,
@@ -33,7 +32,6 @@
     "EnginesObserved",
     "FetchReport",
     "LoadMode",
-    "LoadSituation",
     "OrderAnswered",
     "OrderOutcome",
     "ReportFailed",
@@ -45,5 +43,4 @@
     "WeightLoadController",
     "WeightLoadCore",
     "assign_engines",
-    "should_defer_load",
 ]
--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -12,7 +12,6 @@
 from daisyhub.duty_bound import DutyBoundController
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import KindWatcher, ObjectStore, StoredObject
-from daisyhub.weights._deferral import LoadSituation, should_defer_load
 from daisyhub.weights._engine_client import (
     EngineClient,
     LoadMode,
@@ -72,8 +71,6 @@
         manifests: Routes; they may require samples of a single version.
         open_run_count: Returns the number of open runs at an engine, by
             endpoint id.
-        waiting_items: Returns the number of waiting items of a model by the
-            oldest version that they accept.
         demand: Returns the requested work by model, in any unit.
         loads_share: Fraction of a pool's engines that load concurrently.
         log: Logs versions, orders and assignments.
@@ -91,7 +88,6 @@
         directory: EndpointDirectory,
         manifests: ManifestController,
         open_run_count: Callable[[str], int],
-        waiting_items: Callable[[str], dict[int, int]],
         demand: Callable[[], dict[str, float]],
         loads_share: float,
         log: DecisionLog,
@@ -104,13 +100,11 @@
         self._directory = directory
         self._manifests = manifests
         self._open_run_count = open_run_count
-        self._waiting_items = waiting_items
         self._get_demand = demand
         self._loads_share = loads_share
         self._log = log
         self._cores: dict[str, WeightLoadCore] = {}
         self._published: dict[str, VersionPublished] = {}
-        self._published_at_s: dict[str, float] = {}
         self._model_by_engine: dict[str, str] = {}
         self._tasks = None
 
@@ -162,11 +156,9 @@
             revision=found.revision,
         )
         self._published[published.model] = published
-        self._published_at_s[published.model] = time.monotonic()
-        # Observed first, so that loads that are to be deferred aren't ordered.
-        self._observe_engines()
         for core in self._cores.values():
             self._handle(core, published)
+        self._observe_engines()
 
     def _observe_engines(self) -> None:
         """Sends the observed engines of each pool to the pool's core."""
@@ -220,40 +212,12 @@
 
     def _observe(self, endpoint: Endpoint) -> EngineObservation:
         entry = endpoint.entry
-        model = self._model_by_engine.get(entry.endpoint_id, "")
-        runs = self._open_run_count(entry.endpoint_id)
         return EngineObservation(
             endpoint_id=entry.endpoint_id,
             incarnation=entry.incarnation,
             versions=entry.versions,
-            runs=runs,
-            model=model,
-            is_deferred=self._is_load_deferred(endpoint, model, runs),
-        )
-
-    def _is_load_deferred(
-        self, endpoint: Endpoint, model: str, runs: int
-    ) -> bool:
-        """Whether an engine should get runs before it loads.
-
-        Not if it serves several models: its slots may be taken by another.
-        """
-        published_at_s = self._published_at_s.get(model)
-        if not model or published_at_s is None:
-            return False
-        version = endpoint.entry.versions.get(model, 0)
-        waiting = self._waiting_items(model)
-        return should_defer_load(
-            LoadSituation(
-                mode=self._current_mode(),
-                version=version,
-                published_s=time.monotonic() - published_at_s,
-                required_version=max(waiting, default=0),
-                usable_items=sum(
-                    n for oldest, n in waiting.items() if oldest <= version
-                ),
-                free_slots=endpoint.entry.slots - runs,
-            )
+            runs=self._open_run_count(entry.endpoint_id),
+            model=self._model_by_engine.get(entry.endpoint_id, ""),
         )
 
     def _handle(self, core: WeightLoadCore, event: object) -> None:
