--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,8 @@
 bench: $(STAMP)
 	$(PY) -m benchmarks.hop
 	$(PY) -m benchmarks.fleet_daemon
+	$(PY) -m benchmarks.dispatch
+	$(PY) -m benchmarks.peers_at_rest
 
 prove: $(STAMP)
 	DAISYHUB_EXAMPLES=$(EXAMPLES) DAISYHUB_SEED=$(SEED) \
