--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -41,6 +41,7 @@
         servers: Number of servers.
         event_s: Seconds per event or look-up at a server.
         module: The module that a daemon process runs.
+        settings: Settings of all daemons that differ from the defaults.
 
     Attributes:
         daemon_env: Additional environment variables by daemon.
@@ -54,8 +55,10 @@
         servers: int = 2,
         event_s: float = 0.02,
         module: str = "daisyhub.platform",
+        settings: dict | None = None,
     ):
         self._module = module
+        self._settings = settings or {}
         self.daemon_env: dict[str, dict[str, str]] = {}
         self.daemon_names = [f"edge-{n}" for n in range(daemons)]
         self.server_names = [f"i-{n}" for n in range(servers)]
@@ -405,6 +408,7 @@
             "order_desk": str(self.address("platform")),
             "usage_window_s": 1.0,
             "usage_late_s": 2.0,
+            **self._settings,
         }
 
     def _start_fake(self, name: str, *args: str) -> None:
