Duties: a restarted holder isn't waited for, and one that acts again is found

Where fencing numbers aren't checked, a holder stops acting while the store is away; in a large cluster daemons that it doesn't ping directly kept taking the duty for released after it acted again.

Change: a lost holder is no candidate among its standbys; news of a later ping of a holder undoes its release.

--- a/daisyhub/cluster/_peers.py
+++ b/daisyhub/cluster/_peers.py
@@ -219,7 +219,9 @@
         """Returns the last known holder of a duty, also if it is lost."""
         return self._holders.get(duty)
 
-    def is_holder_live(self, duty: str, daemon_id: str, incarnation: str):
+    def is_holder_live(
+        self, duty: str, daemon_id: str, incarnation: str
+    ) -> bool:
         """Whether a process that the store names as a holder is live."""
         peer = self._peers.get(daemon_id)
         if peer is not None and peer.ping.is_leaving:
@@ -333,6 +335,8 @@
         for duty, view in self._holders.items():
             if view.daemon_id == daemon_id and duty not in ping.duties:
                 view.is_released = True
+                # Only news of a later ping shows that it has the duty again.
+                view.heard_at_s = now_s
 
     def _record_holder_news(self, news: HolderNews, now_s: float) -> None:
         if news.daemon_id == self.own_id:
@@ -359,6 +363,7 @@
         elif news.fencing == view.fencing and heard_at_s > view.heard_at_s:
             view.heard_at_s = heard_at_s
             view.reaches_store = news.reaches_store
+            view.is_released = False
 
     def _is_recent(self, view: HolderView, now_s: float) -> bool:
         """Whether a holder was heard within the timeout for its news."""
--- a/daisyhub/cluster/tests/test_cluster_controller.py
+++ b/daisyhub/cluster/tests/test_cluster_controller.py
@@ -195,6 +195,16 @@
         self.receive_ping("d1", holders=(self.news(age_s=0.5),))
         self.assertIsNone(self.peers.holder_of("rollouts"))
 
+    def test_a_holder_that_acts_again_is_known_from_news(self):
+        """Without a store, a holder may stop acting and start again later."""
+        self.add_many()
+        self.now_s += 0.1
+        self.receive_ping("holder")
+        self.assertIsNone(self.peers.holder_of("rollouts"))
+        self.now_s += 0.5
+        self.receive_ping("d1", holders=(self.news(age_s=0.2),))
+        self.assertEqual(self.peers.holder_of("rollouts").daemon_id, "holder")
+
     def test_a_silent_domain_is_found_long_before_its_daemons_time_out(self):
         for number in range(54):
             self.receive_ping(f"d{number}")
--- a/daisyhub/duties/_controller.py
+++ b/daisyhub/duties/_controller.py
@@ -196,7 +196,11 @@
         if view is None:
             started_s = self._started_s
         elif own_id in view.standbys:
-            group = {*view.standbys, view.daemon_id}
+            # A lost holder may seem live for a moment, as its process was
+            # restarted; it doesn't know that it should be the candidate.
+            group = set(view.standbys)
+            if self._peers.holder_of(self.duty) is not None:
+                group.add(view.daemon_id)
             speeds = {n: s for n, s in speeds.items() if n in group}
             return choose_candidate(self.duty, speeds) == own_id
         else:
