A read that ends after the duty was lost no longer ends the daemon

Cause: since reads of stored chunks carry out the actions of `ListingCore`, a caller's read that was under way when the duty was lost used a task group that was gone, and the exception left through the peer network.

Change: nothing is written without the duty; a fault in a handler of the peer network is logged and its call fails.

Tests: `test_a_read_that_ends_after_the_duty_was_lost_writes_nothing`, `test_a_handler_that_fails_does_not_end_the_daemon`.

--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -454,8 +454,15 @@
                     )
 
     def _feed_listing(self, lot: _LotState, event: object) -> None:
-        """Passes an event to a lot's listing core and runs its actions."""
-        for action in lot.listing.handle(event, time.monotonic()):
+        """Passes an event to a lot's listing core and runs its actions.
+
+        A read for a caller may end after the duty was lost. Nothing is written
+        then: the next holder lists what is missing.
+        """
+        actions = lot.listing.handle(event, time.monotonic())
+        if self._tasks is None:
+            return
+        for action in actions:
             self._tasks.start_soon(self._write_chunk, lot, action)
 
     async def _write_chunk(self, lot: _LotState, action: WriteChunk) -> None:
--- a/daisyhub/lots/tests/test_holder.py
+++ b/daisyhub/lots/tests/test_holder.py
@@ -78,6 +78,16 @@
         await self.holder._load_listed_chunks(self.lot)
         self.assertEqual(self.writes()[1:], [(result("b"),)])
 
+    async def test_a_read_that_ends_after_the_duty_was_lost_writes_nothing(
+        self,
+    ):
+        """It once ended the daemon, as its task group was gone."""
+        self.holder._feed_listing(self.lot, ItemFinished(result("a"), True))
+        self.holder._feed_listing(self.lot, ItemFinished(result("b"), True))
+        await self.lots.write_chunk("L", 0, (result("a"),))
+        self.holder._tasks = None
+        await self.holder._load_listed_chunks(self.lot)
+
     async def test_an_ended_lot_is_served_from_memory(self):
         await self.lots.write_chunk("L", 0, (result("a"),))
         await self.holder._load_listed_chunks(self.lot)
--- a/daisyhub/peers/_network.py
+++ b/daisyhub/peers/_network.py
@@ -266,6 +266,9 @@
                 content = await handler(message.content)
             except DaisyhubError as exc:
                 log.warning("call from {} failed: {}", sender, exc)
+            except Exception:
+                # A fault in one handler must not end the daemon.
+                log.exception("call of {} from {}", message.content, sender)
         response = self._protocol.response(
             call_id=message.call_id, content=content
         )
--- a/daisyhub/peers/tests/test_network.py
+++ b/daisyhub/peers/tests/test_network.py
@@ -160,6 +160,19 @@
         with self.assertRaises(PeerUnreachableError):
             await a.call("b", EndpointsRequest(), 0.1)
 
+    async def test_a_handler_that_fails_does_not_end_the_daemon(self):
+        async with two_networks() as (a, b):
+            received = self.collect(b)
+
+            async def handle(_):
+                raise RuntimeError("a fault")
+
+            b.add_request_handler(EndpointsRequest, handle)
+            with self.assertRaises(PeerUnreachableError):
+                await a.call("b", EndpointsRequest(), 0.1)
+            a.send("b", beat(4))
+            await self.wait_for(lambda: received)
+
     async def test_bytes_that_are_no_message_are_dropped(self):
         async with two_networks() as (a, b):
             received = self.collect(b)
