Test: runs of an undisturbed lot are checked by their reasons

A trace beside six busy processes showed the case: one engine's events came late, so items on it got backup runs on the other, which resume behind the last event; the first runs then completed. That is what backup runs are for, and it depends on the machine's load, which no test may assert. The check now goes through the holder's log: every run goes to another daemon than the holder, an item gets a further run only after the last one ended or beside one on another engine, none after its text is complete, and each ends with one complete run.

--- a/daisyhub/platform/tests/test_worker_processes.py
+++ b/daisyhub/platform/tests/test_worker_processes.py
@@ -63,14 +63,45 @@
             down = await disturb(fleet, holder, workers)
             rest = [d for d in fleet.daemon_names if d not in down]
             self.check_lot(await fleet.read_whole_lot(rest, "L"))
+            self.holder_log = fleet.read_log(holder)
             return await fleet.executed_requests()
 
     async def test_a_lot_is_run_by_other_daemons_than_its_holder(self):
         async def disturb(*_):
             return ()
 
-        executed = await self.play(disturb)
-        self.assertFalse(any(run["resumed"] for run in executed))
+        await self.play(disturb)
+        self.check_holder_log()
+
+    def check_holder_log(self):
+        """Checks that all runs went to others, and each further one's reason.
+
+        An item has further runs if the last one ended without a whole text,
+        or beside an open one on another engine: a backup run, which a busy
+        machine causes, too, as it makes an engine seem slow.
+        """
+        open_runs = {}
+        for line in self.holder_log:
+            item_id = line.get("id")
+            match line["event"]:
+                case "run_ordered":
+                    self.assertNotEqual(line["worker"], line["at"])
+                    others = open_runs.setdefault(item_id, {})
+                    self.assertNotIn(line["endpoint"], others.values())
+                    self.assertNotIn("complete", others)
+                    others[line["run"]] = line["endpoint"]
+                case "run":
+                    del open_runs[item_id][line["run"]]
+                    if line["outcome"].startswith("complete"):
+                        open_runs[item_id]["complete"] = None
+                case "run_cancelled" | "run_lost":
+                    for runs in open_runs.values():
+                        runs.pop(line["run"], None)
+                case "duty_left":
+                    self.fail(f"nothing was disturbed: {line}")
+        self.assertEqual(len(open_runs), 12)
+        for item_id, runs in open_runs.items():
+            self.assertEqual(runs, {"complete": None}, item_id)
 
     async def test_the_items_of_a_killed_worker_are_resumed_by_others(self):
         async def disturb(fleet, _, workers):
