Submissions: log each try of a store call behind a refusal

The store's tries are recorded with call, way (direct, or the relaying peer) and what is known of each (done, conflict, not done, unknown). `lot_not_accepted` lists them all, `lot_accepted` those that failed. No decision changes.

No such line existed before.

--- a/daisyhub/cluster/_store_calls.py
+++ b/daisyhub/cluster/_store_calls.py
@@ -106,6 +106,7 @@
         of_copy: bool = False,
     ):
         self._network = network
+        self.name = peer_id
         self._peer_id = peer_id
         self._timeout_s = timeout_s
         self._of_copy = of_copy
--- a/daisyhub/lots/_filter.py
+++ b/daisyhub/lots/_filter.py
@@ -1,5 +1,7 @@
 """Filter that accepts lots and serves calls to them."""
 
+from collections.abc import Iterable
+
 from daisyhub.base import Filter, Handler
 from daisyhub.catalog import RouteKind
 from daisyhub.cluster import ClusterClock
@@ -11,7 +13,12 @@
 from daisyhub.lots._types import ItemResult
 from daisyhub.lots._wire import LotWire
 from daisyhub.messages import Request, Response
-from daisyhub.objects import ObjectStoreError
+from daisyhub.objects import (
+    ObjectStoreError,
+    StoreTry,
+    TryOutcome,
+    record_tries,
+)
 
 __all__ = ["SubmittedLotsFilter"]
 
@@ -23,6 +30,9 @@
 # Seconds after which a lot that couldn't be stored may be submitted again.
 _RETRY_AFTER_S = 0.3
 _JSON = (b"content-type", b"application/json")
+# Maximum number of tries of store calls in a log line. A lot has few parts, and
+# each call has up to three tries.
+_MAX_LOGGED_TRIES = 24
 
 
 class SubmittedLotsFilter(Filter):
@@ -81,19 +91,26 @@
                 id.
         """
         spec = self._wire.read_lot(req, self._clock.now_s())
-        try:
-            head = await self._lots.accept(spec)
-        except ObjectStoreError as exc:
-            raise Refusal(
-                ErrorCode.DEADLINE_EXCEEDED
-                if exc.may_be_done
-                else ErrorCode.PLATFORM_UNAVAILABLE,
-                f"the lot is not known to be stored: {exc}",
-                ran=ExecutionStatus.UNKNOWN
-                if exc.may_be_done
-                else ExecutionStatus.NOT_RUN,
-                retry_after_s=_RETRY_AFTER_S,
-            ) from exc
+        with record_tries() as tries:
+            try:
+                head = await self._lots.accept(spec)
+            except ObjectStoreError as exc:
+                self._log.record(
+                    "lot_not_accepted",
+                    id=req.request_id,
+                    may_be_stored=exc.may_be_done,
+                    tries=_describe(tries),
+                )
+                raise Refusal(
+                    ErrorCode.DEADLINE_EXCEEDED
+                    if exc.may_be_done
+                    else ErrorCode.PLATFORM_UNAVAILABLE,
+                    f"the lot is not known to be stored: {exc}",
+                    ran=ExecutionStatus.UNKNOWN
+                    if exc.may_be_done
+                    else ExecutionStatus.NOT_RUN,
+                    retry_after_s=_RETRY_AFTER_S,
+                ) from exc
         if head.account != req.account:
             raise Refusal(
                 ErrorCode.LOT_CONFLICT, "another account has a lot with this id"
@@ -107,10 +124,18 @@
             oldest_version=head.oldest_version,
             total=head.total,
             is_repeat=head.accepted_s != spec.head.accepted_s,
+            failed_tries=_describe(
+                t for t in tries if t.outcome is not TryOutcome.DONE
+            ),
         )
         return Response(status=_ACCEPTED)
 
 
+def _describe(tries: Iterable[StoreTry]) -> list[str]:
+    """Returns the last tries as text for a log line, the oldest first."""
+    return [str(store_try) for store_try in tries][-_MAX_LOGGED_TRIES:]
+
+
 def _first_page(results: list[ItemResult]) -> list[ItemResult]:
     """Returns the results that fit into one response, at least one if any."""
     size = 0
--- /dev/null
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -0,0 +1,162 @@
+"""Answers to submissions while the store fails, and their log lines."""
+
+import time
+import unittest
+
+import msgspec
+
+from daisyhub.catalog import Route, RouteKind
+from daisyhub.cluster import ClusterClock
+from daisyhub.exceptions import Refusal
+from daisyhub.logs import DecisionLog
+from daisyhub.lots import (
+    ItemSpec,
+    LotHead,
+    LotSpec,
+    LotStore,
+    LotWire,
+    SubmittedLotsFilter,
+)
+from daisyhub.messages import Request
+from daisyhub.objects import ObjectConflictError, RelayedStore, RelayProvider
+from daisyhub.testing.object_store import Fault, MemoryStore
+
+LOT = LotSpec(
+    head=LotHead(
+        lot_id="L",
+        account="a",
+        host="h",
+        path="/p/L",
+        step=1,
+        model="m",
+        oldest_version=1,
+        wanted_groups=1,
+        total=1,
+    ),
+    items=(
+        ItemSpec(item_id="i", path="/p/i", headers={}, body=b"x", group="g"),
+    ),
+)
+
+
+class FixedWire(LotWire):
+    def read_lot(self, req, accepted_s):
+        return LOT
+
+    def write_results(self, total, after, results):
+        raise NotImplementedError
+
+    def make_reader(self, version):
+        raise NotImplementedError
+
+
+class PlatformLikeStore(MemoryStore):
+    """Conflicts of creates don't contain the existing object."""
+
+    async def create(self, kind, name, spec):
+        try:
+            return await super().create(kind, name, spec)
+        except ObjectConflictError as exc:
+            raise ObjectConflictError(str(exc), None) from exc
+
+
+class NoRelays(RelayProvider):
+    def stores(self):
+        return []
+
+
+class AcceptedLots:
+    def __init__(self):
+        self.heads = []
+
+    def record_accepted(self, head):
+        self.heads.append(head)
+
+
+async def never_called(_):
+    raise AssertionError("a submission was passed on")
+
+
+class Daemon:
+    def __init__(self, shared):
+        self.lines = []
+        self.reader = AcceptedLots()
+        log = DecisionLog("d", write=self._write)
+        self.lots = SubmittedLotsFilter(
+            LotStore(RelayedStore(shared, NoRelays(), log)),
+            self.reader,
+            FixedWire(),
+            ClusterClock(),
+            log,
+        )
+
+    def _write(self, line):
+        self.lines.append(msgspec.json.decode(line))
+        return True
+
+    async def submit(self):
+        """Returns 202, or the status and `ran` of a refusal."""
+        now_s = time.monotonic()
+        req = Request(
+            request_id="L",
+            method="POST",
+            path="/p/L",
+            query="",
+            host="h",
+            headers=(),
+            read_body=None,
+            started_s=now_s,
+            deadline_s=now_s + 10.0,
+            account="a",
+            route=Route(
+                name="r",
+                host="h",
+                path_prefix="/p/",
+                kind=RouteKind.ROLLOUT,
+                shares=(),
+                timeout_s=10.0,
+                target_latency_s=1.0,
+            ),
+        )
+        try:
+            resp = await self.lots.handle(req, never_called)
+        except Refusal as exc:
+            return exc.error.status, exc.ran
+        return resp.status
+
+    def find(self, event):
+        return [line for line in self.lines if line["event"] == event]
+
+
+class SubmittedLotsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.shared = PlatformLikeStore()
+        self.daemon = Daemon(self.shared)
+
+    async def test_a_refusal_is_logged_with_each_try_of_a_store_call(self):
+        self.shared.fail_next("create", Fault.REFUSED)
+        await self.daemon.submit()
+        (line,) = self.daemon.find("lot_not_accepted")
+        self.assertEqual(line["id"], "L")
+        self.assertRegex(
+            line["tries"][0], "create lot-items/L.0 by direct: not_done"
+        )
+
+    async def test_an_accepted_lot_is_logged_with_its_failed_tries(self):
+        self.shared.fail_next("create", Fault.REFUSED)
+        await self.daemon.submit()
+        self.assertEqual(await Daemon(self.shared).submit(), 202)
+        other = Daemon(self.shared)
+        self.assertEqual(await other.submit(), 202)
+        (line,) = other.find("lot_accepted")
+        self.assertEqual(
+            [text.partition(" (")[0] for text in line["failed_tries"]],
+            [
+                "create lot-items/L.0 by direct: conflict",
+                "create lots/L by direct: conflict",
+            ],
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/daisyhub/objects/__init__.py
+++ b/daisyhub/objects/__init__.py
@@ -18,6 +18,7 @@
     SharedWatch,
     WatchedCopy,
 )
+from daisyhub.objects._tries import StoreTry, TryOutcome, record_tries
 from daisyhub.objects._watcher import KindWatcher
 
 __all__ = [
@@ -32,9 +33,12 @@
     "RelayedStore",
     "RelayProvider",
     "SharedWatch",
+    "StoreTry",
     "StoredObject",
+    "TryOutcome",
     "WatchBatch",
     "WatchedCopy",
     "encode_value",
     "is_same_json",
+    "record_tries",
 ]
--- a/daisyhub/objects/_base.py
+++ b/daisyhub/objects/_base.py
@@ -133,8 +133,13 @@
     """A store of versioned objects.
 
     Every method raises `ObjectStoreError` if it gets no usable response.
+
+    Attributes:
+        name: Name of this way to the store in log lines.
     """
 
+    name = "store"
+
     @abc.abstractmethod
     async def read(
         self, kind: str, name: str, *, can_be_stale: bool = False
--- a/daisyhub/objects/_relayed.py
+++ b/daisyhub/objects/_relayed.py
@@ -8,6 +8,7 @@
 """
 
 import abc
+import dataclasses
 import time
 from collections.abc import Awaitable, Callable
 
@@ -23,6 +24,7 @@
     WatchBatch,
     is_same_json,
 )
+from daisyhub.objects._tries import StoreTry, TryOutcome, add_try
 
 __all__ = ["RelayedStore", "RelayProvider"]
 
@@ -36,6 +38,34 @@
 _MAX_RELAYS = 2
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Call:
+    """A store call.
+
+    Attributes:
+        verb: Name of the method.
+        target: The kind, with the name if there is one.
+        run: Makes the call at the given store.
+    """
+
+    verb: str
+    target: str
+    run: Callable[[ObjectStore], Awaitable]
+
+    def record(
+        self, way: str, outcome: TryOutcome, exc: Exception | str = ""
+    ) -> None:
+        """Records a try of this call."""
+        add_try(
+            StoreTry(
+                call=f"{self.verb} {self.target}",
+                way=way,
+                outcome=outcome,
+                detail=str(exc),
+            )
+        )
+
+
 class RelayProvider(abc.ABC):
     """Provides stores that relay calls through peers."""
 
@@ -75,12 +105,24 @@
     ) -> StoredObject | None:
         """Returns an object; see `ObjectStore.read`."""
         return await self._call(
-            lambda store: store.read(kind, name, can_be_stale=can_be_stale)
+            _Call(
+                verb="read",
+                target=f"{kind}/{name}",
+                run=lambda store: store.read(
+                    kind, name, can_be_stale=can_be_stale
+                ),
+            )
         )
 
     async def list_all(self, kind: str) -> ObjectList:
         """Returns all objects of a kind; see `ObjectStore.list_all`."""
-        return await self._call(lambda store: store.list_all(kind))
+        return await self._call(
+            _Call(
+                verb="list",
+                target=kind,
+                run=lambda store: store.list_all(kind),
+            )
+        )
 
     async def watch(
         self,
@@ -103,7 +145,8 @@
                 wait_s=min(wait_s, _RELAYED_WATCH_S),
             )
 
-        return await self._call(watch_at, should_record_failure=False)
+        call = _Call(verb="watch", target=kind, run=watch_at)
+        return await self._call(call, should_record_failure=False)
 
     async def _watch_directly(
         self,
@@ -135,34 +178,49 @@
 
     async def create(self, kind: str, name: str, spec: bytes) -> StoredObject:
         """Creates an object; see `ObjectStore.create`."""
-        return await self._write(
-            lambda store: store.create(kind, name, spec), spec
+        call = _Call(
+            verb="create",
+            target=f"{kind}/{name}",
+            run=lambda store: store.create(kind, name, spec),
         )
+        return await self._write(call, spec)
 
     async def replace(
         self, kind: str, name: str, spec: bytes, *, revision: int
     ) -> StoredObject:
         """Replaces a spec; see `ObjectStore.replace`."""
-        return await self._write(
-            lambda store: store.replace(kind, name, spec, revision=revision),
-            spec,
+        call = _Call(
+            verb="replace",
+            target=f"{kind}/{name}",
+            run=lambda store: store.replace(
+                kind, name, spec, revision=revision
+            ),
         )
+        return await self._write(call, spec)
 
     async def set_status(
         self, kind: str, name: str, status: bytes
     ) -> StoredObject | None:
         """Replaces a status; see `ObjectStore.set_status`."""
         return await self._call(
-            lambda store: store.set_status(kind, name, status)
+            _Call(
+                verb="set_status",
+                target=f"{kind}/{name}",
+                run=lambda store: store.set_status(kind, name, status),
+            )
         )
 
     async def delete(self, kind: str, name: str) -> None:
         """Deletes an object; see `ObjectStore.delete`."""
-        await self._call(lambda store: store.delete(kind, name))
+        await self._call(
+            _Call(
+                verb="delete",
+                target=f"{kind}/{name}",
+                run=lambda store: store.delete(kind, name),
+            )
+        )
 
-    async def _write(
-        self, call: Callable[[ObjectStore], Awaitable], spec: bytes
-    ) -> StoredObject:
+    async def _write(self, call: _Call, spec: bytes) -> StoredObject:
         """Makes a conditional write that may be repeated.
 
         After a repetition, a conflict with an object that already has the
@@ -173,10 +231,10 @@
         def counted_call(store: ObjectStore) -> Awaitable:
             nonlocal attempts
             attempts += 1
-            return call(store)
+            return call.run(store)
 
         try:
-            return await self._call(counted_call)
+            return await self._call(dataclasses.replace(call, run=counted_call))
         except ObjectConflictError as exc:
             found = exc.found
             is_own = found is not None and is_same_json(found.spec, spec)
@@ -184,16 +242,11 @@
                 return found
             raise
 
-    async def _call(
-        self,
-        call: Callable[[ObjectStore], Awaitable],
-        *,
-        should_record_failure: bool = True,
-    ):
+    async def _call(self, call: _Call, *, should_record_failure: bool = True):
         """Makes a call directly or through peers until one attempt succeeds.
 
         Args:
-            call: Makes the call at the given store.
+            call: The call.
             should_record_failure: Whether a failed direct attempt marks the
                 direct connection as lost. False for watches, as the store may
                 cut them while it serves all other calls.
@@ -203,24 +256,36 @@
                 was set for any of them.
         """
         may_be_done = False
-        failure: Exception = ObjectStoreError(
-            "the store is unreachable, directly and through peers",
-            may_be_done=False,
-        )
+        failure: ObjectStoreError | None = None
         for store in self._candidate_stores():
+            way = "direct" if store is self._direct else store.name
             try:
-                result = await call(store)
+                result = await call.run(store)
             except ObjectStoreError as exc:
                 may_be_done = may_be_done or exc.may_be_done
                 failure = exc
+                outcome = (
+                    TryOutcome.UNKNOWN
+                    if exc.may_be_done
+                    else TryOutcome.NOT_DONE
+                )
+                call.record(way, outcome, exc)
                 if should_record_failure:
                     self._record_outcome(store, exc)
-            except ObjectConflictError:
+            except ObjectConflictError as exc:
+                call.record(way, TryOutcome.CONFLICT, exc)
                 self._record_outcome(store, None)
                 raise
             else:
+                call.record(way, TryOutcome.DONE)
                 self._record_outcome(store, None)
                 return result
+        if failure is None:
+            call.record("none", TryOutcome.NOT_DONE)
+            failure = ObjectStoreError(
+                "the store is unreachable, directly and through peers",
+                may_be_done=False,
+            )
         raise ObjectStoreError(str(failure), may_be_done=may_be_done)
 
     def _candidate_stores(self) -> list[ObjectStore]:
