--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -21,6 +21,8 @@
 from daisyhub.objects import ObjectConflictError, RelayedStore, RelayProvider
 from daisyhub.testing.object_store import Fault, MemoryStore
 
+# Statuses that promise that nothing has run or will run.
+PROMISES = {408, 421, 429, 503}
 LOT = LotSpec(
     head=LotHead(
         lot_id="L",
@@ -95,7 +97,7 @@
         return True
 
     async def submit(self):
-        """Returns 202, or the status and `ran` of a refusal."""
+        """Returns the status of the answer."""
         now_s = time.monotonic()
         req = Request(
             request_id="L",
@@ -121,7 +123,7 @@
         try:
             resp = await self.lots.handle(req, never_called)
         except Refusal as exc:
-            return exc.error.status, exc.ran
+            return exc.error.status
         return resp.status
 
     def find(self, event):
@@ -157,6 +159,32 @@
             ],
         )
 
+    async def test_a_failed_confirmation_does_not_turn_unknown_into_not_run(
+        self,
+    ):
+        self.shared.fail_next("create", None, Fault.RESPONSE_LOST)
+        self.assertNotIn(await self.daemon.submit(), PROMISES)
+
+    async def test_a_lot_whose_create_conflicts_is_not_called_not_run(self):
+        self.assertEqual(await Daemon(self.shared).submit(), 202)
+        self.shared.fail_next("read", Fault.REFUSED)
+        self.assertNotIn(await self.daemon.submit(), PROMISES)
+
+    async def test_a_stored_lot_is_not_called_not_run_by_a_failed_repeat(self):
+        self.assertEqual(await Daemon(self.shared).submit(), 202)
+        self.shared.fail_next("create", Fault.REFUSED)
+        self.shared.fail_next("read", Fault.REFUSED)
+        self.assertNotIn(await self.daemon.submit(), PROMISES)
+
+    async def test_a_lot_found_after_a_failure_is_answered_as_accepted(self):
+        self.assertEqual(await Daemon(self.shared).submit(), 202)
+        self.shared.fail_next("create", Fault.REFUSED)
+        self.assertEqual(await self.daemon.submit(), 202)
+
+    async def test_not_run_is_promised_of_a_lot_that_is_known_not_stored(self):
+        self.shared.fail_next("create", None, Fault.REFUSED)
+        self.assertIn(await self.daemon.submit(), PROMISES)
+
 
 if __name__ == "__main__":
     unittest.main()
