A failed confirmation no longer turns an unknown create into not run

Callers saw 503 ("not run") for a lot that was stored and ran.

Cause: the answer to the create of the head was lost, so its outcome was unknown. The read that was to confirm it failed too. A failed read has no effect, so its error says may_be_done=False, and that error replaced the one of the create.

Change: a failed confirmation leaves the outcome of the create unknown, and the caller gets 504.

--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -139,9 +139,15 @@
         """Returns the stored head after a create of unknown outcome.
 
         Raises:
-            ObjectStoreError: There is none, or it can't be read.
+            ObjectStoreError: There is none, or it can't be read. In both cases
+                the create may still take effect.
         """
-        found = await self._store.read(LOTS_KIND, head.lot_id)
+        try:
+            found = await self._store.read(LOTS_KIND, head.lot_id)
+        except ObjectStoreError as exc:
+            raise ObjectStoreError(
+                f"{failure}; reading the lot failed: {exc}", may_be_done=True
+            ) from exc
         if found is None:
             raise failure
         return decode_head(found)[0]
