A conflict with a stored lot is never answered with not run

Callers saw 503 ("not run") for a repeated submission of a lot that an earlier attempt had stored.

Cause: the platform's 409 for a create has no object in it, so the head is read to compare its account. The failure of that read (may_be_done=False) became the outcome, although the conflict itself proves that a lot with this id exists.

Change: the failure of the read leaves the outcome unknown (504).

--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -158,7 +158,13 @@
         Raises:
             ObjectStoreError: It was deleted since, or can't be read.
         """
-        found = await self._store.read(LOTS_KIND, lot_id)
+        try:
+            found = await self._store.read(LOTS_KIND, lot_id)
+        except ObjectStoreError as exc:
+            raise ObjectStoreError(
+                f"lot {lot_id} exists; reading it failed: {exc}",
+                may_be_done=True,
+            ) from exc
         if found is None:
             raise ObjectStoreError(
                 f"lot {lot_id} was deleted", may_be_done=True
