Refuse a lot as not run only if a current read finds none

Callers saw 503 ("not run") for a repeated submission while the store turned the daemon away, although an earlier attempt had stored the lot.

Cause: a daemon that had sent nothing itself promised for the lot as a whole. A lot's id is shared by all attempts at all daemons, so one attempt's failure says nothing of the others.

Change: after each failure of a submission the head is read. If there is one, the caller gets 202. Only if there is none, and each try of this attempt's own create is known not done, it gets 503. Everything else is 504 with the new code lot_unconfirmed (deadline_exceeded before, which it wasn't) and Retry-After.

Why it works: 503 now rests on a current read made after the failure, so it is never said of a stored lot; an attempt whose create may still land never says it, so a lot whose every attempt was promised not to run has no create under way. Not covered: a create of an earlier attempt, answered without a promise, that lands after the read.

Two tests used a daemon without relays; a refused direct call closes that way for a second, so the read had no way at all. They now have a relay, and check the same.

--- a/daisyhub/exceptions.py
+++ b/daisyhub/exceptions.py
@@ -57,6 +57,7 @@
     LOT_UNKNOWN = ("lot_unknown", 404)
     LOT_CONFLICT = ("lot_conflict", 409)
     LOT_ELSEWHERE = ("lot_elsewhere", 503)
+    LOT_UNCONFIRMED = ("lot_unconfirmed", 504)
     PLATFORM_UNAVAILABLE = ("platform_unavailable", 503)
     INTERNAL = ("internal", 500)
 
--- a/daisyhub/lots/_filter.py
+++ b/daisyhub/lots/_filter.py
@@ -101,16 +101,7 @@
                     may_be_stored=exc.may_be_done,
                     tries=_describe(tries),
                 )
-                raise Refusal(
-                    ErrorCode.DEADLINE_EXCEEDED
-                    if exc.may_be_done
-                    else ErrorCode.PLATFORM_UNAVAILABLE,
-                    f"the lot is not known to be stored: {exc}",
-                    ran=ExecutionStatus.UNKNOWN
-                    if exc.may_be_done
-                    else ExecutionStatus.NOT_RUN,
-                    retry_after_s=_RETRY_AFTER_S,
-                ) from exc
+                raise _refusal(exc) from exc
         if head.account != req.account:
             raise Refusal(
                 ErrorCode.LOT_CONFLICT, "another account has a lot with this id"
@@ -131,6 +122,23 @@
         return Response(status=_ACCEPTED)
 
 
+def _refusal(exc: ObjectStoreError) -> Refusal:
+    """Returns the refusal of a lot that couldn't be accepted."""
+    if exc.may_be_done:
+        return Refusal(
+            ErrorCode.LOT_UNCONFIRMED,
+            f"the lot may be stored: {exc}",
+            ran=ExecutionStatus.UNKNOWN,
+            retry_after_s=_RETRY_AFTER_S,
+        )
+    return Refusal(
+        ErrorCode.PLATFORM_UNAVAILABLE,
+        f"the lot isn't stored: {exc}",
+        ran=ExecutionStatus.NOT_RUN,
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
 def _describe(tries: Iterable[StoreTry]) -> list[str]:
     """Returns the last tries as text for a log line, the oldest first."""
     return [str(store_try) for store_try in tries][-_MAX_LOGGED_TRIES:]
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -98,24 +98,26 @@
 
         Raises:
             ObjectStoreError: The lot isn't stored, or that is unknown.
+                `may_be_done` is unset only if this call can't have created the
+                head and a current read found none after the failure.
         """
         parts = list(_split_into_parts(spec.items))
         head = msgspec.structs.replace(spec.head, parts=len(parts))
-        for number, items in enumerate(parts):
-            name = _part_name(head.lot_id, number)
-            await self._create_part(name, items)
         content = msgspec.json.encode(head)
         try:
+            for number, items in enumerate(parts):
+                await self._create_part(_part_name(head.lot_id, number), items)
             await self._store.create(LOTS_KIND, head.lot_id, content)
         except ObjectConflictError as exc:
-            found = exc.found or await self._read_existing(head.lot_id)
-            return decode_head(found)[0]
+            if exc.found is not None:
+                return decode_head(exc.found)[0]
+            failure = ObjectStoreError(str(exc), may_be_done=True)
         except ObjectStoreError as exc:
-            if not exc.may_be_done:
-                raise
-            return await self._confirm_create(head, exc)
-        self._cache_lot(LotSpec(head=head, items=spec.items))
-        return head
+            failure = exc
+        else:
+            self._cache_lot(LotSpec(head=head, items=spec.items))
+            return head
+        return await self._read_head_after(failure, head.lot_id)
 
     async def _create_part(self, name: str, items: list[ItemSpec]) -> None:
         """Creates a part.
@@ -133,43 +135,27 @@
         except ObjectStoreError as exc:
             raise ObjectStoreError(str(exc), may_be_done=False) from exc
 
-    async def _confirm_create(
-        self, head: LotHead, failure: ObjectStoreError
+    async def _read_head_after(
+        self, failure: ObjectStoreError, lot_id: str
     ) -> LotHead:
-        """Returns the stored head after a create of unknown outcome.
-
-        Raises:
-            ObjectStoreError: There is none, or it can't be read. In both cases
-                the create may still take effect.
-        """
-        try:
-            found = await self._store.read(LOTS_KIND, head.lot_id)
-        except ObjectStoreError as exc:
-            raise ObjectStoreError(
-                f"{failure}; reading the lot failed: {exc}", may_be_done=True
-            ) from exc
-        if found is None:
-            raise failure
-        return decode_head(found)[0]
+        """Returns the head that is stored although accepting the lot failed.
 
-    async def _read_existing(self, lot_id: str) -> StoredObject:
-        """Reads the object of a lot whose create reported a conflict.
+        An earlier submission may have stored it, or a create of unknown
+        outcome.
 
         Raises:
-            ObjectStoreError: It was deleted since, or can't be read.
+            ObjectStoreError: `failure` if there is no head. If it can't be
+                read, the outcome is unknown whatever `failure` says.
         """
         try:
             found = await self._store.read(LOTS_KIND, lot_id)
         except ObjectStoreError as exc:
             raise ObjectStoreError(
-                f"lot {lot_id} exists; reading it failed: {exc}",
-                may_be_done=True,
+                f"{failure}; reading the head failed: {exc}", may_be_done=True
             ) from exc
         if found is None:
-            raise ObjectStoreError(
-                f"lot {lot_id} was deleted", may_be_done=True
-            )
-        return found
+            raise failure
+        return decode_head(found)[0]
 
     async def head(self, lot_id: str) -> tuple[LotHead, LotStatus] | None:
         """Returns a lot's head and status, or None if there is none.
--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -62,9 +62,12 @@
             raise ObjectConflictError(str(exc), None) from exc
 
 
-class NoRelays(RelayProvider):
+class FixedRelays(RelayProvider):
+    def __init__(self, *stores):
+        self._stores = list(stores)
+
     def stores(self):
-        return []
+        return self._stores
 
 
 class AcceptedLots:
@@ -80,12 +83,12 @@
 
 
 class Daemon:
-    def __init__(self, shared):
+    def __init__(self, shared, *relays):
         self.lines = []
         self.reader = AcceptedLots()
         log = DecisionLog("d", write=self._write)
         self.lots = SubmittedLotsFilter(
-            LotStore(RelayedStore(shared, NoRelays(), log)),
+            LotStore(RelayedStore(shared, FixedRelays(*relays), log)),
             self.reader,
             FixedWire(),
             ClusterClock(),
@@ -178,12 +181,15 @@
 
     async def test_a_lot_found_after_a_failure_is_answered_as_accepted(self):
         self.assertEqual(await Daemon(self.shared).submit(), 202)
-        self.shared.fail_next("create", Fault.REFUSED)
-        self.assertEqual(await self.daemon.submit(), 202)
+        self.shared.fail_next("create", Fault.REFUSED, Fault.REFUSED)
+        daemon = Daemon(self.shared, self.shared)
+        self.assertEqual(await daemon.submit(), 202)
 
     async def test_not_run_is_promised_of_a_lot_that_is_known_not_stored(self):
-        self.shared.fail_next("create", None, Fault.REFUSED)
-        self.assertIn(await self.daemon.submit(), PROMISES)
+        refused = (Fault.REFUSED, Fault.REFUSED)
+        self.shared.fail_next("create", None, *refused)
+        daemon = Daemon(self.shared, self.shared)
+        self.assertIn(await daemon.submit(), PROMISES)
 
 
 if __name__ == "__main__":
