Fake store: a conflict of a create doesn't return the object

The platform's store returns the object only for conflicts of a revision. The fake returned it for creates as well, so no test with processes reached the read that follows a conflict.

--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -65,7 +65,9 @@
         try:
             return await self._handle_objects(request, kind, name)
         except ObjectConflictError as exc:
-            value = _encode_object(exc.found) if exc.found else None
+            # A conflict of a create doesn't return the object.
+            found = None if request.method == "POST" else exc.found
+            value = _encode_object(found) if found else None
             return Response(status=409, value=value)
         except HistoryGoneError:
             return Response(status=410)
