--- a/daisyhub/testing/fake_app.py
+++ b/daisyhub/testing/fake_app.py
@@ -30,22 +30,26 @@
             and responds after `delay_s`; `lose` takes effect and sends no
             response; `truncate` takes effect and cuts the response in the
             middle; `error` has no effect and responds with status 500;
-            `silent` stops all responses on the connections that have carried
-            a request so far.
+            `reject` does so with 503; `silent` stops all responses on the
+            connections that have carried a request so far.
         path: Prefix of the paths to which it applies; `silent` ignores it, as
             it does `method` and `count`.
         method: Method to which it applies; empty for all.
         count: Number of requests to which it applies; by default all.
         delay_s: Delay of a late response.
+        then: Fault that is injected when this one is first used.
 
     If several faults apply to a request, the one injected first is used.
     """
 
-    kind: Literal["hang", "late", "lose", "truncate", "error", "silent"]
+    kind: Literal[
+        "hang", "late", "lose", "truncate", "error", "reject", "silent"
+    ]
     path: str = "/"
     method: str = ""
     count: int = 1_000_000_000
     delay_s: float = 0.0
+    then: "Fault | None" = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,8 +117,10 @@
         kind = fault.kind if fault else ""
         if kind == "hang":
             await anyio.sleep(_FOREVER_S)
-        if kind == "error":
-            await _send(send, Response(status=500, value={"error": "injected"}))
+        if kind in ("error", "reject"):
+            status = 500 if kind == "error" else 503
+            response = Response(status=status, value={"error": "injected"})
+            await _send(send, response)
             return
         response = await self.handle(request)
         if kind == "late":
@@ -142,6 +148,8 @@
             if fault.method not in ("", request.method):
                 continue
             entry[1] -= 1
+            if fault.then and remaining_count == fault.count:
+                self._faults.append([fault.then, fault.then.count])
             return fault
         return None
 
