--- a/daisyhub/testing/virtual_time.py
+++ b/daisyhub/testing/virtual_time.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
-__all__ = ["run_in_virtual_time"]
+__all__ = ["VirtualTimeLoop", "run_in_virtual_time"]
 
 # Start of the virtual clocks; any value that isn't zero.
 _START_S = 1000.0
@@ -30,7 +30,7 @@
         return super().select(0)
 
 
-class _VirtualTimeLoop(asyncio.SelectorEventLoop):
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """An event loop whose clock is that of its selector."""
 
     def __init__(self):
@@ -38,12 +38,13 @@
         super().__init__(self._virtual)
 
     def time(self):
+        """Returns the virtual time in seconds."""
         return self._virtual.now_s
 
 
 def run_in_virtual_time(main: Callable[[], Awaitable[object]]) -> object:
     """Runs `main` to its end and returns its result."""
-    loop = _VirtualTimeLoop()
+    loop = VirtualTimeLoop()
 
     def clock_gettime(_):
         return loop.time()
