An endpoint's own 408, 429 or 503 is no longer passed on as a promise

What callers saw: where an endpoint answered 408, 429 or 503 without stating that it hadn't executed the request, the caller got the same status. To callers these statuses promise "not run, and never will be", so a request that may run once was promised what nobody knew.

Cause: the status of an answer and the statement in its header were taken for one thing. Only the header (or a 421) is a statement; an answer without it was delivered like any other.

Now such an answer ends the attempt with an unknown outcome: idempotent requests are repeated within their attempts and budget, others get 502 without the endpoint's stamp. Other failures (400, 404, 500, 502, 504) are passed on unchanged.

--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -272,7 +272,9 @@
         """Updates the directory; returns the outcome for the core.
 
         The attempt failed if the endpoint states that it didn't run the
-        request. Any other response, an error included, is delivered.
+        request, or if the response would promise that to the caller although
+        the endpoint doesn't state it. Any other response, an error included,
+        is delivered.
 
         Args:
             action: The attempt.
@@ -283,7 +285,7 @@
         endpoint_id = action.endpoint_id
         head = self._wire.read_response_head(response.status, response.headers)
         self._update_load(endpoint_id, head, now_s)
-        if not head.is_not_run:
+        if not (head.is_not_run or head.is_promise):
             if response.status < _MIN_SERVER_ERROR_STATUS:
                 self._directory.record_answered(endpoint_id, token, now_s)
             else:
@@ -295,7 +297,12 @@
             self._directory.record_failed(endpoint_id, token, now_s)
         else:
             self._directory.record_closed(endpoint_id, token)
-        return _make_failed_outcome(action, ExecutionStatus.NOT_RUN)
+        ran = (
+            ExecutionStatus.NOT_RUN
+            if head.is_not_run
+            else ExecutionStatus.UNKNOWN
+        )
+        return _make_failed_outcome(action, ran)
 
     def _update_load(
         self, endpoint_id: str, head: EndpointResponseHead, now_s: float
--- a/daisyhub/gateway/_wire.py
+++ b/daisyhub/gateway/_wire.py
@@ -44,6 +44,8 @@
     Attributes:
         is_not_run: Whether the endpoint states that it didn't run the request.
         is_misdirected: Whether another endpoint has the address now.
+        is_promise: Whether callers take the status as a promise that their
+            request was not run.
         load: Number of requests that run or wait there; None if not stated.
         proof: Proof that the response is the endpoint's own; may be empty.
         weight_version: Version of the weights at the start of the response; 0
@@ -52,6 +54,7 @@
 
     is_not_run: bool = False
     is_misdirected: bool = False
+    is_promise: bool = False
     load: int | None = None
     proof: str = ""
     weight_version: int = 0
--- a/daisyhub/platform/tests/test_promised_statuses.py
+++ b/daisyhub/platform/tests/test_promised_statuses.py
@@ -80,6 +80,19 @@
             await self.send(kind, **options)
         return caught.exception
 
+    async def test_a_promise_that_the_endpoint_did_not_make_is_not_passed_on(
+        self,
+    ):
+        """A 503 without the endpoint's statement promised "not run"."""
+        for kind in (RouteKind.UNSAFE, RouteKind.STREAMING):
+            for status in (408, 429, 503):
+                with self.subTest(f"{kind.value} {status}"):
+                    self.forget_endpoints()
+                    await self.add_endpoint("a", make_response(status))
+                    refusal = await self.refuse(kind)
+                    self.assertIs(refusal.error, ErrorCode.ENDPOINT_FAILED)
+                    self.assertIs(refusal.ran, ExecutionStatus.UNKNOWN)
+
     async def test_other_failures_of_the_endpoint_are_passed_on(self):
         for status in (400, 404, 500, 502, 504):
             with self.subTest(status):
