Ending a lot: an unknown outcome is answered 504, not 503 "not run"

What callers saw: a DELETE of a lot whose write to the store got no response was refused with 503, platform_unavailable, ran: not_run. The end may be stored by then, or be stored seconds later.

Cause: the refusal of reads was used for the one write of this class, and the default of Refusal.ran filled in "not_run".

The outcome that the store's failure carries now decides: 503 if nothing was done, 504 deadline_exceeded with Retry-After if it may be.

--- a/daisyhub/lots/_reader.py
+++ b/daisyhub/lots/_reader.py
@@ -21,7 +21,12 @@
     LotResultsRequest,
     PeerTable,
 )
-from daisyhub.exceptions import DaisyhubError, ErrorCode, Refusal
+from daisyhub.exceptions import (
+    DaisyhubError,
+    ErrorCode,
+    ExecutionStatus,
+    Refusal,
+)
 from daisyhub.logs import DecisionLog
 from daisyhub.lots._holder import LotHolder
 from daisyhub.lots._lot_store import LotStore
@@ -138,7 +143,7 @@
         try:
             await self._lots.end(lot_id)
         except ObjectStoreError as exc:
-            raise _store_unavailable(exc) from exc
+            raise _end_failed(exc) from exc
         lot.is_ended = True
         self._log.record("lot_ended", lot=lot_id)
         self._holder.end(lot_id)
@@ -289,9 +294,22 @@
 
 
 def _store_unavailable(exc: Exception) -> Refusal:
-    """Returns the refusal of a call that needs the store."""
+    """Returns the refusal of a read that needs the store."""
     return Refusal(
         ErrorCode.PLATFORM_UNAVAILABLE,
         f"access to the store failed: {exc}",
+        ran=ExecutionStatus.NOT_RUN,
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
+def _end_failed(exc: ObjectStoreError) -> Refusal:
+    """Returns the refusal of a call to end a lot."""
+    if not exc.may_be_done:
+        return _store_unavailable(exc)
+    return Refusal(
+        ErrorCode.DEADLINE_EXCEEDED,
+        f"the end of the lot may be stored: {exc}",
+        ran=ExecutionStatus.UNKNOWN,
         retry_after_s=_RETRY_AFTER_S,
     )
--- a/daisyhub/lots/tests/test_reader.py
+++ b/daisyhub/lots/tests/test_reader.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from daisyhub.cluster import LotHeadRequest, LotResponse
-from daisyhub.exceptions import Refusal
+from daisyhub.exceptions import ExecutionStatus, Refusal
 from daisyhub.logs import DecisionLog
 from daisyhub.lots import (
     ItemResult,
@@ -140,3 +140,35 @@
             with self.assertRaises(Refusal) as caught:
                 await reader.results(lot_id, account, 0, 0.0)
             self.assertEqual(caught.exception.code, "lot_unknown")
+
+    async def test_an_end_that_may_be_stored_is_not_refused_as_not_done(self):
+        """The refusal was 503, "not run", and the end was stored."""
+        reader = self.reader(FakeNetwork({}, is_unreachable=True))
+        self.store.fail_next("set_status", Fault.RESPONSE_LOST)
+        with self.assertRaises(Refusal) as caught:
+            await reader.end("L", "a")
+        self.assertIs(caught.exception.ran, ExecutionStatus.UNKNOWN)
+        self.assertEqual(caught.exception.error.status, 504)
+        self.assertIsNotNone(caught.exception.retry_after_s)
+        _, status = await LotStore(self.store).head("L")
+        self.assertTrue(status.is_ended)
+
+    async def test_an_end_that_is_not_stored_is_refused_as_not_done(self):
+        reader = self.reader(FakeNetwork({}, is_unreachable=True))
+        self.store.fail_next("set_status", Fault.REFUSED)
+        with self.assertRaises(Refusal) as caught:
+            await reader.end("L", "a")
+        self.assertIs(caught.exception.ran, ExecutionStatus.NOT_RUN)
+        self.assertEqual(caught.exception.error.status, 503)
+        _, status = await LotStore(self.store).head("L")
+        self.assertFalse(status.is_ended)
+
+    async def test_a_lot_that_cannot_be_read_is_not_reported_as_unknown(self):
+        reader = self.reader(FakeNetwork({}, is_unreachable=True))
+        for stale_faults in ((), (Fault.EMPTY,)):
+            with self.subTest(stale_faults):
+                self.store.fail_next("stale read", *stale_faults)
+                self.store.fail_next("read", Fault.REFUSED)
+                with self.assertRaises(Refusal) as caught:
+                    await reader.results("L", "a", 0, 0.0)
+                self.assertEqual(caught.exception.error.status, 503)
