Tests: which failures of an exchange leave it unknown whether it ran

A connection that isn't accepted or for which there is no time (nothing was sent), a body of which a part was written, a write that is reset, a head cut after an informational response or in a header, a connection that the server closes while it is reused, and a body that is cut.

--- /dev/null
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -0,0 +1,105 @@
+"""Which failures of an exchange say that its request was not executed."""
+
+import functools
+import socket
+import unittest
+
+import anyio
+
+from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.exceptions import ExecutionStatus
+from daisyhub.settings import Address
+from daisyhub.testing.scripted_server import ScriptedServer, make_response
+
+# More than the kernel buffers of both ends of a connection on loopback.
+LARGE_BODY = b"x" * (32 << 20)
+
+
+class UnknownOutcomesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.client = HttpClient(connect_timeout_s=0.5, idle_s=60.0)
+        self.addAsyncCleanup(self.client.aclose)
+
+    async def serve(self, *replies):
+        server = ScriptedServer(*replies)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        return server
+
+    async def fail(self, address, *, timeout_s=5.0, **options):
+        """Sends a request that must fail; returns what is known of it."""
+        with self.assertRaises(RequestFailedError) as caught:
+            await self.client.request(
+                "POST", address, "/", timeout_s=timeout_s, **options
+            )
+        return caught.exception.ran
+
+    async def test_a_connection_that_is_not_accepted_is_not_run(self):
+        """The queue of the listener is full, so that connecting times out."""
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            address = Address(ip="127.0.0.1", port=listener.getsockname()[1])
+            with socket.create_connection(("127.0.0.1", address.port)):
+                ran = await self.fail(address)
+        self.assertIs(ran, ExecutionStatus.NOT_RUN)
+
+    async def test_a_partly_written_request_is_unknown(self):
+        """The server reads nothing, so that the body is never whole."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = Address(ip="127.0.0.1", port=listener.getsockname()[1])
+            ran = await self.fail(address, timeout_s=0.2, body=LARGE_BODY)
+        self.assertIs(ran, ExecutionStatus.UNKNOWN)
+
+    async def test_a_write_that_fails_is_unknown(self):
+        """The server resets the connection after a part of the body."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = Address(ip="127.0.0.1", port=listener.getsockname()[1])
+
+            def reset_after_a_part():
+                conn, _ = listener.accept()
+                conn.recv(1000)
+                # Unread bytes turn the close into a reset.
+                conn.close()
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    functools.partial(
+                        anyio.to_thread.run_sync, reset_after_a_part
+                    )
+                )
+                ran = await self.fail(address, body=LARGE_BODY)
+        self.assertIs(ran, ExecutionStatus.UNKNOWN)
+
+    async def test_a_lost_response_is_unknown(self):
+        for reply in (
+            None,
+            [b"HTTP/1.1 503 X\r\ndaisyhub-not-exe"],
+            [b"HTTP/1.1 103 Early Hints\r\n\r\n"],
+            b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        ):
+            with self.subTest(reply):
+                server = await self.serve(reply)
+                ran = await self.fail(server.address)
+                self.assertIs(ran, ExecutionStatus.UNKNOWN)
+
+    async def test_a_connection_that_the_server_closes_is_unknown(self):
+        """The server closes a reused connection after the request was sent."""
+        server = await self.serve(make_response(200), None)
+        await self.client.request("POST", server.address, "/", timeout_s=5.0)
+        ran = await self.fail(server.address)
+        self.assertEqual((server.connections, len(server.requests)), (1, 2))
+        self.assertIs(ran, ExecutionStatus.UNKNOWN)
+
+    async def test_a_response_cut_in_its_body_is_not_not_run(self):
+        cut = make_response(503, body=b"1234")[:-1]
+        server = await self.serve([cut])
+        ran = await self.fail(server.address)
+        self.assertIs(ran, ExecutionStatus.RAN)
+
+    async def test_no_time_to_connect_is_not_run(self):
+        server = await self.serve(make_response(200))
+        ran = await self.fail(server.address, timeout_s=0.0)
+        self.assertIs(ran, ExecutionStatus.NOT_RUN)
+        await server.stop()
+        self.assertFalse(server.requests)
