A late answer to an earlier request is no longer an order's answer

What was seen (in a test): an endpoint sends a second answer to a request, late, at the point where the next answer on the connection is due. Orders and reports of engines share the connections of look-ups and items and carry no request id, so the extra answer was taken for theirs: a 503 "not executed" of another request read as "the order was refused", though the engine may carry it out.

Cause: the ids of an answer were compared only if the request had sent one.

A connection now remembers the last ids that it carried. An answer that echoes one of them to a request without an id is rejected, its outcome is unknown, and the connection is closed. An id that the server chose itself is accepted as before.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -2,10 +2,12 @@
 
 A connection carries one request at a time. After an error, a timeout or a
 cancellation, a connection is closed and never reused, so that a late response
-can't be taken for the response to another request. An error or a timeout also
-makes the other idle connections to the address suspect: an intermediate device
-may have lost the state of all connections that were open. Only connections
-that completed a response after the failed request started are kept.
+can't be taken for the response to another request.
+
+An error or a timeout also makes the other idle connections to the address
+suspect: an intermediate device may have lost the state of all connections that
+were open. Only connections that completed a response after the failed request
+started are kept.
 """
 
 import asyncio
@@ -13,7 +15,7 @@
 import contextlib
 import dataclasses
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 
 import anyio
 import httpcore
@@ -474,7 +476,10 @@
     req = _build_request(method, address, target, headers, body)
     response = await conn.http.handle_async_request(req)
     conn.has_response_head = True
-    _check_request_id(response, headers)
+    request_id = _request_id(headers)
+    _check_request_id(response, request_id, conn.carried_ids)
+    if request_id:
+        conn.carried_ids.append(request_id)
     _check_framing(response, method)
     return response
 
@@ -529,15 +534,34 @@
     )
 
 
+def _request_id(headers: tuple[Header, ...]) -> bytes | None:
+    """Returns the id in the headers of a request, or None."""
+    for name, value in headers:
+        if name == _REQUEST_ID_HEADER:
+            return value
+    return None
+
+
 def _check_request_id(
-    response: httpcore.Response, sent: tuple[Header, ...]
+    response: httpcore.Response,
+    request_id: bytes | None,
+    earlier_ids: Collection[bytes],
 ) -> None:
-    """Rejects a response that echoes the id of another request."""
-    sent_ids = [value for name, value in sent if name == _REQUEST_ID_HEADER]
-    if not sent_ids:
-        return
+    """Rejects a response that echoes the id of another request.
+
+    Args:
+        response: The response.
+        request_id: The id that was sent, if any.
+        earlier_ids: Ids of earlier requests on the connection.
+
+    Raises:
+        RequestFailedError: The response belongs to another request.
+    """
     for name, value in response.headers:
-        if name.lower() == _REQUEST_ID_HEADER and value != sent_ids[0]:
+        if name.lower() != _REQUEST_ID_HEADER or value == request_id:
+            continue
+        # A server may choose the id of a request that was sent without one.
+        if request_id is not None or value in earlier_ids:
             raise RequestFailedError(
                 "the response has the request id of another request",
                 ran=ExecutionStatus.UNKNOWN,
--- a/daisyhub/connections/_connection.py
+++ b/daisyhub/connections/_connection.py
@@ -1,5 +1,6 @@
 """An HTTP connection that tracks the progress of its current request."""
 
+import collections
 import contextlib
 import re
 import select
@@ -19,6 +20,9 @@
 # An idle connection is not reused during the last part of the keep-alive time
 # that the peer stated; covers the time until the request reaches the peer.
 _KEEP_ALIVE_MARGIN_S = 0.5
+# Request ids that a connection remembers. An extra response follows the one to
+# its request, a few requests later at most.
+_REMEMBERED_IDS = 16
 # `SO_LINGER` value: closing resets the connection and drops unsent data.
 _NO_LINGER = struct.pack("ii", 1, 0)
 _BACKEND = AnyIOBackend()
@@ -96,6 +100,7 @@
         keep_alive_s: Seconds for which an idle connection may be reused:
             those that the peer stated, less a margin; infinite if it stated
             none.
+        carried_ids: Ids of the last requests on this connection.
     """
 
     def __init__(self, address: Address, stream: AsyncNetworkStream):
@@ -105,6 +110,9 @@
         self.idle_since_s = 0.0
         self.has_response_head = False
         self.keep_alive_s = float("inf")
+        self.carried_ids: collections.deque[bytes] = collections.deque(
+            maxlen=_REMEMBERED_IDS
+        )
         self._poll: select.poll | None = None
 
     def begin_exchange(self) -> None:
--- a/daisyhub/connections/tests/test_unknown_outcomes.py
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -15,6 +15,10 @@
 LARGE_BODY = b"x" * (32 << 20)
 
 
+def id_header(request_id):
+    return ((b"daisyhub-request-id", request_id.encode()),)
+
+
 class UnknownOutcomesTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.client = HttpClient(connect_timeout_s=0.5, idle_s=60.0)
@@ -103,3 +107,18 @@
         self.assertIs(ran, ExecutionStatus.NOT_RUN)
         await server.stop()
         self.assertFalse(server.requests)
+
+    async def test_a_response_to_an_earlier_request_is_unknown(self):
+        """A late "not executed" of one request was taken for an order's."""
+        late = make_response(503, request_id="q1")
+        server = await self.serve(make_response(200, request_id="q1"), late)
+        await self.client.request(
+            "POST",
+            server.address,
+            "/",
+            headers=id_header("q1"),
+            timeout_s=5.0,
+        )
+        ran = await self.fail(server.address)
+        self.assertIs(ran, ExecutionStatus.UNKNOWN)
+        self.assertEqual(server.connections, 1)
