A repeated request id no longer uses the connection of its first request

What was seen (in a test): an item that runs again at the same engine, and a reward call that is repeated, keep their ids. If the engine sends an extra answer to the first run, late, at the point where the answer to the second is due, the id can't tell the two apart. A 503 "not executed" of the first run then speaks for the second, which runs; a 500 of the first counts as a second failed attempt, of few that are allowed.

Cause: the ids of answers are compared, but the pool didn't consider which ids a connection had carried.

A connection that carried an id isn't used again for the same id; another idle one is, or a new one.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -2,7 +2,9 @@
 
 A connection carries one request at a time. After an error, a timeout or a
 cancellation, a connection is closed and never reused, so that a late response
-can't be taken for the response to another request.
+can't be taken for the response to another request. A request that repeats the
+id of an earlier one uses another connection than that, since the ids couldn't
+tell their responses apart.
 
 An error or a timeout also makes the other idle connections to the address
 suspect: an intermediate device may have lost the state of all connections that
@@ -216,11 +218,17 @@
             conn = None
             if is_shared and not self._idle.get(address):
                 conn = await self._wait_for_release(address)
-            if conn is not None and conn.is_readable():
+            request_id = _request_id(headers)
+            if conn is not None and request_id in conn.carried_ids:
+                self._idle.setdefault(address, []).append(conn)
+                conn = None
+            elif conn is not None and conn.is_readable():
                 await conn.aclose()
                 conn = None
             if conn is None:
-                conn = await self._acquire(address, fresh, deadline_s)
+                conn = await self._acquire(
+                    address, request_id, fresh, deadline_s
+                )
             return await self._exchange(
                 conn,
                 (method, address, target, headers, body),
@@ -298,7 +306,9 @@
         started_s = time.monotonic()
         deadline_s = anyio.current_time() + timeout_s
         timing = _Timing(started_s, deadline_s)
-        conn = await self._acquire(address, fresh, deadline_s)
+        conn = await self._acquire(
+            address, _request_id(headers), fresh, deadline_s
+        )
         conn.begin_exchange()
         try:
             with mapped_errors(address, lambda: conn.ran, deadline_s):
@@ -435,10 +445,27 @@
         idle_s = min(self._idle_s, conn.keep_alive_s)
         return conn.idle_since_s >= now_s - idle_s
 
+    def _pop_idle(
+        self, address: Address, request_id: bytes | None
+    ) -> Connection | None:
+        """Removes and returns the idle connection last used, or None.
+
+        Those that carried a request with the same id are left.
+        """
+        conns = self._idle.get(address, [])
+        for index in reversed(range(len(conns))):
+            if request_id not in conns[index].carried_ids:
+                return conns.pop(index)
+        return None
+
     async def _acquire(
-        self, address: Address, fresh: bool, deadline_s: float
+        self,
+        address: Address,
+        request_id: bytes | None,
+        fresh: bool,
+        deadline_s: float,
     ) -> Connection:
-        """Returns the idle connection last used, or a new one.
+        """Returns an idle connection, see `_pop_idle`, or a new one.
 
         An idle connection is readable if the server closed it or sent excess
         bytes; it isn't reused then.
@@ -447,8 +474,7 @@
             RequestFailedError: No new connection could be opened in time.
         """
         # Read anew each time: other tasks may replace the list during a close.
-        while not fresh and (conns := self._idle.get(address)):
-            conn = conns.pop()
+        while not fresh and (conn := self._pop_idle(address, request_id)):
             is_recent = self._is_recent(conn, time.monotonic())
             if is_recent and not conn.is_readable():
                 return conn
--- a/daisyhub/connections/tests/test_unknown_outcomes.py
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -122,3 +122,20 @@
         ran = await self.fail(server.address)
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
         self.assertEqual(server.connections, 1)
+
+    async def test_a_repeated_id_goes_over_another_connection(self):
+        """An extra answer to an item's first run was taken for its second."""
+        server = await self.serve(
+            make_response(500, request_id="q1"),
+            make_response(200, request_id="q2"),
+            make_response(200, request_id="q1"),
+        )
+        for request_id in ("q1", "q2", "q1"):
+            await self.client.request(
+                "POST",
+                server.address,
+                "/",
+                headers=id_header(request_id),
+                timeout_s=5.0,
+            )
+        self.assertEqual(server.connections, 2)
