An engine's bare 503 to an order no longer counts as a refusal

What was seen (in a test): an engine's 503 to an order without the statement that it wasn't executed counted as "refused", so that the holder freed the engine's share of loads while the order might be carried out. A 429 with the statement counted as unknown.

Cause: the status was taken for the statement. The interface defines no 503 of an order; only the header says that a request wasn't executed.

An answer with a status that isn't defined for orders is a refusal only with that header; otherwise the outcome is unknown, and the load core asks the engine for a report.

--- a/daisyhub/platform/_engines.py
+++ b/daisyhub/platform/_engines.py
@@ -31,10 +31,11 @@
     409: OrderOutcome.CONFLICT,
     412: OrderOutcome.STALE_FENCING,
     421: OrderOutcome.OTHER_ENDPOINT,
-    503: OrderOutcome.REFUSED,
 }
 _MODE_NAMES = {LoadMode.FINISH: "wait", LoadMode.CONTINUE: "retain"}
 _ENDPOINT_HEADER = b"daisyhub-expect-instance"
+# Header of a response to a request that the engine didn't execute.
+_NOT_RUN_HEADER = b"daisyhub-not-executed"
 _OK = 200
 # Timeout of an order or a report; engines respond to both in milliseconds.
 _CALL_TIMEOUT_S = 0.5
@@ -115,7 +116,12 @@
         except RequestFailedError as exc:
             self._log_failure("order_failed", order.endpoint_id, exc)
             return OrderOutcome.UNKNOWN
-        return _OUTCOMES_BY_STATUS.get(response.status, OrderOutcome.UNKNOWN)
+        outcome = _OUTCOMES_BY_STATUS.get(response.status)
+        if outcome is not None:
+            return outcome
+        if _NOT_RUN_HEADER in dict(response.headers):
+            return OrderOutcome.REFUSED
+        return OrderOutcome.UNKNOWN
 
     async def report(self, address: Address) -> EngineReport | None:
         """Returns an engine's report; see `EngineClient.report`."""
