Tests: what an engine's answer says of a run of an item

Only the engine's own statement (or a 421) makes a run "not run"; a bare 503 or 429, a rejection of another item, a cut head and a lost answer don't, and none of these counts as one of the item's failures.

--- /dev/null
+++ b/daisyhub/platform/tests/test_item_runs.py
@@ -0,0 +1,73 @@
+"""What the answers of engines say about runs of items."""
+
+import unittest
+
+from daisyhub.balancing import EndpointDirectory, EndpointEntry
+from daisyhub.cluster import RunOrder
+from daisyhub.connections import HttpClient
+from daisyhub.lots import ItemRunner
+from daisyhub.platform._lots_json import PlatformLotWire
+from daisyhub.platform._wire import PlatformEndpointWire
+from daisyhub.testing.scripted_server import ScriptedServer, make_response
+
+NOT_RUN = "daisyhub-not-executed: 1\r\n"
+
+
+def make_order(**fields):
+    return RunOrder(
+        **{
+            "task_id": 1,
+            "endpoint_id": "i-1",
+            "resume_after": 0,
+            "remaining_s": 5.0,
+            "item_id": "a",
+            "host": "h",
+            "account": "t",
+            "path": "/p",
+            "headers": {},
+            "body": b"b",
+            **fields,
+        }
+    )
+
+
+class ItemRunsTest(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, *replies):
+        """Returns a runner whose only engine sends these replies."""
+        server = ScriptedServer(*replies)
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        directory = EndpointDirectory(lambda _: 0.5)
+        directory.upsert(
+            EndpointEntry(
+                endpoint_id="i-1", pool="p", address=server.address, domain="d"
+            )
+        )
+        http = HttpClient(connect_timeout_s=1.0, idle_s=30.0)
+        self.addAsyncCleanup(http.aclose)
+        wires = (PlatformEndpointWire(), PlatformLotWire())
+        return ItemRunner(directory, http, *wires)
+
+    async def test_only_a_statement_of_the_engine_makes_a_run_not_run(self):
+        rejection = make_response(503, fields=NOT_RUN)
+        for reply, expected in (
+            (rejection, "not_run"),
+            (make_response(429, fields=NOT_RUN), "not_run"),
+            (make_response(421), "elsewhere"),
+            (make_response(503), "broken"),
+            (make_response(429), "broken"),
+            (make_response(500), "failed"),
+            (make_response(422), "impossible"),
+            (make_response(503, request_id="b", fields=NOT_RUN), "unreachable"),
+            ([rejection[:-3]], "unreachable"),
+            (None, "unreachable"),
+        ):
+            with self.subTest(reply):
+                runner = await self.serve(reply)
+                end = await runner.run(make_order(), lambda _: None)
+                self.assertEqual(end.fault, expected)
+
+    async def test_an_unknown_engine_is_sent_nothing(self):
+        runner = await self.serve(make_response(200))
+        end = await runner.run(make_order(endpoint_id="x"), lambda _: None)
+        self.assertEqual(end.fault, "elsewhere")
