Only a failed request's id keeps its repeat off a connection

Of the answers to a repeated id only a 500 is counted, so only the id of a request that failed with 500 is kept off; at most the item's attempts open connections then.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -2,9 +2,9 @@
 
 A connection carries one request at a time. After an error, a timeout or a
 cancellation, a connection is closed and never reused, so that a late response
-can't be taken for the response to another request. A request that repeats the
-id of an earlier one uses another connection than that, since the ids couldn't
-tell their responses apart.
+can't be taken for the response to another request. A request that repeats one
+that failed in the server uses another connection than that, since an extra
+response with the same id would count as a second failure.
 
 An error or a timeout also makes the other idle connections to the address
 suspect: an intermediate device may have lost the state of all connections that
@@ -219,7 +219,7 @@
             if is_shared and not self._idle.get(address):
                 conn = await self._wait_for_release(address)
             request_id = _request_id(headers)
-            if conn is not None and request_id in conn.carried_ids:
+            if conn is not None and request_id in conn.failed_ids:
                 self._idle.setdefault(address, []).append(conn)
                 conn = None
             elif conn is not None and conn.is_readable():
@@ -450,11 +450,11 @@
     ) -> Connection | None:
         """Removes and returns the idle connection last used, or None.
 
-        Those that carried a request with the same id are left.
+        Those on which a request with the same id failed are left.
         """
         conns = self._idle.get(address, [])
         for index in reversed(range(len(conns))):
-            if request_id not in conns[index].carried_ids:
+            if request_id not in conns[index].failed_ids:
                 return conns.pop(index)
         return None
 
@@ -505,7 +505,7 @@
     request_id = _request_id(headers)
     _check_request_id(response, request_id, conn.carried_ids)
     if request_id:
-        conn.carried_ids.append(request_id)
+        conn.record_request(request_id, response.status)
     _check_framing(response, method)
     return response
 
--- a/daisyhub/connections/_connection.py
+++ b/daisyhub/connections/_connection.py
@@ -23,6 +23,9 @@
 # Request ids that a connection remembers. An extra response follows the one to
 # its request, a few requests later at most.
 _REMEMBERED_IDS = 16
+# Status of a request that failed in the server. Of some requests it is counted,
+# by id, how often that happens.
+_FAILED_STATUS = 500
 # `SO_LINGER` value: closing resets the connection and drops unsent data.
 _NO_LINGER = struct.pack("ii", 1, 0)
 _BACKEND = AnyIOBackend()
@@ -101,6 +104,7 @@
             those that the peer stated, less a margin; infinite if it stated
             none.
         carried_ids: Ids of the last requests on this connection.
+        failed_ids: Ids of the last requests that failed in the server.
     """
 
     def __init__(self, address: Address, stream: AsyncNetworkStream):
@@ -113,6 +117,9 @@
         self.carried_ids: collections.deque[bytes] = collections.deque(
             maxlen=_REMEMBERED_IDS
         )
+        self.failed_ids: collections.deque[bytes] = collections.deque(
+            maxlen=_REMEMBERED_IDS
+        )
         self._poll: select.poll | None = None
 
     def begin_exchange(self) -> None:
@@ -125,6 +132,12 @@
         """Records that the response was read to its end."""
         self._stream.is_in_exchange = False
 
+    def record_request(self, request_id: bytes, status: int) -> None:
+        """Records a request whose response has this status."""
+        self.carried_ids.append(request_id)
+        if status == _FAILED_STATUS:
+            self.failed_ids.append(request_id)
+
     def update_keep_alive(self, headers) -> None:
         """Applies the timeout of a response's `Keep-Alive` header."""
         for name, value in headers:
