--- a/daisyhub/platform/tests/test_promised_statuses.py
+++ b/daisyhub/platform/tests/test_promised_statuses.py
@@ -5,7 +5,7 @@
 
 from daisyhub.balancing import EndpointDirectory, EndpointEntry
 from daisyhub.catalog import PoolShare, Route, RouteKind
-from daisyhub.connections import HttpClient
+from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.gateway import Sender, SendTask
 from daisyhub.logs import DecisionLog
@@ -139,6 +139,23 @@
         self.assertIs(refusal.error, ErrorCode.ANSWER_INCOMPLETE)
         self.assertIs(refusal.ran, ExecutionStatus.RAN)
 
+    async def test_a_rejection_of_a_stream_is_stated_by_its_whole_head(self):
+        head = make_response(503, fields=NOT_RUN, body=b"1234")[:-2]
+        await self.add_endpoint("a", [head])
+        refusal = await self.refuse(RouteKind.STREAMING, max_attempts=1)
+        self.assertIs(refusal.error, ErrorCode.OVERLOADED)
+        self.assertIs(refusal.ran, ExecutionStatus.NOT_RUN)
+
+    async def test_a_stream_that_breaks_after_its_head_looks_incomplete(self):
+        head = make_response(200, body=b"1234")[:-2]
+        await self.add_endpoint("a", [head])
+        response = await self.send(RouteKind.STREAMING)
+        with self.assertRaises(RequestFailedError) as caught:
+            async for _ in response.stream:
+                pass
+        self.assertIs(caught.exception.ran, ExecutionStatus.RAN)
+        await response.stream.aclose()
+
     async def test_a_rejection_cut_in_its_head_is_no_promise(self):
         for kind in (RouteKind.UNSAFE, RouteKind.STREAMING):
             with self.subTest(kind):
