--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -2,10 +2,14 @@
 
 A connection carries one request at a time. After an error, a timeout or a
 cancellation, a connection is closed and never reused, so that a late response
-can't be taken for the response to another request. An error or a timeout also
-makes the other idle connections to the address suspect: an intermediate device
-may have lost the state of all connections that were open. Only connections
-that completed a response after the failed request started are kept.
+can't be taken for the response to another request. A request that repeats one
+that failed in the server uses another connection than that, since an extra
+response with the same id would count as a second failure.
+
+An error or a timeout also makes the other idle connections to the address
+suspect: an intermediate device may have lost the state of all connections that
+were open. Only connections that completed a response after the failed request
+started are kept.
 """
 
 import asyncio
@@ -13,7 +17,7 @@
 import contextlib
 import dataclasses
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 
 import anyio
 import httpcore
@@ -214,11 +218,17 @@
             conn = None
             if is_shared and not self._idle.get(address):
                 conn = await self._wait_for_release(address)
-            if conn is not None and conn.is_readable():
+            request_id = _request_id(headers)
+            if conn is not None and request_id in conn.failed_ids:
+                self._idle.setdefault(address, []).append(conn)
+                conn = None
+            elif conn is not None and conn.is_readable():
                 await conn.aclose()
                 conn = None
             if conn is None:
-                conn = await self._acquire(address, fresh, deadline_s)
+                conn = await self._acquire(
+                    address, request_id, fresh, deadline_s
+                )
             return await self._exchange(
                 conn,
                 (method, address, target, headers, body),
@@ -296,7 +306,9 @@
         started_s = time.monotonic()
         deadline_s = anyio.current_time() + timeout_s
         timing = _Timing(started_s, deadline_s)
-        conn = await self._acquire(address, fresh, deadline_s)
+        conn = await self._acquire(
+            address, _request_id(headers), fresh, deadline_s
+        )
         conn.begin_exchange()
         try:
             with mapped_errors(address, lambda: conn.ran, deadline_s):
@@ -433,10 +445,27 @@
         idle_s = min(self._idle_s, conn.keep_alive_s)
         return conn.idle_since_s >= now_s - idle_s
 
+    def _pop_idle(
+        self, address: Address, request_id: bytes | None
+    ) -> Connection | None:
+        """Removes and returns the idle connection last used, or None.
+
+        Those on which a request with the same id failed are left.
+        """
+        conns = self._idle.get(address, [])
+        for index in reversed(range(len(conns))):
+            if request_id not in conns[index].failed_ids:
+                return conns.pop(index)
+        return None
+
     async def _acquire(
-        self, address: Address, fresh: bool, deadline_s: float
+        self,
+        address: Address,
+        request_id: bytes | None,
+        fresh: bool,
+        deadline_s: float,
     ) -> Connection:
-        """Returns the idle connection last used, or a new one.
+        """Returns an idle connection, see `_pop_idle`, or a new one.
 
         An idle connection is readable if the server closed it or sent excess
         bytes; it isn't reused then.
@@ -445,8 +474,7 @@
             RequestFailedError: No new connection could be opened in time.
         """
         # Read anew each time: other tasks may replace the list during a close.
-        while not fresh and (conns := self._idle.get(address)):
-            conn = conns.pop()
+        while not fresh and (conn := self._pop_idle(address, request_id)):
             is_recent = self._is_recent(conn, time.monotonic())
             if is_recent and not conn.is_readable():
                 return conn
@@ -474,7 +502,10 @@
     req = _build_request(method, address, target, headers, body)
     response = await conn.http.handle_async_request(req)
     conn.has_response_head = True
-    _check_request_id(response, headers)
+    request_id = _request_id(headers)
+    _check_request_id(response, request_id, conn.carried_ids)
+    if request_id:
+        conn.record_request(request_id, response.status)
     _check_framing(response, method)
     return response
 
@@ -529,15 +560,34 @@
     )
 
 
+def _request_id(headers: tuple[Header, ...]) -> bytes | None:
+    """Returns the id in the headers of a request, or None."""
+    for name, value in headers:
+        if name == _REQUEST_ID_HEADER:
+            return value
+    return None
+
+
 def _check_request_id(
-    response: httpcore.Response, sent: tuple[Header, ...]
+    response: httpcore.Response,
+    request_id: bytes | None,
+    earlier_ids: Collection[bytes],
 ) -> None:
-    """Rejects a response that echoes the id of another request."""
-    sent_ids = [value for name, value in sent if name == _REQUEST_ID_HEADER]
-    if not sent_ids:
-        return
+    """Rejects a response that echoes the id of another request.
+
+    Args:
+        response: The response.
+        request_id: The id that was sent, if any.
+        earlier_ids: Ids of earlier requests on the connection.
+
+    Raises:
+        RequestFailedError: The response belongs to another request.
+    """
     for name, value in response.headers:
-        if name.lower() == _REQUEST_ID_HEADER and value != sent_ids[0]:
+        if name.lower() != _REQUEST_ID_HEADER or value == request_id:
+            continue
+        # A server may choose the id of a request that was sent without one.
+        if request_id is not None or value in earlier_ids:
             raise RequestFailedError(
                 "the response has the request id of another request",
                 ran=ExecutionStatus.UNKNOWN,
