An endpoint that announces its leaving gets no further requests

A server that leaves states it in all its responses (`Server-Leaving: 1`), before the list of servers shows it. Nothing read the header: requests, repeats and runs of items went on until the list changed, which takes as long as the store is away or the daemon cut off.

`PlatformEndpointWire` decodes it into `EndpointResponseHead.is_leaving`. `EndpointDirectory` keeps a mark for the process (id, incarnation, address) to which the request was sent; entries of a marked process are leaving whatever a list shows, also after a removal. An attempt that was chosen but not sent is withdrawn, also once a connection is open, and a request none of whose attempts was sent is refused as NO_ENDPOINT, not run.

--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -21,6 +21,7 @@
     EndpointTable,
     EndpointUpdate,
 )
+from daisyhub.balancing._leaving import EndpointProcess
 
 __all__ = [
     "DRAIN_PREFIX",
@@ -28,6 +29,7 @@
     "Endpoint",
     "EndpointDirectory",
     "EndpointEntry",
+    "EndpointProcess",
     "EndpointState",
     "EndpointTable",
     "EndpointUpdate",
--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -20,6 +20,7 @@
 import statistics
 from collections.abc import Callable, Iterable
 
+from daisyhub.balancing._leaving import EndpointProcess, LeavingMarks
 from daisyhub.settings import Address
 
 __all__ = ["Endpoint", "EndpointDirectory", "EndpointEntry"]
@@ -94,6 +95,11 @@
     is_cheap: bool = False
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
 
+    @property
+    def process(self) -> EndpointProcess:
+        """The process that the entry describes."""
+        return EndpointProcess(self.endpoint_id, self.incarnation, self.address)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _OpenRequest:
@@ -116,7 +122,8 @@
     """An endpoint and its statistics in this daemon.
 
     Attributes:
-        entry: The newest entry.
+        entry: The newest entry; leaving if the endpoint announced it, whatever
+            the list shows.
         open_requests: Open requests of this daemon by token.
         latency_ratio: Moving average of its latency divided by the route's
             median latency.
@@ -173,16 +180,22 @@
             daemon but not by request, a daemon uses few endpoints, and so few
             connections, while all daemons together use all of them alike.
         has_connection: Whether an idle connection to an address is open.
+        on_leaving: Called with the entry, as it was before, and the kind of
+            call at the first response in which an endpoint announces that it
+            is leaving.
     """
 
     def __init__(
         self,
         tie_break: Callable[[str], float],
         has_connection: Callable[[Address], bool] = lambda _: False,
+        on_leaving: Callable[[EndpointEntry, str], None] = lambda *_: None,
     ):
         self._tie_break = tie_break
         self._has_connection = has_connection
+        self._on_leaving = on_leaving
         self._endpoints: dict[str, Endpoint] = {}
+        self._leaving = LeavingMarks(self._is_listed)
         # The most recent latencies by route.
         self._latencies_s: dict[str, collections.deque[float]] = {}
         self._last_token = 0
@@ -204,19 +217,65 @@
         return list(self._endpoints.values())
 
     def upsert(self, entry: EndpointEntry) -> None:
-        """Inserts or updates an entry; a restart resets the statistics."""
-        known = self._endpoints.get(entry.endpoint_id)
-        is_same_process = (
-            known is not None
-            and known.entry.incarnation == entry.incarnation
-            and known.entry.address == entry.address
-        )
-        if not is_same_process:
+        """Inserts or updates an entry; a restart resets the statistics.
+
+        An endpoint that announced its leaving stays so until it restarts.
+        """
+        if entry.process in self._leaving:
+            entry = dataclasses.replace(entry, is_leaving=True)
+        if not self._is_listed(entry.process):
             self._endpoints[entry.endpoint_id] = Endpoint(entry)
             return
+        known = self._endpoints[entry.endpoint_id]
         known.entry = entry
         known.absent_since_s = None
 
+    def _is_listed(self, process: EndpointProcess) -> bool:
+        known = self._endpoints.get(process.endpoint_id)
+        return known is not None and known.entry.process == process
+
+    def record_leaving(
+        self, entry: EndpointEntry, call: str, now_s: float
+    ) -> None:
+        """Records that an endpoint announced its leaving in a response.
+
+        Args:
+            entry: The entry to which the request was sent.
+            call: Kind of the call, for the log.
+            now_s: Current time.
+        """
+        if self.mark_leaving(entry.process, now_s):
+            self._on_leaving(entry, call)
+
+    def mark_leaving(self, process: EndpointProcess, now_s: float) -> bool:
+        """Excludes a process from new requests; returns whether it is new."""
+        known = self._endpoints.get(process.endpoint_id)
+        is_listed = self._is_listed(process)
+        is_confirmed = is_listed and known.entry.is_leaving
+        is_new = self._leaving.add(process, now_s, is_confirmed=is_confirmed)
+        if is_listed:
+            known.entry = dataclasses.replace(known.entry, is_leaving=True)
+        return is_new
+
+    def confirm_leaving(
+        self, process: EndpointProcess, now_s: float
+    ) -> float | None:
+        """Records that the list shows a process as leaving or gone.
+
+        Returns:
+            Seconds by which the list lagged behind the announcement; None if
+            there was none, or the list has confirmed it before.
+        """
+        return self._leaving.confirm(process, now_s)
+
+    def announced_leaving(self) -> list[str]:
+        """Returns the ids of listed endpoints that announced their leaving."""
+        return sorted(
+            endpoint_id
+            for endpoint_id, endpoint in self._endpoints.items()
+            if endpoint.entry.process in self._leaving
+        )
+
     def remove(
         self, endpoint_id: str, now_s: float, *, is_store_stable: bool
     ) -> None:
--- /dev/null
+++ b/daisyhub/balancing/_leaving.py
@@ -0,0 +1,108 @@
+"""Endpoints that announced in a response that they are leaving.
+
+The announcement precedes the list of endpoints, which may lag behind it by
+seconds or, while the store is unavailable, by minutes. A mark therefore
+outlives the entry: neither an older list nor a removal and re-insertion of the
+entry brings the process back.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+from daisyhub.settings import Address
+
+__all__ = ["EndpointProcess", "LeavingMarks"]
+
+# Maximum number of marks. Marks of listed endpoints are kept beyond it: their
+# number is bounded by the list. An endpoint serves for some seconds after its
+# announcement, so that even a thousand replacements a minute leave a mark for
+# minutes after the process ended.
+MAX_MARKS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointProcess:
+    """One start of an endpoint.
+
+    Attributes:
+        endpoint_id: Its id, which a later process may have too.
+        incarnation: Start time of the process, milliseconds since 1970; 0 if
+            unknown.
+        address: Where it listens.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    address: Address
+
+
+@dataclasses.dataclass(slots=True)
+class _Mark:
+    """An announcement.
+
+    Attributes:
+        announced_at_s: When it was received.
+        is_confirmed: Whether the list has shown the endpoint as leaving or
+            gone.
+    """
+
+    announced_at_s: float
+    is_confirmed: bool
+
+
+class LeavingMarks:
+    """The processes of endpoints that announced that they are leaving.
+
+    Args:
+        is_listed: Whether a process is among the listed endpoints.
+    """
+
+    def __init__(self, is_listed: Callable[[EndpointProcess], bool]):
+        self._is_listed = is_listed
+        # Ordered by time.
+        self._marks: dict[EndpointProcess, _Mark] = {}
+
+    def __len__(self) -> int:
+        return len(self._marks)
+
+    def __contains__(self, process: EndpointProcess) -> bool:
+        return process in self._marks
+
+    def add(
+        self, process: EndpointProcess, now_s: float, *, is_confirmed: bool
+    ) -> bool:
+        """Marks a process as leaving.
+
+        Args:
+            process: The process.
+            now_s: Current time.
+            is_confirmed: Whether the list shows it as leaving already.
+
+        Returns:
+            Whether it had no mark before.
+        """
+        if process in self._marks:
+            return False
+        self._marks[process] = _Mark(now_s, is_confirmed)
+        if len(self._marks) > MAX_MARKS:
+            self._drop_oldest_unlisted()
+        return True
+
+    def confirm(self, process: EndpointProcess, now_s: float) -> float | None:
+        """Records that the list shows a process as leaving or gone.
+
+        Returns:
+            Seconds by which the list lagged behind the announcement; None if
+            there was none, or the list has confirmed it before.
+        """
+        mark = self._marks.get(process)
+        if mark is None or mark.is_confirmed:
+            return None
+        mark.is_confirmed = True
+        return now_s - mark.announced_at_s
+
+    def _drop_oldest_unlisted(self) -> None:
+        for process in self._marks:
+            if not self._is_listed(process):
+                del self._marks[process]
+                return
--- a/daisyhub/connections/__init__.py
+++ b/daisyhub/connections/__init__.py
@@ -6,12 +6,16 @@
     ResponseStream,
     StreamedResponse,
 )
-from daisyhub.connections._connection import RequestFailedError
+from daisyhub.connections._connection import (
+    RequestFailedError,
+    RequestWithdrawnError,
+)
 
 __all__ = [
     "HttpClient",
     "HttpResponse",
     "RequestFailedError",
+    "RequestWithdrawnError",
     "ResponseStream",
     "StreamedResponse",
 ]
--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -17,7 +17,7 @@
 import contextlib
 import dataclasses
 import time
-from collections.abc import AsyncIterator, Collection
+from collections.abc import AsyncIterator, Callable, Collection
 
 import anyio
 import httpcore
@@ -25,6 +25,7 @@
 from daisyhub.connections._connection import (
     Connection,
     RequestFailedError,
+    RequestWithdrawnError,
     connect,
     mapped_errors,
 )
@@ -43,6 +44,11 @@
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
+def _always() -> bool:
+    """The default of `may_send`."""
+    return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HttpResponse:
     """A complete response, its body included."""
@@ -190,6 +196,7 @@
         max_body_bytes: int = 1 << 23,
         fresh: bool = False,
         may_wait: bool = False,
+        may_send: Callable[[], bool] = _always,
     ) -> HttpResponse:
         """Sends a request and returns the complete response.
 
@@ -205,8 +212,11 @@
             fresh: Whether to open a new connection instead of reusing one.
             may_wait: Whether to wait a little for a connection in use before
                 opening another one.
+            may_send: Whether the request may still be sent, called once a
+                connection is open.
 
         Raises:
+            RequestWithdrawnError: `may_send` returned False.
             RequestFailedError: No complete response was received, or it is
                 larger than `max_body_bytes`.
         """
@@ -229,6 +239,7 @@
                 conn = await self._acquire(
                     address, request_id, fresh, deadline_s
                 )
+            await _check_may_send(may_send, conn, address)
             return await self._exchange(
                 conn,
                 (method, address, target, headers, body),
@@ -294,6 +305,7 @@
         body: bytes = b"",
         timeout_s: float,
         fresh: bool = False,
+        may_send: Callable[[], bool] = _always,
     ) -> "StreamedResponse":
         """Sends a request and returns once the response's head is received.
 
@@ -301,6 +313,7 @@
         covers the whole exchange; see `request` for the arguments.
 
         Raises:
+            RequestWithdrawnError: `may_send` returned False.
             RequestFailedError: No valid response head was received.
         """
         started_s = time.monotonic()
@@ -309,6 +322,7 @@
         conn = await self._acquire(
             address, _request_id(headers), fresh, deadline_s
         )
+        await _check_may_send(may_send, conn, address)
         conn.begin_exchange()
         try:
             with mapped_errors(address, lambda: conn.ran, deadline_s):
@@ -485,6 +499,23 @@
             return await connect(address, self._connect_timeout_s)
 
 
+async def _check_may_send(
+    may_send: Callable[[], bool], conn: Connection, address: Address
+) -> None:
+    """Closes the connection and raises an error if nothing may be sent.
+
+    Raises:
+        RequestWithdrawnError: `may_send` returned False.
+    """
+    if may_send():
+        return
+    await conn.aclose()
+    raise RequestWithdrawnError(
+        f"the request to {address} was withdrawn before it was sent",
+        ran=ExecutionStatus.NOT_RUN,
+    )
+
+
 async def _exchange_heads(
     conn: Connection,
     method: str,
--- a/daisyhub/connections/_connection.py
+++ b/daisyhub/connections/_connection.py
@@ -14,7 +14,13 @@
 from daisyhub.exceptions import DaisyhubError, ExecutionStatus
 from daisyhub.settings import Address
 
-__all__ = ["Connection", "RequestFailedError", "connect", "mapped_errors"]
+__all__ = [
+    "Connection",
+    "RequestFailedError",
+    "RequestWithdrawnError",
+    "connect",
+    "mapped_errors",
+]
 
 _CLOSE_TIMEOUT_S = 0.5
 # An idle connection is not reused during the last part of the keep-alive time
@@ -51,6 +57,12 @@
         self.timed_out = timed_out
 
 
+class RequestWithdrawnError(RequestFailedError):
+    """The caller's `may_send` forbade to send the request."""
+
+    code = "request_withdrawn"
+
+
 class _TrackedStream(AsyncNetworkStream):
     """A network stream that records whether a request was sent.
 
--- a/daisyhub/filters/_forward_core.py
+++ b/daisyhub/filters/_forward_core.py
@@ -102,6 +102,8 @@
         incomplete: Whether the response was incomplete.
         was_sent: Whether the request reached the endpoint. If not, the attempt
             is not counted, and its repeat is not charged to the budget.
+        is_withdrawn: Whether nothing was sent because the endpoint had become
+            unknown or leaving since it was chosen.
     """
 
     attempt: int
@@ -109,6 +111,7 @@
     timed_out: bool = False
     incomplete: bool = False
     was_sent: bool = True
+    is_withdrawn: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -181,6 +184,7 @@
         self._open_attempts: set[int] = set()
         self._attempt_count = 0
         self._unsent_count = 0
+        self._withdrawn_count = 0
         # The outcome of the failed attempts that the caller must assume.
         self._ran = ExecutionStatus.NOT_RUN
         self._timed_out = False
@@ -271,6 +275,7 @@
         self._incomplete |= event.incomplete
         self._ran = _max_ran(self._ran, event.ran)
         self._unsent_count += not event.was_sent
+        self._withdrawn_count += event.is_withdrawn
         can_repeat = (
             self.plan.idempotent or event.ran is ExecutionStatus.NOT_RUN
         )
@@ -286,6 +291,8 @@
             return ErrorCode.ENDPOINT_TIMEOUT
         if self._incomplete:
             return ErrorCode.ANSWER_INCOMPLETE
+        if self._withdrawn_count == self._attempt_count:
+            return ErrorCode.NO_ENDPOINT
         return ErrorCode.ENDPOINT_FAILED
 
     def _fail_request(self, error: ErrorCode) -> FailRequest:
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -6,12 +6,13 @@
 
 import anyio
 
-from daisyhub.balancing import EndpointDirectory
+from daisyhub.balancing import Endpoint, EndpointDirectory, EndpointEntry
 from daisyhub.catalog import Route
 from daisyhub.connections import (
     HttpClient,
     HttpResponse,
     RequestFailedError,
+    RequestWithdrawnError,
     ResponseStream,
     StreamedResponse,
 )
@@ -58,7 +59,7 @@
     ErrorCode.DEADLINE_EXCEEDED: (
         "the deadline passed before the request was sent"
     ),
-    ErrorCode.NO_ENDPOINT: "no endpoint of the route is known",
+    ErrorCode.NO_ENDPOINT: "no endpoint of the route accepts requests",
     ErrorCode.OVERLOADED: "no endpoint of the route has free capacity",
     ErrorCode.ENDPOINT_FAILED: "the endpoint failed",
     ErrorCode.ENDPOINT_TIMEOUT: "the endpoint did not respond in time",
@@ -199,8 +200,14 @@
     ) -> AttemptOutcome:
         """Sends the request to one endpoint and records the result."""
         endpoint = self._directory.get(action.endpoint_id)
-        if endpoint is None:
-            return _make_failed_outcome(action, ExecutionStatus.NOT_RUN)
+        if endpoint is None or endpoint.entry.is_leaving:
+            # It was leaving only after it was chosen.
+            return _make_failed_outcome(
+                action,
+                ExecutionStatus.NOT_RUN,
+                was_sent=False,
+                is_withdrawn=True,
+            )
         sent_s = time.monotonic()
         endpoint_id = action.endpoint_id
         load = endpoint.load(sent_s)
@@ -211,8 +218,14 @@
         result = "cancelled"
         try:
             fresh = state.record_attempt(endpoint_id)
-            response = await self._exchange(state.task, endpoint.entry, fresh)
+            response = await self._exchange(state.task, endpoint, fresh)
             result = f"status {response.status}"
+        except RequestWithdrawnError as exc:
+            result = str(exc)
+            self._directory.record_closed(endpoint_id, token)
+            return _make_failed_outcome(
+                action, exc.ran, was_sent=False, is_withdrawn=True
+            )
         except RequestFailedError as exc:
             result = str(exc)
             self._directory.record_failed(endpoint_id, token, time.monotonic())
@@ -232,16 +245,21 @@
             state.trace.append(
                 f"{endpoint_id} load {load}: {result} after {took_s:.3f} s"
             )
-        return await self._evaluate_response(action, token, response)
+        return await self._evaluate_response(
+            action, endpoint.entry, token, response
+        )
 
-    async def _exchange(self, task: SendTask, entry, fresh: bool):
+    async def _exchange(self, task: SendTask, endpoint: Endpoint, fresh: bool):
         """Returns the endpoint's response, streamed or buffered as required.
 
         Raises:
+            RequestWithdrawnError: The endpoint was leaving once a connection
+                was open.
             RequestFailedError: No complete response, or no response head of a
                 stream, was received.
         """
         remaining_s = max(0.0, task.deadline_s - time.monotonic())
+        entry = endpoint.entry
         headers = self._wire.request_headers(
             EndpointRequest(
                 request_id=task.request_id,
@@ -258,6 +276,7 @@
             "body": task.body,
             "timeout_s": remaining_s,
             "fresh": fresh,
+            "may_send": lambda: not endpoint.entry.is_leaving,
         }
         if task.is_streamed:
             return await self._http.open(*args, **kwargs)
@@ -266,6 +285,7 @@
     async def _evaluate_response(
         self,
         action: StartAttempt,
+        entry: EndpointEntry,
         token: int,
         response: HttpResponse | StreamedResponse,
     ) -> AttemptOutcome:
@@ -278,12 +298,15 @@
 
         Args:
             action: The attempt.
+            entry: The endpoint's entry.
             token: The directory's token of the attempt.
             response: The response, or the head of a streamed one.
         """
         now_s = time.monotonic()
         endpoint_id = action.endpoint_id
         head = self._wire.read_response_head(response.status, response.headers)
+        if head.is_leaving:
+            self._directory.record_leaving(entry, "request", now_s)
         self._update_load(endpoint_id, head, now_s)
         if not (head.is_not_run or head.is_promise):
             if response.status < _MIN_SERVER_ERROR_STATUS:
@@ -351,6 +374,7 @@
     timed_out: bool = False,
     incomplete: bool = False,
     was_sent: bool = True,
+    is_withdrawn: bool = False,
 ) -> AttemptOutcome:
     return AttemptOutcome(
         AttemptFailed(
@@ -359,6 +383,7 @@
             timed_out=timed_out,
             incomplete=incomplete,
             was_sent=was_sent,
+            is_withdrawn=is_withdrawn,
         )
     )
 
--- a/daisyhub/gateway/_wire.py
+++ b/daisyhub/gateway/_wire.py
@@ -50,6 +50,7 @@
         proof: Proof that the response is the endpoint's own; may be empty.
         weight_version: Version of the weights at the start of the response; 0
             if not stated.
+        is_leaving: Whether the endpoint announces that it is leaving.
     """
 
     is_not_run: bool = False
@@ -58,6 +59,7 @@
     load: int | None = None
     proof: str = ""
     weight_version: int = 0
+    is_leaving: bool = False
 
 
 class CallerWire(abc.ABC):
--- a/daisyhub/lots/_run_types.py
+++ b/daisyhub/lots/_run_types.py
@@ -37,8 +37,8 @@
 
     Attributes:
         NOT_RUN: The engine rejected the request without running it.
-        ELSEWHERE: The endpoint is unknown, or another endpoint answers at its
-            address.
+        ELSEWHERE: The endpoint is unknown or leaving, or another endpoint
+            answers at its address.
         UNREACHABLE: No response was received.
         BROKEN: The stream was cut or malformed, or the status was unexpected.
         FAILED: The engine failed at the item; counted as an attempt.
--- a/daisyhub/lots/_runner.py
+++ b/daisyhub/lots/_runner.py
@@ -3,11 +3,12 @@
 import time
 from collections.abc import Callable
 
-from daisyhub.balancing import EndpointDirectory
+from daisyhub.balancing import EndpointDirectory, EndpointEntry
 from daisyhub.cluster import RunEnd, RunOrder
 from daisyhub.connections import (
     HttpClient,
     RequestFailedError,
+    RequestWithdrawnError,
     StreamedResponse,
 )
 from daisyhub.gateway import EndpointRequest, EndpointWire
@@ -59,6 +60,8 @@
         endpoint = self._directory.get(order.endpoint_id)
         if endpoint is None:
             return _end(order, RunFault.ELSEWHERE, 0, "unknown endpoint")
+        if endpoint.entry.is_leaving:
+            return _end(order, RunFault.ELSEWHERE, 0, "leaving endpoint")
         headers = self._endpoint_wire.request_headers(
             EndpointRequest(
                 request_id=order.item_id,
@@ -83,20 +86,29 @@
                 timeout_s=max(
                     0.0, order.remaining_s + started_s - time.monotonic()
                 ),
+                may_send=lambda: not endpoint.entry.is_leaving,
             )
+        except RequestWithdrawnError as exc:
+            return _end(order, RunFault.ELSEWHERE, 0, str(exc))
         except RequestFailedError as exc:
             return _end(order, RunFault.UNREACHABLE, 0, str(exc))
         try:
-            return await self._read(order, response, emit)
+            return await self._read(order, endpoint.entry, response, emit)
         finally:
             await response.aclose()
 
     async def _read(
-        self, order: RunOrder, response: StreamedResponse, emit: EventSink
+        self,
+        order: RunOrder,
+        entry: EndpointEntry,
+        response: StreamedResponse,
+        emit: EventSink,
     ) -> RunEnd:
         decoded = self._endpoint_wire.read_response_head(
             response.status, response.headers
         )
+        if decoded.is_leaving:
+            self._directory.record_leaving(entry, "run", time.monotonic())
         if decoded.is_not_run:
             fault = RunFault.NOT_RUN
             if decoded.is_misdirected:
--- a/daisyhub/platform/_wire.py
+++ b/daisyhub/platform/_wire.py
@@ -33,6 +33,9 @@
 _LOAD = b"daisyhub-server-load"
 _PROOF = b"daisyhub-server-stamp"
 _WEIGHTS = b"daisyhub-weight-versions"
+_LEAVING = b"server-leaving"
+# The only value that announces an endpoint's leaving.
+_IS_LEAVING = b"1"
 # Headers that apply to one connection only or are set again for each hop.
 _HOP_HEADERS = frozenset(
     {
@@ -143,6 +146,8 @@
             load=_read_load(by_name.get(_LOAD, b"")),
             proof=by_name.get(_PROOF, b"").decode("latin-1"),
             weight_version=int(weights) if _VERSION.fullmatch(weights) else 0,
+            # Another endpoint's response says nothing about this one.
+            is_leaving=not is_misdirected and _announces_leaving(headers),
         )
 
 
@@ -159,6 +164,14 @@
     return float(value) / _MS_PER_S
 
 
+def _announces_leaving(headers: tuple[Header, ...]) -> bool:
+    """Whether any of the headers of that name has the value 1."""
+    return any(
+        name == _LEAVING and value.strip() == _IS_LEAVING
+        for name, value in headers
+    )
+
+
 def _read_load(value: bytes) -> int | None:
     """Returns running plus waiting requests of `running,waiting,slots`.
 
--- a/daisyhub/platform/tests/test_item_runs.py
+++ b/daisyhub/platform/tests/test_item_runs.py
@@ -34,7 +34,7 @@
 class ItemRunsTest(unittest.IsolatedAsyncioTestCase):
     async def serve(self, *replies):
         """Returns a runner whose only engine sends these replies."""
-        server = ScriptedServer(*replies)
+        server = self.server = ScriptedServer(*replies)
         await server.start()
         self.addAsyncCleanup(server.stop)
         directory = EndpointDirectory(lambda _: 0.5)
@@ -71,3 +71,18 @@
         runner = await self.serve(make_response(200))
         end = await runner.run(make_order(endpoint_id="x"), lambda _: None)
         self.assertEqual(end.fault, "elsewhere")
+
+    async def test_a_leaving_engine_gets_no_further_run(self):
+        """A run was ordered from an engine that had announced its leaving."""
+        stream = (
+            b"HTTP/1.1 200 X\r\ncontent-length: 18\r\nserver-leaving: 1\r\n"
+            b"daisyhub-weight-versions: 1\r\n\r\nid: 1\ndata: text\n\n"
+        )
+        runner = await self.serve(stream)
+        events = []
+        end = await runner.run(make_order(), events.append)
+        self.assertEqual(end.fault, "")
+        self.assertEqual(len(events), 1)
+        end = await runner.run(make_order(), events.append)
+        self.assertEqual(end.fault, "elsewhere")
+        self.assertEqual(len(self.server.requests), 1)
