Engine reports and orders tell and respect that an engine is leaving

A report or the response to an order may be the first that announces an engine's leaving, but the client dropped all headers; and an engine known to be leaving was still sent an order that had been decided before. `EngineClient` returns `OrderResponse` and `ReportResponse` with `is_leaving`. A report names no endpoint in its request: if it states another start (`born`) than the entry's, it says nothing about the entry's process.

--- a/daisyhub/platform/_engines.py
+++ b/daisyhub/platform/_engines.py
@@ -8,15 +8,23 @@
 
 import msgspec
 
-from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.connections import (
+    HttpClient,
+    HttpResponse,
+    RequestFailedError,
+)
+from daisyhub.gateway import EndpointResponseHead
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import StoredObject
+from daisyhub.platform._wire import PlatformEndpointWire
 from daisyhub.settings import Address
 from daisyhub.weights import (
     EngineClient,
     EngineReport,
     LoadMode,
     OrderOutcome,
+    OrderResponse,
+    ReportResponse,
     VersionOrder,
     VersionPublished,
     VersionReader,
@@ -34,8 +42,6 @@
 }
 _MODE_NAMES = {LoadMode.FINISH: "wait", LoadMode.CONTINUE: "retain"}
 _ENDPOINT_HEADER = b"daisyhub-expect-instance"
-# Header of a response to a request that the engine didn't execute.
-_NOT_RUN_HEADER = b"daisyhub-not-executed"
 _OK = 200
 # Timeout of an order or a report; engines respond to both in milliseconds.
 _CALL_TIMEOUT_S = 0.5
@@ -52,6 +58,7 @@
     sequence: int = 0
     num_waiting: int = 0
     num_running: int = 0
+    born: int = 0
 
 
 class _PublishedVersion(msgspec.Struct, frozen=True):
@@ -84,10 +91,11 @@
     def __init__(self, http: HttpClient, log: DecisionLog):
         self._http = http
         self._log = log
+        self._wire = PlatformEndpointWire()
 
     async def order(
         self, address: Address, order: VersionOrder
-    ) -> OrderOutcome:
+    ) -> OrderResponse:
         """Sends an order; see `EngineClient.order`."""
         body = msgspec.json.encode(
             {
@@ -115,33 +123,45 @@
             )
         except RequestFailedError as exc:
             self._log_failure("order_failed", order.endpoint_id, exc)
-            return OrderOutcome.UNKNOWN
+            return OrderResponse(outcome=OrderOutcome.UNKNOWN)
+        head = self._read_head(response)
         outcome = _OUTCOMES_BY_STATUS.get(response.status)
-        if outcome is not None:
-            return outcome
-        if _NOT_RUN_HEADER in dict(response.headers):
-            return OrderOutcome.REFUSED
-        return OrderOutcome.UNKNOWN
-
-    async def report(self, address: Address) -> EngineReport | None:
-        """Returns an engine's report; see `EngineClient.report`."""
+        if outcome is None:
+            outcome = (
+                OrderOutcome.REFUSED
+                if head.is_not_run
+                else OrderOutcome.UNKNOWN
+            )
+        return OrderResponse(outcome=outcome, is_leaving=head.is_leaving)
+
+    async def report(self, address: Address) -> ReportResponse:
+        """Fetches an engine's report; see `EngineClient.report`."""
+        is_leaving = False
         try:
             response = await self._http.request(
                 "GET", address, "/v1/report", timeout_s=_CALL_TIMEOUT_S
             )
+            is_leaving = self._read_head(response).is_leaving
             if response.status != _OK:
                 raise ValueError(f"status {response.status}")
             report = msgspec.json.decode(response.body, type=_Report)
         except (RequestFailedError, msgspec.DecodeError, ValueError) as exc:
             self._log_failure("report_failed", str(address), exc)
-            return None
-        return EngineReport(
-            versions={model.name: model.version for model in report.models},
-            is_busy=report.busy,
-            orders_taken=report.sequence,
-            waiting=report.num_waiting,
-            running=report.num_running,
+            return ReportResponse(is_leaving=is_leaving)
+        return ReportResponse(
+            report=EngineReport(
+                versions={m.name: m.version for m in report.models},
+                is_busy=report.busy,
+                orders_taken=report.sequence,
+                waiting=report.num_waiting,
+                running=report.num_running,
+                incarnation=report.born,
+            ),
+            is_leaving=is_leaving,
         )
 
+    def _read_head(self, response: HttpResponse) -> EndpointResponseHead:
+        return self._wire.read_response_head(response.status, response.headers)
+
     def _log_failure(self, event: str, endpoint: str, exc: Exception) -> None:
         self._log.record(event, endpoint=endpoint, reason=str(exc))
--- a/daisyhub/weights/__init__.py
+++ b/daisyhub/weights/__init__.py
@@ -10,6 +10,8 @@
     EngineReport,
     LoadMode,
     OrderOutcome,
+    OrderResponse,
+    ReportResponse,
     VersionOrder,
 )
 from daisyhub.weights._load_core import (
@@ -34,6 +36,8 @@
     "LoadMode",
     "OrderAnswered",
     "OrderOutcome",
+    "OrderResponse",
+    "ReportResponse",
     "ReportFailed",
     "ReportReceived",
     "SendOrder",
--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -233,9 +233,10 @@
         """Sends an order with the fencing number read just before."""
         endpoint = self._directory.get(action.endpoint_id)
         fencing = self._duty.fencing
-        if endpoint is None or not fencing:
+        if endpoint is None or endpoint.entry.is_leaving or not fencing:
             outcome = OrderOutcome.REFUSED
         else:
+            entry = endpoint.entry
             order = VersionOrder(
                 endpoint_id=action.endpoint_id,
                 model=action.model,
@@ -245,7 +246,10 @@
                 fencing=fencing,
                 orders_taken=action.orders_taken,
             )
-            outcome = await self._client.order(endpoint.entry.address, order)
+            response = await self._client.order(entry.address, order)
+            outcome = response.outcome
+            if response.is_leaving:
+                self._directory.record_leaving(entry, "order", time.monotonic())
         self._log.record(
             "order",
             endpoint=action.endpoint_id,
@@ -266,9 +270,20 @@
     ) -> None:
         """Fetches a report; records its versions in the directory."""
         endpoint = self._directory.get(action.endpoint_id)
-        report = None
-        if endpoint is not None:
-            report = await self._client.report(endpoint.entry.address)
+        if endpoint is None or endpoint.entry.is_leaving:
+            self._handle(core, ReportFailed(action.endpoint_id))
+            return
+        entry = endpoint.entry
+        response = await self._client.report(entry.address)
+        report = response.report
+        # The call names no endpoint, so that the response may be of another
+        # process at the address.
+        is_other = report is not None and report.incarnation not in (
+            0,
+            entry.incarnation,
+        )
+        if response.is_leaving and not is_other:
+            self._directory.record_leaving(entry, "report", time.monotonic())
         if report is None:
             self._handle(core, ReportFailed(action.endpoint_id))
             return
--- a/daisyhub/weights/_engine_client.py
+++ b/daisyhub/weights/_engine_client.py
@@ -11,6 +11,8 @@
     "EngineReport",
     "LoadMode",
     "OrderOutcome",
+    "OrderResponse",
+    "ReportResponse",
     "VersionOrder",
 ]
 
@@ -84,6 +86,8 @@
         orders_taken: Number of orders accepted since its start.
         waiting: Number of queued requests.
         running: Number of running requests.
+        incarnation: Start time of its process, milliseconds since 1970; 0 if
+            not stated.
     """
 
     versions: dict[str, int]
@@ -91,6 +95,33 @@
     orders_taken: int
     waiting: int = 0
     running: int = 0
+    incarnation: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OrderResponse:
+    """Result of an order.
+
+    Attributes:
+        outcome: The outcome.
+        is_leaving: Whether the engine announced that it is leaving.
+    """
+
+    outcome: OrderOutcome
+    is_leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReportResponse:
+    """Result of a call for a report.
+
+    Attributes:
+        report: The report; None if the call failed.
+        is_leaving: Whether the engine announced that it is leaving.
+    """
+
+    report: EngineReport | None = None
+    is_leaving: bool = False
 
 
 class EngineClient(abc.ABC):
@@ -99,9 +130,9 @@
     @abc.abstractmethod
     async def order(
         self, address: Address, order: VersionOrder
-    ) -> OrderOutcome:
-        """Sends an order; returns `UNKNOWN` if there is no valid response."""
+    ) -> OrderResponse:
+        """Sends an order; the outcome is `UNKNOWN` without valid response."""
 
     @abc.abstractmethod
-    async def report(self, address: Address) -> EngineReport | None:
-        """Returns an engine's report, or None if the call failed."""
+    async def report(self, address: Address) -> ReportResponse:
+        """Fetches an engine's report."""
