Daemons tell their peers which endpoints announced their leaving

Without it, every daemon has to meet the announcement itself; the holder of the lots and its workers may never do. `LeavingNews` sends each announcement that a daemon read itself once to its live peers; receivers don't pass it on. The first announcement is logged and counted, and later the lag of the list; `/status` names the listed endpoints that announced their leaving.

Failed before: all 3 of test_leaving_processes, two for want of the status and one as requests still went to servers that were all leaving.

--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -6,8 +6,10 @@
 
 from daisyhub.cluster._cluster_clock import ClusterClock
 from daisyhub.cluster._controller import ClusterController
+from daisyhub.cluster._leaving_news import LeavingNews
 from daisyhub.cluster._messages import (
     CLUSTER_PROTOCOL,
+    EndpointLeavingNotification,
     HolderNews,
     LotAcceptedNotification,
     LotEndedNotification,
@@ -46,6 +48,8 @@
 
 __all__ = [
     "CLUSTER_PROTOCOL",
+    "EndpointLeavingNotification",
+    "LeavingNews",
     "ClusterController",
     "HolderNews",
     "HolderView",
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "CLUSTER_PROTOCOL",
+    "EndpointLeavingNotification",
     "HolderNews",
     "LotResponse",
     "LotItemBodyRequest",
@@ -194,6 +195,23 @@
     lot_id: str
 
 
+class EndpointLeavingNotification(
+    msgspec.Struct, frozen=True, kw_only=True, tag="el"
+):
+    """Notifies peers that an endpoint announced its leaving.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: Start time of its process, milliseconds since 1970; 0 if
+            unknown.
+        address: Where it listens, `IP:PORT`.
+    """
+
+    endpoint_id: str
+    incarnation: int = 0
+    address: str = ""
+
+
 class LotResponse(msgspec.Struct, frozen=True, kw_only=True, tag="la"):
     """A holder's response to a request about a lot.
 
@@ -380,6 +398,7 @@
         | TaskReport
         | LotAcceptedNotification
         | LotEndedNotification
+        | EndpointLeavingNotification
         | _Call
         | _CallResponse,
         ...,
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from daisyhub.balancing import EndpointDirectory
+from daisyhub.balancing import EndpointDirectory, EndpointEntry
 from daisyhub.base import Controller
 from daisyhub.billing import UsageAggregator, UsageMeter, UsageReporter
 from daisyhub.catalog import ManifestController
@@ -16,6 +16,7 @@
     CLUSTER_PROTOCOL,
     ClusterClock,
     ClusterController,
+    LeavingNews,
     LotHeadRequest,
     LotItemBodyRequest,
     LotResultsRequest,
@@ -172,8 +173,14 @@
         self.meter = UsageMeter(cfg.usage_window_s, self.clock.now_s)
         self.manifests = ManifestController(PlatformManifestReader(), self.log)
         self.directory = EndpointDirectory(
-            functools.lru_cache(self._rank_endpoint), self.http.has_connection
+            functools.lru_cache(self._rank_endpoint),
+            self.http.has_connection,
+            self._announce_leaving,
         )
+        self.leaving_news = LeavingNews(
+            self.directory, self.network, self.peers, self.metrics, self.log
+        )
+        self.network.add_receiver(self.leaving_news.receive)
         self.cluster = ClusterController(
             cfg.daemon_id,
             cfg.peer_address,
@@ -256,6 +263,10 @@
         )
         return (reporter,)
 
+    def _announce_leaving(self, entry: EndpointEntry, call: str) -> None:
+        """Tells peers; `leaving_news` is built after the directory."""
+        self.leaving_news.announce(entry, call)
+
     def _rank_endpoint(self, endpoint_id: str) -> float:
         """Returns a number for an endpoint that differs by daemon."""
         text = f"{self.cfg.daemon_id}/{endpoint_id}".encode()
@@ -443,6 +454,7 @@
             "is_ready": self.is_ready(),
             "manifest": manifest.version if manifest else 0,
             "open_requests": self.app.open_requests,
+            "leaving_endpoints": self.directory.announced_leaving(),
             **{_status_key(c): c.status() for c in self.controllers},
         }
 
@@ -537,15 +549,19 @@
             )
             return
         known = self.directory.get(found.name)
+        was_leaving = known is not None and known.entry.is_leaving
         self.directory.upsert(entry)
-        if known is None or known.entry.is_leaving != entry.is_leaving:
+        if entry.is_leaving:
+            self.leaving_news.confirm(entry.process, is_removed=False)
+        is_leaving = self.directory.get(found.name).entry.is_leaving
+        if known is None or was_leaving != is_leaving:
             self.log.record(
                 "endpoint",
                 name=found.name,
                 pool=entry.pool,
                 domain=entry.domain,
                 address=str(entry.address),
-                is_leaving=entry.is_leaving,
+                is_leaving=is_leaving,
                 is_cheap=entry.is_cheap,
                 slots=entry.slots,
                 versions=entry.versions,
@@ -559,6 +575,9 @@
         self.log.record(
             "endpoint_removed", name=name, is_store_stable=is_stable
         )
+        known = self.directory.get(name)
+        if known is not None and is_stable:
+            self.leaving_news.confirm(known.entry.process, is_removed=True)
         self.directory.remove(name, now_s, is_store_stable=is_stable)
 
     async def run(self) -> None:
--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -7,6 +7,7 @@
 """
 
 import base64
+import dataclasses
 import random
 
 import anyio
@@ -153,7 +154,9 @@
     A generated text depends on the item id only, so that it can be checked
     wherever and however often the item runs. `GET /admin/ran` returns the
     executed requests: id, account, whether the client's API key was
-    forwarded, and whether a stream was resumed.
+    forwarded, and whether a stream was resumed. After `POST /admin/leave`,
+    every response announces that the server is leaving, until `DELETE` of the
+    same path; it serves on.
 
     Args:
         name: Instance id.
@@ -169,11 +172,23 @@
         self._is_busy = False
         self._highest_fencing = 0
         self._executed_requests: list[dict] = []
+        self._is_leaving = False
 
     async def handle(self, request: Request) -> Response:
         """Handles one request."""
         if request.path == "/admin/ran":
             return Response(value=self._executed_requests)
+        if request.path == "/admin/leave":
+            self._is_leaving = request.method == "POST"
+            return Response(value={})
+        response = await self._serve_caller(request)
+        if not self._is_leaving:
+            return response
+        return dataclasses.replace(
+            response, headers=((b"server-leaving", b"1"), *response.headers)
+        )
+
+    async def _serve_caller(self, request: Request) -> Response:
         expected = request.headers.get("daisyhub-expect-instance", self.name)
         if expected != self.name:
             return Response(status=421)
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -228,15 +228,29 @@
             timeout_s=5.0,
         )
 
+    async def announce_leaving(
+        self, name: str, *, is_leaving: bool = True
+    ) -> None:
+        """Has a server announce in its responses that it is leaving, or not.
+
+        Its entry in the object store doesn't change.
+        """
+        await self.http.request(
+            "POST" if is_leaving else "DELETE",
+            self.address(name),
+            "/admin/leave",
+            timeout_s=5.0,
+        )
+
     async def usage(self) -> list[dict]:
         """Returns the usage reports that the platform accepted."""
         response = await self._get(self.ports["platform"], "/admin/usage")
         return json.loads(response.body)
 
-    async def executed_requests(self) -> list[dict]:
-        """Returns the requests that the servers executed."""
+    async def executed_requests(self, *servers: str) -> list[dict]:
+        """Returns the requests that some servers, or all, executed."""
         runs = []
-        for name in self.server_names:
+        for name in servers or self.server_names:
             response = await self._get(self.ports[name], "/admin/ran")
             runs += json.loads(response.body)
         return runs
