Peers: a response to the process before a restart ends no call of the new one

What could be seen: a daemon that restarts quickly takes the result of another call for its own. A relayed write then counts as done, in conflict or not done because another write was.

Cause: responses are matched by the number of the call alone. Numbers started at 1 in each process, and a peer sends its response to the sender's address, where the restarted process listens. A relayed store call may take as long as the store's timeout, so it can outlast the restart.

Change: numbers start at the incarnation (microseconds since 1970), so those of two processes of one daemon are distinct.

--- a/daisyhub/peers/_network.py
+++ b/daisyhub/peers/_network.py
@@ -97,7 +97,9 @@
         self._tasks = None
         self._receivers: list[Receiver] = []
         self._request_handlers: dict[type, RequestHandler] = {}
-        self._call_ids = itertools.count(1)
+        # A peer may still respond to calls of the process before a restart.
+        # Starting at the incarnation keeps their ids distinct.
+        self._call_ids = itertools.count(incarnation)
         self._waiters: dict[int, asyncio.Future] = {}
 
     def add_receiver(self, receiver: Receiver) -> None:
--- a/daisyhub/peers/tests/test_network.py
+++ b/daisyhub/peers/tests/test_network.py
@@ -15,10 +15,16 @@
     PeerUnreachableError,
     _links,
 )
-from daisyhub.peers._messages import EndpointsRequest, EndpointsResponse
+from daisyhub.peers._messages import (
+    CallResponse,
+    EndpointRecord,
+    EndpointsRequest,
+    EndpointsResponse,
+)
 from daisyhub.settings import Address
 
 TIMEOUT_S = 10
+RECORD = EndpointRecord(endpoint_id="e", pool="p", ip="127.0.0.1", port=1)
 
 
 def free_address():
@@ -27,9 +33,9 @@
         return Address(ip="127.0.0.1", port=sock.getsockname()[1])
 
 
-def new_network(name, address):
+def new_network(name, address, incarnation=1):
     cfg = types.SimpleNamespace(daemon_id=name, peer_address=address, peers=())
-    return PeerNetwork(cfg, 1)
+    return PeerNetwork(cfg, incarnation)
 
 
 def beat(version):
@@ -173,6 +179,32 @@
             a.send("b", beat(4))
             await self.wait_for(lambda: received)
 
+    async def test_a_response_to_the_process_before_a_restart_is_dropped(self):
+        """Guards against a write that counts as done as another one was."""
+        before = new_network("a", free_address(), incarnation=1_000_000)
+        after = new_network("a", free_address(), incarnation=9_000_000)
+        sent = []
+        waiting = []
+        for network in (before, after):
+            network.send = lambda _, call: sent.append(call) or True
+            waiting.append(
+                asyncio.create_task(
+                    network.call("b", EndpointsRequest(), TIMEOUT_S)
+                )
+            )
+        await asyncio.sleep(0)
+        late, own = (
+            CallResponse(
+                call_id=call.call_id,
+                content=EndpointsResponse(records=(RECORD,) * number),
+            )
+            for number, call in enumerate(sent)
+        )
+        after._record_response(late)
+        after._record_response(own)
+        self.assertEqual(await waiting[1], own.content)
+        waiting[0].cancel()
+
     async def test_bytes_that_are_no_message_are_dropped(self):
         async with two_networks() as (a, b):
             received = self.collect(b)
