--- /dev/null
+++ b/daisyhub/cluster/tests/test_store_calls.py
@@ -0,0 +1,111 @@
+"""Relayed store calls say "not done" only if the peer said so."""
+
+import types
+import unittest
+
+from daisyhub.cluster import (
+    CLUSTER_PROTOCOL,
+    PeerRelayProvider,
+    StoreRequestHandler,
+)
+from daisyhub.cluster._messages import StoreRequest
+from daisyhub.objects import ObjectConflictError, ObjectStoreError
+from daisyhub.peers import PeerUnreachableError
+from daisyhub.testing.object_store import Fault, MemoryStore
+
+WRITES = {
+    "create": lambda store: store.create("k", "n", b"1"),
+    "replace": lambda store: store.replace("k", "n", b"2", revision=1),
+    "set_status": lambda store: store.set_status("k", "n", b"3"),
+    "delete": lambda store: store.delete("k", "n"),
+}
+
+
+def pass_on_wire(response):
+    """Encodes and decodes a response as peers do."""
+    message = CLUSTER_PROTOCOL.response(call_id=1, content=response)
+    envelope = CLUSTER_PROTOCOL.envelope(
+        sender="b", incarnation=1, messages=(message,)
+    )
+    decoded = CLUSTER_PROTOCOL.decode(CLUSTER_PROTOCOL.encode(envelope))
+    return decoded.messages[0].content
+
+
+class FakeNetwork:
+    """Calls the handler of one peer; messages pass the wire format.
+
+    Args:
+        handle: Returns the response, or raises as a call does.
+    """
+
+    def __init__(self, handle):
+        self._handle = handle
+
+    async def call(self, _, request, __):
+        return pass_on_wire(await self._handle(request))
+
+
+def relay_through(handle):
+    """Returns a store that relays through one peer."""
+    peer = types.SimpleNamespace(
+        daemon_id="b",
+        last_received_at_s=0.0,
+        ping=types.SimpleNamespace(reaches_store=True, domain="x"),
+    )
+    peers = types.SimpleNamespace(live=lambda: [peer])
+    (store,) = PeerRelayProvider(FakeNetwork(handle), peers, "x", 1.0).stores()
+    return store
+
+
+def relay_to(store):
+    """Returns a store that relays to another through one peer's handler."""
+    return relay_through(StoreRequestHandler(store, copy=None).handle)
+
+
+class RelayedWriteTest(unittest.IsolatedAsyncioTestCase):
+    async def fail(self, store, verb):
+        with self.assertRaises(ObjectStoreError) as caught:
+            await WRITES[verb](store)
+        return caught.exception
+
+    async def test_a_peer_passes_on_what_it_knows_of_a_write(self):
+        for fault, may_be_done in (
+            (Fault.REFUSED, False),
+            (Fault.RESPONSE_LOST, True),
+            (Fault.DELAYED, True),
+        ):
+            for verb in WRITES:
+                store = MemoryStore()
+                if verb != "create":
+                    store.put("k", "n", b"1")
+                store.fail_next(verb, fault)
+                failure = await self.fail(relay_to(store), verb)
+                self.assertEqual(
+                    failure.may_be_done, may_be_done, (fault, verb)
+                )
+
+    async def test_a_write_through_a_lost_peer_may_be_done(self):
+        async def lose(_):
+            raise PeerUnreachableError("no response")
+
+        for verb in WRITES:
+            failure = await self.fail(relay_through(lose), verb)
+            self.assertTrue(failure.may_be_done, verb)
+        with self.assertRaises(ObjectStoreError) as caught:
+            await relay_through(lose).read("k", "n")
+        self.assertFalse(caught.exception.may_be_done)
+
+    async def test_a_conflict_at_the_peer_stays_a_conflict(self):
+        store = MemoryStore()
+        store.put("k", "n", b"1")
+        with self.assertRaises(ObjectConflictError) as caught:
+            await relay_to(store).create("k", "n", b"2")
+        self.assertEqual(caught.exception.found.spec, b"1")
+
+    async def test_a_verb_that_the_peer_does_not_know_is_not_done(self):
+        handler = StoreRequestHandler(MemoryStore(), copy=None)
+        response = pass_on_wire(
+            await handler.handle(StoreRequest(verb="later", kind="k"))
+        )
+        self.assertEqual(response.failure, "unavailable")
+        self.assertFalse(response.may_be_done)
