Relays: what a peer leaves out is not read as "not done"

Cause: StoreResponse.may_be_done defaulted to False, so a response without the field, from another build, said that a failed write was not done. A failure that this build doesn't know was treated the same way.

Change: the default is True, and a write whose failure is unknown may be done. Failures of reads say that they had no effect, whatever the peer reports.

--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -127,7 +127,8 @@
     Attributes:
         failure: `conflict`, `history_gone` or `unavailable`; empty on success.
         detail: One sentence that describes the failure.
-        may_be_done: Whether a failed call may have taken effect.
+        may_be_done: Whether a failed call may have taken effect; true unless
+            the peer states otherwise.
         found: The object that was read, written or in conflict.
         revision: The revision of a list or a watch.
         items: The objects of a list, or the changes of a watch.
@@ -135,7 +136,7 @@
 
     failure: str = ""
     detail: str = ""
-    may_be_done: bool = False
+    may_be_done: bool = True
     found: StoredObject | None = None
     revision: int = 0
     items: tuple[StoredObject, ...] = ()
--- a/daisyhub/cluster/_store_calls.py
+++ b/daisyhub/cluster/_store_calls.py
@@ -193,7 +193,13 @@
                 raise ObjectConflictError(detail, response.found)
             case "history_gone":
                 raise HistoryGoneError(detail)
-        raise ObjectStoreError(detail, may_be_done=response.may_be_done)
+            case "unavailable":
+                may_be_done = is_write and response.may_be_done
+                raise ObjectStoreError(detail, may_be_done=may_be_done)
+        raise ObjectStoreError(
+            f"unknown failure {response.failure!r}, {detail}",
+            may_be_done=is_write,
+        )
 
 
 class PeerRelayProvider(RelayProvider):
--- a/daisyhub/cluster/tests/test_store_calls.py
+++ b/daisyhub/cluster/tests/test_store_calls.py
@@ -3,12 +3,14 @@
 import types
 import unittest
 
+import msgspec
+
 from daisyhub.cluster import (
     CLUSTER_PROTOCOL,
     PeerRelayProvider,
     StoreRequestHandler,
 )
-from daisyhub.cluster._messages import StoreRequest
+from daisyhub.cluster._messages import StoreRequest, StoreResponse
 from daisyhub.objects import ObjectConflictError, ObjectStoreError
 from daisyhub.peers import PeerUnreachableError
 from daisyhub.testing.object_store import Fault, MemoryStore
@@ -102,6 +104,21 @@
             await relay_to(store).create("k", "n", b"2")
         self.assertEqual(caught.exception.found.spec, b"1")
 
+    def test_an_absent_field_is_not_read_as_not_done(self):
+        response = msgspec.msgpack.decode(
+            msgspec.msgpack.encode({"type": "sa", "failure": "unavailable"}),
+            type=StoreResponse,
+        )
+        self.assertTrue(response.may_be_done)
+
+    async def test_a_failure_that_this_build_does_not_know_may_be_done(self):
+        async def respond(_):
+            return StoreResponse(failure="a later build's", may_be_done=False)
+
+        for verb in WRITES:
+            failure = await self.fail(relay_through(respond), verb)
+            self.assertTrue(failure.may_be_done, verb)
+
     async def test_a_verb_that_the_peer_does_not_know_is_not_done(self):
         handler = StoreRequestHandler(MemoryStore(), copy=None)
         response = pass_on_wire(
