Relays: a write whose response has no object may be done

Cause: the relay returned None as the written object, which its callers don't expect: saving progress ended with an AttributeError instead of an unknown outcome.

Change: such a response is a failure whose effect is unknown, and the write is repeated. Test: test_a_write_whose_response_has_no_object_may_be_done failed before (no error raised). test_store_calls.py: 7 passed. Found by reading.

--- a/daisyhub/cluster/_store_calls.py
+++ b/daisyhub/cluster/_store_calls.py
@@ -149,7 +149,7 @@
         request = StoreRequest(
             verb="create", kind=kind, name=name, content=spec
         )
-        return (await self._call(request)).found
+        return await self._write(request)
 
     async def replace(
         self, kind: str, name: str, spec: bytes, *, revision: int
@@ -161,7 +161,7 @@
             content=spec,
             revision=revision,
         )
-        return (await self._call(request)).found
+        return await self._write(request)
 
     async def set_status(
         self, kind: str, name: str, status: bytes
@@ -174,6 +174,16 @@
     async def delete(self, kind: str, name: str) -> None:
         await self._call(StoreRequest(verb="delete", kind=kind, name=name))
 
+    async def _write(self, request: StoreRequest) -> StoredObject:
+        """Makes a write whose response contains the written object."""
+        response = await self._call(request)
+        if response.found is None:
+            raise ObjectStoreError(
+                f"the response of {self._peer_id} lacks the written object",
+                may_be_done=True,
+            )
+        return response.found
+
     async def _call(
         self, request: StoreRequest, wait_s: float = 0
     ) -> StoreResponse:
--- a/daisyhub/cluster/tests/test_store_calls.py
+++ b/daisyhub/cluster/tests/test_store_calls.py
@@ -119,6 +119,14 @@
             failure = await self.fail(relay_through(respond), verb)
             self.assertTrue(failure.may_be_done, verb)
 
+    async def test_a_write_whose_response_has_no_object_may_be_done(self):
+        async def respond(_):
+            return StoreResponse()
+
+        for verb in ("create", "replace"):
+            failure = await self.fail(relay_through(respond), verb)
+            self.assertTrue(failure.may_be_done, verb)
+
     async def test_a_verb_that_the_peer_does_not_know_is_not_done(self):
         handler = StoreRequestHandler(MemoryStore(), copy=None)
         response = pass_on_wire(
