Store: a read with a garbled response has no effect

Cause: the decoder of responses reported may_be_done=True for reads and writes alike. A caller that decides by the failure of a read got "may be done" for a call that changes nothing; nothing was promised wrongly.

Change: only writes with a garbled response may be done.

--- a/daisyhub/platform/_store.py
+++ b/daisyhub/platform/_store.py
@@ -254,7 +254,7 @@
             f"{kind}/{name} has another revision",
             _decode_conflicting_object(kind, response),
         )
-    return _to_stored_object(kind, _decode(response, _Object))
+    return _to_stored_object(kind, _decode(response, _Object, is_write=True))
 
 
 def _decode_conflicting_object(
@@ -270,10 +270,12 @@
         return None
 
 
-def _decode(response: HttpResponse, response_type: Any) -> Any:
+def _decode(
+    response: HttpResponse, response_type: Any, *, is_write: bool = False
+) -> Any:
     try:
         return msgspec.json.decode(response.body, type=response_type)
     except msgspec.DecodeError as exc:
         raise ObjectStoreError(
-            f"invalid response from the store: {exc}", may_be_done=True
+            f"invalid response from the store: {exc}", may_be_done=is_write
         ) from exc
--- a/daisyhub/platform/tests/test_store.py
+++ b/daisyhub/platform/tests/test_store.py
@@ -9,6 +9,11 @@
 from daisyhub.settings import Address
 
 OBJECT = b'{"metadata":{"name":"n","revision":7},"spec":1,"status":null}'
+READS = {
+    "read": lambda store: store.read("k", "n"),
+    "list": lambda store: store.list_all("k"),
+    "watch": lambda store: store.watch("k", after_revision=1, wait_s=0.1),
+}
 WRITES = {
     "create": lambda store: store.create("k", "n", b"1"),
     "replace": lambda store: store.replace("k", "n", b"1", revision=6),
@@ -53,6 +58,18 @@
                     (verb, ran),
                 )
 
+    async def test_failed_reads_have_no_effect(self):
+        failures = (
+            RequestFailedError("cut", ran=ExecutionStatus.UNKNOWN),
+            500,
+            503,
+            200,
+        )
+        for verb, call in READS.items():
+            for result in failures:
+                failure = await self.fail(call, result, b"garbled")
+                self.assertFalse(failure.may_be_done, (verb, result))
+
     async def test_a_write_with_a_garbled_response_may_be_done(self):
         for verb in ("create", "replace", "set_status"):
             for body in (b"", b"{", b"\xff", b"{}", b'{"metadata":7}'):
