Store: a status that a call doesn't have says nothing of its effect

Cause: one list of statuses served all calls. A 404 to a create was reported as a conflict ("does not exist"), a 409 to a status as a conflict that no caller expects (it would end the retirements' controller), and a 409 or 410 to a delete as its success.

Test: test_a_status_that_a_write_does_not_have_leaves_it_unknown failed before (ObjectConflictError for a create). test_store.py: 7 passed.

--- a/daisyhub/platform/_store.py
+++ b/daisyhub/platform/_store.py
@@ -90,7 +90,11 @@
     ) -> StoredObject | None:
         """Returns an object; see `ObjectStore.read`."""
         query = f"?{_STALE_READ_PARAM}" if can_be_stale else ""
-        response = await self._call("GET", _object_path(kind, name) + query)
+        response = await self._call(
+            "GET",
+            _object_path(kind, name) + query,
+            expected_statuses=(_OK, _NOT_FOUND),
+        )
         if response.status == _NOT_FOUND:
             return None
         return _to_stored_object(kind, _decode(response, _Object))
@@ -106,7 +110,11 @@
         after = ""
         while True:
             query = f"?after={urllib.parse.quote(after)}" if after else ""
-            response = await self._call("GET", _object_path(kind) + query)
+            response = await self._call(
+                "GET",
+                _object_path(kind) + query,
+                expected_statuses=(_OK, _NOT_FOUND),
+            )
             if response.status == _NOT_FOUND:
                 return ObjectList(revision=0, items=())
             page = _decode(response, _ListPage)
@@ -131,6 +139,7 @@
             "GET",
             f"{_object_path(kind)}?watch={after_revision}"
             f"&wait-ms={wait_ms}{stale_read}",
+            expected_statuses=(_OK, _GONE),
             timeout_s=wait_s + self._timeout_s,
         )
         if response.status == _GONE:
@@ -151,7 +160,12 @@
         body = msgspec.json.encode(
             {"metadata": {"name": name}, "spec": msgspec.Raw(spec)}
         )
-        response = await self._call("POST", _object_path(kind), body)
+        response = await self._call(
+            "POST",
+            _object_path(kind),
+            body,
+            expected_statuses=(_OK, _CREATED, _CONFLICT),
+        )
         return _decode_write_response(kind, name, response)
 
     async def replace(
@@ -164,7 +178,12 @@
                 "spec": msgspec.Raw(spec),
             }
         )
-        response = await self._call("PUT", _object_path(kind, name), body)
+        response = await self._call(
+            "PUT",
+            _object_path(kind, name),
+            body,
+            expected_statuses=(_OK, _CREATED, _NOT_FOUND, _CONFLICT),
+        )
         return _decode_write_response(kind, name, response)
 
     async def set_status(
@@ -175,7 +194,10 @@
             {"metadata": {"name": name}, "status": msgspec.Raw(status)}
         )
         response = await self._call(
-            "PUT", f"{_object_path(kind, name)}/status", body
+            "PUT",
+            f"{_object_path(kind, name)}/status",
+            body,
+            expected_statuses=(_OK, _CREATED, _NOT_FOUND),
         )
         if response.status == _NOT_FOUND:
             return None
@@ -183,15 +205,33 @@
 
     async def delete(self, kind: str, name: str) -> None:
         """Deletes an object; see `ObjectStore.delete`."""
-        await self._call("DELETE", _object_path(kind, name))
+        await self._call(
+            "DELETE",
+            _object_path(kind, name),
+            expected_statuses=(_OK, _NOT_FOUND),
+        )
 
     async def _call(
         self,
         method: str,
         target: str,
         body: bytes = b"",
+        *,
+        expected_statuses: tuple[int, ...],
         timeout_s: float | None = None,
     ) -> HttpResponse:
+        """Makes a call.
+
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            body: Body of the request.
+            expected_statuses: Statuses of a response that the caller handles.
+            timeout_s: Response timeout in seconds; None for the default.
+
+        Raises:
+            ObjectStoreError: There is no response, or it has another status.
+        """
         is_write = method != "GET"
         headers = ((b"content-type", b"application/json"),) if body else ()
         try:
@@ -209,7 +249,6 @@
             raise ObjectStoreError(
                 f"{method} {target}: {exc}", may_be_done=may_be_done
             ) from exc
-        expected_statuses = (_OK, _CREATED, _NOT_FOUND, _CONFLICT, _GONE)
         if response.status not in expected_statuses:
             raise ObjectStoreError(
                 f"{method} {target}: status {response.status}",
--- a/daisyhub/platform/tests/test_store.py
+++ b/daisyhub/platform/tests/test_store.py
@@ -76,6 +76,15 @@
                 failure = await self.fail(WRITES[verb], 200, body)
                 self.assertTrue(failure.may_be_done, (verb, body))
 
+    async def test_a_status_that_a_write_does_not_have_leaves_it_unknown(self):
+        for verb, status in (
+            ("create", 404),
+            ("set_status", 409),
+            ("delete", 409),
+        ):
+            failure = await self.fail(WRITES[verb], status, OBJECT)
+            self.assertTrue(failure.may_be_done, (verb, status))
+
     async def test_a_conflict_has_the_object_only_if_the_response_has_it(self):
         for verb in ("create", "replace"):
             for body, revision in ((OBJECT, 7), (b"", None), (b"{}", None)):
