Store: 429 doesn't say that a write was not done

The platform's page says of 503 that nothing was done. Of 429 it says that calls beyond the rate receive it and that refused calls are priced, not that they have no effect. A lot whose create got 429 was refused as not run on that ground.

Change: a write that got 429 may be done.

--- a/daisyhub/platform/_store.py
+++ b/daisyhub/platform/_store.py
@@ -25,8 +25,9 @@
 _NOT_FOUND = 404
 _CONFLICT = 409
 _GONE = 410
-# Statuses by which the store states that it did not execute the request.
-_NOT_EXECUTED_STATUSES = (429, 503)
+# The only status of which the platform states that nothing was done. It says
+# no such thing of 429.
+_NOT_DONE = 503
 # Lets a single store member serve the read, whose data may be stale.
 _STALE_READ_PARAM = "serializable=1"
 _NULL = msgspec.Raw(b"null")
@@ -252,8 +253,7 @@
         if response.status not in expected_statuses:
             raise ObjectStoreError(
                 f"{method} {target}: status {response.status}",
-                may_be_done=is_write
-                and response.status not in _NOT_EXECUTED_STATUSES,
+                may_be_done=is_write and response.status != _NOT_DONE,
             )
         return response
 
--- a/daisyhub/platform/tests/test_store.py
+++ b/daisyhub/platform/tests/test_store.py
@@ -46,6 +46,14 @@
             await call(new_store(result, body))
         return caught.exception
 
+    async def test_only_status_503_says_that_a_write_was_not_done(self):
+        for verb, call in WRITES.items():
+            for status in (429, 503, 400, 408, 410, 500, 502, 504):
+                failure = await self.fail(call, status)
+                self.assertEqual(
+                    failure.may_be_done, status != 503, (verb, status)
+                )
+
     async def test_a_write_without_response_may_be_done_once_it_was_sent(self):
         for verb, call in WRITES.items():
             for ran in ExecutionStatus:
