--- a/daisyhub/objects/tests/test_relayed_store.py
+++ b/daisyhub/objects/tests/test_relayed_store.py
@@ -30,6 +30,16 @@
         raise ObjectStoreError("unreachable", may_be_done=False)
 
 
+class BareConflictStore(MemoryStore):
+    """A store whose conflicts contain no object, like the platform's POST."""
+
+    async def create(self, kind, name, spec):
+        try:
+            return await super().create(kind, name, spec)
+        except ObjectConflictError as exc:
+            raise ObjectConflictError(str(exc), None) from exc
+
+
 def silent_log():
     return DecisionLog("d", write=lambda _: True)
 
@@ -136,3 +146,53 @@
         await store.read("k", "n")
         await store.watch("k", after_revision=0, wait_s=10.0)
         self.assertLessEqual(max(waits), 2.0)
+
+
+class UnknownWriteTest(unittest.IsolatedAsyncioTestCase):
+    """A write whose first try has an unknown outcome is relayed."""
+
+    def make(self, store_class=MemoryStore):
+        shared = store_class()
+        store = RelayedStore(shared, FixedRelayProvider(shared), silent_log())
+        return shared, store
+
+    async def test_a_conflict_without_object_is_no_success(self):
+        shared, store = self.make(BareConflictStore)
+        shared.fail_next("create", Fault.RESPONSE_LOST)
+        with self.assertRaises(ObjectConflictError) as caught:
+            await store.create("k", "n", b"1")
+        self.assertIsNone(caught.exception.found)
+
+    async def test_an_equal_value_of_another_daemon_counts_as_written(self):
+        shared, store = self.make()
+        shared.put("k", "n", b'{"b": 2, "a": 1}')
+        shared.fail_next("create", Fault.REFUSED)
+        found = await store.create("k", "n", b'{"a":1,"b":2}')
+        self.assertEqual(found, shared.objects["k", "n"])
+
+    async def test_a_replaced_object_with_newer_changes_conflicts(self):
+        shared, store = self.make()
+        first = shared.put("k", "n", b"1")
+        shared.fail_next("replace", Fault.RESPONSE_LOST)
+        call = shared.replace
+
+        async def replace_after_another(kind, name, spec, *, revision):
+            try:
+                return await call(kind, name, spec, revision=revision)
+            finally:
+                shared.put(kind, name, b"3")
+
+        shared.replace = replace_after_another
+        with self.assertRaises(ObjectConflictError) as caught:
+            await store.replace("k", "n", b"2", revision=first.revision)
+        self.assertEqual(caught.exception.found.spec, b"3")
+
+    async def test_a_delayed_conditional_write_changes_nothing_later(self):
+        shared, store = self.make()
+        shared.fail_next("create", Fault.DELAYED)
+        created = await store.create("k", "n", b"1")
+        shared.fail_next("replace", Fault.DELAYED)
+        await store.replace("k", "n", b"2", revision=created.revision)
+        newer = shared.put("k", "n", b"3")
+        shared.run_delayed_writes()
+        self.assertEqual(shared.objects["k", "n"], newer)
