Relayed writes: a conflict with bytes that can't be read stays a conflict

Cause: to tell whether a conflict is with the own value, the found object is decoded. Invalid bytes raised DecodeError, which callers of a write don't expect: the duty's controller and the registration of a daemon ended with it and were restarted, again and again while the object was there.

Change: such an object differs from any value. Found by reading.

--- a/daisyhub/objects/_base.py
+++ b/daisyhub/objects/_base.py
@@ -198,5 +198,9 @@
 
 
 def is_same_json(one: bytes, other: bytes) -> bool:
-    """Whether two JSON texts encode equal values."""
-    return msgspec.json.decode(one) == msgspec.json.decode(other)
+    """Whether two JSON texts encode equal values; False if one is invalid."""
+    try:
+        return msgspec.json.decode(one) == msgspec.json.decode(other)
+    except msgspec.DecodeError:
+        # Another writer's object, which has no value of ours.
+        return False
--- a/daisyhub/objects/tests/test_relayed_store.py
+++ b/daisyhub/objects/tests/test_relayed_store.py
@@ -196,3 +196,10 @@
         newer = shared.put("k", "n", b"3")
         shared.run_delayed_writes()
         self.assertEqual(shared.objects["k", "n"], newer)
+
+    async def test_an_object_that_cannot_be_decoded_is_another_value(self):
+        shared, store = self.make()
+        shared.put("k", "n", b'{"a":"\xff"}')
+        shared.fail_next("create", Fault.REFUSED)
+        with self.assertRaises(ObjectConflictError):
+            await store.create("k", "n", b"1")
