Usage reports: 503 and 4xx don't say that a report was not taken

The page of the platform's duty calls gives 200, 409 and 429 (calls beyond the rate, which it doesn't accept). "503 means that nothing was done" stands on the page of the metadata store, another service. The client reported 503 and every other 4xx as refused.

Change: only 429 and a call that wasn't sent count as refused.

The test listed (503, REFUSED), which rested on the other service's page; it now lists 503 and 400 as UNKNOWN, as strict as before. It failed before the change. test_desk.py: 2 passed.

--- a/daisyhub/billing/_desk.py
+++ b/daisyhub/billing/_desk.py
@@ -16,7 +16,8 @@
         DONE: The call took effect.
         STALE_FENCING: Rejected, since a higher fencing number was used before.
         REFUSED: The call was rejected or could not be sent.
-        UNKNOWN: No response; the call may have taken effect.
+        UNKNOWN: No response, or one that doesn't tell; the call may have taken
+            effect.
     """
 
     DONE = "done"
--- a/daisyhub/platform/_desk.py
+++ b/daisyhub/platform/_desk.py
@@ -12,8 +12,7 @@
 
 _OK = 200
 _CONFLICT = 409
-_MIN_SERVER_ERROR = 500
-_UNAVAILABLE = 503
+_TOO_MANY = 429
 # Timeout of a call; the platform normally responds in milliseconds.
 _CALL_TIMEOUT_S = 1.0
 
@@ -88,10 +87,9 @@
         self._log.record(
             "desk_call_failed", path=path, reason=f"status {response.status}"
         )
-        # Any server error other than 503 may follow the call's effect.
+        # The platform states of no other status that the call had no effect.
         return (
             OrderDeskOutcome.REFUSED
-            if response.status < _MIN_SERVER_ERROR
-            or response.status == _UNAVAILABLE
+            if response.status == _TOO_MANY
             else OrderDeskOutcome.UNKNOWN
         )
--- a/daisyhub/platform/tests/test_desk.py
+++ b/daisyhub/platform/tests/test_desk.py
@@ -36,7 +36,8 @@
             (200, OrderDeskOutcome.DONE),
             (409, OrderDeskOutcome.STALE_FENCING),
             (429, OrderDeskOutcome.REFUSED),
-            (503, OrderDeskOutcome.REFUSED),
+            (400, OrderDeskOutcome.UNKNOWN),
+            (503, OrderDeskOutcome.UNKNOWN),
             (500, OrderDeskOutcome.UNKNOWN),
             (504, OrderDeskOutcome.UNKNOWN),
         ):
