Weights: 503 to an order leaves it in doubt

The client reported it as refused. If such an order was accepted, or an earlier copy of it arrived late, the engine counted as idle while it loaded: it got runs, and another engine was ordered to load in its place. Its count of orders still kept a second load out.

Test: test_outcomes_by_status failed before (503: refused). test_engines.py: 2 passed, test_load_core.py: 16 passed.

--- a/daisyhub/platform/_engines.py
+++ b/daisyhub/platform/_engines.py
@@ -31,7 +31,6 @@
     409: OrderOutcome.CONFLICT,
     412: OrderOutcome.STALE_FENCING,
     421: OrderOutcome.OTHER_ENDPOINT,
-    503: OrderOutcome.REFUSED,
 }
 _MODE_NAMES = {LoadMode.FINISH: "wait", LoadMode.CONTINUE: "retain"}
 _ENDPOINT_HEADER = b"daisyhub-expect-instance"
