Trainers' lots: a call whose commit may be under way isn't "not run"

What trainers saw: a pull, ack, close or open refused with "ran": "not_run" (surely not) whose write to the lot's state may have taken effect or still may: the write had no answer when the call's time was up, the holder stopped, the call was forwarded and the holder lost, or the create of the lot had no answer.

Cause: a refusal says not run unless told otherwise, and these paths told nothing.

Change: these refusals say unknown; status and Retry-After stay. Refusals by the lot's state (closed, acknowledged, unknown pull) still say not run. Found by reading.

--- a/daisyhub/controllers/_lot_server.py
+++ b/daisyhub/controllers/_lot_server.py
@@ -16,6 +16,7 @@
 from daisyhub.controllers._lot_engines import LotEngines
 from daisyhub.exceptions import (
     ErrorCode,
+    ExecutionStatus,
     PlatformConflictError,
     PlatformUnavailableError,
     Refusal,
@@ -75,6 +76,8 @@
     RefusalReason.ACKED: ErrorCode.LOT_CONFLICT,
     RefusalReason.UNKNOWN_PULL: ErrorCode.LOT_CONFLICT,
 }
+# Reasons with which a call ends while a write of its effect may be under way.
+_UNKNOWN_OUTCOMES = (RefusalReason.RELEASED, RefusalReason.PLATFORM)
 
 log = get_logger("lots")
 
@@ -390,7 +393,12 @@
     error = _ERROR_CODES[reason]
     is_final = error is ErrorCode.LOT_CONFLICT
     raise Refusal(
-        error, reason.value, retry_after_s=None if is_final else _RETRY_AFTER_S
+        error,
+        reason.value,
+        ran=ExecutionStatus.UNKNOWN
+        if reason in _UNKNOWN_OUTCOMES
+        else ExecutionStatus.NOT_RUN,
+        retry_after_s=None if is_final else _RETRY_AFTER_S,
     )
 
 
--- a/daisyhub/controllers/_lots.py
+++ b/daisyhub/controllers/_lots.py
@@ -14,6 +14,7 @@
 from daisyhub.controllers._lot_specs import LotSpecStore
 from daisyhub.exceptions import (
     ErrorCode,
+    ExecutionStatus,
     PlatformUnavailableError,
     Refusal,
 )
@@ -100,9 +101,11 @@
             server = await self._get_or_start_server(call)
             return await self._serve_here(server, call)
         except PlatformUnavailableError as exc:
+            # The lot may be open, or the call was forwarded and got no answer.
             raise Refusal(
                 ErrorCode.PLATFORM_UNAVAILABLE,
                 "the platform does not answer",
+                ran=ExecutionStatus.UNKNOWN,
                 retry_after_s=_RETRY_AFTER_S,
             ) from exc
 
@@ -254,9 +257,11 @@
 
 
 def _takeover_refusal() -> Refusal:
+    """Returns the refusal of a call that an earlier holder may have served."""
     return Refusal(
         ErrorCode.LOT_ELSEWHERE,
         "the lot is being taken over",
+        ran=ExecutionStatus.UNKNOWN,
         retry_after_s=_RETRY_AFTER_S,
     )
 
