Lots: a lot is logged as deleted only once it is

Cause: a failed delete was dropped without its reason, and lot_deleted was logged all the same, so a log couldn't tell a stored lot from a deleted one.

Change: a failure is logged as lot_delete_failed with its reason and repeated as before.

--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -1,6 +1,5 @@
 """Runs all open lots while this daemon has the duty for lots."""
 
-import contextlib
 import dataclasses
 import time
 from collections.abc import Callable
@@ -603,8 +602,7 @@
     async def _delete_expired_lots(self, watcher: KindWatcher) -> None:
         """Deletes lots whose retention time is over, at intervals.
 
-        Each attempt is logged as `lot_deleted`, also if it fails; a failed one
-        is repeated at the next interval.
+        A failed attempt is repeated at the next interval.
         """
         while True:
             await anyio.sleep(_DELETE_INTERVAL_S)
@@ -621,8 +619,15 @@
                 )
                 if now_s - lot.head.accepted_s < retention_s:
                     continue
-                with contextlib.suppress(ObjectStoreError):
-                    await self._deps.lots.delete(
-                        lot.head, lot.listing.chunk_positions
-                    )
-                self._deps.log.record("lot_deleted", lot=found.name)
+                await self._delete_lot(lot)
+
+    async def _delete_lot(self, lot: _LotState) -> None:
+        lot_id = lot.head.lot_id
+        try:
+            await self._deps.lots.delete(lot.head, lot.listing.chunk_positions)
+        except ObjectStoreError as exc:
+            self._deps.log.record(
+                "lot_delete_failed", lot=lot_id, reason=str(exc)
+            )
+            return
+        self._deps.log.record("lot_deleted", lot=lot_id)
--- a/daisyhub/lots/tests/test_holder.py
+++ b/daisyhub/lots/tests/test_holder.py
@@ -2,16 +2,16 @@
 
 import types
 import unittest
+from unittest import mock
 
+import anyio
 import msgspec
 
 from daisyhub.logs import DecisionLog
-from daisyhub.lots import ItemResult, LotHead, LotHolder, LotStore
+from daisyhub.lots import ItemResult, LotHead, LotHolder, LotStore, _holder
 from daisyhub.lots._holder import LotHolderDependencies, _LotState
 from daisyhub.lots._listing_core import ItemFinished, ListingCore
-from daisyhub.testing.object_store import MemoryStore
-
-LOG = DecisionLog("d", write=lambda _: True)
+from daisyhub.testing.object_store import Fault, MemoryStore
 
 
 class RecordedTasks:
@@ -31,7 +31,9 @@
 class LotHolderTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.unsent_bytes = 0
-        self.lots = LotStore(MemoryStore())
+        self.events = []
+        self.store = MemoryStore()
+        self.lots = LotStore(self.store)
         deps = LotHolderDependencies(
             store=None,
             lots=self.lots,
@@ -40,8 +42,13 @@
             pool=None,
             is_loading=None,
             has_lost_peers=lambda: False,
-            clock=None,
-            log=LOG,
+            clock=types.SimpleNamespace(now_s=lambda: 1e9),
+            log=DecisionLog(
+                "d",
+                write=lambda line: self.events.append(
+                    msgspec.json.decode(line)["event"]
+                ),
+            ),
             unsent_bytes=lambda: self.unsent_bytes,
             status_s=60.0,
         )
@@ -106,3 +113,20 @@
         self.assertEqual(await self.holder.results("L", 0, 0.0), [result("a")])
         self.lot.is_ended = True
         self.assertIsNone(await self.holder.results("L", 0, 0.0))
+
+    async def test_a_lot_is_called_deleted_only_once_it_is(self):
+        faults = (Fault.REFUSED, Fault.RESPONSE_LOST, Fault.DELAYED)
+        self.store.fail_next("delete", *faults)
+        watcher = types.SimpleNamespace(
+            objects={"L": types.SimpleNamespace(name="L")}
+        )
+        with mock.patch.object(_holder, "_DELETE_INTERVAL_S", 0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.holder._delete_expired_lots, watcher)
+                with anyio.fail_after(10):
+                    while len(self.events) < 4:
+                        await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+        self.assertEqual(
+            self.events[:4], ["lot_delete_failed"] * 3 + ["lot_deleted"]
+        )
