--- /dev/null
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -0,0 +1,71 @@
+"""Chunks, progress and ends of lots whose writes have an unknown outcome."""
+
+import unittest
+
+from daisyhub.lots import ItemResult, LotStore
+from daisyhub.lots._run_types import Progress
+from daisyhub.objects import ObjectConflictError, ObjectStoreError
+from daisyhub.testing.object_store import BareConflictStore, Fault
+
+OWN = (ItemResult(item_id="a", state="completed", text="own"),)
+MORE = (*OWN, ItemResult(item_id="b", state="completed", text="own"))
+
+
+class LotWriteTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = BareConflictStore()
+        self.lots = LotStore(self.store)
+
+    async def test_a_chunk_that_could_not_be_confirmed_keeps_its_results(self):
+        self.store.fail_next("create", Fault.RESPONSE_LOST)
+        self.store.fail_next("read", Fault.REFUSED)
+        for _ in range(2):
+            with self.assertRaises(ObjectStoreError):
+                await self.lots.write_chunk("L", 0, OWN)
+        self.assertEqual(await self.lots.write_chunk("L", 0, MORE), OWN)
+
+    async def test_a_chunk_that_arrives_late_replaces_none(self):
+        self.store.fail_next("create", Fault.DELAYED)
+        with self.assertRaises(ObjectStoreError):
+            await self.lots.write_chunk("L", 0, OWN)
+        self.assertEqual(await self.lots.write_chunk("L", 0, MORE), MORE)
+        self.store.run_delayed_writes()
+        self.assertEqual(await self.lots.chunk("L", 0), MORE)
+
+    async def save(self, text, revision):
+        """Saves progress as the holder does; returns the next revision."""
+        progress = {"a": Progress(texts=(text,), versions=(1,))}
+        try:
+            return await self.lots.save_progress("L", progress, revision)
+        except (ObjectStoreError, ObjectConflictError):
+            return 0
+
+    async def saved_text(self):
+        return (await self.lots.progress("L"))["a"].texts
+
+    async def test_progress_is_saved_after_any_unknown_outcome(self):
+        faults = (Fault.REFUSED, Fault.RESPONSE_LOST, Fault.DELAYED)
+        for verb in ("create", "replace"):
+            for fault in faults:
+                self.setUp()
+                revision = 0
+                if verb == "replace":
+                    revision = await self.save("1", 0)
+                self.store.fail_next(verb, fault)
+                revision = await self.save("2", revision)
+                revision = await self.save("3", revision)
+                self.store.run_delayed_writes()
+                self.assertEqual(await self.saved_text(), ("3",))
+                revision = await self.save("4", revision)
+                self.assertEqual(await self.saved_text(), ("4",))
+
+    async def test_an_end_that_arrives_late_changes_nothing(self):
+        await self.store.create("lots", "L", b"{}")
+        self.store.fail_next("set_status", Fault.DELAYED)
+        with self.assertRaises(ObjectStoreError) as caught:
+            await self.lots.end("L")
+        self.assertTrue(caught.exception.may_be_done)
+        self.assertTrue(await self.lots.end("L"))
+        ended = self.store.objects["lots", "L"].status
+        self.store.run_delayed_writes()
+        self.assertEqual(self.store.objects["lots", "L"].status, ended)
--- a/daisyhub/objects/tests/test_relayed_store.py
+++ b/daisyhub/objects/tests/test_relayed_store.py
@@ -11,7 +11,11 @@
     RelayedStore,
     RelayProvider,
 )
-from daisyhub.testing.object_store import Fault, MemoryStore
+from daisyhub.testing.object_store import (
+    BareConflictStore,
+    Fault,
+    MemoryStore,
+)
 
 
 class FixedRelayProvider(RelayProvider):
@@ -30,16 +34,6 @@
         raise ObjectStoreError("unreachable", may_be_done=False)
 
 
-class BareConflictStore(MemoryStore):
-    """A store whose conflicts contain no object, like the platform's POST."""
-
-    async def create(self, kind, name, spec):
-        try:
-            return await super().create(kind, name, spec)
-        except ObjectConflictError as exc:
-            raise ObjectConflictError(str(exc), None) from exc
-
-
 def silent_log():
     return DecisionLog("d", write=lambda _: True)
 
--- a/daisyhub/testing/object_store.py
+++ b/daisyhub/testing/object_store.py
@@ -15,7 +15,7 @@
     WatchBatch,
 )
 
-__all__ = ["Fault", "MemoryStore"]
+__all__ = ["BareConflictStore", "Fault", "MemoryStore"]
 
 _READS = frozenset({"read", "list_all", "watch"})
 
@@ -220,3 +220,17 @@
         self._changed.set()
         self._changed = anyio.Event()
         return stored_object
+
+
+class BareConflictStore(MemoryStore):
+    """A store whose conflicts of creates contain no object.
+
+    That is what the platform answers.
+    """
+
+    async def create(self, kind: str, name: str, spec: bytes) -> StoredObject:
+        """See `ObjectStore.create`."""
+        try:
+            return await super().create(kind, name, spec)
+        except ObjectConflictError as exc:
+            raise ObjectConflictError(str(exc), None) from exc
