Lots: a lot that is deleted in part isn't run again

Cause: a lot's results were deleted before its items, and a failed call ended the attempt. A holder that took over before the next attempt (10 s) found the head and the items but no results, and ran all items again: other results at positions that had been read. Only lots that nobody ended are affected, 20 times the retention after their submission.

Change: items first, then the results from the last to the first, then the head. What is left of a lot either has all results or can't be run. Test: test_a_lot_that_is_deleted_in_part_is_not_run_again failed before (ObjectStoreError not raised: the items were there). test_lot_writes.py: 5 passed. Found by reading.

--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -304,19 +304,22 @@
         return found is not None
 
     async def delete(self, head: LotHead, chunk_positions: list[int]) -> None:
-        """Deletes all objects of a lot, the head last.
+        """Deletes all objects of a lot, its items first and the head last.
+
+        Without its items, a lot that is deleted in part can't be run again by
+        a holder that misses the results.
 
         Args:
             head: The lot.
             chunk_positions: Positions of the first results of its chunks.
         """
-        for first in chunk_positions:
-            name = _chunk_name(head.lot_id, first)
-            await self._store.delete(_RESULTS_KIND, name)
-        await self._store.delete(_PROGRESS_KIND, head.lot_id)
         for number in range(head.parts):
             name = _part_name(head.lot_id, number)
             await self._store.delete(_ITEMS_KIND, name)
+        await self._store.delete(_PROGRESS_KIND, head.lot_id)
+        for first in reversed(chunk_positions):
+            name = _chunk_name(head.lot_id, first)
+            await self._store.delete(_RESULTS_KIND, name)
         await self._store.delete(LOTS_KIND, head.lot_id)
 
     def _cache_lot(self, spec: LotSpec) -> None:
--- a/daisyhub/lots/tests/test_lot_writes.py
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -1,14 +1,39 @@
 """Chunks, progress and ends of lots whose writes have an unknown outcome."""
 
+import contextlib
+import itertools
 import unittest
 
-from daisyhub.lots import ItemResult, LotStore
+from daisyhub.lots import (
+    ItemResult,
+    ItemSpec,
+    LotHead,
+    LotSpec,
+    LotStore,
+)
 from daisyhub.lots._run_types import Progress
 from daisyhub.objects import ObjectConflictError, ObjectStoreError
 from daisyhub.testing.object_store import BareConflictStore, Fault
 
 OWN = (ItemResult(item_id="a", state="completed", text="own"),)
 MORE = (*OWN, ItemResult(item_id="b", state="completed", text="own"))
+SPEC = LotSpec(
+    head=LotHead(
+        lot_id="L",
+        account="a",
+        host="h",
+        path="/p",
+        step=1,
+        model="m",
+        oldest_version=1,
+        wanted_groups=1,
+        total=2,
+    ),
+    items=tuple(
+        ItemSpec(item_id=i, path="/p/i", headers={}, body=b"x", group="g")
+        for i in "ab"
+    ),
+)
 
 
 class LotWriteTest(unittest.IsolatedAsyncioTestCase):
@@ -69,3 +94,30 @@
         ended = self.store.objects["lots", "L"].status
         self.store.run_delayed_writes()
         self.assertEqual(self.store.objects["lots", "L"].status, ended)
+
+    async def test_a_lot_that_is_deleted_in_part_is_not_run_again(self):
+        for failing in range(6):
+            self.setUp()
+            head = await self.lots.accept(SPEC)
+            for first, result in enumerate(MORE):
+                await self.lots.write_chunk("L", first, (result,))
+            await self.delete_in_part(head, failing)
+            next_holder = LotStore(self.store)
+            if await next_holder.head("L") is None:
+                continue
+            if len(await next_holder.results("L", 0)) < head.total:
+                with self.assertRaises(ObjectStoreError):
+                    await next_holder.spec(head)
+
+    async def delete_in_part(self, head, failing):
+        """Deletes a lot; the call of the store with this number fails."""
+        delete, numbers = self.store.delete, itertools.count()
+
+        async def delete_unless_failing(kind, name):
+            if next(numbers) == failing:
+                raise ObjectStoreError("lost", may_be_done=True)
+            await delete(kind, name)
+
+        self.store.delete = delete_unless_failing
+        with contextlib.suppress(ObjectStoreError):
+            await self.lots.delete(head, [0, 1])
