Relays: a response without object doesn't say that there is none

Cause: StoreResponse.found defaulted to None, which for a read means that the object doesn't exist and for a status that there was nothing to change. A response without the field, from another build, was evidence that a lot isn't stored, on which a submission is refused as not run.

Change: an absent field is told apart from None, and such a response is a failed call. Old and new builds understand each other: peers of all builds name the object of a read, and an old build reads the absent field of a failure as None.

Test: test_a_response_without_object_does_not_say_that_none_exists failed before (no error raised). test_store_calls.py: 9 passed. Found by reading; all builds so far send the field.

--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -129,7 +129,8 @@
         detail: One sentence that describes the failure.
         may_be_done: Whether a failed call may have taken effect; true unless
             the peer states otherwise.
-        found: The object that was read, written or in conflict.
+        found: The object that was read, written or in conflict; None if there
+            is none, and unset if the peer doesn't say.
         revision: The revision of a list or a watch.
         items: The objects of a list, or the changes of a watch.
     """
@@ -137,7 +138,7 @@
     failure: str = ""
     detail: str = ""
     may_be_done: bool = True
-    found: StoredObject | None = None
+    found: StoredObject | None | msgspec.UnsetType = msgspec.UNSET
     revision: int = 0
     items: tuple[StoredObject, ...] = ()
 
--- a/daisyhub/cluster/_store_calls.py
+++ b/daisyhub/cluster/_store_calls.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable
 
+import msgspec
+
 from daisyhub.cluster._messages import StoreRequest, StoreResponse
 from daisyhub.cluster._peers import PeerTable
 from daisyhub.hosting import rank_candidates
@@ -115,10 +117,9 @@
         self, kind: str, name: str, *, can_be_stale: bool = False
     ) -> StoredObject | None:
         del can_be_stale  # Peers relay few calls, so none needs to be stale.
-        response = await self._call(
+        return await self._call_for_object(
             StoreRequest(verb="read", kind=kind, name=name)
         )
-        return response.found
 
     async def list_all(self, kind: str) -> ObjectList:
         response = await self._call(
@@ -169,20 +170,32 @@
         request = StoreRequest(
             verb="set_status", kind=kind, name=name, content=status
         )
-        return (await self._call(request)).found
+        return await self._call_for_object(request)
 
     async def delete(self, kind: str, name: str) -> None:
         await self._call(StoreRequest(verb="delete", kind=kind, name=name))
 
     async def _write(self, request: StoreRequest) -> StoredObject:
         """Makes a write whose response contains the written object."""
-        response = await self._call(request)
-        if response.found is None:
+        found = await self._call_for_object(request)
+        if found is None:
             raise ObjectStoreError(
                 f"the response of {self._peer_id} lacks the written object",
                 may_be_done=True,
             )
-        return response.found
+        return found
+
+    async def _call_for_object(
+        self, request: StoreRequest
+    ) -> StoredObject | None:
+        """Returns the object of a response, None if it says there is none."""
+        found = (await self._call(request)).found
+        if found is msgspec.UNSET:
+            raise ObjectStoreError(
+                f"the response of {self._peer_id} names no object",
+                may_be_done=request.verb not in _READS,
+            )
+        return found
 
     async def _call(
         self, request: StoreRequest, wait_s: float = 0
@@ -200,7 +213,7 @@
             case "":
                 return response
             case "conflict":
-                raise ObjectConflictError(detail, response.found)
+                raise ObjectConflictError(detail, response.found or None)
             case "history_gone":
                 raise HistoryGoneError(detail)
             case "unavailable":
--- a/daisyhub/cluster/tests/test_store_calls.py
+++ b/daisyhub/cluster/tests/test_store_calls.py
@@ -33,6 +33,13 @@
     return decoded.messages[0].content
 
 
+def decode_response(fields):
+    """Returns a response in which a peer sent only some fields."""
+    return msgspec.msgpack.decode(
+        msgspec.msgpack.encode(fields), type=StoreResponse
+    )
+
+
 class FakeNetwork:
     """Calls the handler of one peer; messages pass the wire format.
 
@@ -105,10 +112,7 @@
         self.assertEqual(caught.exception.found.spec, b"1")
 
     def test_an_absent_field_is_not_read_as_not_done(self):
-        response = msgspec.msgpack.decode(
-            msgspec.msgpack.encode({"type": "sa", "failure": "unavailable"}),
-            type=StoreResponse,
-        )
+        response = decode_response({"type": "sa", "failure": "unavailable"})
         self.assertTrue(response.may_be_done)
 
     async def test_a_failure_that_this_build_does_not_know_may_be_done(self):
@@ -134,3 +138,20 @@
         )
         self.assertEqual(response.failure, "unavailable")
         self.assertFalse(response.may_be_done)
+
+    async def test_a_response_without_object_does_not_say_that_none_exists(
+        self,
+    ):
+        async def respond(_):
+            return decode_response({"type": "sa"})
+
+        store = relay_through(respond)
+        with self.assertRaises(ObjectStoreError):
+            await store.read("k", "n")
+        failure = await self.fail(store, "set_status")
+        self.assertTrue(failure.may_be_done)
+
+    async def test_an_object_that_does_not_exist_is_reported_as_absent(self):
+        store = relay_to(MemoryStore())
+        self.assertIsNone(await store.read("k", "n"))
+        self.assertIsNone(await WRITES["set_status"](store))
