--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -65,8 +65,9 @@
         try:
             return await self._handle_objects(request, kind, name)
         except ObjectConflictError as exc:
-            value = _encode_object(exc.found) if exc.found else None
-            return Response(status=409, value=value)
+            if exc.found is None or request.method == "POST":
+                return Response(status=409)
+            return Response(status=409, value=_encode_object(exc.found))
         except HistoryGoneError:
             return Response(status=410)
 
