--- a/daisyhub/lots/tests/test_lot_writes.py
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -84,6 +84,14 @@
                 revision = await self.save("4", revision)
                 self.assertEqual(await self.saved_text(), ("4",))
 
+    async def test_progress_is_saved_again_after_a_cancelled_save(self):
+        revision = await self.save("1", 0)
+        await self.save("2", revision)
+        # The holder didn't learn the revision of the cancelled save.
+        revision = await self.save("3", revision)
+        await self.save("4", revision)
+        self.assertEqual(await self.saved_text(), ("4",))
+
     async def test_an_end_that_arrives_late_changes_nothing(self):
         await self.store.create("lots", "L", b"{}")
         self.store.fail_next("set_status", Fault.DELAYED)
