Test: items of a refused lot run under a later head (red)

A part whose create conflicts is passed over, whatever the stored part contains. If a submission stored its parts and was refused as not run (the create of its head was refused), a later submission with the same id and other items is accepted, and its head names the refused one's items. The test fails: items (a, b) stored for a lot of (b).

--- a/daisyhub/lots/tests/test_lot_writes.py
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -4,6 +4,8 @@
 import itertools
 import unittest
 
+import msgspec
+
 from daisyhub.lots import (
     ItemResult,
     ItemSpec,
@@ -103,6 +105,25 @@
         self.store.run_delayed_writes()
         self.assertEqual(self.store.objects["lots", "L"].status, ended)
 
+    async def test_items_of_a_refused_lot_do_not_run_under_a_later_head(self):
+        create = self.store.create
+
+        async def refuse_head(kind, name, spec):
+            if kind == "lots":
+                raise ObjectStoreError("refused", may_be_done=False)
+            return await create(kind, name, spec)
+
+        self.store.create = refuse_head
+        with self.assertRaises(ObjectStoreError) as caught:
+            await self.lots.accept(SPEC)
+        self.assertFalse(caught.exception.may_be_done)
+        self.store.create = create
+        other = msgspec.structs.replace(SPEC, items=SPEC.items[1:])
+        with contextlib.suppress(ObjectStoreError):
+            head = await self.lots.accept(other)
+            stored = await LotStore(self.store).spec(head)
+            self.assertEqual(stored.items, other.items)
+
     async def test_a_lot_that_is_deleted_in_part_is_not_run_again(self):
         for failing in range(6):
             self.setUp()
