--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -127,16 +127,18 @@
     Attributes:
         failure: `conflict`, `history_gone` or `unavailable`; empty on success.
         detail: One sentence that describes the failure.
-        may_be_done: Whether a failed call may have taken effect.
-        found: The object that was read, written or in conflict.
+        may_be_done: Whether a failed call may have taken effect; true unless
+            the peer states otherwise.
+        found: The object that was read, written or in conflict; None if there
+            is none, and unset if the peer doesn't say.
         revision: The revision of a list or a watch.
         items: The objects of a list, or the changes of a watch.
     """
 
     failure: str = ""
     detail: str = ""
-    may_be_done: bool = False
-    found: StoredObject | None = None
+    may_be_done: bool = True
+    found: StoredObject | None | msgspec.UnsetType = msgspec.UNSET
     revision: int = 0
     items: tuple[StoredObject, ...] = ()
 
--- a/daisyhub/objects/tests/test_relayed_store.py
+++ b/daisyhub/objects/tests/test_relayed_store.py
@@ -11,7 +11,11 @@
     RelayedStore,
     RelayProvider,
 )
-from daisyhub.testing.object_store import Fault, MemoryStore
+from daisyhub.testing.object_store import (
+    BareConflictStore,
+    Fault,
+    MemoryStore,
+)
 
 
 class FixedRelayProvider(RelayProvider):
@@ -136,3 +140,60 @@
         await store.read("k", "n")
         await store.watch("k", after_revision=0, wait_s=10.0)
         self.assertLessEqual(max(waits), 2.0)
+
+
+class UnknownWriteTest(unittest.IsolatedAsyncioTestCase):
+    """A write whose first try has an unknown outcome is relayed."""
+
+    def make(self, store_class=MemoryStore):
+        shared = store_class()
+        store = RelayedStore(shared, FixedRelayProvider(shared), silent_log())
+        return shared, store
+
+    async def test_a_conflict_without_object_is_no_success(self):
+        shared, store = self.make(BareConflictStore)
+        shared.fail_next("create", Fault.RESPONSE_LOST)
+        with self.assertRaises(ObjectConflictError) as caught:
+            await store.create("k", "n", b"1")
+        self.assertIsNone(caught.exception.found)
+
+    async def test_an_equal_value_of_another_daemon_counts_as_written(self):
+        shared, store = self.make()
+        shared.put("k", "n", b'{"b": 2, "a": 1}')
+        shared.fail_next("create", Fault.REFUSED)
+        found = await store.create("k", "n", b'{"a":1,"b":2}')
+        self.assertEqual(found, shared.objects["k", "n"])
+
+    async def test_a_replaced_object_with_newer_changes_conflicts(self):
+        shared, store = self.make()
+        first = shared.put("k", "n", b"1")
+        shared.fail_next("replace", Fault.RESPONSE_LOST)
+        call = shared.replace
+
+        async def replace_after_another(kind, name, spec, *, revision):
+            try:
+                return await call(kind, name, spec, revision=revision)
+            finally:
+                shared.put(kind, name, b"3")
+
+        shared.replace = replace_after_another
+        with self.assertRaises(ObjectConflictError) as caught:
+            await store.replace("k", "n", b"2", revision=first.revision)
+        self.assertEqual(caught.exception.found.spec, b"3")
+
+    async def test_a_delayed_conditional_write_changes_nothing_later(self):
+        shared, store = self.make()
+        shared.fail_next("create", Fault.DELAYED)
+        created = await store.create("k", "n", b"1")
+        shared.fail_next("replace", Fault.DELAYED)
+        await store.replace("k", "n", b"2", revision=created.revision)
+        newer = shared.put("k", "n", b"3")
+        shared.run_delayed_writes()
+        self.assertEqual(shared.objects["k", "n"], newer)
+
+    async def test_an_object_that_cannot_be_decoded_is_another_value(self):
+        shared, store = self.make()
+        shared.put("k", "n", b'{"a":"\xff"}')
+        shared.fail_next("create", Fault.REFUSED)
+        with self.assertRaises(ObjectConflictError):
+            await store.create("k", "n", b"1")
