Parts of a lot are named after its account and items

A lot that was refused as not run left its parts in the store. A later lot with the same id, but of another account or with other items, found them there, took the conflict for a repeat of its own, and was accepted with the items of the refused one, which then ran.

Change: the names of the parts contain a digest of account and items, which the head states. Heads without a digest, of earlier builds, keep their parts' names.

--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -1,14 +1,16 @@
 """Storage of lots and results in the platform's store.
 
 A lot's items are stored in several objects, its parts, which are written before
-its head. Creating the head accepts the lot and resolves the race between
-daemons that receive the same lot. Results are stored in immutable chunks, each
-named after its first position. Creating a chunk decides which results occupy
-its positions, so that any number of daemons may run one lot without listing an
-item twice.
+its head and named after their content, so that submissions of other items under
+the same id share none. Creating the head accepts the lot and resolves the race
+between daemons that receive the same lot. Results are stored in immutable
+chunks, each named after its first position. Creating a chunk decides which
+results occupy its positions, so that any number of daemons may run one lot
+without listing an item twice.
 """
 
 import collections
+import hashlib
 
 import msgspec
 
@@ -37,6 +39,8 @@
 # Maximum number of lots whose items are cached after a create or a read: those
 # of a few steps.
 _MAX_CACHED_LOTS = 6
+# Size in bytes of the digest that tells submissions with one id apart.
+_DIGEST_BYTES = 8
 
 
 class LotStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,12 +105,19 @@
                 `may_be_done` is unset only if this call can't have created the
                 head and a current read found none after the failure.
         """
-        parts = list(_split_into_parts(spec.items))
-        head = msgspec.structs.replace(spec.head, parts=len(parts))
+        parts = [
+            msgspec.json.encode(_Part(items=tuple(items)))
+            for items in _split_into_parts(spec.items)
+        ]
+        head = msgspec.structs.replace(
+            spec.head,
+            parts=len(parts),
+            parts_digest=_digest(spec.head.account, parts),
+        )
         content = msgspec.json.encode(head)
         try:
-            for number, items in enumerate(parts):
-                await self._create_part(_part_name(head.lot_id, number), items)
+            for number, part in enumerate(parts):
+                await self._create_part(_part_name(head, number), part)
             await self._store.create(LOTS_KIND, head.lot_id, content)
         except ObjectConflictError as exc:
             if exc.found is not None:
@@ -119,18 +130,17 @@
             return head
         return await self._read_head_after(failure, head.lot_id)
 
-    async def _create_part(self, name: str, items: list[ItemSpec]) -> None:
+    async def _create_part(self, name: str, content: bytes) -> None:
         """Creates a part.
 
         A failure is always reported as not done, as a lot without a head
         isn't run.
         """
-        content = msgspec.json.encode(_Part(items=tuple(items)))
         try:
             await self._store.create(_ITEMS_KIND, name, content)
         except ObjectConflictError:
-            # A lot with this id was submitted before, or also to another
-            # daemon. Creating the head decides which of them is accepted.
+            # The same lot was submitted before, or also to another daemon.
+            # Creating the head decides which of them is accepted.
             return
         except ObjectStoreError as exc:
             raise ObjectStoreError(str(exc), may_be_done=False) from exc
@@ -177,7 +187,7 @@
             return cached
         items: list[ItemSpec] = []
         for number in range(head.parts):
-            name = _part_name(head.lot_id, number)
+            name = _part_name(head, number)
             found = await self._read_immutable(_ITEMS_KIND, name)
             if found is None:
                 raise ObjectStoreError(
@@ -314,7 +324,7 @@
             chunk_positions: Positions of the first results of its chunks.
         """
         for number in range(head.parts):
-            name = _part_name(head.lot_id, number)
+            name = _part_name(head, number)
             await self._store.delete(_ITEMS_KIND, name)
         await self._store.delete(_PROGRESS_KIND, head.lot_id)
         for first in reversed(chunk_positions):
@@ -344,8 +354,18 @@
         yield part
 
 
-def _part_name(lot_id: str, number: int) -> str:
-    return f"{lot_id}.{number}"
+def _digest(account: str, parts: list[bytes]) -> str:
+    digest = hashlib.blake2b(account.encode(), digest_size=_DIGEST_BYTES)
+    for part in parts:
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _part_name(head: LotHead, number: int) -> str:
+    """Returns a part's name, which lots with other items don't share."""
+    if not head.parts_digest:
+        return f"{head.lot_id}.{number}"
+    return f"{head.lot_id}.{head.parts_digest}.{number}"
 
 
 def _chunk_name(lot_id: str, first: int) -> str:
--- a/daisyhub/lots/_types.py
+++ b/daisyhub/lots/_types.py
@@ -69,6 +69,8 @@
         wanted_groups: Number of groups that the trainer waits for.
         total: Number of items.
         parts: Number of objects that contain the items.
+        parts_digest: Digest of the account and the items, part of the names of
+            these objects; empty if the names contain none.
         accepted_s: Time of its acceptance on the cluster's clock, in seconds
             since 1970.
         due_s: Seconds from its acceptance until its results are due.
@@ -89,6 +91,7 @@
     wanted_groups: int
     total: int
     parts: int = 0
+    parts_digest: str = ""
     accepted_s: float = 0.0
     due_s: float = 0.0
     max_wait_s: float = 0.0
