Not run is promised only of a lot whose last part isn't stored

A repeat of a submission was refused as not run after a read had found no head, and then a create of the head that an earlier attempt had sent took effect, up to seconds later: the lot ran. Also for a head create of this attempt that every try reported as refused, a repeat of it at another daemon.

Cause: that no head is stored says nothing of a create that is under way.

Change: a daemon sends the create of the head only after it knows that all parts are stored. So a current read that finds the last part absent shows that no submission of this lot, at any daemon, has sent one. Only then, and if there is no head, a refusal says not run; with all parts stored it is 504.

Cost: one more read where a promise would follow, and more 504 instead of 503. Not covered: an attempt at a daemon that is frozen, or whose caller left without an answer, and that goes on afterwards.

--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -102,8 +102,8 @@
 
         Raises:
             ObjectStoreError: The lot isn't stored, or that is unknown.
-                `may_be_done` is unset only if this call can't have created the
-                head and a current read found none after the failure.
+                `may_be_done` is unset only if no submission of this lot can
+                have sent a create of the head.
         """
         parts = [
             msgspec.json.encode(_Part(items=tuple(items)))
@@ -128,7 +128,7 @@
         else:
             self._cache_lot(LotSpec(head=head, items=spec.items))
             return head
-        return await self._read_head_after(failure, head.lot_id)
+        return await self._resolve_failure(failure, head)
 
     async def _create_part(self, name: str, content: bytes) -> None:
         """Creates a part.
@@ -145,8 +145,8 @@
         except ObjectStoreError as exc:
             raise ObjectStoreError(str(exc), may_be_done=False) from exc
 
-    async def _read_head_after(
-        self, failure: ObjectStoreError, lot_id: str
+    async def _resolve_failure(
+        self, failure: ObjectStoreError, head: LotHead
     ) -> LotHead:
         """Returns the head that is stored although accepting the lot failed.
 
@@ -154,18 +154,28 @@
         outcome.
 
         Raises:
-            ObjectStoreError: `failure` if there is no head. If it can't be
-                read, the outcome is unknown whatever `failure` says.
+            ObjectStoreError: There is none, or it can't be read.
         """
         try:
-            found = await self._store.read(LOTS_KIND, lot_id)
+            found = await self._store.read(LOTS_KIND, head.lot_id)
+            if found is not None:
+                return decode_head(found)[0]
+            may_be_done = failure.may_be_done or await self._has_all_parts(head)
         except ObjectStoreError as exc:
             raise ObjectStoreError(
-                f"{failure}; reading the head failed: {exc}", may_be_done=True
+                f"{failure}; reading the lot failed: {exc}", may_be_done=True
             ) from exc
-        if found is None:
-            raise failure
-        return decode_head(found)[0]
+        raise ObjectStoreError(
+            str(failure), may_be_done=may_be_done
+        ) from failure
+
+    async def _has_all_parts(self, head: LotHead) -> bool:
+        """Whether a create of the head may be under way at any daemon.
+
+        A daemon sends it only after the last part is known to be stored.
+        """
+        name = _part_name(head, head.parts - 1)
+        return await self._store.read(_ITEMS_KIND, name) is not None
 
     async def head(self, lot_id: str) -> tuple[LotHead, LotStatus] | None:
         """Returns a lot's head and status, or None if there is none.
