A promising status goes out only with a refusal that is known not run

A refusal has a status and, beside it, what is known of the request's run. Nothing kept a code with 503 from going out with an unknown outcome; a caller of the platform takes the status for a promise. No raise of the platform's chain does so now: this closes the border for later ones.

Change: GatewayApp answers 500 instead and logs refusal_without_evidence.

--- a/daisyhub/exceptions.py
+++ b/daisyhub/exceptions.py
@@ -23,6 +23,11 @@
     RAN = "ran"
 
 
+# Statuses that tell callers of the platform that their request has not run and
+# never will.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 class ErrorCode(enum.Enum):
     """Stable codes of refusals, each with its HTTP status."""
 
@@ -71,6 +76,11 @@
         """The HTTP status of the code."""
         return self.value[1]
 
+    @property
+    def promises_not_run(self) -> bool:
+        """Whether the status promises that the request has not run."""
+        return self.status in _NOT_RUN_STATUSES
+
 
 class DaisyhubError(Exception):
     """Base class of the exceptions that have a stable code.
--- a/daisyhub/gateway/_app.py
+++ b/daisyhub/gateway/_app.py
@@ -111,9 +111,20 @@
     def _refuse(self, exc: Refusal, req: Request | None) -> Response:
         """Counts and logs a refusal; returns its response.
 
+        A status that promises that the request has not run is replaced unless
+        the refusal says so too.
+
         `Retry-After` has two decimals, as delays may be below one second.
         """
         request_id = req.request_id if req else ""
+        if (
+            exc.error.promises_not_run
+            and exc.ran is not ExecutionStatus.NOT_RUN
+        ):
+            self._log.record(
+                "refusal_without_evidence", id=request_id, code=exc.code
+            )
+            exc = Refusal(ErrorCode.INTERNAL, exc.detail, ran=exc.ran)
         self._metrics.count("refusals", code=exc.code)
         self._log.record(
             "refused",
--- /dev/null
+++ b/daisyhub/gateway/tests/test_refusals.py
@@ -0,0 +1,63 @@
+"""Answers to requests that the filter chain refuses."""
+
+import unittest
+
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
+from daisyhub.gateway import GatewayApp
+from daisyhub.logs import DecisionLog
+from daisyhub.metrics import Metrics
+from daisyhub.platform._wire import PlatformCallerWire
+
+PROMISES = {408, 421, 429, 503}
+SCOPE = {
+    "type": "http",
+    "method": "POST",
+    "raw_path": b"/p/x",
+    "query_string": b"",
+    "headers": [(b"host", b"h")],
+}
+
+
+async def receive_nothing():
+    return {"type": "http.request", "body": b"", "more_body": False}
+
+
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    async def answer(self, exc):
+        """Returns the status of the answer to a request refused with `exc`."""
+
+        async def refuse(_):
+            raise exc
+
+        messages = []
+
+        async def send(message):
+            messages.append(message)
+
+        app = GatewayApp(
+            refuse,
+            PlatformCallerWire(),
+            Metrics(),
+            DecisionLog("d", write=lambda _: True),
+        )
+        await app(SCOPE, receive_nothing, send)
+        return messages[0]["status"]
+
+    async def test_a_request_that_may_have_run_gets_no_status_that_denies_it(
+        self,
+    ):
+        for error in ErrorCode:
+            for ran in (ExecutionStatus.UNKNOWN, ExecutionStatus.RAN):
+                with self.subTest(f"{error.label} {ran.value}"):
+                    status = await self.answer(Refusal(error, "", ran=ran))
+                    self.assertNotIn(status, PROMISES)
+
+    async def test_a_refusal_that_is_known_not_run_keeps_its_status(self):
+        for error in ErrorCode:
+            with self.subTest(error.label):
+                status = await self.answer(Refusal(error, ""))
+                self.assertEqual(status, error.status)
+
+
+if __name__ == "__main__":
+    unittest.main()
