Soak: promises about submitted lots are checked, and creates are disturbed

The soak could not see this: it recorded no answers to submissions, submitted every lot until it was accepted, and its store never lost a create and rejected the calls after it.

The ledger now records every answer to every attempt. REFUSED: a part of a lot ran although all attempts were answered 408, 421, 429 or 503. STORED: an attempt was answered so although the lot had been stored, run or accepted before it was sent, or only attempts answered so can have stored it. Times of callers, servers and the stand-in of the store are of one monotonic clock.

The stand-in of the store can be told to disturb the calls of one daemon (links call it from one loopback address per daemon), to execute a write seconds later, and to reject with any status. It answers a rejected create without the object, as the platform does. Plans have series of disturbed submissions, drawn apart so that the other disturbances of a seed stay.

`promises`, a daemon that brings the fault back, is detected by the same plan.

--- a/daisyhub/testing/fake_app.py
+++ b/daisyhub/testing/fake_app.py
@@ -1,7 +1,9 @@
 """The base of all fakes: an ASGI app with JSON bodies and injected faults.
 
 `POST /faults` with a `Fault` as JSON makes matching requests fail; `DELETE
-/faults` removes the faults, but connections that were silenced stay silent.
+/faults` removes the faults, or with `id` one of them, but connections that were
+silenced stay silent. `GET /faults` returns the clients to which each fault was
+applied, by its id.
 """
 
 import abc
@@ -28,24 +30,50 @@
     Attributes:
         kind: `hang` has no effect and sends no response; `late` takes effect
             and responds after `delay_s`; `lose` takes effect and sends no
+            response; `defer` takes effect after `delay_s` and sends no
             response; `truncate` takes effect and cuts the response in the
-            middle; `error` has no effect and responds with status 500;
-            `silent` stops all responses on the connections that have carried
-            a request so far.
+            middle; `error` has no effect and responds with `status`; `silent`
+            stops all responses on the connections that have carried a request
+            so far.
+        id: Name by which the fault is removed; may be empty.
         path: Prefix of the paths to which it applies; `silent` ignores it, as
             it does `method` and `count`.
         method: Method to which it applies; empty for all.
+        client: Prefix of the IP addresses of the clients to which it applies.
         count: Number of requests to which it applies; by default all.
-        delay_s: Delay of a late response.
+        delay_s: Delay of a late response or a deferred effect.
+        status: Status of an error.
 
     If several faults apply to a request, the one injected first is used.
     """
 
-    kind: Literal["hang", "late", "lose", "truncate", "error", "silent"]
+    kind: Literal[
+        "hang", "late", "lose", "defer", "truncate", "error", "silent"
+    ]
+    id: str = ""
     path: str = "/"
     method: str = ""
+    client: str = ""
     count: int = 1_000_000_000
     delay_s: float = 0.0
+    status: int = 500
+
+
+@dataclasses.dataclass(slots=True)
+class _ActiveFault:
+    """An injected fault and the IP addresses to which it was applied."""
+
+    fault: Fault
+    clients: list[str] = dataclasses.field(default_factory=list)
+
+    def matches(self, request: "Request", ip: str) -> bool:
+        fault = self.fault
+        return (
+            len(self.clients) < fault.count
+            and request.path.startswith(fault.path)
+            and fault.method in ("", request.method)
+            and ip.startswith(fault.client)
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -86,7 +114,7 @@
     """An ASGI app into which faults can be injected."""
 
     def __init__(self):
-        self._faults: list[list] = []
+        self._faults: list[_ActiveFault] = []
         self._clients: set[tuple] = set()
         self._silenced_clients: set[tuple] = set()
 
@@ -106,7 +134,7 @@
         self._clients.add(client)
         if client in self._silenced_clients:
             await anyio.sleep(_FOREVER_S)
-        fault = self._consume_fault(request)
+        fault = self._consume_fault(request, client[0])
         await self._serve(request, fault, send)
 
     async def _serve(self, request: Request, fault: Fault | None, send) -> None:
@@ -114,35 +142,39 @@
         if kind == "hang":
             await anyio.sleep(_FOREVER_S)
         if kind == "error":
-            await _send(send, Response(status=500, value={"error": "injected"}))
+            value = {"error": "injected"}
+            await _send(send, Response(status=fault.status, value=value))
             return
+        if kind == "defer":
+            await anyio.sleep(fault.delay_s)
         response = await self.handle(request)
         if kind == "late":
             await anyio.sleep(fault.delay_s)
-        if kind == "lose":
+        if kind in ("lose", "defer"):
             await anyio.sleep(_FOREVER_S)
         await _send(send, response, truncate=kind == "truncate")
 
     def _change_faults(self, request: Request) -> Response:
+        if request.method == "GET":
+            return Response(value={a.fault.id: a.clients for a in self._faults})
         if request.method == "DELETE":
-            self._faults.clear()
+            fault_id = request.query.get("id")
+            self._faults = [
+                a for a in self._faults if fault_id not in (None, a.fault.id)
+            ]
             return Response(value={})
         fault = request.json(Fault)
         if fault.kind == "silent":
             self._silenced_clients |= self._clients
             return Response(value={"connections": len(self._silenced_clients)})
-        self._faults.append([fault, fault.count])
+        self._faults.append(_ActiveFault(fault))
         return Response(value={})
 
-    def _consume_fault(self, request: Request) -> Fault | None:
-        for entry in self._faults:
-            fault, remaining_count = entry
-            if not request.path.startswith(fault.path) or not remaining_count:
-                continue
-            if fault.method not in ("", request.method):
-                continue
-            entry[1] -= 1
-            return fault
+    def _consume_fault(self, request: Request, ip: str) -> Fault | None:
+        for active in self._faults:
+            if active.matches(request, ip):
+                active.clients.append(ip)
+                return active.fault
         return None
 
 
--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -8,6 +8,7 @@
 
 import base64
 import random
+import time
 
 import anyio
 import msgspec
@@ -38,18 +39,22 @@
 class FakePlatformStore(FakeApp):
     """The object store over HTTP, and the usage API of the order desk.
 
-    `GET /admin/usage` returns all accepted usage reports.
+    `GET /admin/usage` returns all accepted usage reports, `GET /admin/created`
+    the monotonic time at which each lot was created.
     """
 
     def __init__(self):
         super().__init__()
         self._store = MemoryStore()
         self._usage: list[dict] = []
+        self._lots_created_s: dict[str, float] = {}
 
     async def handle(self, request: Request) -> Response:
         """Handles one request."""
         if request.path == "/admin/usage":
             return Response(value=self._usage)
+        if request.path == "/admin/created":
+            return Response(value=self._lots_created_s)
         if request.path == "/usage":
             self._usage.append(
                 {
@@ -65,7 +70,9 @@
         try:
             return await self._handle_objects(request, kind, name)
         except ObjectConflictError as exc:
-            value = _encode_object(exc.found) if exc.found else None
+            # A rejected create is answered without the object.
+            has_object = exc.found and request.method != "POST"
+            value = _encode_object(exc.found) if has_object else None
             return Response(status=409, value=value)
         except HistoryGoneError:
             return Response(status=410)
@@ -120,6 +127,8 @@
             found = await self._store.set_status(kind, name, status)
         elif request.method == "POST":
             found = await self._store.create(kind, meta["name"], spec)
+            if kind == "lots":
+                self._lots_created_s.setdefault(found.name, time.monotonic())
         elif "revision" in meta:
             found = await self._store.replace(
                 kind, name, spec, revision=meta["revision"]
@@ -151,7 +160,7 @@
     A generated text depends on the item id only, so that it can be checked
     wherever and however often the item runs. `GET /admin/ran` returns the
     executed requests: id, account, whether the client's API key was
-    forwarded, and whether a stream was resumed.
+    forwarded, whether a stream was resumed, and the monotonic time.
 
     Args:
         name: Instance id.
@@ -191,6 +200,7 @@
                 "account": request.headers.get("daisyhub-tenant", ""),
                 "has_key": "api-key" in request.headers,
                 "resumed": "last-event-id" in request.headers,
+                "at_s": time.monotonic(),
             }
         )
         if request.path.startswith("/gen/"):
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -228,6 +228,25 @@
             timeout_s=5.0,
         )
 
+    async def remove_fault(self, name: str, fault_id: str) -> None:
+        """Removes one fault of a fake."""
+        await self.http.request(
+            "DELETE",
+            self.address(name),
+            f"/faults?id={fault_id}",
+            timeout_s=5.0,
+        )
+
+    async def faulted_clients(self, name: str, fault_id: str) -> list[str]:
+        """Returns the IP addresses to which a fault was applied, in order."""
+        response = await self._get(self.ports[name], "/faults")
+        return json.loads(response.body).get(fault_id, [])
+
+    async def created_lots(self) -> dict[str, float]:
+        """Returns the monotonic time at which each lot was stored, by id."""
+        response = await self._get(self.ports["platform"], "/admin/created")
+        return json.loads(response.body)
+
     async def usage(self) -> list[dict]:
         """Returns the usage reports that the platform accepted."""
         response = await self._get(self.ports["platform"], "/admin/usage")
--- a/daisyhub/testing/soak/__init__.py
+++ b/daisyhub/testing/soak/__init__.py
@@ -2,7 +2,12 @@
 
 from daisyhub.testing.soak._ledger import Ledger
 from daisyhub.testing.soak._links import Link, LinkMode
-from daisyhub.testing.soak._plan import Disturbance, Kind, make_plan
+from daisyhub.testing.soak._plan import (
+    Disturbance,
+    Kind,
+    WriteFault,
+    make_plan,
+)
 from daisyhub.testing.soak._soak import Soak, SoakReport
 
 __all__ = [
@@ -13,5 +18,6 @@
     "LinkMode",
     "Soak",
     "SoakReport",
+    "WriteFault",
     "make_plan",
 ]
--- a/daisyhub/testing/soak/_ledger.py
+++ b/daisyhub/testing/soak/_ledger.py
@@ -4,11 +4,15 @@
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
 
+from daisyhub.testing.soak._submissions import (
+    NOT_RUN_STATUSES,
+    Attempt,
+    Submissions,
+)
+
 __all__ = ["Ledger"]
 
 _OK = 200
-# These statuses guarantee that the request has not run and will not run.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,7 +36,10 @@
     - ROUTE: A run of a request without a valid key.
     - TWICE: A non-idempotent request ran more than once.
     - REFUSED: A non-idempotent request ran although its status guarantees that
-      it didn't.
+      it didn't, or a part of a lot did although the status of every attempt to
+      submit it guarantees that.
+    - STORED: An attempt to submit a lot got such a status although it stored
+      the lot, or the lot was stored before.
     - ONE: Two different counts of a usage window, or two holders of a fencing
       number.
     - RECOVER: A daemon doesn't serve after the disturbances have ended.
@@ -53,6 +60,7 @@
         self._account = account
         self._requests: dict[str, _SentRequest] = {}
         self._unauthorized_ids: set[str] = set()
+        self._submissions = Submissions()
         self._lot_by_item: dict[str, str] = {}
         self._reward_ids: set[str] = set()
         self._item_counts: dict[str, int] = {}
@@ -101,10 +109,37 @@
         self, lot_id: str, item_ids: Iterable[str]
     ) -> None:
         """Records a lot before it is submitted."""
-        for item_id in item_ids:
-            self._lot_by_item[item_id] = lot_id
-            # The id of the item's scorer request in `Fleet.build_lot`.
-            self._reward_ids.add(f"{item_id}-r")
+        ids = set(item_ids)
+        # The ids of the items' scorer requests in `Fleet.build_lot`.
+        reward_ids = {f"{item_id}-r" for item_id in ids}
+        self._lot_by_item.update(dict.fromkeys(ids, lot_id))
+        self._reward_ids |= reward_ids
+        self._submissions.add_lot(lot_id, ids | reward_ids)
+
+    def record_attempt(self, lot_id: str, daemon: str) -> Attempt:
+        """Records an attempt to submit a lot before it is sent."""
+        return self._submissions.add_attempt(lot_id, daemon)
+
+    def record_answer(
+        self, attempt: Attempt, status: int, code: str = ""
+    ) -> None:
+        """Records the response to an attempt to submit a lot.
+
+        Args:
+            attempt: The attempt.
+            status: Status of the response; 0 if there was none.
+            code: The daemon's code of a refusal.
+        """
+        self._submissions.end_attempt(attempt, status, code)
+        self.counts[f"lot status {status}"] += 1
+
+    def unaccepted_lots(self) -> list[str]:
+        """Returns the lots of which no attempt was answered with 202."""
+        return self._submissions.unaccepted_lots()
+
+    def record_readable_lot(self, lot_id: str) -> None:
+        """Records that a daemon served a read of a lot."""
+        self._submissions.set_readable(lot_id)
 
     def record_accepted_lot(self, lot_id: str) -> None:
         """Records that a lot was accepted."""
@@ -173,6 +208,17 @@
                 f"ORDER {result['id']}: text {result['text']!r}"
             )
 
+    def check_submissions(
+        self, runs: Iterable[dict], created_s: Mapping[str, float]
+    ) -> None:
+        """Checks the promises of the responses to submissions of lots.
+
+        Args:
+            runs: The requests that servers ran.
+            created_s: Time at which the store created each lot, by id.
+        """
+        self.violations += self._submissions.check(runs, created_s)
+
     def check_runs(self, runs: Iterable[dict]) -> None:
         """Checks the requests that servers ran against those that were sent."""
         run_counts: collections.Counter[str] = collections.Counter()
@@ -208,7 +254,7 @@
             return
         if run_count > 1:
             self._add_violation(f"TWICE {request_id} ran {run_count} times")
-        if run_count and sent.status in _NOT_RUN_STATUSES:
+        if run_count and sent.status in NOT_RUN_STATUSES:
             self._add_violation(
                 f"REFUSED {request_id}: {sent.status}, but it ran"
             )
--- a/daisyhub/testing/soak/_links.py
+++ b/daisyhub/testing/soak/_links.py
@@ -46,10 +46,13 @@
 
     Args:
         target: Address to which connections are forwarded.
+        source_ip: Loopback address from which they are forwarded, so that the
+            target can distinguish the clients of several links.
     """
 
-    def __init__(self, target: Address):
+    def __init__(self, target: Address, source_ip: str = _LOOPBACK):
         self._target = target
+        self._source_ip = source_ip
         self._mode = LinkMode.PASS
         self._restored = anyio.Event()
         self._open_streams: set[anyio.abc.SocketStream] = set()
@@ -84,7 +87,9 @@
             return
         try:
             server_stream = await anyio.connect_tcp(
-                self._target.ip, self._target.port
+                self._target.ip,
+                self._target.port,
+                local_host=self._source_ip,
             )
         except OSError:
             _reset(client_stream)
--- a/daisyhub/testing/soak/_load_generator.py
+++ b/daisyhub/testing/soak/_load_generator.py
@@ -1,8 +1,11 @@
 """Generates the load of a soak: look-ups, writes and lots."""
 
 import contextlib
+import itertools
 import json
+import math
 import random
+import time
 
 import anyio
 import msgspec
@@ -21,8 +24,20 @@
 _WRITE_INTERVAL_S = 0.04
 _LOT_INTERVAL_S = 0.6
 _READ_INTERVAL_S = 0.05
-# Seconds before a lot that wasn't accepted is submitted again.
+# Seconds before a lot that wasn't accepted is submitted again: the Retry-After
+# of a refused submission.
 _RESUBMIT_DELAY_S = 0.3
+# Probability that a lot is given up after a few attempts, and seconds from the
+# first one to the last.
+_GIVE_UP_PROBABILITY = 0.5
+_SUBMIT_DEADLINE_S = 6.0
+# Minimum and maximum wait for the response to an attempt, in seconds. A store
+# call takes 0.7 s before it fails; the maximum is the timeout of other calls.
+_SUBMIT_TIMEOUT_S = (1.0, 4.0)
+# Probability that an accepted lot is submitted again, and the range of the
+# delay in seconds.
+_REPEAT_PROBABILITY = 0.3
+_REPEAT_DELAY_S = (0.2, 2.5)
 # Timeout of a call; twice the deadline that its header sends.
 _CALL_TIMEOUT_S = 4.0
 _OK = 200
@@ -30,6 +45,12 @@
 _LOT_UNKNOWN_STATUSES = (404, 410)
 
 
+class _Problem(msgspec.Struct, frozen=True):
+    """Body of a refusal."""
+
+    code: str = ""
+
+
 class LoadGenerator:
     """Sends requests over pooled connections and records the responses.
 
@@ -46,6 +67,8 @@
         self._fleet = fleet
         self._ledger = ledger
         self._rng = random.Random(f"{seed} calls")
+        self._lot_rng = random.Random(f"{seed} lots")
+        self._lot_tasks: anyio.abc.TaskGroup | None = None
         self._http = HttpClient(connect_timeout_s=1.0, idle_s=10.0)
         self._is_running = True
         self._number = 0
@@ -136,6 +159,7 @@
         key=KEY,
         body=b"",
         extra_headers=(),
+        timeout_s=_CALL_TIMEOUT_S,
     ) -> tuple[int, bytes, bool]:
         """Sends a request to a daemon.
 
@@ -156,7 +180,7 @@
                     *extra_headers,
                 ),
                 body=body,
-                timeout_s=_CALL_TIMEOUT_S,
+                timeout_s=timeout_s,
             )
         except RequestFailedError:
             return 0, b"", False
@@ -168,30 +192,91 @@
 
     async def _run_lots(self) -> None:
         async with anyio.create_task_group() as tasks:
+            self._lot_tasks = tasks
             while self._is_running:
-                tasks.start_soon(self._run_lot, self.next_id("lot"))
+                self.start_lots(1)
                 await anyio.sleep(_LOT_INTERVAL_S)
 
+    def start_lots(self, count: int) -> None:
+        """Starts to submit lots, unless the load has ended."""
+        if not self._is_running or self._lot_tasks is None:
+            return
+        for _ in range(count):
+            self._lot_tasks.start_soon(self._run_lot, self.next_id("lot"))
+
     async def _run_lot(self, lot_id: str) -> None:
-        """Submits a lot until it is accepted, then reads all its results."""
+        """Submits a lot; if it is accepted, reads all its results."""
         lot = self._fleet.build_lot(lot_id, groups=2)
         body = msgspec.json.encode(lot)
         self._ledger.record_submitted_lot(
             lot_id, [item["id"] for item in lot["items"]]
         )
-        status = 0
-        while status != _ACCEPTED:
-            status, _, _ = await self.call(
-                self._pick_daemon(), "POST", "/gen/lot", lot_id, body=body
-            )
-            if status != _ACCEPTED:
-                await anyio.sleep(_RESUBMIT_DELAY_S)
+        if not await self._submit(lot_id, body):
+            self._ledger.counts["lots given up"] += 1
+            return
         self._ledger.record_accepted_lot(lot_id)
+        if self._lot_rng.random() < _REPEAT_PROBABILITY:
+            self._lot_tasks.start_soon(self._repeat_submission, lot_id, body)
         await anyio.sleep(_LOT_PROPAGATION_S)
         while self._ledger.result_count(lot_id) < self._ledger.lots[lot_id]:
             await self.read_lot(self._pick_daemon(), lot_id)
             await anyio.sleep(_READ_INTERVAL_S)
 
+    async def _submit(self, lot_id: str, body: bytes) -> bool:
+        """Submits a lot to one daemon after the other until one accepts it.
+
+        Returns:
+            Whether it was accepted; False if it was given up.
+        """
+        names = self._fleet.daemon_names
+        daemons = itertools.cycle(self._lot_rng.sample(names, len(names)))
+        max_attempts, deadline_s = math.inf, math.inf
+        if self._lot_rng.random() < _GIVE_UP_PROBABILITY:
+            max_attempts = self._lot_rng.randint(2, len(names))
+            deadline_s = time.monotonic() + _SUBMIT_DEADLINE_S
+        attempts = 0
+        while attempts < max_attempts and time.monotonic() < deadline_s:
+            status = await self._send_lot(next(daemons), lot_id, body)
+            if status == _ACCEPTED:
+                return True
+            attempts += 1
+            await anyio.sleep(_RESUBMIT_DELAY_S)
+        return False
+
+    async def _repeat_submission(self, lot_id: str, body: bytes) -> None:
+        """Submits an accepted lot again after a while."""
+        await anyio.sleep(self._lot_rng.uniform(*_REPEAT_DELAY_S))
+        await self._send_lot(
+            self._lot_rng.choice(self._fleet.daemon_names), lot_id, body
+        )
+
+    async def _send_lot(self, daemon: str, lot_id: str, body: bytes) -> int:
+        """Submits a lot to a daemon; returns the status, or 0 for none."""
+        attempt = self._ledger.record_attempt(lot_id, daemon)
+        status, content, _ = await self.call(
+            daemon,
+            "POST",
+            "/gen/lot",
+            lot_id,
+            body=body,
+            timeout_s=self._lot_rng.uniform(*_SUBMIT_TIMEOUT_S),
+        )
+        code = ""
+        with contextlib.suppress(msgspec.DecodeError):
+            code = msgspec.json.decode(content, type=_Problem).code
+        self._ledger.record_answer(attempt, status, code)
+        return status
+
+    async def read_unaccepted_lots(self) -> None:
+        """Asks each daemon for the lots that no attempt is known to store."""
+        for lot_id in self._ledger.unaccepted_lots():
+            for daemon in self._fleet.daemon_names:
+                status, _, _ = await self.call(
+                    daemon, "GET", f"/v1/lots/{lot_id}", self.next_id("read")
+                )
+                if status == _OK:
+                    self._ledger.record_readable_lot(lot_id)
+
     async def read_lot(
         self, daemon: str, lot_id: str, after: int | None = None
     ) -> bool:
--- a/daisyhub/testing/soak/_plan.py
+++ b/daisyhub/testing/soak/_plan.py
@@ -3,9 +3,9 @@
 import dataclasses
 import enum
 import random
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
-__all__ = ["Disturbance", "Kind", "make_plan"]
+__all__ = ["Disturbance", "Kind", "WriteFault", "make_plan"]
 
 # Disturbances per ten seconds; they last up to four seconds, so some overlap.
 _DISTURBANCES_PER_TEN_S = 8
@@ -13,6 +13,17 @@
 # Probability that a disturbance is repeated on the same target.
 _REPEAT_PROBABILITY = 0.25
 _MAX_REPEAT_GAP_S = 0.7
+# Series of disturbed submissions per ten seconds, the probability that another
+# one of a series follows, and the maximum time between two of them.
+_SERIES_PER_TEN_S = 1.5
+_NEXT_OF_SERIES_PROBABILITY = 0.5
+_MAX_SERIES_GAP_S = 2.0
+# Maximum delay in seconds of a late response, within the timeout of a store
+# call (0.7 s), and of a deferred write; and from the first disturbed write to
+# the rejections, twice that timeout.
+_MAX_LATE_S = 0.6
+_MAX_DEFERRED_S = 3.0
+_MAX_REJECTION_DELAY_S = 1.4
 # Maximum offset of the wall clock of a restarted daemon, in either direction.
 _MAX_CLOCK_JUMP_S = 30.0
 
@@ -34,6 +45,7 @@
         CONFIG: The manifest is written again with a new version.
         KEYS: The manifest contains a second account for a time.
         KILL_ALL: All daemons are killed and restarted.
+        SUBMISSION: Lots are submitted during a `WriteFault`.
     """
 
     KILL = "kill"
@@ -49,6 +61,7 @@
     CONFIG = "config"
     KEYS = "keys"
     KILL_ALL = "kill_all"
+    SUBMISSION = "submission"
 
 
 # Relative frequency of each kind; lower for most that affect all daemons.
@@ -72,6 +85,37 @@
 _SERVER_FAULTS = ("error", "lose", "late", "truncate", "hang")
 
 
+_WRITE_KINDS = ("lots", "lot-items")
+_WRITE_EFFECTS = ("lose", "lose", "defer", "late", "late", "truncate")
+_REJECTIONS = ("503", "503", "429", "reset", "silent", "")
+_SIGNALS = ("", "", "SIGSTOP", "SIGSTOP", "SIGTERM", "SIGKILL")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WriteFault:
+    """A fault of writes of submitted lots, and what follows the first of them.
+
+    Attributes:
+        kind: Kind of the objects that are created: heads or parts of lots.
+        effect: Kind of the store's fault, such as `lose`.
+        delay_s: Delay of a late or deferred write.
+        rejection: How the store rejects daemons then: a status, a mode of
+            their links, or empty for not at all.
+        rejects_all: Whether it rejects all daemons, not only the writer.
+        rejection_delay_s: Seconds from the first write to the rejection; the
+            fault applies to writes until then.
+        signal: Name of a signal to the writer; empty for none.
+    """
+
+    kind: str
+    effect: str
+    delay_s: float = 0.0
+    rejection: str = ""
+    rejects_all: bool = True
+    rejection_delay_s: float = 0.0
+    signal: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Disturbance:
     """A disturbance to apply to the processes of a soak.
@@ -83,6 +127,7 @@
         target: Name of a daemon or a server, or `platform`; empty for all.
         mode: Mode of a link, or kind of a fault; empty for others.
         clock_jump_s: Offset of the wall clock; used by `Kind.CLOCK` only.
+        write_fault: The fault; used by `Kind.SUBMISSION` only.
     """
 
     at_s: float
@@ -91,6 +136,7 @@
     target: str = ""
     mode: str = ""
     clock_jump_s: float = 0.0
+    write_fault: WriteFault | None = None
 
 
 def make_plan(
@@ -111,9 +157,37 @@
         repeat = dataclasses.replace(first, at_s=first.at_s + gap_s)
         if repeat.at_s < seconds:
             plan.append(repeat)
+    plan += _draw_series(random.Random(f"{seed} submissions"), seconds)
     return tuple(sorted(plan, key=lambda d: d.at_s))
 
 
+def _draw_series(rng, seconds) -> Iterator[Disturbance]:
+    """Yields series of disturbed submissions, which overlap."""
+    for _ in range(max(1, round(seconds / 10 * _SERIES_PER_TEN_S))):
+        at_s = rng.uniform(0.0, seconds)
+        while at_s < seconds:
+            effect = rng.choice(_WRITE_EFFECTS)
+            max_delay_s = _MAX_LATE_S if effect == "late" else _MAX_DEFERRED_S
+            write_fault = WriteFault(
+                kind=rng.choice(_WRITE_KINDS),
+                effect=effect,
+                delay_s=rng.uniform(0.1, max_delay_s),
+                rejection=rng.choice(_REJECTIONS),
+                rejects_all=rng.random() < 0.7,
+                rejection_delay_s=rng.uniform(0.0, _MAX_REJECTION_DELAY_S),
+                signal=rng.choice(_SIGNALS),
+            )
+            yield Disturbance(
+                at_s=at_s,
+                duration_s=rng.uniform(0.5, _MAX_DURATION_S),
+                kind=Kind.SUBMISSION,
+                write_fault=write_fault,
+            )
+            if rng.random() >= _NEXT_OF_SERIES_PROBABILITY:
+                break
+            at_s += rng.uniform(0.0, _MAX_SERIES_GAP_S)
+
+
 def _draw(rng, seconds, daemons, servers) -> Disturbance:
     kind = rng.choices(list(_WEIGHTS), list(_WEIGHTS.values()))[0]
     at_s = rng.uniform(0.0, seconds)
--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -10,12 +10,15 @@
 import anyio
 
 from daisyhub.connections import RequestFailedError
-from daisyhub.settings import Address
 from daisyhub.testing.fleet import KEY, Fleet
 from daisyhub.testing.soak._ledger import Ledger
 from daisyhub.testing.soak._links import Link, LinkMode
 from daisyhub.testing.soak._load_generator import LoadGenerator
 from daisyhub.testing.soak._plan import Disturbance, Kind, make_plan
+from daisyhub.testing.soak._submission_faults import (
+    CLIENT_NETWORK,
+    SubmissionDisturber,
+)
 
 __all__ = ["Soak", "SoakReport"]
 
@@ -62,12 +65,22 @@
     def __init__(self, **options):
         super().__init__(module=_MODULE, **options)
         self.links: dict[str, Link] = {}
-
-    async def open_link(self, name: str, target: Address, tasks) -> None:
-        """Opens a link to an address."""
-        link = self.links[name] = Link(target)
-        await link.listen()
-        tasks.start_soon(link.run)
+        self.client_ips = {
+            name: f"{CLIENT_NETWORK}{number}"
+            for number, name in enumerate(self.daemon_names, start=1)
+        }
+
+    async def open_links(self, tasks) -> None:
+        """Opens a link to each server, and from each daemon to the store."""
+        for name in self.server_names:
+            self.links[name] = Link(self.address(name))
+        for name in self.daemon_names:
+            self.links[f"store {name}"] = Link(
+                self.address("platform"), self.client_ips[name]
+            )
+        for link in self.links.values():
+            await link.listen()
+            tasks.start_soon(link.run)
 
     def build_settings(self, name: str) -> dict:
         """See `Fleet`; the store's address is that of the daemon's link."""
@@ -112,6 +125,13 @@
         )
         self.ledger = Ledger(_ACCOUNT)
         self.load_generator = LoadGenerator(seed, self.fleet, self.ledger)
+        self._submissions = SubmissionDisturber(
+            self.fleet,
+            self.fleet.links,
+            self.fleet.client_ips,
+            self.load_generator,
+            self._signal_and_resume,
+        )
         self._bug = broken
         self._restarting: set[str] = set()
 
@@ -145,12 +165,7 @@
         env = {"DAISYHUB_SOAK_BROKEN": self._bug}
         fleet.daemon_env = {name: dict(env) for name in fleet.daemon_names}
         await fleet.start_fakes()
-        for name in fleet.server_names:
-            await fleet.open_link(name, fleet.address(name), tasks)
-        for name in fleet.daemon_names:
-            await fleet.open_link(
-                f"store {name}", fleet.address("platform"), tasks
-            )
+        await fleet.open_links(tasks)
         await fleet.start_daemons()
 
     # Disturbances.
@@ -178,16 +193,22 @@
             case Kind.KILL_ALL:
                 await self._kill_all()
             case Kind.PAUSE:
-                await self._pause(disturbance)
+                await self._pause(disturbance.target, disturbance.duration_s)
             case Kind.HANG_UP:
                 self._signal(disturbance.target, signal.SIGHUP)
             case Kind.STORE_LINK | Kind.SERVER_LINK | Kind.ALL_STORE_LINKS:
                 await self._degrade_links(disturbance)
             case Kind.STORE_FAULT | Kind.SERVER_FAULT:
-                fault = {"kind": disturbance.mode, "delay_s": 0.5, "path": "/"}
+                fault = {
+                    "id": f"at-{disturbance.at_s}",
+                    "kind": disturbance.mode,
+                    "delay_s": 0.5,
+                }
                 await fleet.inject_fault(disturbance.target, fault)
                 await anyio.sleep(disturbance.duration_s)
-                await fleet.inject_fault(disturbance.target, None)
+                await fleet.remove_fault(disturbance.target, fault["id"])
+            case Kind.SUBMISSION:
+                await self._submissions.apply(disturbance)
             case Kind.CONFIG:
                 await self._write_config({_ACCOUNT: [KEY]})
             case Kind.KEYS:
@@ -244,10 +265,19 @@
             for name in self.fleet.daemon_names:
                 tasks.start_soon(self._restart, name, signal.SIGKILL)
 
-    async def _pause(self, disturbance: Disturbance) -> None:
-        self._signal(disturbance.target, signal.SIGSTOP)
-        await anyio.sleep(disturbance.duration_s)
-        self._signal(disturbance.target, signal.SIGCONT)
+    async def _signal_and_resume(
+        self, name: str, number: int, duration_s: float
+    ) -> None:
+        """Stops a daemon for a time, or ends and restarts it."""
+        if number == signal.SIGSTOP:
+            await self._pause(name, duration_s)
+        else:
+            await self._restart(name, number)
+
+    async def _pause(self, name: str, duration_s: float) -> None:
+        self._signal(name, signal.SIGSTOP)
+        await anyio.sleep(duration_s)
+        self._signal(name, signal.SIGCONT)
 
     async def _degrade_links(self, disturbance: Disturbance) -> None:
         names = [f"store {name}" for name in self.fleet.daemon_names]
@@ -311,8 +341,11 @@
         await self._kill_all()
         await self._check_recovery()
         await self._read_all_lots()
+        await self.load_generator.read_unaccepted_lots()
         self.ledger.check_texts(_EVENTS_PER_ITEM)
-        self.ledger.check_runs(await self.fleet.executed_requests())
+        runs = await self.fleet.executed_requests()
+        self.ledger.check_runs(runs)
+        self.ledger.check_submissions(runs, await self.fleet.created_lots())
         self.ledger.check_usage(await self.fleet.usage())
 
     async def _read_all_lots(self) -> None:
--- a/daisyhub/testing/soak/tests/test_soak_processes.py
+++ b/daisyhub/testing/soak/tests/test_soak_processes.py
@@ -2,13 +2,29 @@
 
 import unittest
 
-from daisyhub.testing.soak import Disturbance, Kind, Soak
+from daisyhub.testing.soak import Disturbance, Kind, Soak, WriteFault
 
 # Seeds that once found a violated guarantee, with its cause; `make soak SEED=s`
 # runs one.
 REGRESSIONS = (
     # SIGHUP ended a daemon while it imported its modules.
     4,
+    # A create of unknown outcome was reported as not done, because the read
+    # that should confirm it failed.
+    922,
+)
+
+# The store creates lots, loses its responses, and then rejects all calls.
+LOST_CREATES = tuple(
+    Disturbance(
+        at_s=at_s,
+        duration_s=2.0,
+        kind=Kind.SUBMISSION,
+        write_fault=WriteFault(
+            kind="lots", effect="lose", rejection="503", rejection_delay_s=0.3
+        ),
+    )
+    for at_s in (0.5, 2.0)
 )
 
 
@@ -39,6 +55,21 @@
         kinds = {line.split()[0] for line in report.violations}
         self.assertEqual(kinds, {"TWICE"}, report.violations)
 
+    async def test_no_lot_runs_that_all_daemons_refused_after_lost_creates(
+        self,
+    ):
+        report = await Soak(2, daemons=3, servers=2, plan=LOST_CREATES).run()
+        self.assertEqual(report.violations, (), report.logs)
+        self.assertGreater(report.counts["lots given up"], 0)
+
+    async def test_a_false_promise_about_a_lot_is_detected(self):
+        soak = Soak(
+            2, daemons=3, servers=2, broken="promises", plan=LOST_CREATES
+        )
+        report = await soak.run()
+        kinds = {line.split()[0] for line in report.violations}
+        self.assertEqual(kinds, {"REFUSED", "STORED"}, report.violations)
+
     async def test_seeds_that_failed_once_keep_all_guarantees(self):
         for seed in REGRESSIONS:
             with self.subTest(seed=seed):
--- a/daisyhub/testing/soaked_daemon.py
+++ b/daisyhub/testing/soaked_daemon.py
@@ -15,7 +15,7 @@
 import sys
 import time
 
-BROKEN = ("repeats", "lies", "forgets")
+BROKEN = ("repeats", "lies", "forgets", "promises")
 
 
 def _shift_clock(offset_s: float) -> None:
@@ -27,9 +27,10 @@
 def _inject_bug(bug: str) -> None:
     """Injects a bug into the product that violates one of its guarantees."""
     # Imported here because the clock must be shifted first.
-    from daisyhub.exceptions import ErrorCode
+    from daisyhub.catalog import RouteKind
+    from daisyhub.exceptions import ErrorCode, Refusal
     from daisyhub.gateway import _sender
-    from daisyhub.lots import LotStore
+    from daisyhub.lots import LotStore, SubmittedLotsFilter
     from daisyhub.objects import ObjectStoreError
 
     if bug == "repeats":
@@ -57,6 +58,20 @@
                 return results
 
         LotStore.write_chunk = write_chunk
+    elif bug == "promises":
+        # A submission of unknown outcome gets a status that means "not stored".
+        original_handle = SubmittedLotsFilter.handle
+
+        async def handle(lots_filter, req, call_next):
+            try:
+                return await original_handle(lots_filter, req, call_next)
+            except Refusal as exc:
+                if req.lot_call or req.route.kind is not RouteKind.ROLLOUT:
+                    raise
+                error = ErrorCode.PLATFORM_UNAVAILABLE
+                raise Refusal(error, exc.detail) from exc
+
+        SubmittedLotsFilter.handle = handle
     else:
         raise ValueError(f"bug {bug!r} is not one of {BROKEN}")
 
