--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -1,14 +1,16 @@
 """Storage of lots and results in the platform's store.
 
 A lot's items are stored in several objects, its parts, which are written before
-its head. Creating the head accepts the lot and resolves the race between
-daemons that receive the same lot. Results are stored in immutable chunks, each
-named after its first position. Creating a chunk decides which results occupy
-its positions, so that any number of daemons may run one lot without listing an
-item twice.
+its head and named after their content, so that submissions of other items under
+the same id share none. Creating the head accepts the lot and resolves the race
+between daemons that receive the same lot. Results are stored in immutable
+chunks, each named after its first position. Creating a chunk decides which
+results occupy its positions, so that any number of daemons may run one lot
+without listing an item twice.
 """
 
 import collections
+import hashlib
 
 import msgspec
 
@@ -37,6 +39,8 @@
 # Maximum number of lots whose items are cached after a create or a read: those
 # of a few steps.
 _MAX_CACHED_LOTS = 6
+# Size in bytes of the digest that tells submissions with one id apart.
+_DIGEST_BYTES = 8
 
 
 class LotStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -98,15 +102,22 @@
 
         Raises:
             ObjectStoreError: The lot isn't stored, or that is unknown.
-                `may_be_done` is unset only if this call can't have created the
-                head and a current read found none after the failure.
+                `may_be_done` is unset only if no submission of this lot can
+                have sent a create of the head.
         """
-        parts = list(_split_into_parts(spec.items))
-        head = msgspec.structs.replace(spec.head, parts=len(parts))
+        parts = [
+            msgspec.json.encode(_Part(items=tuple(items)))
+            for items in _split_into_parts(spec.items)
+        ]
+        head = msgspec.structs.replace(
+            spec.head,
+            parts=len(parts),
+            parts_digest=_digest(spec.head.account, parts),
+        )
         content = msgspec.json.encode(head)
         try:
-            for number, items in enumerate(parts):
-                await self._create_part(_part_name(head.lot_id, number), items)
+            for number, part in enumerate(parts):
+                await self._create_part(_part_name(head, number), part)
             await self._store.create(LOTS_KIND, head.lot_id, content)
         except ObjectConflictError as exc:
             if exc.found is not None:
@@ -117,26 +128,25 @@
         else:
             self._cache_lot(LotSpec(head=head, items=spec.items))
             return head
-        return await self._read_head_after(failure, head.lot_id)
+        return await self._resolve_failure(failure, head)
 
-    async def _create_part(self, name: str, items: list[ItemSpec]) -> None:
+    async def _create_part(self, name: str, content: bytes) -> None:
         """Creates a part.
 
         A failure is always reported as not done, as a lot without a head
         isn't run.
         """
-        content = msgspec.json.encode(_Part(items=tuple(items)))
         try:
             await self._store.create(_ITEMS_KIND, name, content)
         except ObjectConflictError:
-            # A lot with this id was submitted before, or also to another
-            # daemon. Creating the head decides which of them is accepted.
+            # The same lot was submitted before, or also to another daemon.
+            # Creating the head decides which of them is accepted.
             return
         except ObjectStoreError as exc:
             raise ObjectStoreError(str(exc), may_be_done=False) from exc
 
-    async def _read_head_after(
-        self, failure: ObjectStoreError, lot_id: str
+    async def _resolve_failure(
+        self, failure: ObjectStoreError, head: LotHead
     ) -> LotHead:
         """Returns the head that is stored although accepting the lot failed.
 
@@ -144,18 +154,28 @@
         outcome.
 
         Raises:
-            ObjectStoreError: `failure` if there is no head. If it can't be
-                read, the outcome is unknown whatever `failure` says.
+            ObjectStoreError: There is none, or it can't be read.
         """
         try:
-            found = await self._store.read(LOTS_KIND, lot_id)
+            found = await self._store.read(LOTS_KIND, head.lot_id)
+            if found is not None:
+                return decode_head(found)[0]
+            may_be_done = failure.may_be_done or await self._has_all_parts(head)
         except ObjectStoreError as exc:
             raise ObjectStoreError(
-                f"{failure}; reading the head failed: {exc}", may_be_done=True
+                f"{failure}; reading the lot failed: {exc}", may_be_done=True
             ) from exc
-        if found is None:
-            raise failure
-        return decode_head(found)[0]
+        raise ObjectStoreError(
+            str(failure), may_be_done=may_be_done
+        ) from failure
+
+    async def _has_all_parts(self, head: LotHead) -> bool:
+        """Whether a create of the head may be under way at any daemon.
+
+        A daemon sends it only after the last part is known to be stored.
+        """
+        name = _part_name(head, head.parts - 1)
+        return await self._store.read(_ITEMS_KIND, name) is not None
 
     async def head(self, lot_id: str) -> tuple[LotHead, LotStatus] | None:
         """Returns a lot's head and status, or None if there is none.
@@ -177,7 +197,7 @@
             return cached
         items: list[ItemSpec] = []
         for number in range(head.parts):
-            name = _part_name(head.lot_id, number)
+            name = _part_name(head, number)
             found = await self._read_immutable(_ITEMS_KIND, name)
             if found is None:
                 raise ObjectStoreError(
@@ -304,19 +324,22 @@
         return found is not None
 
     async def delete(self, head: LotHead, chunk_positions: list[int]) -> None:
-        """Deletes all objects of a lot, the head last.
+        """Deletes all objects of a lot, its items first and the head last.
+
+        Without its items, a lot that is deleted in part can't be run again by
+        a holder that misses the results.
 
         Args:
             head: The lot.
             chunk_positions: Positions of the first results of its chunks.
         """
-        for first in chunk_positions:
-            name = _chunk_name(head.lot_id, first)
-            await self._store.delete(_RESULTS_KIND, name)
-        await self._store.delete(_PROGRESS_KIND, head.lot_id)
         for number in range(head.parts):
-            name = _part_name(head.lot_id, number)
+            name = _part_name(head, number)
             await self._store.delete(_ITEMS_KIND, name)
+        await self._store.delete(_PROGRESS_KIND, head.lot_id)
+        for first in reversed(chunk_positions):
+            name = _chunk_name(head.lot_id, first)
+            await self._store.delete(_RESULTS_KIND, name)
         await self._store.delete(LOTS_KIND, head.lot_id)
 
     def _cache_lot(self, spec: LotSpec) -> None:
@@ -341,8 +364,18 @@
         yield part
 
 
-def _part_name(lot_id: str, number: int) -> str:
-    return f"{lot_id}.{number}"
+def _digest(account: str, parts: list[bytes]) -> str:
+    digest = hashlib.blake2b(account.encode(), digest_size=_DIGEST_BYTES)
+    for part in parts:
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _part_name(head: LotHead, number: int) -> str:
+    """Returns a part's name, which lots with other items don't share."""
+    if not head.parts_digest:
+        return f"{head.lot_id}.{number}"
+    return f"{head.lot_id}.{head.parts_digest}.{number}"
 
 
 def _chunk_name(lot_id: str, first: int) -> str:
--- a/daisyhub/platform/tests/test_refused_lot_processes.py
+++ b/daisyhub/platform/tests/test_refused_lot_processes.py
@@ -15,12 +15,19 @@
 _HEADS_PATH = "/v1/objects/lots"
 _LOST_CREATE_TIMEOUT_S = 10.0
 
-_OUTAGE = Fault(kind="reject", path="/v1/objects/")
+_OUTAGE = Fault(kind="error", status=503, path="/v1/objects/")
 
 
 def head_create_fault(kind, then):
-    """Returns a fault of the next create of a lot's head."""
-    return Fault(kind=kind, path=_HEADS_PATH, method="POST", count=1, then=then)
+    """Returns a fault of the next create of a lot's head; errors are 503."""
+    return Fault(
+        kind=kind,
+        path=_HEADS_PATH,
+        method="POST",
+        count=1,
+        status=503,
+        then=then,
+    )
 
 
 @contextlib.asynccontextmanager
@@ -102,11 +109,11 @@
 
     async def test_refused_lot_does_not_run_after_a_relayed_create(self):
         relayed = head_create_fault("truncate", _OUTAGE)
-        await self.check_lost_create(head_create_fault("reject", relayed))
+        await self.check_lost_create(head_create_fault("error", relayed))
 
     async def test_lot_of_an_unanswered_submission_is_not_refused(self):
         """A failed read after a conflict once counted as a refusal."""
-        failing_read = Fault(kind="reject", path=f"{_HEADS_PATH}/")
+        failing_read = Fault(kind="error", status=503, path=f"{_HEADS_PATH}/")
         async with running_fleet() as fleet:
             daemons = await daemons_by_role(fleet)
             await inject(fleet, head_create_fault("lose", failing_read))
