A waiting request sees the mark of an entry removed meanwhile

The check before the send looked at the endpoint's state at the time of the choice. If the list dropped the entry while the request waited for a connection, an announcement after that went unseen and the request was sent. `EndpointDirectory.is_leaving` looks the process up instead. A list that shows another start of an endpoint now also ends the wait for its lag in the log.

test_a_waiting_request_sees_the_mark_of_a_removed_entry failed before: the request reached the endpoint. The state machine checks held entries, too.

--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -234,6 +234,14 @@
         known = self._endpoints.get(process.endpoint_id)
         return known is not None and known.entry.process == process
 
+    def is_leaving(self, entry: EndpointEntry) -> bool:
+        """Whether the process of an entry, which may be old, is leaving."""
+        process = entry.process
+        if process in self._leaving:
+            return True
+        known = self._endpoints.get(entry.endpoint_id)
+        return self._is_listed(process) and known.entry.is_leaving
+
     def record_leaving(
         self, entry: EndpointEntry, call: str, now_s: float
     ) -> None:
--- a/daisyhub/balancing/tests/test_proof_leaving.py
+++ b/daisyhub/balancing/tests/test_proof_leaving.py
@@ -156,6 +156,15 @@
                     "request for an endpoint that announced its leaving"
                 )
 
+    @invariant()
+    def entries_of_announced_processes_are_leaving(self):
+        """Also those that a request holds while it waits to be sent."""
+        for number, directory in enumerate(getattr(self, "directories", ())):
+            for process in self.announced[number]:
+                assert directory.is_leaving(make_entry(process, False)), (
+                    "a held entry of a leaving process may be used"
+                )
+
     @invariant()
     def each_process_is_told_once(self):
         told = getattr(self, "told", [])
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from daisyhub.balancing import Endpoint, EndpointDirectory, EndpointEntry
+from daisyhub.balancing import EndpointDirectory, EndpointEntry
 from daisyhub.catalog import Route
 from daisyhub.connections import (
     HttpClient,
@@ -218,7 +218,7 @@
         result = "cancelled"
         try:
             fresh = state.record_attempt(endpoint_id)
-            response = await self._exchange(state.task, endpoint, fresh)
+            response = await self._exchange(state.task, endpoint.entry, fresh)
             result = f"status {response.status}"
         except RequestWithdrawnError as exc:
             result = str(exc)
@@ -249,7 +249,9 @@
             action, endpoint.entry, token, response
         )
 
-    async def _exchange(self, task: SendTask, endpoint: Endpoint, fresh: bool):
+    async def _exchange(
+        self, task: SendTask, entry: EndpointEntry, fresh: bool
+    ) -> HttpResponse | StreamedResponse:
         """Returns the endpoint's response, streamed or buffered as required.
 
         Raises:
@@ -259,7 +261,6 @@
                 stream, was received.
         """
         remaining_s = max(0.0, task.deadline_s - time.monotonic())
-        entry = endpoint.entry
         headers = self._wire.request_headers(
             EndpointRequest(
                 request_id=task.request_id,
@@ -276,7 +277,7 @@
             "body": task.body,
             "timeout_s": remaining_s,
             "fresh": fresh,
-            "may_send": lambda: not endpoint.entry.is_leaving,
+            "may_send": lambda: not self._directory.is_leaving(entry),
         }
         if task.is_streamed:
             return await self._http.open(*args, **kwargs)
--- a/daisyhub/lots/_runner.py
+++ b/daisyhub/lots/_runner.py
@@ -60,7 +60,8 @@
         endpoint = self._directory.get(order.endpoint_id)
         if endpoint is None:
             return _end(order, RunFault.ELSEWHERE, 0, "unknown endpoint")
-        if endpoint.entry.is_leaving:
+        entry = endpoint.entry
+        if entry.is_leaving:
             return _end(order, RunFault.ELSEWHERE, 0, "leaving endpoint")
         headers = self._endpoint_wire.request_headers(
             EndpointRequest(
@@ -79,21 +80,21 @@
         try:
             response = await self._http.open(
                 "POST",
-                endpoint.entry.address,
+                entry.address,
                 order.path,
                 headers=headers,
                 body=order.body,
                 timeout_s=max(
                     0.0, order.remaining_s + started_s - time.monotonic()
                 ),
-                may_send=lambda: not endpoint.entry.is_leaving,
+                may_send=lambda: not self._directory.is_leaving(entry),
             )
         except RequestWithdrawnError as exc:
             return _end(order, RunFault.ELSEWHERE, 0, str(exc))
         except RequestFailedError as exc:
             return _end(order, RunFault.UNREACHABLE, 0, str(exc))
         try:
-            return await self._read(order, endpoint.entry, response, emit)
+            return await self._read(order, entry, response, emit)
         finally:
             await response.aclose()
 
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -550,6 +550,8 @@
             return
         known = self.directory.get(found.name)
         was_leaving = known is not None and known.entry.is_leaving
+        if known is not None and known.entry.process != entry.process:
+            self.leaving_news.confirm(known.entry.process, is_removed=True)
         self.directory.upsert(entry)
         if entry.is_leaving:
             self.leaving_news.confirm(entry.process, is_removed=False)
--- a/daisyhub/platform/tests/test_leaving_announcements.py
+++ b/daisyhub/platform/tests/test_leaving_announcements.py
@@ -179,6 +179,33 @@
         self.assertEqual(len(leaving.requests), 2)
         self.assertEqual(len(other.requests), 1)
 
+    async def test_a_waiting_request_sees_the_mark_of_a_removed_entry(self):
+        """The mark of an entry removed meanwhile was not seen."""
+        waiting = await self.add_endpoint("a", make_response(200))
+        other = await self.add_endpoint("b", make_response(200))
+        entry = self.directory.get("a").entry
+        directory = self.directory
+
+        class LosesEntry(HttpClient):
+            async def request(self, *args, **kwargs):
+                if not waiting.requests and not other.requests:
+                    directory.remove("a", 0.0, is_store_stable=True)
+                    directory.mark_leaving(entry.process, 0.0)
+                return await super().request(*args, **kwargs)
+
+        http = LosesEntry(connect_timeout_s=2.0, idle_s=30.0)
+        self.addAsyncCleanup(http.aclose)
+        self.sender = Sender(
+            directory,
+            http,
+            PlatformEndpointWire(),
+            Metrics(),
+            DecisionLog("d", write=lambda _: True),
+        )
+        await self.send()
+        self.assertEqual(waiting.requests, [])
+        self.assertEqual(len(other.requests), 1)
+
     async def test_requests_are_refused_while_all_endpoints_are_leaving(self):
         servers = [
             await self.add_endpoint(name, make_response(200, fields=LEAVING))
