Without a manifest a lot is answered 504, not 503 not run

A daemon that had just started, and had no manifest yet, answered 503 ("not run") to the repeat of a lot that another daemon had stored.

Cause: the refusal is made before the request's route, and so its kind, is known; it spoke for a lot that other daemons may have stored.

Change: without a manifest a request whose body may be a lot (a JSON object) gets 504 lot_unconfirmed with Retry-After; all others still get 503.

--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -74,7 +74,7 @@
     PlatformEngineClient,
     PlatformVersionReader,
 )
-from daisyhub.platform._lots_json import PlatformLotWire
+from daisyhub.platform._lots_json import PlatformLotWire, may_be_lot
 from daisyhub.platform._manifest import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -381,7 +381,7 @@
         cfg = self.cfg
         handler = build_chain(
             (
-                FindRouteFilter(self.manifests),
+                FindRouteFilter(self.manifests, may_be_lot),
                 KeyFilter(self.manifests),
                 BodyFilter(self.manifests),
                 SubmittedLotsFilter(
--- a/daisyhub/platform/_lots_json.py
+++ b/daisyhub/platform/_lots_json.py
@@ -23,7 +23,7 @@
 )
 from daisyhub.messages import Request
 
-__all__ = ["PlatformLotWire"]
+__all__ = ["PlatformLotWire", "may_be_lot"]
 
 _STATE_NAMES = {
     ResultState.COMPLETED: "completed",
@@ -138,6 +138,11 @@
         return _EventReader(version)
 
 
+def may_be_lot(body: bytes) -> bool:
+    """Whether a request body may be a lot: whether it starts as an object."""
+    return body.lstrip().startswith(b"{")
+
+
 def _to_item_spec(item: _Item) -> ItemSpec:
     scorer = item.scorer
     headers = {key.lower(): value for key, value in item.headers.items()}
