Soak: every daemon must list every lot, page by page

The last reads of a soak took a response without the last result for a failed read and repeated it from the start for 20 s, then went on without a word. A daemon may answer with part of the results, so the next page is read from there; a daemon that lists nothing further in 20 s is now reported as LOST.

--- a/daisyhub/testing/soak/_ledger.py
+++ b/daisyhub/testing/soak/_ledger.py
@@ -175,6 +175,12 @@
         """Records that a daemon doesn't know an accepted lot."""
         self._add_violation(f"LOST {lot_id}: {daemon} responds {status}")
 
+    def record_unlisted_result(
+        self, daemon: str, lot_id: str, position: int
+    ) -> None:
+        """Records that a daemon doesn't list a lot from a position on."""
+        self._add_violation(f"LOST {lot_id}: nothing at {position} at {daemon}")
+
     def check_texts(self, events: int) -> None:
         """Checks that each lot lists every item once.
 
--- a/daisyhub/testing/soak/_load_generator.py
+++ b/daisyhub/testing/soak/_load_generator.py
@@ -279,7 +279,7 @@
 
     async def read_lot(
         self, daemon: str, lot_id: str, after: int | None = None
-    ) -> bool:
+    ) -> int:
         """Reads results of a lot from a daemon and records them.
 
         Args:
@@ -289,7 +289,7 @@
                 the results read so far, at random.
 
         Returns:
-            Whether the response included the last result of the lot.
+            The position after the last result read; `after` if there was none.
         """
         known_count = self._ledger.result_count(lot_id)
         if after is None:
@@ -306,7 +306,7 @@
         if status in _LOT_UNKNOWN_STATUSES:
             self._ledger.record_missing_lot(daemon, lot_id, status)
         if status != _OK:
-            return False
-        listing = json.loads(body)
-        self._ledger.record_results(daemon, lot_id, after, listing["results"])
-        return after + len(listing["results"]) >= listing["total"]
+            return after
+        results = json.loads(body)["results"]
+        self._ledger.record_results(daemon, lot_id, after, results)
+        return after + len(results)
--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -350,12 +350,24 @@
 
     async def _read_all_lots(self) -> None:
         deadline_s = time.monotonic() + _LOT_TIMEOUT_S
-        for lot_id in tuple(self.ledger.lots):
+        for lot_id, total in tuple(self.ledger.lots.items()):
             for daemon in self.fleet.daemon_names:
-                while not await self.load_generator.read_lot(daemon, lot_id, 0):
-                    if time.monotonic() > deadline_s:
-                        break
-                    await anyio.sleep(_READ_INTERVAL_S)
+                await self._read_lot(daemon, lot_id, total, deadline_s)
+
+    async def _read_lot(
+        self, daemon: str, lot_id: str, total: int, deadline_s: float
+    ) -> None:
+        """Reads a lot page by page; records if a page is missing."""
+        position = 0
+        while position < total:
+            first = position
+            position = await self.load_generator.read_lot(daemon, lot_id, first)
+            if position > first:
+                continue
+            if time.monotonic() > deadline_s:
+                self.ledger.record_unlisted_result(daemon, lot_id, first)
+                return
+            await anyio.sleep(_READ_INTERVAL_S)
 
     def _save_logs(self) -> str:
         """Copies the logs of all processes and the plan to `.soak/`.
--- a/daisyhub/testing/soak/tests/test_ledger.py
+++ b/daisyhub/testing/soak/tests/test_ledger.py
@@ -106,9 +106,11 @@
 
     def test_losses_exits_and_failed_recoveries_are_reported(self):
         self.ledger.record_missing_lot("d0", "L", 404)
+        self.ledger.record_unlisted_result("d0", "L", 1)
         self.ledger.record_unexpected_exit("d0", 1)
         self.ledger.record_failed_recovery("d0", "status 0")
         self.ledger.record_missed_shutdown("d0")
         self.assertEqual(
-            self.violated_codes(), ["LOST", "FAULT", "RECOVER", "DRAIN"]
+            self.violated_codes(),
+            ["LOST", "LOST", "FAULT", "RECOVER", "DRAIN"],
         )
