A refused submission waits for its evidence no longer than one call

The reads that decide between "not run" and unknown came after up to three tries of a create. Against a silent store a caller, which leaves an attempt after about a second, could have waited for up to three more timeouts and lost the answer.

--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -12,6 +12,7 @@
 import collections
 import hashlib
 
+import anyio
 import msgspec
 
 from daisyhub.lots._run_types import Progress
@@ -39,6 +40,9 @@
 # Maximum number of lots whose items are cached after a create or a read: those
 # of a few steps.
 _MAX_CACHED_LOTS = 6
+# Seconds within which the reads after a failed submission must end: one call's
+# usual timeout. Callers leave after about a second.
+_RESOLVE_TIMEOUT_S = 0.7
 # Size in bytes of the digest that tells submissions with one id apart.
 _DIGEST_BYTES = 8
 
@@ -157,13 +161,18 @@
             ObjectStoreError: There is none, or it can't be read.
         """
         try:
-            found = await self._store.read(LOTS_KIND, head.lot_id)
-            if found is not None:
-                return decode_head(found)[0]
-            may_be_done = failure.may_be_done or await self._has_all_parts(head)
-        except ObjectStoreError as exc:
+            with anyio.fail_after(_RESOLVE_TIMEOUT_S):
+                found = await self._store.read(LOTS_KIND, head.lot_id)
+                if found is not None:
+                    return decode_head(found)[0]
+                may_be_done = failure.may_be_done or await self._has_all_parts(
+                    head
+                )
+        except (ObjectStoreError, TimeoutError) as exc:
+            reason = str(exc) or f"no result in {_RESOLVE_TIMEOUT_S} s"
             raise ObjectStoreError(
-                f"{failure}; reading the lot failed: {exc}", may_be_done=True
+                f"{failure}; reading the lot failed: {reason}",
+                may_be_done=True,
             ) from exc
         raise ObjectStoreError(
             str(failure), may_be_done=may_be_done
--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+import anyio
 import msgspec
 
 from daisyhub.catalog import Route, RouteKind
@@ -195,6 +196,19 @@
         daemon = Daemon(self.shared, self.shared)
         self.assertIn(await daemon.submit(), PROMISES)
 
+    async def test_a_refusal_does_not_wait_for_a_silent_store(self):
+        read = self.shared.read
+
+        async def read_after_a_minute(*args, **kwargs):
+            await anyio.sleep(60.0)
+            return await read(*args, **kwargs)
+
+        self.shared.read = read_after_a_minute
+        self.shared.fail_next("create", Fault.REFUSED, Fault.REFUSED)
+        daemon = Daemon(self.shared, self.shared)
+        with anyio.fail_after(30.0):
+            self.assertNotIn(await daemon.submit(), PROMISES | {202})
+
 
 if __name__ == "__main__":
     unittest.main()
