Review of the refusals of lots: one encoding, true 503 without a manifest

- Without a manifest every JSON object was answered 504, so that a request that may run once lost the 503 that lets its caller repeat it.
Only a body that decodes as a lot with items gets 504 now; others are never stored as lots.
The body that is read without a limit from a manifest is 16 MB at most, not 64.
- The names of parts depended on the order of an item's headers, and on the account, which a manifest can rename: evidence of one submission didn't hold for the other.
Parts are encoded in a fixed order, the account is left out.
- A read that was cut by the time limit left no try in the log line.
- A head that can't be decoded ended a submission without a log line.

--- a/daisyhub/exceptions.py
+++ b/daisyhub/exceptions.py
@@ -8,6 +8,7 @@
     "DocumentError",
     "ErrorCode",
     "ExecutionStatus",
+    "NOT_RUN_STATUSES",
     "PlatformConflictError",
     "PlatformUnavailableError",
     "Problem",
@@ -25,7 +26,7 @@
 
 # Statuses that tell callers of the platform that their request has not run and
 # never will.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class ErrorCode(enum.Enum):
@@ -79,7 +80,7 @@
     @property
     def promises_not_run(self) -> bool:
         """Whether the status promises that the request has not run."""
-        return self.status in _NOT_RUN_STATUSES
+        return self.status in NOT_RUN_STATUSES
 
 
 class DaisyhubError(Exception):
--- a/daisyhub/gateway/_route_filter.py
+++ b/daisyhub/gateway/_route_filter.py
@@ -13,9 +13,9 @@
 # Sent as `Retry-After` while no manifest is loaded; a starting daemon lists the
 # store within this time.
 _NO_MANIFEST_RETRY_AFTER_S = 0.3
-# Limit of a body that is read while no manifest states one; far above the
-# limits of manifests.
-_MAX_BODY_BYTES = 64 << 20
+# Limit of a body that is read while no manifest states one; above the limits of
+# manifests.
+_MAX_BODY_BYTES = 16 << 20
 
 
 class FindRouteFilter(Filter):
@@ -23,7 +23,7 @@
 
     Args:
         manifests: Provides the active manifest.
-        may_be_lot: Whether a body may be a submitted lot.
+        may_be_lot: Whether a body may be a lot that a daemon has stored.
     """
 
     name = "find_route"
--- a/daisyhub/gateway/tests/test_route_filter.py
+++ b/daisyhub/gateway/tests/test_route_filter.py
@@ -11,6 +11,8 @@
 from daisyhub.platform._lots_json import may_be_lot
 from daisyhub.platform._manifest import PlatformManifestReader
 
+LOT = b'{"items":[{"id":"i","path":"/p/i","headers":{},"body":"eA=="}]}'
+
 
 async def never_called(_):
     raise AssertionError("a request without a route was passed on")
@@ -44,7 +46,7 @@
     async def test_a_lot_is_not_called_not_run_before_a_manifest_is_loaded(
         self,
     ):
-        for body in (b'{"items":[]}', b' \n{"items":[]}'):
+        for body in (LOT, b" \n" + LOT):
             with self.subTest(body):
                 refusal = await self.refuse(body)
                 self.assertIs(refusal.error, ErrorCode.LOT_UNCONFIRMED)
@@ -52,7 +54,7 @@
                 self.assertIsNotNone(refusal.retry_after_s)
 
     async def test_other_requests_are_refused_as_not_run(self):
-        for body in (b"", b"\x00\x01", b"[1]"):
+        for body in (b"", b"\x00\x01", b"[1]", b'{"prompt":"x"}'):
             with self.subTest(body):
                 refusal = await self.refuse(body)
                 self.assertIs(refusal.error, ErrorCode.NO_CONFIGURATION)
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -110,13 +110,15 @@
                 have sent a create of the head.
         """
         parts = [
-            msgspec.json.encode(_Part(items=tuple(items)))
+            msgspec.json.encode(
+                _Part(items=tuple(items)), order="deterministic"
+            )
             for items in _split_into_parts(spec.items)
         ]
         head = msgspec.structs.replace(
             spec.head,
             parts=len(parts),
-            parts_digest=_digest(spec.head.account, parts),
+            parts_digest=_digest(parts),
         )
         content = msgspec.json.encode(head)
         try:
@@ -165,10 +167,10 @@
                 found = await self._store.read(LOTS_KIND, head.lot_id)
                 if found is not None:
                     return decode_head(found)[0]
-                may_be_done = failure.may_be_done or await self._has_all_parts(
-                    head
+                may_be_done = (
+                    failure.may_be_done or await self._may_head_be_sent(head)
                 )
-        except (ObjectStoreError, TimeoutError) as exc:
+        except (ObjectStoreError, TimeoutError, msgspec.DecodeError) as exc:
             reason = str(exc) or f"no result in {_RESOLVE_TIMEOUT_S} s"
             raise ObjectStoreError(
                 f"{failure}; reading the lot failed: {reason}",
@@ -178,8 +180,8 @@
             str(failure), may_be_done=may_be_done
         ) from failure
 
-    async def _has_all_parts(self, head: LotHead) -> bool:
-        """Whether a create of the head may be under way at any daemon.
+    async def _may_head_be_sent(self, head: LotHead) -> bool:
+        """Whether any daemon may have sent a create of the head.
 
         A daemon sends it only after the last part is known to be stored.
         """
@@ -373,8 +375,8 @@
         yield part
 
 
-def _digest(account: str, parts: list[bytes]) -> str:
-    digest = hashlib.blake2b(account.encode(), digest_size=_DIGEST_BYTES)
+def _digest(parts: list[bytes]) -> str:
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
     for part in parts:
         digest.update(part)
     return digest.hexdigest()
--- a/daisyhub/lots/_types.py
+++ b/daisyhub/lots/_types.py
@@ -69,8 +69,8 @@
         wanted_groups: Number of groups that the trainer waits for.
         total: Number of items.
         parts: Number of objects that contain the items.
-        parts_digest: Digest of the account and the items, part of the names of
-            these objects; empty if the names contain none.
+        parts_digest: Digest of the items, part of the names of these objects;
+            empty if the names contain none.
         accepted_s: Time of its acceptance on the cluster's clock, in seconds
             since 1970.
         due_s: Seconds from its acceptance until its results are due.
--- a/daisyhub/lots/tests/test_lot_writes.py
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -12,6 +13,7 @@
     LotHead,
     LotSpec,
     LotStore,
+    _lot_store,
 )
 from daisyhub.lots._run_types import Progress
 from daisyhub.objects import ObjectConflictError, ObjectStoreError
@@ -106,23 +108,34 @@
         self.assertEqual(self.store.objects["lots", "L"].status, ended)
 
     async def test_items_of_a_refused_lot_do_not_run_under_a_later_head(self):
-        create = self.store.create
+        create, part_numbers = self.store.create, itertools.count()
 
-        async def refuse_head(kind, name, spec):
-            if kind == "lots":
+        async def refuse_second_part(kind, name, spec):
+            if kind == "lot-items" and next(part_numbers) == 1:
                 raise ObjectStoreError("refused", may_be_done=False)
             return await create(kind, name, spec)
 
-        self.store.create = refuse_head
-        with self.assertRaises(ObjectStoreError):
-            await self.lots.accept(SPEC)
-        self.assertNotIn(("lots", "L"), self.store.objects)
-        self.store.create = create
-        other = msgspec.structs.replace(SPEC, items=SPEC.items[1:])
-        with contextlib.suppress(ObjectStoreError):
+        self.store.create = refuse_second_part
+        with mock.patch.object(_lot_store, "_MAX_PART_BYTES", 1):
+            with self.assertRaises(ObjectStoreError) as caught:
+                await self.lots.accept(SPEC)
+            self.assertFalse(caught.exception.may_be_done)
+            self.store.create = create
+            items = tuple(reversed(SPEC.items))
+            other = msgspec.structs.replace(SPEC, items=items)
             head = await self.lots.accept(other)
             stored = await LotStore(self.store).spec(head)
-            self.assertEqual(stored.items, other.items)
+        self.assertEqual(stored.items, other.items)
+
+    async def test_lots_that_differ_in_the_order_of_headers_share_parts(self):
+        names = set()
+        for order in (1, -1):
+            self.setUp()
+            headers = dict([("a", "1"), ("b", "2")][::order])
+            item = msgspec.structs.replace(SPEC.items[0], headers=headers)
+            await self.lots.accept(msgspec.structs.replace(SPEC, items=(item,)))
+            names |= {name for _, name in self.store.objects}
+        self.assertEqual(len(names), 2, names)
 
     async def test_a_lot_that_is_deleted_in_part_is_not_run_again(self):
         for failing in range(6):
--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -196,6 +196,12 @@
         daemon = Daemon(self.shared, self.shared)
         self.assertIn(await daemon.submit(), PROMISES)
 
+    async def test_a_lot_with_all_parts_stored_is_not_called_not_run(self):
+        refused = (Fault.REFUSED, Fault.REFUSED)
+        self.shared.fail_next("create", None, *refused)
+        daemon = Daemon(self.shared, self.shared)
+        self.assertNotIn(await daemon.submit(), PROMISES | {202})
+
     async def test_a_refusal_does_not_wait_for_a_silent_store(self):
         read = self.shared.read
 
@@ -208,6 +214,8 @@
         daemon = Daemon(self.shared, self.shared)
         with anyio.fail_after(30.0):
             self.assertNotIn(await daemon.submit(), PROMISES | {202})
+        (line,) = daemon.find("lot_not_accepted")
+        self.assertRegex(line["tries"][-1], "read lots/L by .*: unknown")
 
 
 if __name__ == "__main__":
--- a/daisyhub/objects/_relayed.py
+++ b/daisyhub/objects/_relayed.py
@@ -272,6 +272,9 @@
                 call.record(way, outcome, exc)
                 if should_record_failure:
                     self._record_outcome(store, exc)
+            except anyio.get_cancelled_exc_class():
+                call.record(way, TryOutcome.UNKNOWN, "cancelled")
+                raise
             except ObjectConflictError as exc:
                 call.record(way, TryOutcome.CONFLICT, exc)
                 self._record_outcome(store, None)
--- a/daisyhub/platform/_lots_json.py
+++ b/daisyhub/platform/_lots_json.py
@@ -139,8 +139,11 @@
 
 
 def may_be_lot(body: bytes) -> bool:
-    """Whether a request body may be a lot: whether it starts as an object."""
-    return body.lstrip().startswith(b"{")
+    """Whether a request body is a lot that a daemon may have stored."""
+    try:
+        return bool(msgspec.json.decode(body, type=_Lot).items)
+    except msgspec.DecodeError:
+        return False
 
 
 def _to_item_spec(item: _Item) -> ItemSpec:
--- a/daisyhub/platform/_wire.py
+++ b/daisyhub/platform/_wire.py
@@ -9,7 +9,7 @@
 import re
 import urllib.parse
 
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import NOT_RUN_STATUSES, ErrorCode, Refusal
 from daisyhub.gateway import (
     CallerWire,
     EndpointRequest,
@@ -57,9 +57,6 @@
     _ENDPOINT,
 }
 _MISDIRECTED_STATUS = 421
-# Statuses that promise a caller that its request was not and won't be run; set
-# by the platform's interface.
-_PROMISE_STATUSES = frozenset({408, _MISDIRECTED_STATUS, 429, 503})
 _MS_PER_S = 1000.0
 # Seconds until the deadline of a request whose deadline header is absent or
 # invalid; the longest timeout of a route is far shorter.
@@ -139,7 +136,7 @@
         return EndpointResponseHead(
             is_not_run=is_misdirected or _NOT_RUN in by_name,
             is_misdirected=is_misdirected,
-            is_promise=status in _PROMISE_STATUSES,
+            is_promise=status in NOT_RUN_STATUSES,
             load=_read_load(by_name.get(_LOAD, b"")),
             proof=by_name.get(_PROOF, b"").decode("latin-1"),
             weight_version=int(weights) if _VERSION.fullmatch(weights) else 0,
