--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -12,6 +12,7 @@
 import collections
 import hashlib
 
+import anyio
 import msgspec
 
 from daisyhub.lots._run_types import Progress
@@ -39,6 +40,9 @@
 # Maximum number of lots whose items are cached after a create or a read: those
 # of a few steps.
 _MAX_CACHED_LOTS = 6
+# Seconds within which the reads after a failed submission must end: one call's
+# usual timeout. Callers leave after about a second.
+_RESOLVE_TIMEOUT_S = 0.7
 # Size in bytes of the digest that tells submissions with one id apart.
 _DIGEST_BYTES = 8
 
@@ -106,13 +110,15 @@
                 have sent a create of the head.
         """
         parts = [
-            msgspec.json.encode(_Part(items=tuple(items)))
+            msgspec.json.encode(
+                _Part(items=tuple(items)), order="deterministic"
+            )
             for items in _split_into_parts(spec.items)
         ]
         head = msgspec.structs.replace(
             spec.head,
             parts=len(parts),
-            parts_digest=_digest(spec.head.account, parts),
+            parts_digest=_digest(parts),
         )
         content = msgspec.json.encode(head)
         try:
@@ -157,20 +163,25 @@
             ObjectStoreError: There is none, or it can't be read.
         """
         try:
-            found = await self._store.read(LOTS_KIND, head.lot_id)
-            if found is not None:
-                return decode_head(found)[0]
-            may_be_done = failure.may_be_done or await self._has_all_parts(head)
-        except ObjectStoreError as exc:
+            with anyio.fail_after(_RESOLVE_TIMEOUT_S):
+                found = await self._store.read(LOTS_KIND, head.lot_id)
+                if found is not None:
+                    return decode_head(found)[0]
+                may_be_done = (
+                    failure.may_be_done or await self._may_head_be_sent(head)
+                )
+        except (ObjectStoreError, TimeoutError, msgspec.DecodeError) as exc:
+            reason = str(exc) or f"no result in {_RESOLVE_TIMEOUT_S} s"
             raise ObjectStoreError(
-                f"{failure}; reading the lot failed: {exc}", may_be_done=True
+                f"{failure}; reading the lot failed: {reason}",
+                may_be_done=True,
             ) from exc
         raise ObjectStoreError(
             str(failure), may_be_done=may_be_done
         ) from failure
 
-    async def _has_all_parts(self, head: LotHead) -> bool:
-        """Whether a create of the head may be under way at any daemon.
+    async def _may_head_be_sent(self, head: LotHead) -> bool:
+        """Whether any daemon may have sent a create of the head.
 
         A daemon sends it only after the last part is known to be stored.
         """
@@ -364,8 +375,8 @@
         yield part
 
 
-def _digest(account: str, parts: list[bytes]) -> str:
-    digest = hashlib.blake2b(account.encode(), digest_size=_DIGEST_BYTES)
+def _digest(parts: list[bytes]) -> str:
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
     for part in parts:
         digest.update(part)
     return digest.hexdigest()
--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+import anyio
 import msgspec
 
 from daisyhub.catalog import Route, RouteKind
@@ -195,6 +196,27 @@
         daemon = Daemon(self.shared, self.shared)
         self.assertIn(await daemon.submit(), PROMISES)
 
+    async def test_a_lot_with_all_parts_stored_is_not_called_not_run(self):
+        refused = (Fault.REFUSED, Fault.REFUSED)
+        self.shared.fail_next("create", None, *refused)
+        daemon = Daemon(self.shared, self.shared)
+        self.assertNotIn(await daemon.submit(), PROMISES | {202})
+
+    async def test_a_refusal_does_not_wait_for_a_silent_store(self):
+        read = self.shared.read
+
+        async def read_after_a_minute(*args, **kwargs):
+            await anyio.sleep(60.0)
+            return await read(*args, **kwargs)
+
+        self.shared.read = read_after_a_minute
+        self.shared.fail_next("create", Fault.REFUSED, Fault.REFUSED)
+        daemon = Daemon(self.shared, self.shared)
+        with anyio.fail_after(30.0):
+            self.assertNotIn(await daemon.submit(), PROMISES | {202})
+        (line,) = daemon.find("lot_not_accepted")
+        self.assertRegex(line["tries"][-1], "read lots/L by .*: unknown")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/daisyhub/platform/_lots_json.py
+++ b/daisyhub/platform/_lots_json.py
@@ -23,7 +23,7 @@
 )
 from daisyhub.messages import Request
 
-__all__ = ["PlatformLotWire"]
+__all__ = ["PlatformLotWire", "may_be_lot"]
 
 _STATE_NAMES = {
     ResultState.COMPLETED: "completed",
@@ -138,6 +138,14 @@
         return _EventReader(version)
 
 
+def may_be_lot(body: bytes) -> bool:
+    """Whether a request body is a lot that a daemon may have stored."""
+    try:
+        return bool(msgspec.json.decode(body, type=_Lot).items)
+    except msgspec.DecodeError:
+        return False
+
+
 def _to_item_spec(item: _Item) -> ItemSpec:
     scorer = item.scorer
     headers = {key.lower(): value for key, value in item.headers.items()}
