A daemon whose write of a duty was lost reads the record until it is decided

Lots made no progress for 70 s: the duty for them had no holder, though all daemons lived and reached the store.

Cause: edge-1's write of the record took effect and its answer was lost. Then another daemon came back that ranks before it, so edge-1 was no candidate any more and never read the record again: it didn't know that it was the holder. The candidate saw edge-1 named in the record and alive, and waited for it.

Change: after a write of unknown outcome the record is read, candidate or not, until its revision has moved past the one that the write expects; until then the write may still land. A daemon that is leaving gives up what such a write took.

--- a/daisyhub/duties/_controller.py
+++ b/daisyhub/duties/_controller.py
@@ -126,10 +126,10 @@
 
     async def release(self) -> None:
         """Releases the duty in the store if it is held, for a shutdown."""
-        if not self._core.fencing_if_held(boot_time_s()):
-            return
+        is_held = bool(self._core.fencing_if_held(boot_time_s()))
         self._core.release()
-        await self.step()
+        if is_held:
+            await self.step()
 
     def set_leaving(self) -> None:
         """Marks this daemon as shutting down; it acquires no duty any more."""
--- a/daisyhub/duties/_core.py
+++ b/daisyhub/duties/_core.py
@@ -128,6 +128,7 @@
         self._record: DutyRecord | None = None
         self._revision: int | None = None
         self._is_call_pending = False
+        self._is_write_pending = False
         # When the last call and the last read were sent, and when the last call
         # was sent that returned the own record.
         self._sent_at_s = -math.inf
@@ -139,6 +140,10 @@
         self._should_hold = True
         # Holder in the record that the last write replaces.
         self._previous_holder = ""
+        # Revision that the last write expects, and that of a write of unknown
+        # outcome, which may still take effect while the record is at it.
+        self._written_at = 0
+        self._unresolved_at: int | None = None
 
     @property
     def next_wakeup_s(self) -> float | None:
@@ -177,6 +182,9 @@
                 self._on_record(event, now_s)
             case DutyCallFailed():
                 self._is_call_pending = False
+                if self._is_write_pending:
+                    self._unresolved_at = self._written_at
+                    self._is_write_pending = False
                 self._revision = None
                 self._retry_at_s = now_s + _RETRY_DELAY_S
             case FencingRejected():
@@ -196,7 +204,7 @@
         if self._is_own():
             return self._on_own_tick(tick, now_s)
         if not tick.is_candidate or not self._should_hold:
-            return []
+            return self._resolve_write(now_s)
         if self._revision is None:
             return self._read(now_s)
         if tick.is_holder_live and self._record and self._record.holder:
@@ -217,6 +225,18 @@
             return self._read(now_s)
         return []
 
+    def _resolve_write(self, now_s: float) -> list[object]:
+        """Reads the record until a write of unknown outcome is decided.
+
+        Otherwise a daemon that is no candidate any more would never learn that
+        it holds the duty, while the others wait for it.
+        """
+        if self._unresolved_at is None:
+            return []
+        interval_s = self.term_s / _CHECKS_PER_TERM
+        is_due = now_s - self._last_read_at_s >= interval_s
+        return self._read(now_s) if self._revision is None or is_due else []
+
     def _check_holder(self, now_s: float) -> list[object]:
         """Reads a live holder's record every `_HOLDER_CHECK_INTERVAL_S`."""
         if now_s - self._last_read_at_s < _HOLDER_CHECK_INTERVAL_S:
@@ -241,11 +261,16 @@
         self._is_call_pending = True
         self._sent_at_s = now_s
         self._previous_holder = self._record.holder if self._record else ""
-        return [WriteDuty(record, self._revision or 0)]
+        self._is_write_pending = True
+        self._written_at = self._revision or 0
+        return [WriteDuty(record, self._written_at)]
 
     def _on_record(self, found: DutyRecordReceived, now_s: float) -> None:
         was_own = self._is_own()
         self._is_call_pending = False
+        self._is_write_pending = False
+        if found.revision != self._unresolved_at:
+            self._unresolved_at = None
         self._record = found.record
         self._revision = found.revision
         if self._is_own():
--- a/daisyhub/duties/tests/test_duty_writes.py
+++ b/daisyhub/duties/tests/test_duty_writes.py
@@ -29,9 +29,10 @@
             "rollouts", core, self.store, PeerTable(name, LOG), 1.0, LOG
         )
         # Every daemon believes that the others are lost.
+        duty.is_candidate = True
         duty._tick = types.MethodType(
-            lambda _: _controller.DutyTick(
-                is_candidate=True, is_holder_live=False
+            lambda duty: _controller.DutyTick(
+                is_candidate=duty.is_candidate, is_holder_live=False
             ),
             duty,
         )
@@ -51,6 +52,41 @@
         await self.step(duty)
         self.assertEqual(duty.fencing, 1)
 
+    async def test_a_lost_write_is_found_by_a_daemon_no_longer_preferred(self):
+        for fault in (Fault.RESPONSE_LOST, Fault.DELAYED):
+            with self.subTest(fault):
+                self.setUp()
+                duty = self.new_daemon("a")
+                self.store.fail_next("create", fault)
+                await self.step(duty, count=2)
+                duty.is_candidate = False
+                await self.step(duty, count=4)
+                self.store.run_delayed_writes()
+                await self.step(duty, count=4)
+                self.assertEqual(duty.fencing, 1)
+
+    async def test_a_write_that_is_decided_is_not_read_for_ever(self):
+        one, other = self.new_daemon("a"), self.new_daemon("b")
+        self.store.fail_next("create", Fault.DELAYED)
+        await self.step(one, count=2)
+        await self.step(other, count=2)
+        one.is_candidate = False
+        await self.step(one, count=4)
+        reads = self.store.calls["read"]
+        await self.step(one, count=20)
+        self.assertEqual(self.store.calls["read"], reads)
+
+    async def test_a_leaving_daemon_gives_up_what_its_lost_write_took(self):
+        duty = self.new_daemon("a")
+        self.store.fail_next("create", Fault.RESPONSE_LOST)
+        await self.step(duty, count=2)
+        duty.is_candidate = False
+        await duty.release()
+        await self.step(duty, count=4)
+        self.assertEqual(duty.fencing, 0)
+        record = self.store.objects["duties", "rollouts"].spec
+        self.assertEqual(record, b'{"holder":"","fencing":1}')
+
     async def test_a_conflict_without_object_gives_no_duty(self):
         one, other = self.new_daemon("a"), self.new_daemon("b")
         await self.step(one)
