Test: a request that waits for a connection waits until it is released

The wait is 5 s in the test now, so that the case that it names is the one that it plays; what it asserts is unchanged.

--- a/daisyhub/platform/tests/test_leaving_announcements.py
+++ b/daisyhub/platform/tests/test_leaving_announcements.py
@@ -4,10 +4,11 @@
 import contextlib
 import time
 import unittest
+from unittest import mock
 
 from daisyhub.balancing import EndpointDirectory, EndpointEntry
 from daisyhub.catalog import PoolShare, Route, RouteKind
-from daisyhub.connections import HttpClient
+from daisyhub.connections import HttpClient, _client
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.gateway import Sender, SendTask
 from daisyhub.logs import DecisionLog
@@ -174,7 +175,8 @@
         )
         other = await self.add_endpoint("b", ok)
         await self.send()
-        responses = await asyncio.gather(self.send(), self.send())
+        with mock.patch.object(_client, "_MAX_RELEASE_WAIT_S", 5.0):
+            responses = await asyncio.gather(self.send(), self.send())
         self.assertEqual([r.status for r in responses], [200, 200])
         self.assertEqual(len(leaving.requests), 2)
         self.assertEqual(len(other.requests), 1)
