--- a/daisyhub/platform/tests/test_leaving_announcements.py
+++ b/daisyhub/platform/tests/test_leaving_announcements.py
@@ -6,7 +6,11 @@
 import unittest
 from unittest import mock
 
-from daisyhub.balancing import EndpointDirectory, EndpointEntry
+from daisyhub.balancing import (
+    EndpointDirectory,
+    EndpointEntry,
+    _directory,
+)
 from daisyhub.catalog import PoolShare, Route, RouteKind
 from daisyhub.connections import HttpClient, _client
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
@@ -174,8 +178,12 @@
             "a", ok, make_response(200, fields=LEAVING)
         )
         other = await self.add_endpoint("b", ok)
-        await self.send()
-        with mock.patch.object(_client, "_MAX_RELEASE_WAIT_S", 5.0):
+        with (
+            mock.patch.object(_client, "_MAX_RELEASE_WAIT_S", 5.0),
+            # A slow first response makes the directory choose the other one.
+            mock.patch.object(_directory, "_LATENCY_RATIO_SMOOTHING", 0.0),
+        ):
+            await self.send()
             responses = await asyncio.gather(self.send(), self.send())
         self.assertEqual([r.status for r in responses], [200, 200])
         self.assertEqual(len(leaving.requests), 2)
