--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -20,8 +20,8 @@
     SubmittedLotsFilter,
 )
 from daisyhub.messages import Request
-from daisyhub.objects import ObjectConflictError, RelayedStore, RelayProvider
-from daisyhub.testing.object_store import Fault, MemoryStore
+from daisyhub.objects import RelayedStore, RelayProvider
+from daisyhub.testing.object_store import BareConflictStore, Fault
 
 # Statuses that promise that nothing has run or will run.
 PROMISES = {408, 421, 429, 503}
@@ -54,16 +54,6 @@
         raise NotImplementedError
 
 
-class PlatformLikeStore(MemoryStore):
-    """Conflicts of creates don't contain the existing object."""
-
-    async def create(self, kind, name, spec):
-        try:
-            return await super().create(kind, name, spec)
-        except ObjectConflictError as exc:
-            raise ObjectConflictError(str(exc), None) from exc
-
-
 class FixedRelays(RelayProvider):
     def __init__(self, *stores):
         self._stores = list(stores)
@@ -141,7 +131,7 @@
 
 class SubmittedLotsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.shared = PlatformLikeStore()
+        self.shared = BareConflictStore()
         self.daemon = Daemon(self.shared)
 
     async def test_a_refusal_is_logged_with_each_try_of_a_store_call(self):
