--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -192,6 +192,11 @@
         daemon = Daemon(self.shared, self.shared)
         self.assertNotIn(await daemon.submit(), PROMISES | {202})
 
+    async def test_a_lot_whose_head_is_unreadable_is_not_called_not_run(self):
+        self.shared.put("lots", "L", b"[]")
+        self.assertEqual(await self.daemon.submit(), 504)
+        self.assertEqual(len(self.daemon.find("lot_not_accepted")), 1)
+
     async def test_a_refusal_does_not_wait_for_a_silent_store(self):
         read = self.shared.read
 
