Lots: close a lot whose last chunks were read back

Cause: only the holder's own write of a chunk closed a complete lot. A listing completed by reading back chunks of another daemon left the lot open, and one completed while the lot's items were read opened it anew, so that its items ran again. Change: every stored chunk takes one path, which wakes waiting readers and closes a complete lot.

--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -385,7 +385,7 @@
                     "lot_read_failed", lot=head.lot_id, reason=str(exc)
                 )
                 await anyio.sleep(_READ_RETRY_DELAY_S)
-        if lot.is_ended:
+        if lot.is_ended or lot.listing.is_complete:
             return
         self._items_by_model[head.model] = head.total
         self._demand = self._estimate_demand()
@@ -428,8 +428,23 @@
             results = await self._deps.lots.chunk(lot.head.lot_id, first)
             if results is None:
                 return
-            # A result that became due during a write is listed now.
-            self._feed_listing(lot, ChunkStored(first, results))
+            self._add_stored_chunk(lot, first, results)
+
+    def _add_stored_chunk(
+        self, lot: _LotState, first: int, results: tuple[ItemResult, ...]
+    ) -> None:
+        """Adds a stored chunk to a lot's list; closes a lot that is complete.
+
+        The chunk was written here, or read back after another daemon wrote it.
+        """
+        # A result that became due during a write is listed now.
+        self._feed_listing(lot, ChunkStored(first, results))
+        lot.results_added.set()
+        lot.results_added = anyio.Event()
+        lot_id = lot.head.lot_id
+        # After the duty was lost and acquired again, a lot has a new state.
+        if lot.listing.is_complete and self._lots.get(lot_id) is lot:
+            self._close_lot(lot_id, "all of its items are listed")
 
     def _feed_dispatch(self, event: object) -> None:
         """Passes an event to the dispatch core and runs its actions."""
@@ -485,11 +500,7 @@
             is_own=results == action.results,
             took_s=round(time.monotonic() - started_s, 3),
         )
-        self._feed_listing(lot, ChunkStored(action.first, results))
-        lot.results_added.set()
-        lot.results_added = anyio.Event()
-        if lot.listing.is_complete:
-            self._close_lot(lot_id, "all of its items are listed")
+        self._add_stored_chunk(lot, action.first, results)
 
     async def results(
         self, lot_id: str, after: int, wait_s: float
--- a/daisyhub/lots/tests/test_holder.py
+++ b/daisyhub/lots/tests/test_holder.py
@@ -8,9 +8,18 @@
 import msgspec
 
 from daisyhub.logs import DecisionLog
-from daisyhub.lots import ItemResult, LotHead, LotHolder, LotStore, _holder
+from daisyhub.lots import (
+    ItemResult,
+    ItemSpec,
+    LotHead,
+    LotHolder,
+    LotSpec,
+    LotStore,
+    _holder,
+)
 from daisyhub.lots._holder import LotHolderDependencies, _LotState
 from daisyhub.lots._listing_core import ItemFinished, ListingCore
+from daisyhub.lots._run_types import LotOpened
 from daisyhub.testing.object_store import Fault, MemoryStore
 
 
@@ -38,7 +47,9 @@
             store=None,
             lots=self.lots,
             directory=None,
-            manifests=None,
+            manifests=types.SimpleNamespace(
+                manifest=types.SimpleNamespace(find_route=lambda *_: None)
+            ),
             pool=None,
             is_loading=None,
             has_lost_peers=lambda: False,
@@ -66,6 +77,10 @@
             wanted_groups=1,
             total=2,
         )
+        self.items = tuple(
+            ItemSpec(item_id=name, path="/p", headers={}, body=b"{}", group="g")
+            for name in "ab"
+        )
         self.lot = _LotState(head, ListingCore(2), is_listing_loaded=True)
         self.holder._lots["L"] = self.lot
 
@@ -95,6 +110,35 @@
         self.holder._tasks = None
         await self.holder._load_listed_chunks(self.lot)
 
+    async def test_a_lot_whose_last_chunks_were_read_back_is_closed(self):
+        """Its unfinished texts were saved each second for ever."""
+        spec = LotSpec(head=self.lot.head, items=self.items)
+        self.holder._core.handle(LotOpened(spec, "p", 10.0, 10.0), 0.0)
+        self.lot.is_inherited = True
+        await self.lots.write_chunk("L", 0, (result("a"), result("b")))
+        found = await self.holder.results("L", 0, 0.0)
+        self.assertEqual(found, [result("a"), result("b")])
+        self.assertEqual(self.holder._core.open_lots, ())
+        self.assertEqual(self.events, ["lot_closed"])
+
+    async def test_a_lot_that_was_listed_during_its_load_is_not_opened(self):
+        """The items of another holder's lot were run once more."""
+        self.lot.is_listing_loaded = False
+        spec = self.lots.spec
+
+        async def list_during_read(head):
+            await self.lots.write_chunk("L", 0, (result("a"), result("b")))
+            await self.holder.results("L", 0, 0.0)
+            return await spec(head)
+
+        head = await self.lots.accept(
+            LotSpec(head=self.lot.head, items=self.items)
+        )
+        self.lot.head = head
+        with mock.patch.object(self.lots, "spec", list_during_read):
+            await self.holder._load_lot(self.lot)
+        self.assertEqual(self.holder._core.open_lots, ())
+
     async def test_an_ended_lot_is_served_from_memory(self):
         await self.lots.write_chunk("L", 0, (result("a"),))
         await self.holder._load_listed_chunks(self.lot)
