Lots: share and pace reads of the store by callers

Cause: each poll of a caller read the store by itself, at the holder and, if that failed, at the daemon it came to. While the store fails, a poll fails within milliseconds and is repeated, so that reads grow with callers just when the store is slow. Only reads that began after a caller came, or a listing's poll interval before, serve it.

--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -31,6 +31,7 @@
     WriteChunk,
 )
 from daisyhub.lots._lot_store import LOTS_KIND, LotStore, decode_head
+from daisyhub.lots._paced_reads import PacedRead
 from daisyhub.lots._run_types import (
     CancelRun,
     EnginesListed,
@@ -136,8 +137,7 @@
             so that an earlier holder may have listed results.
         progress_revision: Revision of its unfinished texts in the store; 0 if
             unknown.
-        refreshed_at_s: Monotonic time of the last read of results that
-            another daemon may have listed.
+        refresh: Reads results that another daemon may have listed.
         results_added: Set, and replaced, when results are listed.
     """
 
@@ -148,7 +148,7 @@
     is_listing_loaded: bool = False
     is_inherited: bool = True
     progress_revision: int = 0
-    refreshed_at_s: float = float("-inf")
+    refresh: PacedRead = dataclasses.field(default_factory=PacedRead)
     results_added: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
 
@@ -538,18 +538,24 @@
         is_own = not lot.is_inherited and not self._deps.has_lost_peers()
         if is_own or lot.listing.is_complete:
             return True
-        now_s = time.monotonic()
-        if now_s - lot.refreshed_at_s < _LISTING_POLL_INTERVAL_S:
-            return True
+        try:
+            await lot.refresh.run(
+                lambda: self._read_new_chunks(lot),
+                max_age_s=_LISTING_POLL_INTERVAL_S,
+            )
+        except (ObjectStoreError, msgspec.DecodeError):
+            return False
+        return True
+
+    async def _read_new_chunks(self, lot: _LotState) -> None:
+        """Reads the chunks that the listing lacks; logs a failure once."""
         try:
             await self._load_listed_chunks(lot)
         except (ObjectStoreError, msgspec.DecodeError) as exc:
             self._deps.log.record(
                 "lot_read_failed", lot=lot.head.lot_id, reason=str(exc)
             )
-            return False
-        lot.refreshed_at_s = now_s
-        return True
+            raise
 
     def head(self, lot_id: str) -> LotHead | None:
         """Returns a lot's head.
--- a/daisyhub/lots/_reader.py
+++ b/daisyhub/lots/_reader.py
@@ -30,6 +30,7 @@
 from daisyhub.logs import DecisionLog
 from daisyhub.lots._holder import LotHolder
 from daisyhub.lots._lot_store import LotStore
+from daisyhub.lots._paced_reads import PacedRead, PacedReads
 from daisyhub.lots._types import ItemResult, LotHead
 from daisyhub.objects import ObjectStoreError
 from daisyhub.peers import PeerNetwork
@@ -55,11 +56,14 @@
         head: The lot.
         is_ended: Whether a caller ended it.
         results: Its listed results from position 0 on.
+        store_read: Reads the results from the end of `results` on from the
+            store; replaced when they grow.
     """
 
     head: LotHead
     is_ended: bool
     results: list[ItemResult] = dataclasses.field(default_factory=list)
+    store_read: PacedRead = dataclasses.field(default_factory=PacedRead)
 
 
 class LotReader:
@@ -91,6 +95,7 @@
         self._network = network
         self._log = log
         self._cache: OrderedDict[str, _CachedLot] = OrderedDict()
+        self._head_reads = PacedReads()
 
     async def results(
         self, lot_id: str, account: str, after: int, wait_s: float
@@ -193,8 +198,9 @@
         return self._cache[lot_id]
 
     async def _head_from_store(self, lot_id: str) -> _CachedLot | None:
+        read = self._head_reads.get(lot_id)
         try:
-            found = await self._lots.head(lot_id)
+            found = await read.run(lambda: self._lots.head(lot_id))
         except (ObjectStoreError, msgspec.DecodeError) as exc:
             raise _store_unavailable(exc) from exc
         if found is None:
@@ -219,7 +225,6 @@
     ) -> None:
         """Appends results until there is one at `after`, or time is up."""
         deadline_s = time.monotonic() + wait_s
-        lot_id = lot.head.lot_id
         while len(lot.results) <= after and not self._is_complete(lot):
             remaining_s = max(0.0, deadline_s - time.monotonic())
             first = len(lot.results)
@@ -227,12 +232,14 @@
             if not lot.is_ended or not lot.results:
                 found = await self._results_from_holder(lot, first, remaining_s)
             if found is None:
-                found = await self._results_from_store(lot_id, first)
-            self._append(lot, first, found)
+                await self._read_store(lot)
+            else:
+                self._append(lot, first, found)
+            is_new = len(lot.results) > first
             remaining_s = deadline_s - time.monotonic()
-            if not found and (remaining_s <= 0 or lot.is_ended):
+            if not is_new and (remaining_s <= 0 or lot.is_ended):
                 return
-            if not found:
+            if not is_new:
                 await anyio.sleep(min(_STORE_POLL_INTERVAL_S, remaining_s))
 
     def _append(
@@ -242,7 +249,10 @@
 
         Concurrent calls may have appended some of them already.
         """
-        lot.results += found[len(lot.results) - first :]
+        new = found[len(lot.results) - first :]
+        if new:
+            lot.results += new
+            lot.store_read = PacedRead()
 
     async def _results_from_holder(
         self, lot: _CachedLot, first: int, wait_s: float
@@ -264,14 +274,25 @@
             return None
         return msgspec.json.decode(response.content, type=list[ItemResult])
 
-    async def _results_from_store(
-        self, lot_id: str, first: int
-    ) -> list[ItemResult]:
+    async def _read_store(self, lot: _CachedLot) -> None:
+        """Appends the results that the store has beyond those known here.
+
+        Raises:
+            Refusal: The store can't be read.
+        """
         try:
-            return await self._lots.results(lot_id, first)
+            await lot.store_read.run(
+                lambda: self._append_stored(lot),
+                max_age_s=_STORE_POLL_INTERVAL_S,
+            )
         except (ObjectStoreError, msgspec.DecodeError) as exc:
             raise _store_unavailable(exc) from exc
 
+    async def _append_stored(self, lot: _CachedLot) -> None:
+        first = len(lot.results)
+        found = await self._lots.results(lot.head.lot_id, first)
+        self._append(lot, first, found)
+
     def _notify_holder(self, message: object) -> None:
         holder = self._peers.holder_of(self._duty)
         if holder is not None:
--- a/daisyhub/lots/tests/test_holder.py
+++ b/daisyhub/lots/tests/test_holder.py
@@ -139,6 +139,16 @@
             await self.holder._load_lot(self.lot)
         self.assertEqual(self.holder._core.open_lots, ())
 
+    async def test_a_failing_store_is_not_read_more_often_for_more_callers(
+        self,
+    ):
+        self.lot.is_inherited = True
+        self.store.fail_next("read", *[Fault.REFUSED] * 1000)
+        for _ in range(100):
+            self.assertIsNone(await self.holder.results("L", 0, 0.0))
+        self.assertEqual(self.store.calls["read"], 1)
+        self.assertEqual(self.events, ["lot_read_failed"])
+
     async def test_an_ended_lot_is_served_from_memory(self):
         await self.lots.write_chunk("L", 0, (result("a"),))
         await self.holder._load_listed_chunks(self.lot)
--- a/daisyhub/lots/tests/test_reader.py
+++ b/daisyhub/lots/tests/test_reader.py
@@ -1,5 +1,7 @@
 """Tests of reads on a daemon that neither accepted nor runs the lots."""
 
+import contextlib
+import time
 import types
 import unittest
 
@@ -19,8 +21,20 @@
 )
 from daisyhub.peers import PeerUnreachableError
 from daisyhub.testing.object_store import Fault, MemoryStore
+from daisyhub.testing.virtual_time import run_in_virtual_time
 
 RESULT = ItemResult(item_id="a", state="completed", text="x")
+HEAD = LotHead(
+    lot_id="L",
+    account="a",
+    host="h",
+    path="/p",
+    step=1,
+    model="m",
+    oldest_version=1,
+    wanted_groups=1,
+    total=1,
+)
 
 
 class FakeHolder:
@@ -29,6 +43,9 @@
     def head(self, _):
         return None
 
+    def add_accepted(self, _):
+        """Does nothing without the duty."""
+
     async def results(self, *_):
         return None
 
@@ -42,6 +59,9 @@
         self.ended = set()
         self.calls = []
 
+    def send(self, *_):
+        """Loses a notification."""
+
     async def call(self, peer, request, _):
         self.calls.append(type(request))
         if self.is_unreachable:
@@ -59,33 +79,35 @@
         return LotResponse(is_held=True, content=content)
 
 
+async def poll(read, seconds):
+    """Repeats a refused read as fast as an impatient caller."""
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        with contextlib.suppress(Refusal):
+            await read()
+        await anyio.sleep(0.05)
+
+
+def make_reader(store, network):
+    peers = types.SimpleNamespace(
+        holder_of=lambda _: types.SimpleNamespace(daemon_id="holder")
+    )
+    log = DecisionLog("d", write=lambda _: True)
+    return LotReader(
+        "rollouts", LotStore(store), FakeHolder(), peers, network, log
+    )
+
+
 class LotReaderTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = MemoryStore()
         lots = LotStore(self.store)
-        head = LotHead(
-            lot_id="L",
-            account="a",
-            host="h",
-            path="/p",
-            step=1,
-            model="m",
-            oldest_version=1,
-            wanted_groups=1,
-            total=1,
-        )
         item = ItemSpec(item_id="a", path="/p", headers={}, body=b"", group="g")
-        self.head = await lots.accept(LotSpec(head=head, items=(item,)))
+        self.head = await lots.accept(LotSpec(head=HEAD, items=(item,)))
         self.store.calls.clear()
 
     def reader(self, network):
-        peers = types.SimpleNamespace(
-            holder_of=lambda _: types.SimpleNamespace(daemon_id="holder")
-        )
-        log = DecisionLog("d", write=lambda _: True)
-        return LotReader(
-            "rollouts", LotStore(self.store), FakeHolder(), peers, network, log
-        )
+        return make_reader(self.store, network)
 
     async def test_results_of_the_holder_need_no_store_call(self):
         reader = self.reader(FakeNetwork({"L": self.head}))
@@ -108,6 +130,23 @@
         # The lot's head, its first chunk, and the chunk that could follow.
         self.assertEqual(self.store.calls["stale read"], 3)
 
+    async def test_pages_of_an_ended_lot_are_read_without_pauses(self):
+        lots = LotStore(self.store)
+        head = msgspec.structs.replace(self.head, lot_id="M", total=3)
+        item = ItemSpec(item_id="a", path="/p", headers={}, body=b"", group="g")
+        head = await lots.accept(LotSpec(head=head, items=(item,)))
+        await lots.end("M")
+        long_text = "x" * 300_000
+        for first, item_id in enumerate("abc"):
+            result = ItemResult(
+                item_id=item_id, state="completed", text=long_text
+            )
+            await lots.write_chunk("M", first, (result,))
+        reader = self.reader(FakeNetwork({}, is_unreachable=True))
+        for after, item_ids in ((0, ["a", "b"]), (2, ["c"])):
+            _, results = await reader.results("M", "a", after, 0.0)
+            self.assertEqual([r.item_id for r in results], item_ids)
+
     async def test_lot_unknown_to_the_holder_is_read_from_the_store(self):
         reader = self.reader(FakeNetwork({}))
         total, results = await reader.results("L", "a", 0, 0.0)
@@ -172,3 +211,33 @@
                 with self.assertRaises(Refusal) as caught:
                     await reader.results("L", "a", 0, 0.0)
                 self.assertEqual(caught.exception.error.status, 503)
+
+
+class ReadPaceTest(unittest.TestCase):
+    """Reads of the store while it fails and the holder is unreachable."""
+
+    def count_reads(self, *, is_head_known):
+        """Returns the store's calls of 20 callers that poll for 4 seconds."""
+        store = MemoryStore()
+        reader = make_reader(store, FakeNetwork({}, is_unreachable=True))
+
+        async def main():
+            if is_head_known:
+                reader.record_accepted(HEAD)
+            store.fail_next("read", *[Fault.REFUSED] * 10_000)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(20):
+                    tasks.start_soon(
+                        poll, lambda: reader.results("L", "a", 0, 0.0), 4.0
+                    )
+
+        run_in_virtual_time(main)
+        return store.calls["read"]
+
+    def test_a_failing_store_is_not_read_more_often_for_more_callers(self):
+        for is_head_known in (True, False):
+            with self.subTest(is_head_known=is_head_known):
+                # At most one each 0.4 s.
+                reads = self.count_reads(is_head_known=is_head_known)
+                self.assertLessEqual(reads, 11)
+                self.assertGreater(reads, 5)
