Usage: one probe while seals or reports fail, however many wait

Seen: 4,257 failed seals in 97 s in a soak whose store calls timed out. Cause: each window that ended during an outage retried its seal every 0.4 s, and so did its report, so that calls grew with the length of the outage. Change: while calls of a kind fail, one window at a time is tried, at most every 0.4 s, the one tried last comes last; after a success all go on.

--- a/daisyhub/billing/_window_core.py
+++ b/daisyhub/billing/_window_core.py
@@ -119,6 +119,9 @@
         self.report_deadline_s = report_deadline_s
         self._next_window: int | None = None
         self._open: dict[int, _Window] = {}
+        # While seals, or reports, fail: when the next one may be tried.
+        self._seal_retry_at_s: float | None = None
+        self._report_retry_at_s: float | None = None
 
     @property
     def next_wakeup_s(self) -> float | None:
@@ -138,6 +141,7 @@
             case WindowSealed():
                 return self._on_sealed(event)
             case SealFailed():
+                self._seal_retry_at_s = now_s + _RETRY_DELAY_S
                 self._schedule_retry(event.window, now_s)
             case WindowReported():
                 self._on_reported(event, now_s)
@@ -152,17 +156,46 @@
         while self._next_window < current_window:
             self._open[self._next_window] = _Window()
             self._next_window += 1
-        actions: list[object] = []
+        to_seal = []
+        to_report = []
         for number, window in sorted(self._open.items()):
             if window.is_busy or now_s < window.retry_at_s:
                 continue
             if window.counts is not None:
-                window.is_busy = True
-                actions.append(ReportWindow(number, window.counts))
+                to_report.append(number)
             elif self._may_seal(number, event, now_s):
-                window.is_busy = True
-                actions.append(SealWindow(number))
-        return actions
+                to_seal.append(number)
+        if self._seal_retry_at_s is not None:
+            is_due = now_s >= self._seal_retry_at_s
+            to_seal = self._choose_probe(to_seal, is_due, is_sealed=False)
+        if self._report_retry_at_s is not None:
+            is_due = now_s >= self._report_retry_at_s
+            to_report = self._choose_probe(to_report, is_due, is_sealed=True)
+        for number in (*to_seal, *to_report):
+            self._open[number].is_busy = True
+        return [
+            *(SealWindow(number) for number in to_seal),
+            *(
+                ReportWindow(number, self._open[number].counts)
+                for number in to_report
+            ),
+        ]
+
+    def _choose_probe(
+        self, windows: list[int], is_due: bool, *, is_sealed: bool
+    ) -> list[int]:
+        """Returns at most one window to try while calls of a kind fail.
+
+        A long outage leaves many windows open, whose retries would add up. The
+        window that was tried last comes last, as its failure may be its own.
+        """
+        is_any_busy = any(
+            window.is_busy and (window.counts is not None) == is_sealed
+            for window in self._open.values()
+        )
+        if is_any_busy or not is_due or not windows:
+            return []
+        return [min(windows, key=lambda number: self._open[number].retry_at_s)]
 
     def _may_seal(self, window: int, tick: WindowTick, now_s: float) -> bool:
         """Whether to seal a window now.
@@ -183,13 +216,16 @@
         window = self._open.get(event.window)
         if window is None:
             return []
+        self._seal_retry_at_s = None
         window.counts = event.counts
         return [ReportWindow(event.window, event.counts)]
 
     def _on_reported(self, event: WindowReported, now_s: float) -> None:
         if event.is_done:
+            self._report_retry_at_s = None
             self._open.pop(event.window, None)
             return
+        self._report_retry_at_s = now_s + _RETRY_DELAY_S
         self._schedule_retry(event.window, now_s)
 
     def _schedule_retry(self, number: int, now_s: float) -> None:
--- a/daisyhub/billing/tests/test_proof_windows.py
+++ b/daisyhub/billing/tests/test_proof_windows.py
@@ -172,6 +172,75 @@
         self.assertIn(SealWindow(200), actions)
 
 
+class OutageTest(unittest.TestCase):
+    """Calls of a holder during an outage in which many windows end."""
+
+    def setUp(self):
+        self.now_s = 1000.0
+        self.core = WindowCore(WINDOW_S, REPORT_DEADLINE_S)
+
+    def run_ticks(self, seconds, respond):
+        """Ticks for a time; returns the actions, answered by `respond`."""
+        actions = []
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            tick = WindowTick(int(self.now_s // WINDOW_S))
+            new = self.core.handle(tick, self.now_s)
+            actions += new
+            while new:
+                new = [
+                    further
+                    for action in new
+                    for further in self.core.handle(respond(action), self.now_s)
+                ]
+                actions += new
+            self.now_s += 0.25
+        return actions
+
+    def test_seals_are_not_tried_more_often_for_more_windows(self):
+        actions = self.run_ticks(100.0, lambda a: SealFailed(a.window))
+        # Three windows at once at first, then one each 0.5 s.
+        self.assertLessEqual(len(actions), 3 + 200)
+        actions = self.run_ticks(
+            1.0,
+            lambda a: (
+                WindowSealed(a.window, {})
+                if isinstance(a, SealWindow)
+                else WindowReported(a.window, is_done=True)
+            ),
+        )
+        # 23 windows ended; the last one isn't old enough.
+        self.assertEqual(len(actions), 2 * 22)
+
+    def test_reports_are_not_tried_more_often_for_more_windows(self):
+        actions = self.run_ticks(
+            100.0,
+            lambda a: (
+                WindowSealed(a.window, {})
+                if isinstance(a, SealWindow)
+                else WindowReported(a.window, is_done=False)
+            ),
+        )
+        reports = [a for a in actions if isinstance(a, ReportWindow)]
+        # One for each seal, then one each 0.5 s.
+        self.assertLessEqual(len(reports), 23 + 200)
+
+    def test_a_window_that_can_not_be_sealed_delays_no_other(self):
+        first = int(self.now_s // WINDOW_S) - 1
+        actions = self.run_ticks(
+            20.0,
+            lambda a: (
+                SealFailed(a.window)
+                if a.window == first
+                else WindowSealed(a.window, {})
+                if isinstance(a, SealWindow)
+                else WindowReported(a.window, is_done=True)
+            ),
+        )
+        reported = {a.window for a in actions if isinstance(a, ReportWindow)}
+        self.assertEqual(reported, set(range(first - 2, first + 4)) - {first})
+
+
 class UsageMeterTest(unittest.TestCase):
     def setUp(self):
         self.now_s = 1001.0
