Lots: failed writes of results are retried at growing intervals

Seen: 709 list_failed in 97 s in a soak whose store calls timed out. Cause: each open lot retried its write every 0.2 s for as long as it failed. Change: 0.2, 0.4 and then 0.8 s, from the start again after a success. The test failed before ([0.2, 0.2, 0.2, 0.2]); the listing proof passes.

--- a/daisyhub/lots/_listing_core.py
+++ b/daisyhub/lots/_listing_core.py
@@ -24,8 +24,11 @@
 # Maximum time in seconds for which a result waits for the rest of its group:
 # half of the interval between two reads of a trainer.
 _MAX_GROUP_WAIT_S = 0.25
-# Seconds before a failed write is retried: some round trips to the store.
+# Seconds before a failed write is retried: some round trips to the store. They
+# double with each further failure up to the maximum, which a trainer's step of
+# several seconds can spare.
 _WRITE_RETRY_DELAY_S = 0.2
+_MAX_WRITE_RETRY_DELAY_S = 0.8
 # Maximum text length of a chunk that contains several results. An object may
 # have a megabyte, JSON escapes included.
 _MAX_CHUNK_CHARACTERS = 400_000
@@ -96,6 +99,7 @@
         self._write_at_s = math.inf
         self._retry_at_s = -math.inf
         self._is_writing = False
+        self._failures = 0
 
     @property
     def listed(self) -> list[ItemResult]:
@@ -131,9 +135,7 @@
             case ChunkStored():
                 self._on_chunk_stored(event, now_s)
             case ChunkWriteFailed():
-                self._is_writing = False
-                self._write_at_s = now_s
-                self._retry_at_s = now_s + _WRITE_RETRY_DELAY_S
+                self._on_write_failed(now_s)
             case ListingTick():
                 pass
             case _:
@@ -149,8 +151,16 @@
         wait_s = 0.0 if event.is_group_done or is_last else _MAX_GROUP_WAIT_S
         self._write_at_s = min(self._write_at_s, now_s + wait_s)
 
+    def _on_write_failed(self, now_s: float) -> None:
+        delay_s = _WRITE_RETRY_DELAY_S * 2 ** min(self._failures, 8)
+        self._failures += 1
+        self._is_writing = False
+        self._write_at_s = now_s
+        self._retry_at_s = now_s + min(delay_s, _MAX_WRITE_RETRY_DELAY_S)
+
     def _on_chunk_stored(self, event: ChunkStored, now_s: float) -> None:
         self._is_writing = False
+        self._failures = 0
         if event.first != len(self._listed):
             # Another read or write already reported the chunk at this position.
             return
--- a/daisyhub/lots/tests/test_proof_listing.py
+++ b/daisyhub/lots/tests/test_proof_listing.py
@@ -212,3 +212,15 @@
         self.assertEqual([r.item_id for r in write.results], ["a"])
         (write,) = core.handle(ChunkStored(0, write.results), 0.3)
         self.assertEqual(write.first, 1)
+
+    def test_failed_writes_are_retried_at_growing_intervals(self):
+        core = ListingCore(1)
+        (write,) = core.handle(ItemFinished(result("a", ""), True), 0.0)
+        now_s = 0.0
+        delays_s = []
+        for _ in range(4):
+            core.handle(ChunkWriteFailed(), now_s)
+            delays_s.append(round(core.next_wakeup_s - now_s, 3))
+            now_s = core.next_wakeup_s
+            self.assertEqual(core.handle(ListingTick(), now_s), [write])
+        self.assertEqual(delays_s, [0.2, 0.4, 0.8, 0.8])
