Lots: a new holder reads few lots at a time and retries at growing intervals

Cause: the load of each lot, ended ones included, began at once and was retried every 0.2 s for ever, also after its lot had been removed. Change: 16 open and 4 ended lots are read at a time; a failed load is retried after 0.2, 0.4 and then each 0.8 s, and stops when its lot is gone. Before: 2,400 reads of 60 lots in 8 s of failures (720 now), and 80 lots at once (16 and 4 now); both tests failed.

--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -61,8 +61,15 @@
 # have extended. A result that was read on any daemon must be readable on all of
 # them within a second.
 _LISTING_POLL_INTERVAL_S = 0.4
-# Seconds before a failed read of a lot is retried.
-_READ_RETRY_DELAY_S = 0.2
+# Seconds before a failed load of a lot is retried; they double with each
+# further failure up to the maximum.
+_LOAD_RETRY_DELAY_S = 0.2
+_MAX_LOAD_RETRY_DELAY_S = 0.8
+# Maximum numbers of lots that are read at the same time, open ones and ended
+# ones. A new holder finds all lots of the store at once, and a store that is
+# flooded with reads is slow for requests, too.
+_MAX_OPEN_LOADS = 16
+_MAX_ENDED_LOADS = 4
 # Timeout in seconds for saving unfinished texts, also at a graceful shutdown. A
 # write to the store takes milliseconds, and requests are served meanwhile.
 _SAVE_TIMEOUT_S = 1.0
@@ -173,6 +180,8 @@
         self._demand: dict[str, float] = {}
         self._tasks = None
         self._duty_since_s = 0.0
+        self._open_loads = anyio.CapacityLimiter(_MAX_OPEN_LOADS)
+        self._ended_loads = anyio.CapacityLimiter(_MAX_ENDED_LOADS)
 
     @property
     def waiting_items(self) -> int:
@@ -262,9 +271,9 @@
 
     async def _save_progress(self, lot_id: str) -> None:
         progress = self._core.progress_of(lot_id)
-        lot = self._lots[lot_id]
         if not progress:
             return
+        lot = self._lots[lot_id]
         try:
             lot.progress_revision = await self._deps.lots.save_progress(
                 lot_id, progress, lot.progress_revision
@@ -366,27 +375,47 @@
     async def _load_lot(self, lot: _LotState) -> None:
         """Reads a lot's results and items, then runs the unlisted items.
 
-        Failed reads are retried until they succeed.
+        Failed reads are retried until they succeed or the lot is removed.
         """
         head = lot.head
+        limiter = self._ended_loads if lot.is_ended else self._open_loads
+        retry_delay_s = _LOAD_RETRY_DELAY_S
         while True:
+            if self._lots.get(head.lot_id) is not lot:
+                return
             try:
-                await self._load_listed_chunks(lot)
-                lot.is_listing_loaded = True
-                if lot.is_ended or lot.listing.is_complete:
-                    return
-                lot.spec = await self._deps.lots.spec(head)
-                if lot.is_inherited:
-                    saved = await self._deps.lots.progress(head.lot_id)
-                    self._unfinished_texts.update(saved)
+                async with limiter:
+                    await self._read_lot(lot)
                 break
             except (ObjectStoreError, msgspec.DecodeError) as exc:
                 self._deps.log.record(
                     "lot_read_failed", lot=head.lot_id, reason=str(exc)
                 )
-                await anyio.sleep(_READ_RETRY_DELAY_S)
+            await anyio.sleep(retry_delay_s)
+            retry_delay_s = min(2 * retry_delay_s, _MAX_LOAD_RETRY_DELAY_S)
+        is_known = self._lots.get(head.lot_id) is lot
+        if is_known and not lot.is_ended and not lot.listing.is_complete:
+            self._open_lot(lot)
+
+    async def _read_lot(self, lot: _LotState) -> None:
+        """Reads a lot's results, and what is needed to run it if it is open.
+
+        Raises:
+            ObjectStoreError: The store failed, or a part doesn't exist.
+            msgspec.DecodeError: An object has another schema.
+        """
+        await self._load_listed_chunks(lot)
+        lot.is_listing_loaded = True
         if lot.is_ended or lot.listing.is_complete:
             return
+        lot.spec = await self._deps.lots.spec(lot.head)
+        if lot.is_inherited:
+            saved = await self._deps.lots.progress(lot.head.lot_id)
+            self._unfinished_texts.update(saved)
+
+    def _open_lot(self, lot: _LotState) -> None:
+        """Runs the unlisted items of a lot that was read."""
+        head = lot.head
         self._items_by_model[head.model] = head.total
         self._demand = self._estimate_demand()
         age_s = self._deps.clock.now_s() - head.accepted_s
--- a/daisyhub/lots/tests/test_holder.py
+++ b/daisyhub/lots/tests/test_holder.py
@@ -1,5 +1,6 @@
 """The holder lists every result, whichever way it learns of its chunks."""
 
+import collections
 import types
 import unittest
 from unittest import mock
@@ -21,6 +22,7 @@
 from daisyhub.lots._listing_core import ItemFinished, ListingCore
 from daisyhub.lots._run_types import LotOpened
 from daisyhub.testing.object_store import Fault, MemoryStore
+from daisyhub.testing.virtual_time import run_in_virtual_time
 
 
 class RecordedTasks:
@@ -110,6 +112,70 @@
         self.holder._tasks = None
         await self.holder._load_listed_chunks(self.lot)
 
+    def test_loads_of_many_lots_do_not_flood_a_failing_store(self):
+        """All 60 lots were read again each 0.2 s."""
+        self.store.fail_next("read", *[Fault.REFUSED] * 10_000)
+        lots = [
+            _LotState(
+                msgspec.structs.replace(self.lot.head, lot_id=f"L{number}"),
+                ListingCore(2),
+                is_ended=number >= 30,
+            )
+            for number in range(60)
+        ]
+        self.holder._lots = {lot.head.lot_id: lot for lot in lots}
+
+        async def main():
+            with anyio.move_on_after(8.0):
+                async with anyio.create_task_group() as tasks:
+                    for lot in lots:
+                        tasks.start_soon(self.holder._load_lot, lot)
+
+        run_in_virtual_time(main)
+        # At once, after 0.2, 0.6 and 1.4 s, and then each 0.8 s.
+        self.assertEqual(self.store.calls["read"], 60 * 12)
+
+    def test_few_lots_are_read_at_the_same_time(self):
+        """A slow store got the reads of all lots at once."""
+        reading = collections.Counter()
+        peak = collections.Counter()
+
+        async def read_slowly(lot_id, _):
+            kind = lot_id[0]
+            reading[kind] += 1
+            peak[kind] = max(peak[kind], reading[kind])
+            await anyio.sleep(0.1)
+            reading[kind] -= 1
+
+        self.holder._lots = {
+            f"{kind}{number}": _LotState(
+                msgspec.structs.replace(
+                    self.lot.head, lot_id=f"{kind}{number}"
+                ),
+                ListingCore(2),
+                is_ended=kind == "e",
+            )
+            for kind in "oe"
+            for number in range(40)
+        }
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                for lot in self.holder._lots.values():
+                    tasks.start_soon(self.holder._load_lot, lot)
+
+        with (
+            mock.patch.object(self.lots, "chunk", read_slowly),
+            mock.patch.object(self.lots, "spec", mock.AsyncMock()),
+            mock.patch.object(
+                self.lots, "progress", mock.AsyncMock(return_value={})
+            ),
+            mock.patch.object(self.holder, "_open_lot") as open_lot,
+        ):
+            run_in_virtual_time(main)
+        self.assertEqual(peak, {"o": 16, "e": 4})
+        self.assertEqual(open_lot.call_count, 40)
+
     async def test_a_lot_whose_last_chunks_were_read_back_is_closed(self):
         """Its unfinished texts were saved each second for ever."""
         spec = LotSpec(head=self.lot.head, items=self.items)
