Refusals: each states whether its request has run

Cause: `Refusal.ran` defaulted to "not run", which is a promise to callers where the code's status is 408, 421, 429 or 503. A refusal that is added after a call of unknown outcome, and doesn't name `ran`, would have passed the check in `GatewayApp`.

Change: `ran` is a required argument. The 45 places of the product that relied on the default were read: they come before anything is sent or stored, or refuse a call for what another account has stored.

Result: the new test failed before (no TypeError) and passes; so do the tests of refusals, lot calls, claims, admission, routes, submissions and stopped requests.

--- a/daisyhub/controllers/_lot_server.py
+++ b/daisyhub/controllers/_lot_server.py
@@ -188,7 +188,11 @@
             Refusal: The call failed; the trainer receives this refusal.
         """
         if call.account != self.spec.account:
-            raise Refusal(ErrorCode.LOT_UNKNOWN, "there is no such lot")
+            raise Refusal(
+                ErrorCode.LOT_UNKNOWN,
+                "there is no such lot",
+                ran=ExecutionStatus.NOT_RUN,
+            )
         if call.verb == "open":
             self._check_open_request(decode_body(call.body, OpenBody))
         number = next(self._call_numbers)
@@ -209,6 +213,7 @@
             raise Refusal(
                 ErrorCode.LOT_CONFLICT,
                 "the lot was opened with another class or other prompts",
+                ran=ExecutionStatus.NOT_RUN,
             )
 
     async def _acquire(self) -> bool:
@@ -360,7 +365,11 @@
                 until_s=time.monotonic() + body.wait_s,
                 acks=body.acks,
             )
-    raise Refusal(ErrorCode.ROUTE_UNKNOWN, f"unknown verb {call.verb!r}")
+    raise Refusal(
+        ErrorCode.ROUTE_UNKNOWN,
+        f"unknown verb {call.verb!r}",
+        ran=ExecutionStatus.NOT_RUN,
+    )
 
 
 def _make_response(action: object) -> LotCallResponse:
@@ -411,7 +420,9 @@
     try:
         return msgspec.json.decode(body, type=body_type)
     except (msgspec.DecodeError, msgspec.ValidationError) as exc:
-        raise Refusal(ErrorCode.BODY_INVALID, str(exc)) from exc
+        raise Refusal(
+            ErrorCode.BODY_INVALID, str(exc), ran=ExecutionStatus.NOT_RUN
+        ) from exc
 
 
 def _json_response(value: object) -> LotCallResponse:
--- a/daisyhub/controllers/_lot_specs.py
+++ b/daisyhub/controllers/_lot_specs.py
@@ -14,6 +14,7 @@
 
 from daisyhub.exceptions import (
     ErrorCode,
+    ExecutionStatus,
     PlatformConflictError,
     Refusal,
 )
@@ -104,6 +105,7 @@
             raise Refusal(
                 ErrorCode.BODY_TOO_LARGE,
                 f"a prompt has {length} bytes, the limit is {_MAX_PART_BYTES}",
+                ran=ExecutionStatus.NOT_RUN,
             )
         if size + length > _MAX_PART_BYTES:
             parts.append([])
--- a/daisyhub/controllers/_lots.py
+++ b/daisyhub/controllers/_lots.py
@@ -253,7 +253,11 @@
 
 
 def _unknown_lot_refusal() -> Refusal:
-    return Refusal(ErrorCode.LOT_UNKNOWN, "there is no such lot")
+    return Refusal(
+        ErrorCode.LOT_UNKNOWN,
+        "there is no such lot",
+        ran=ExecutionStatus.NOT_RUN,
+    )
 
 
 def _takeover_refusal() -> Refusal:
--- a/daisyhub/exceptions.py
+++ b/daisyhub/exceptions.py
@@ -110,7 +110,7 @@
         error: ErrorCode,
         detail: str,
         *,
-        ran: ExecutionStatus = ExecutionStatus.NOT_RUN,
+        ran: ExecutionStatus,
         retry_after_s: float | None = None,
     ):
         super().__init__(detail)
--- a/daisyhub/filters/_admit.py
+++ b/daisyhub/filters/_admit.py
@@ -10,7 +10,7 @@
 from daisyhub.base import Filter, Handler
 from daisyhub.clocks import boot_time_s
 from daisyhub.config import ClientAccount, Document
-from daisyhub.exceptions import Refusal
+from daisyhub.exceptions import ExecutionStatus, Refusal
 from daisyhub.filters._admission_core import (
     AdmissionCore,
     AdmissionTick,
@@ -76,6 +76,7 @@
             raise Refusal(
                 decision.error,
                 _DETAILS[decision.error.label],
+                ran=ExecutionStatus.NOT_RUN,
                 retry_after_s=decision.retry_after_s,
             )
         started_s = time.monotonic()
--- a/daisyhub/filters/_chain.py
+++ b/daisyhub/filters/_chain.py
@@ -4,14 +4,18 @@
 from collections.abc import Sequence
 
 from daisyhub.base import Filter, Handler
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.messages import Request, Response
 
 __all__ = ["build_chain"]
 
 
 async def _end_of_chain(req: Request) -> Response:
-    raise Refusal(ErrorCode.ROUTE_UNKNOWN, f"no filter handles {req.path}")
+    raise Refusal(
+        ErrorCode.ROUTE_UNKNOWN,
+        f"no filter handles {req.path}",
+        ran=ExecutionStatus.NOT_RUN,
+    )
 
 
 def build_chain(filters: Sequence[Filter]) -> Handler:
--- a/daisyhub/filters/_identify.py
+++ b/daisyhub/filters/_identify.py
@@ -5,7 +5,7 @@
 import urllib.parse
 
 from daisyhub.base import Filter, Handler
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.filters._forwarded_headers import REQUEST_HEADERS
 from daisyhub.identity import KeyTable, ParsedKey, has_key, parse_key
 from daisyhub.messages import Request, Response
@@ -59,7 +59,9 @@
             return None
         if len(values) > 1:
             raise Refusal(
-                ErrorCode.KEY_AMBIGUOUS, "the request has more than one key"
+                ErrorCode.KEY_AMBIGUOUS,
+                "the request has more than one key",
+                ran=ExecutionStatus.NOT_RUN,
             )
         scheme, _, text = values[0].decode("latin-1").partition(" ")
         key = parse_key(text.strip())
@@ -67,6 +69,7 @@
             raise Refusal(
                 ErrorCode.KEY_MALFORMED,
                 "the key must have the form 'Bearer dh_<id>_<secret>'",
+                ran=ExecutionStatus.NOT_RUN,
             )
         return key
 
@@ -75,10 +78,16 @@
     query = urllib.parse.unquote(req.query, "latin-1")
     if _KEY_IN_QUERY.search(query) or has_key(req.query.encode()):
         raise Refusal(
-            ErrorCode.KEY_IN_QUERY, "the query must not contain a key"
+            ErrorCode.KEY_IN_QUERY,
+            "the query must not contain a key",
+            ran=ExecutionStatus.NOT_RUN,
         )
     if has_key(req.path.encode()):
-        raise Refusal(ErrorCode.PATH_INVALID, "the path must not contain a key")
+        raise Refusal(
+            ErrorCode.PATH_INVALID,
+            "the path must not contain a key",
+            ran=ExecutionStatus.NOT_RUN,
+        )
 
 
 def _check_headers(req: Request) -> None:
@@ -87,4 +96,5 @@
             raise Refusal(
                 ErrorCode.HEADER_INVALID,
                 "only the authorization header may contain a key",
+                ran=ExecutionStatus.NOT_RUN,
             )
--- a/daisyhub/filters/_lots.py
+++ b/daisyhub/filters/_lots.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from daisyhub.base import Filter, Handler
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.messages import Request, Response
 from daisyhub.peers import LotCallRequest, LotCallResponse
 
@@ -43,11 +43,15 @@
         match = _LOT_PATH.fullmatch(req.path)
         if match is None:
             raise Refusal(
-                ErrorCode.ROUTE_UNKNOWN, "the path is not that of a lot call"
+                ErrorCode.ROUTE_UNKNOWN,
+                "the path is not that of a lot call",
+                ran=ExecutionStatus.NOT_RUN,
             )
         if req.method != "POST":
             raise Refusal(
-                ErrorCode.METHOD_NOT_ALLOWED, "lot calls allow only POST"
+                ErrorCode.METHOD_NOT_ALLOWED,
+                "lot calls allow only POST",
+                ran=ExecutionStatus.NOT_RUN,
             )
         call = LotCallRequest(
             lot_id=match.group(1),
--- a/daisyhub/filters/_route.py
+++ b/daisyhub/filters/_route.py
@@ -6,7 +6,7 @@
 
 from daisyhub.base import Filter, Handler
 from daisyhub.config import Document, Route
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.messages import Request, Response
 
 __all__ = ["RouteFilter", "RouteTable"]
@@ -57,14 +57,20 @@
                 if not prefix:
                     break
                 prefix = prefix.rpartition("/")[0]
-        raise Refusal(ErrorCode.ROUTE_UNKNOWN, "no route matches the path")
+        raise Refusal(
+            ErrorCode.ROUTE_UNKNOWN,
+            "no route matches the path",
+            ran=ExecutionStatus.NOT_RUN,
+        )
 
     def _select_method(self, routes: list[Route], method: str) -> Route:
         for route in routes:
             if method in route.methods:
                 return route
         raise Refusal(
-            ErrorCode.METHOD_NOT_ALLOWED, f"the route does not allow {method}"
+            ErrorCode.METHOD_NOT_ALLOWED,
+            f"the route does not allow {method}",
+            ran=ExecutionStatus.NOT_RUN,
         )
 
 
@@ -90,12 +96,17 @@
                 account may not use the route.
         """
         if not req.path.startswith("/") or _AMBIGUOUS_PATH.search(req.path):
-            raise Refusal(ErrorCode.PATH_INVALID, "the path is ambiguous")
+            raise Refusal(
+                ErrorCode.PATH_INVALID,
+                "the path is ambiguous",
+                ran=ExecutionStatus.NOT_RUN,
+            )
         table = self._get_table()
         if table is None:
             raise Refusal(
                 ErrorCode.NO_CONFIGURATION,
                 "no configuration has been received yet",
+                ran=ExecutionStatus.NOT_RUN,
                 retry_after_s=_UNCONFIGURED_RETRY_DELAY_S,
             )
         if req.path.startswith(LOTS_PREFIX + "/"):
@@ -112,7 +123,9 @@
             self._check_key(req)
         if route.accounts and req.account not in route.accounts:
             raise Refusal(
-                ErrorCode.ACCOUNT_FORBIDDEN, "the account may not use the route"
+                ErrorCode.ACCOUNT_FORBIDDEN,
+                "the account may not use the route",
+                ran=ExecutionStatus.NOT_RUN,
             )
         return await call_next(
             dataclasses.replace(
@@ -124,7 +137,11 @@
 
     def _check_key(self, req: Request) -> None:
         if not req.account:
-            raise Refusal(ErrorCode.KEY_MISSING, "the route requires a key")
+            raise Refusal(
+                ErrorCode.KEY_MISSING,
+                "the route requires a key",
+                ran=ExecutionStatus.NOT_RUN,
+            )
 
 
 def _limit_deadline(req: Request, timeout_s: float) -> float:
--- a/daisyhub/filters/_validate.py
+++ b/daisyhub/filters/_validate.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from daisyhub.base import Filter, Handler
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.identity import has_key
 from daisyhub.messages import Request, Response
 from daisyhub.settings import LimitSettings
@@ -45,12 +45,15 @@
                 ErrorCode.HEADERS_TOO_LARGE,
                 f"headers have {size} bytes, more than the"
                 f" {self._limits.header_bytes} allowed",
+                ran=ExecutionStatus.NOT_RUN,
             )
         self._check_headers(req)
         body = await req.read_body(self._max_body_bytes(req))
         if has_key(body):
             raise Refusal(
-                ErrorCode.BODY_INVALID, "the body must not contain a key"
+                ErrorCode.BODY_INVALID,
+                "the body must not contain a key",
+                ran=ExecutionStatus.NOT_RUN,
             )
         return await call_next(dataclasses.replace(req, body=body))
 
@@ -61,12 +64,14 @@
                 raise Refusal(
                     ErrorCode.HEADER_INVALID,
                     f"{header_name} occurs more than once",
+                    ran=ExecutionStatus.NOT_RUN,
                 )
         names = {name for name, _ in req.headers}
         if b"content-length" in names and b"transfer-encoding" in names:
             raise Refusal(
                 ErrorCode.HEADER_INVALID,
                 "content-length and transfer-encoding must not occur together",
+                ran=ExecutionStatus.NOT_RUN,
             )
         for value in req.header_values(b"idempotency-key"):
             if not 0 < len(value) <= _MAX_IDEMPOTENCY_KEY_BYTES:
@@ -74,6 +79,7 @@
                     ErrorCode.HEADER_INVALID,
                     "idempotency-key must have 1 to"
                     f" {_MAX_IDEMPOTENCY_KEY_BYTES} bytes",
+                    ran=ExecutionStatus.NOT_RUN,
                 )
 
     def _max_body_bytes(self, req: Request) -> int:
--- a/daisyhub/gateway/_app.py
+++ b/daisyhub/gateway/_app.py
@@ -213,13 +213,18 @@
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
-                raise Refusal(ErrorCode.BODY_INVALID, "the body is incomplete")
+                raise Refusal(
+                    ErrorCode.BODY_INVALID,
+                    "the body is incomplete",
+                    ran=ExecutionStatus.NOT_RUN,
+                )
             chunks.append(message.get("body", b""))
             size += len(chunks[-1])
             if size > max_bytes:
                 raise Refusal(
                     ErrorCode.BODY_TOO_LARGE,
                     f"the body exceeds {max_bytes} bytes",
+                    ran=ExecutionStatus.NOT_RUN,
                 )
             if not message.get("more_body", False):
                 self._body_read.set()
--- a/daisyhub/gateway/_body_filter.py
+++ b/daisyhub/gateway/_body_filter.py
@@ -4,7 +4,7 @@
 
 from daisyhub.base import Filter, Handler
 from daisyhub.catalog import ManifestController
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.messages import Request, Response
 
 __all__ = ["BodyFilter"]
@@ -30,6 +30,7 @@
             raise Refusal(
                 ErrorCode.HEADERS_TOO_LARGE,
                 f"headers of {size} bytes exceed {limits.header_bytes} bytes",
+                ran=ExecutionStatus.NOT_RUN,
             )
         body = await req.read_body(limits.body_bytes)
         return await call_next(dataclasses.replace(req, body=body))
--- a/daisyhub/gateway/_key_filter.py
+++ b/daisyhub/gateway/_key_filter.py
@@ -4,7 +4,7 @@
 
 from daisyhub.base import Filter, Handler
 from daisyhub.catalog import ManifestController
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.messages import Request, Response
 
 __all__ = ["KeyFilter"]
@@ -32,11 +32,16 @@
         if is_open or manifest.accounts is None:
             return await call_next(req)
         if not req.key:
-            raise Refusal(ErrorCode.KEY_MISSING, "the request has no key")
+            raise Refusal(
+                ErrorCode.KEY_MISSING,
+                "the request has no key",
+                ran=ExecutionStatus.NOT_RUN,
+            )
         account = manifest.find_account(req.key)
         if account is None:
             raise Refusal(
                 ErrorCode.KEY_UNKNOWN,
                 f"manifest {manifest.version} doesn't contain the key",
+                ran=ExecutionStatus.NOT_RUN,
             )
         return await call_next(dataclasses.replace(req, account=account.name))
--- a/daisyhub/gateway/_route_filter.py
+++ b/daisyhub/gateway/_route_filter.py
@@ -52,6 +52,7 @@
                 ErrorCode.ROUTE_UNKNOWN,
                 f"no route of manifest {manifest.version} serves "
                 f"{req.host}{req.path}",
+                ran=ExecutionStatus.NOT_RUN,
             )
         deadline_s = min(req.deadline_s, req.started_s + route.timeout_s)
         return await call_next(
@@ -73,5 +74,6 @@
         return Refusal(
             ErrorCode.NO_CONFIGURATION,
             "no manifest has been loaded yet",
+            ran=ExecutionStatus.NOT_RUN,
             retry_after_s=_NO_MANIFEST_RETRY_AFTER_S,
         )
--- a/daisyhub/gateway/tests/test_refusals.py
+++ b/daisyhub/gateway/tests/test_refusals.py
@@ -55,9 +55,15 @@
     async def test_a_refusal_that_is_known_not_run_keeps_its_status(self):
         for error in ErrorCode:
             with self.subTest(error.label):
-                status = await self.answer(Refusal(error, ""))
+                status = await self.answer(
+                    Refusal(error, "", ran=ExecutionStatus.NOT_RUN)
+                )
                 self.assertEqual(status, error.status)
 
+    def test_a_refusal_says_whether_the_request_has_run(self):
+        with self.assertRaises(TypeError):
+            Refusal(ErrorCode.OVERLOADED, "")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/daisyhub/identity/_keys.py
+++ b/daisyhub/identity/_keys.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterable
 
 from daisyhub.config import ClientKey
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 
 __all__ = [
     "KeyTable",
@@ -130,9 +130,17 @@
         actual = hash_secret(key.secret, self.hash_key)
         expected = entry.secret_hash if entry else "0" * len(actual)
         if not hmac.compare_digest(actual, expected) or entry is None:
-            raise Refusal(ErrorCode.KEY_UNKNOWN, "the key is not known")
+            raise Refusal(
+                ErrorCode.KEY_UNKNOWN,
+                "the key is not known",
+                ran=ExecutionStatus.NOT_RUN,
+            )
         if key.key_id in self._withdrawn:
-            raise Refusal(ErrorCode.KEY_WITHDRAWN, "the key was withdrawn")
+            raise Refusal(
+                ErrorCode.KEY_WITHDRAWN,
+                "the key was withdrawn",
+                ran=ExecutionStatus.NOT_RUN,
+            )
         return entry.account
 
     def _notify_listeners(self, key_id: str) -> None:
--- a/daisyhub/lots/_filter.py
+++ b/daisyhub/lots/_filter.py
@@ -104,7 +104,9 @@
                 raise _refusal(exc) from exc
         if head.account != req.account:
             raise Refusal(
-                ErrorCode.LOT_CONFLICT, "another account has a lot with this id"
+                ErrorCode.LOT_CONFLICT,
+                "another account has a lot with this id",
+                ran=ExecutionStatus.NOT_RUN,
             )
         self._reader.record_accepted(head)
         self._log.record(
--- a/daisyhub/lots/_reader.py
+++ b/daisyhub/lots/_reader.py
@@ -128,7 +128,9 @@
             if item.item_id == item_id:
                 return item.body
         raise Refusal(
-            ErrorCode.LOT_UNKNOWN, f"lot {lot_id} has no item {item_id}"
+            ErrorCode.LOT_UNKNOWN,
+            f"lot {lot_id} has no item {item_id}",
+            ran=ExecutionStatus.NOT_RUN,
         )
 
     async def end(self, lot_id: str, account: str) -> None:
@@ -173,7 +175,11 @@
         if lot is None:
             lot = await self._head_from_store(lot_id)
         if lot is None or lot.head.account != account:
-            raise Refusal(ErrorCode.LOT_UNKNOWN, f"there is no lot {lot_id}")
+            raise Refusal(
+                ErrorCode.LOT_UNKNOWN,
+                f"there is no lot {lot_id}",
+                ran=ExecutionStatus.NOT_RUN,
+            )
         return lot
 
     async def _head_from_holder(self, lot_id: str) -> _CachedLot | None:
--- a/daisyhub/platform/_lots_json.py
+++ b/daisyhub/platform/_lots_json.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.lots import (
     EventReader,
     ItemResult,
@@ -85,7 +85,9 @@
             lot = msgspec.json.decode(req.body, type=_Lot)
         except msgspec.DecodeError as exc:
             raise Refusal(
-                ErrorCode.BODY_INVALID, f"invalid lot: {exc}"
+                ErrorCode.BODY_INVALID,
+                f"invalid lot: {exc}",
+                ran=ExecutionStatus.NOT_RUN,
             ) from exc
         items = tuple(_to_item_spec(item) for item in lot.items)
         ids = {item.item_id for item in items}
@@ -93,6 +95,7 @@
             raise Refusal(
                 ErrorCode.BODY_INVALID,
                 "a lot needs an id and items with unique ids",
+                ran=ExecutionStatus.NOT_RUN,
             )
         route = req.route
         head = LotHead(
--- a/daisyhub/platform/_wire.py
+++ b/daisyhub/platform/_wire.py
@@ -9,7 +9,12 @@
 import re
 import urllib.parse
 
-from daisyhub.exceptions import NOT_RUN_STATUSES, ErrorCode, Refusal
+from daisyhub.exceptions import (
+    NOT_RUN_STATUSES,
+    ErrorCode,
+    ExecutionStatus,
+    Refusal,
+)
 from daisyhub.gateway import (
     CallerWire,
     EndpointRequest,
@@ -83,7 +88,11 @@
         headers = tuple(scope["headers"])
         by_name = dict(headers)
         if b"host" not in by_name:
-            raise Refusal(ErrorCode.HEADER_INVALID, "the host is missing")
+            raise Refusal(
+                ErrorCode.HEADER_INVALID,
+                "the host is missing",
+                ran=ExecutionStatus.NOT_RUN,
+            )
         path = scope["raw_path"].decode("latin-1")
         query = scope["query_string"].decode("latin-1")
         remaining_s = _read_seconds(by_name, _DEADLINE_MS, _DEFAULT_DEADLINE_S)
--- a/daisyhub/platform/tests/test_stopped_requests.py
+++ b/daisyhub/platform/tests/test_stopped_requests.py
@@ -5,7 +5,7 @@
 import socket
 import unittest
 
-from daisyhub.exceptions import ErrorCode, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.gateway import GatewayApp
 from daisyhub.logs import DecisionLog
 from daisyhub.messages import Response
@@ -88,7 +88,9 @@
         async def handle(req):
             await req.read_body(10)
             handled.append(req)
-            raise Refusal(ErrorCode.INTERNAL, "not reached")
+            raise Refusal(
+                ErrorCode.INTERNAL, "not reached", ran=ExecutionStatus.NOT_RUN
+            )
 
         await self.start(handle)
         readers = [await self.open(b""), await self.open(REQUEST[:20])]
--- a/daisyhub/serving/_callers_app.py
+++ b/daisyhub/serving/_callers_app.py
@@ -213,7 +213,9 @@
     hosts = [value for name, value in headers if name == b"host"]
     if len(hosts) != 1:
         raise Refusal(
-            ErrorCode.HEADER_INVALID, "exactly one Host header is required"
+            ErrorCode.HEADER_INVALID,
+            "exactly one Host header is required",
+            ran=ExecutionStatus.NOT_RUN,
         )
     host = hosts[0].decode("latin-1").lower().partition(":")[0]
     return Request(
@@ -243,6 +245,7 @@
                 ErrorCode.HEADER_INVALID,
                 "daisyhub-timeout-ms must be a whole number of milliseconds"
                 f" with at most {_MAX_TIMEOUT_DIGITS} digits",
+                ran=ExecutionStatus.NOT_RUN,
             )
         return int(value) / _MS_PER_S
     return _DEFAULT_TIMEOUT_S
@@ -268,7 +271,11 @@
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
-                raise Refusal(ErrorCode.BODY_INVALID, "the body is incomplete")
+                raise Refusal(
+                    ErrorCode.BODY_INVALID,
+                    "the body is incomplete",
+                    ran=ExecutionStatus.NOT_RUN,
+                )
             chunk = message.get("body", b"")
             size += len(chunk)
             if size > max_bytes:
@@ -282,5 +289,7 @@
 
 def _make_too_large_refusal(max_bytes: int) -> Refusal:
     return Refusal(
-        ErrorCode.BODY_TOO_LARGE, f"the body exceeds {max_bytes} bytes"
+        ErrorCode.BODY_TOO_LARGE,
+        f"the body exceeds {max_bytes} bytes",
+        ran=ExecutionStatus.NOT_RUN,
     )
--- a/daisyhub/testing/soaked_daemon.py
+++ b/daisyhub/testing/soaked_daemon.py
@@ -28,7 +28,7 @@
     """Injects a bug into the product that violates one of its guarantees."""
     # Imported here because the clock must be shifted first.
     from daisyhub.catalog import RouteKind
-    from daisyhub.exceptions import ErrorCode, Refusal
+    from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
     from daisyhub.gateway import _sender
     from daisyhub.lots import LotStore, SubmittedLotsFilter
     from daisyhub.objects import ObjectStoreError
@@ -71,7 +71,9 @@
                 if req.lot_call or req.route.kind is not RouteKind.ROLLOUT:
                     raise
                 error = ErrorCode.PLATFORM_UNAVAILABLE
-                raise Refusal(error, exc.detail) from exc
+                raise Refusal(
+                    error, exc.detail, ran=ExecutionStatus.NOT_RUN
+                ) from exc
 
         SubmittedLotsFilter.handle = handle
     else:
