Gateway: only a refusal may promise "not run"

Cause: `GatewayApp` checked the refusals of the chain, but passed any response on. A response with the status 408, 421, 429 or 503 that some filter returns, or that an endpoint's wire doesn't recognise as a promise, would have reached the caller as one.

Change: such a response is answered 500, its stream closed.

--- a/daisyhub/gateway/_app.py
+++ b/daisyhub/gateway/_app.py
@@ -7,7 +7,12 @@
 
 from daisyhub.base import Handler
 from daisyhub.connections import RequestFailedError
-from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
+from daisyhub.exceptions import (
+    NOT_RUN_STATUSES,
+    ErrorCode,
+    ExecutionStatus,
+    Refusal,
+)
 from daisyhub.gateway._wire import CallerWire
 from daisyhub.logs import DecisionLog
 from daisyhub.messages import Request, Response
@@ -93,6 +98,7 @@
             tasks.start_soon(receiver.cancel_on_disconnect, tasks.cancel_scope)
             try:
                 resp = await self._handler(req)
+                await _check_response(resp)
             except Refusal as exc:
                 resp = self._refuse(exc, req)
             except Exception as exc:
@@ -191,6 +197,23 @@
         await send(_body_message(b"", has_more=False))
 
 
+async def _check_response(resp: Response) -> None:
+    """Checks that a response makes no promise, which only refusals may.
+
+    Raises:
+        Refusal: Its status promises that the request has not run.
+    """
+    if resp.status not in NOT_RUN_STATUSES:
+        return
+    if resp.stream is not None:
+        await resp.stream.aclose()
+    raise Refusal(
+        ErrorCode.INTERNAL,
+        f"a response with status {resp.status} is no refusal",
+        ran=ExecutionStatus.UNKNOWN,
+    )
+
+
 class _IncompleteStreamError(Exception):
     """Makes the server close the connection without a final chunk."""
 
--- a/daisyhub/gateway/tests/test_refusals.py
+++ b/daisyhub/gateway/tests/test_refusals.py
@@ -5,6 +5,7 @@
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.gateway import GatewayApp
 from daisyhub.logs import DecisionLog
+from daisyhub.messages import Response
 from daisyhub.metrics import Metrics
 from daisyhub.platform._wire import PlatformCallerWire
 
@@ -22,6 +23,19 @@
     return {"type": "http.request", "body": b"", "more_body": False}
 
 
+class ClosedStream:
+    is_closed = False
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        raise StopAsyncIteration
+
+    async def aclose(self):
+        self.is_closed = True
+
+
 class RefusalTest(unittest.IsolatedAsyncioTestCase):
     async def answer(self, exc):
         """Returns the status of the answer to a request refused with `exc`."""
@@ -29,13 +43,17 @@
         async def refuse(_):
             raise exc
 
+        return await self.answer_of(refuse)
+
+    async def answer_of(self, handler):
+        """Returns the status of the answer to a request to a chain."""
         messages = []
 
         async def send(message):
             messages.append(message)
 
         app = GatewayApp(
-            refuse,
+            handler,
             PlatformCallerWire(),
             Metrics(),
             DecisionLog("d", write=lambda _: True),
@@ -64,6 +82,17 @@
         with self.assertRaises(TypeError):
             Refusal(ErrorCode.OVERLOADED, "")
 
+    async def test_a_response_that_is_no_refusal_promises_nothing(self):
+        for status in PROMISES:
+            for stream in (None, ClosedStream()):
+
+                async def respond(_, status=status, stream=stream):
+                    return Response(status=status, stream=stream)
+
+                with self.subTest(status, stream=stream):
+                    self.assertEqual(await self.answer_of(respond), 500)
+                    self.assertTrue(stream is None or stream.is_closed)
+
 
 if __name__ == "__main__":
     unittest.main()
