Trainer lots: no refusal denies a forwarded call that was lost

Cause: `LotController.serve` forwards a call to the lot's holder. Without a response, or with one that says that the lot is elsewhere now (which a holder also gives while it releases the lot and a commit is under way), it goes on here. A refusal that followed, such as `lot_unknown`, said `not_run`, though the holder may have served the call. Of several attempts the worst outcome counts.

Change: after a forwarded call without a usable response, such a refusal says `unknown`.

--- a/daisyhub/controllers/_lots.py
+++ b/daisyhub/controllers/_lots.py
@@ -91,13 +91,17 @@
         Raises:
             Refusal: The call failed; the trainer receives this refusal.
         """
+        is_forwarded = False
         try:
             server = self._servers.get(call.lot_id)
             if server is not None and server.is_serving:
                 return await server.serve(call)
-            response = await self._forward_to_holder(call)
-            if response is not None:
-                return response
+            daemon_id, lease = await self._find_other_holder(call.lot_id)
+            if daemon_id:
+                is_forwarded = True
+                response = await self._forward(call, daemon_id, lease)
+                if response is not None:
+                    return response
             server = await self._get_or_start_server(call)
             return await self._serve_here(server, call)
         except PlatformUnavailableError as exc:
@@ -108,6 +112,16 @@
                 ran=ExecutionStatus.UNKNOWN,
                 retry_after_s=_RETRY_AFTER_S,
             ) from exc
+        except Refusal as exc:
+            if not is_forwarded or exc.ran is not ExecutionStatus.NOT_RUN:
+                raise
+            # The holder may have served the call without an answer.
+            raise Refusal(
+                exc.error,
+                exc.detail,
+                ran=ExecutionStatus.UNKNOWN,
+                retry_after_s=exc.retry_after_s,
+            ) from exc
 
     async def handle_forwarded_call(
         self, call: LotCallRequest
@@ -136,30 +150,39 @@
             raise _takeover_refusal()
         return await server.serve(call)
 
-    async def _forward_to_holder(
-        self, call: LotCallRequest
-    ) -> LotCallResponse | None:
-        """Forwards a call to the lot's holder and returns the response.
+    async def _find_other_holder(
+        self, lot_id: str
+    ) -> tuple[str, PlatformObject | None]:
+        """Returns the daemon that holds a lot, and its lease.
 
-        Returns None if there is no other holder or it does not respond. While
-        the platform is unavailable, the last known holder is used.
+        The daemon is empty if there is no holder or this daemon is it. While
+        the platform is unavailable, the last known holder is returned, without
+        a lease.
         """
-        key = f"leases/lots/{call.lot_id}"
         found = None
         try:
-            found = await self._dependencies.client.get(key)
+            found = await self._dependencies.client.get(f"leases/lots/{lot_id}")
             daemon_id = _holder_of(found)
         except PlatformUnavailableError:
-            if call.lot_id not in self._known_holders:
+            if lot_id not in self._known_holders:
                 raise
-            daemon_id = self._known_holders[call.lot_id]
+            daemon_id = self._known_holders[lot_id]
         if not daemon_id or daemon_id == self._dependencies.cfg.daemon_id:
-            return None
-        self._record_holder(call.lot_id, daemon_id)
+            return "", None
+        self._record_holder(lot_id, daemon_id)
+        return daemon_id, found
+
+    async def _forward(
+        self, call: LotCallRequest, daemon_id: str, lease: PlatformObject | None
+    ) -> LotCallResponse | None:
+        """Forwards a call to the lot's holder and returns the response.
+
+        Returns None if the holder doesn't respond or no longer has the lot.
+        """
         response = None
         async with anyio.create_task_group() as tasks:
-            if found is not None:
-                tasks.start_soon(self._watch_lease, found, tasks.cancel_scope)
+            if lease is not None:
+                tasks.start_soon(self._watch_lease, lease, tasks.cancel_scope)
             with contextlib.suppress(PeerUnreachableError):
                 response = await self._network.call(
                     daemon_id, call, _FORWARD_TIMEOUT_S
--- a/daisyhub/controllers/tests/test_lot_calls.py
+++ b/daisyhub/controllers/tests/test_lot_calls.py
@@ -3,15 +3,18 @@
 import types
 import unittest
 
+import msgspec
+
 from daisyhub.controllers import LotController
 from daisyhub.controllers._lot_server import _make_response
 from daisyhub.exceptions import (
+    ErrorCode,
     ExecutionStatus,
     PlatformUnavailableError,
     Refusal,
 )
 from daisyhub.hosting import PlatformObject
-from daisyhub.peers import LotCallRequest, PeerUnreachableError
+from daisyhub.peers import LotCallRequest, LotCallResponse, PeerUnreachableError
 from daisyhub.rollouts import RefusalReason, RefuseCall
 
 LEASE = PlatformObject(
@@ -46,17 +49,25 @@
 
 
 class LosingNetwork:
-    """Loses each call, after which the platform is unreachable too."""
+    """Loses each call, after which the platform may be unreachable too."""
 
-    def __init__(self, client):
+    def __init__(self, client, *, loses_platform=True):
         self._client = client
+        self._loses_platform = loses_platform
 
     async def call(self, *_):
-        self._client.is_lost = True
+        self._client.is_lost = self._loses_platform
         raise PeerUnreachableError("no response")
 
 
-def new_controller(client):
+class ElsewhereNetwork:
+    """The peer doesn't serve the lot, and says so."""
+
+    async def call(self, *_):
+        return LotCallResponse(status=503, body=b"", is_elsewhere=True)
+
+
+def new_controller(client, network=None):
     lot_class = types.SimpleNamespace(
         account="acme",
         pool="p",
@@ -74,13 +85,13 @@
         cfg=types.SimpleNamespace(daemon_id="own", timing=timing),
         config=types.SimpleNamespace(document=document),
     )
-    return LotController(dependencies, LosingNetwork(client))
+    return LotController(dependencies, network or LosingNetwork(client))
 
 
 class LotCallTest(unittest.IsolatedAsyncioTestCase):
-    async def refuse(self, client):
+    async def refuse(self, client, network=None, call=OPEN):
         with self.assertRaises(Refusal) as caught:
-            await new_controller(client).serve(OPEN)
+            await new_controller(client, network).serve(call)
         return caught.exception
 
     async def test_a_lot_whose_create_has_no_answer_may_be_open(self):
@@ -91,6 +102,25 @@
         refusal = await self.refuse(FakeClient(LEASE))
         self.assertIs(refusal.ran, ExecutionStatus.UNKNOWN)
 
+    async def test_a_refusal_after_a_lost_forwarded_call_denies_nothing(self):
+        client = FakeClient(LEASE)
+        network = LosingNetwork(client, loses_platform=False)
+        call = msgspec.structs.replace(OPEN, verb="close")
+        refusal = await self.refuse(client, network, call)
+        self.assertIs(refusal.error, ErrorCode.LOT_UNKNOWN)
+        self.assertIs(refusal.ran, ExecutionStatus.UNKNOWN)
+
+    async def test_a_call_of_an_unknown_lot_is_refused_as_not_run(self):
+        call = msgspec.structs.replace(OPEN, verb="close")
+        refusal = await self.refuse(FakeClient(), None, call)
+        self.assertIs(refusal.ran, ExecutionStatus.NOT_RUN)
+
+    async def test_a_released_holder_may_have_stored_the_call(self):
+        call = msgspec.structs.replace(OPEN, verb="close")
+        client = FakeClient(LEASE)
+        refusal = await self.refuse(client, ElsewhereNetwork(), call)
+        self.assertIs(refusal.ran, ExecutionStatus.UNKNOWN)
+
     def test_a_call_whose_commit_is_open_may_be_done(self):
         for response, ran in (
             (RefuseCall(1, RefusalReason.PLATFORM), ExecutionStatus.UNKNOWN),
