Lots: no promise about a lot whose path has lost its route for lots

Cause: after a manifest gave the path of a lot a route of another kind, a repeat of a stored lot was served as a look-up. Where its endpoints were full or absent it was answered 503 with `not_run`, though the lot runs.

Change: `SubmittedLotsFilter` answers 504 `lot_unconfirmed` if a request on such a route is refused with a promise and its body may be a lot, as `FindRouteFilter` does without a manifest. A path without any route is still answered 404, which is no promise.

--- a/daisyhub/lots/_filter.py
+++ b/daisyhub/lots/_filter.py
@@ -80,7 +80,20 @@
                 return Response(status=_OK)
         if req.route.kind is RouteKind.ROLLOUT:
             return await self._accept(req)
-        return await call_next(req)
+        try:
+            return await call_next(req)
+        except Refusal as exc:
+            if not exc.error.promises_not_run:
+                raise
+            if not self._wire.may_be_lot(req.body):
+                raise
+            # An earlier manifest may have had a route for lots here.
+            raise Refusal(
+                ErrorCode.LOT_UNCONFIRMED,
+                f"no route for lots, but the lot may be stored: {exc.detail}",
+                ran=ExecutionStatus.UNKNOWN,
+                retry_after_s=exc.retry_after_s,
+            ) from exc
 
     async def _accept(self, req: Request) -> Response:
         """Stores a submitted lot.
--- a/daisyhub/lots/_wire.py
+++ b/daisyhub/lots/_wire.py
@@ -56,6 +56,10 @@
             Refusal: The body isn't a valid lot.
         """
 
+    @abc.abstractmethod
+    def may_be_lot(self, body: bytes) -> bool:
+        """Whether a request body is a lot that a daemon may have stored."""
+
     @abc.abstractmethod
     def write_results(
         self, total: int, after: int, results: list[ItemResult]
--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -9,7 +9,7 @@
 
 from daisyhub.catalog import Route, RouteKind
 from daisyhub.cluster import ClusterClock
-from daisyhub.exceptions import Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.logs import DecisionLog
 from daisyhub.lots import (
     ItemSpec,
@@ -47,6 +47,9 @@
     def read_lot(self, req, accepted_s):
         return LOT
 
+    def may_be_lot(self, body):
+        return body == b"lot"
+
     def write_results(self, total, after, results):
         raise NotImplementedError
 
@@ -78,6 +81,15 @@
     raise AssertionError("a submission was passed on")
 
 
+async def refuse_as_overloaded(_):
+    raise Refusal(
+        ErrorCode.OVERLOADED,
+        "no endpoint is free",
+        ran=ExecutionStatus.NOT_RUN,
+        retry_after_s=0.1,
+    )
+
+
 class Daemon:
     def __init__(self, shared, *relays):
         self.lines = []
@@ -95,7 +107,9 @@
         self.lines.append(msgspec.json.decode(line))
         return True
 
-    async def submit(self):
+    async def submit(
+        self, kind=RouteKind.ROLLOUT, body=b"lot", call_next=never_called
+    ):
         """Returns the status of the answer."""
         now_s = time.monotonic()
         req = Request(
@@ -109,18 +123,19 @@
             started_s=now_s,
             deadline_s=now_s + 10.0,
             account="a",
+            body=body,
             route=Route(
                 name="r",
                 host="h",
                 path_prefix="/p/",
-                kind=RouteKind.ROLLOUT,
+                kind=kind,
                 shares=(),
                 timeout_s=10.0,
                 target_latency_s=1.0,
             ),
         )
         try:
-            resp = await self.lots.handle(req, never_called)
+            resp = await self.lots.handle(req, call_next)
         except Refusal as exc:
             return exc.error.status
         return resp.status
@@ -197,6 +212,19 @@
         self.assertEqual(await self.daemon.submit(), 504)
         self.assertEqual(len(self.daemon.find("lot_not_accepted")), 1)
 
+    async def test_a_stored_lot_whose_route_changed_is_not_called_not_run(self):
+        self.assertEqual(await self.daemon.submit(), 202)
+        for kind in set(RouteKind) - {RouteKind.ROLLOUT}:
+            with self.subTest(kind):
+                status = await Daemon(self.shared).submit(
+                    kind, call_next=refuse_as_overloaded
+                )
+                self.assertEqual(status, 504)
+                status = await Daemon(self.shared).submit(
+                    kind, b"no lot", refuse_as_overloaded
+                )
+                self.assertEqual(status, 503)
+
     async def test_a_refusal_does_not_wait_for_a_silent_store(self):
         read = self.shared.read
 
--- a/daisyhub/platform/_lots_json.py
+++ b/daisyhub/platform/_lots_json.py
@@ -116,6 +116,10 @@
         )
         return LotSpec(head=head, items=items)
 
+    def may_be_lot(self, body: bytes) -> bool:
+        """Whether the body may be a lot; see `LotWire.may_be_lot`."""
+        return may_be_lot(body)
+
     def write_results(
         self, total: int, after: int, results: list[ItemResult]
     ) -> bytes:
