--- a/daisyhub/lots/_filter.py
+++ b/daisyhub/lots/_filter.py
@@ -8,8 +8,9 @@
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.logs import DecisionLog
 from daisyhub.lots._calls import EndLot, ReadItemBody, ReadResults
-from daisyhub.lots._lot_store import LotConflictError, LotStore
+from daisyhub.lots._lot_store import LotStore
 from daisyhub.lots._reader import LotReader
+from daisyhub.lots._repeats import LotConflictError
 from daisyhub.lots._types import ItemResult
 from daisyhub.lots._wire import LotWire
 from daisyhub.messages import Request, Response
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -15,7 +15,7 @@
 import anyio
 import msgspec
 
-from daisyhub.exceptions import DaisyhubError
+from daisyhub.lots._repeats import check_repeat
 from daisyhub.lots._run_types import Progress
 from daisyhub.lots._types import ItemResult, ItemSpec, LotHead, LotSpec
 from daisyhub.objects import (
@@ -27,7 +27,6 @@
 
 __all__ = [
     "LOTS_KIND",
-    "LotConflictError",
     "LotStatus",
     "LotStore",
     "decode_head",
@@ -54,12 +53,6 @@
 _DIGEST_BYTES = 8
 
 
-class LotConflictError(DaisyhubError):
-    """Another lot is stored under the id of a submitted one."""
-
-    code = "lot_conflict"
-
-
 class LotStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Mutable status of a lot.
 
@@ -142,7 +135,7 @@
             await self._store.create(LOTS_KIND, head.lot_id, content)
         except ObjectConflictError as exc:
             if exc.found is not None:
-                return _check_repeat(decode_head(exc.found)[0], head)
+                return check_repeat(decode_head(exc.found)[0], head)
             failure = ObjectStoreError(str(exc), may_be_done=True)
         except ObjectStoreError as exc:
             failure = exc
@@ -182,7 +175,7 @@
             with anyio.fail_after(_RESOLVE_TIMEOUT_S):
                 found = await self._store.read(LOTS_KIND, head.lot_id)
                 if found is not None:
-                    return _check_repeat(decode_head(found)[0], head)
+                    return check_repeat(decode_head(found)[0], head)
                 may_be_done = (
                     failure.may_be_done or await self._may_head_be_sent(head)
                 )
@@ -375,20 +368,6 @@
             self._cache.popitem(last=False)
 
 
-def _check_repeat(stored: LotHead, head: LotHead) -> LotHead:
-    """Returns the stored head if `head` is of the same submission.
-
-    Raises:
-        LotConflictError: It isn't.
-    """
-    if stored.is_repeated_by(head):
-        return stored
-    whose = "with other content"
-    if stored.account != head.account:
-        whose = "of another account"
-    raise LotConflictError(f"a lot {whose} has the id {head.lot_id}")
-
-
 def _split_into_parts(items: tuple[ItemSpec, ...]):
     """Yields consecutive items that fit into one part each."""
     part: list[ItemSpec] = []
--- /dev/null
+++ b/daisyhub/lots/_repeats.py
@@ -0,0 +1,46 @@
+"""Tells repeats of a stored lot from other lots with its id."""
+
+from daisyhub.exceptions import DaisyhubError
+from daisyhub.lots._types import LotHead
+
+__all__ = ["LotConflictError", "check_repeat"]
+
+
+class LotConflictError(DaisyhubError):
+    """Another lot is stored under the id of a submitted one."""
+
+    code = "lot_conflict"
+
+
+def check_repeat(stored: LotHead, head: LotHead) -> LotHead:
+    """Returns the stored head if `head` is of the same submission.
+
+    What the manifest adds may differ, and so may the time. Heads without a
+    digest, those of older builds, aren't compared by their items.
+
+    Raises:
+        LotConflictError: It isn't.
+    """
+    has_digests = stored.parts_digest and head.parts_digest
+    is_same = _stated(stored) == _stated(head)
+    if is_same and not (
+        has_digests and stored.parts_digest != head.parts_digest
+    ):
+        return stored
+    whose = "with other content"
+    if stored.account != head.account:
+        whose = "of another account"
+    raise LotConflictError(f"a lot {whose} has the id {head.lot_id}")
+
+
+def _stated(head: LotHead) -> tuple:
+    """Returns what the caller states of a lot, without its items."""
+    return (
+        head.lot_id,
+        head.account,
+        head.step,
+        head.model,
+        head.oldest_version,
+        head.wanted_groups,
+        head.total,
+    )
--- a/daisyhub/lots/_types.py
+++ b/daisyhub/lots/_types.py
@@ -98,30 +98,6 @@
     max_attempts: int = 1
     is_single_version: bool = False
 
-    def is_repeated_by(self, other: "LotHead") -> bool:
-        """Whether another head is of the same submission, made once more.
-
-        What the manifest adds may differ, and so may the time. Heads without
-        a digest, those of older builds, aren't compared by their items.
-        """
-        has_digests = self.parts_digest and other.parts_digest
-        if has_digests and self.parts_digest != other.parts_digest:
-            return False
-        return _stated(self) == _stated(other)
-
-
-def _stated(head: LotHead) -> tuple:
-    """Returns what the caller states of a lot, without its items."""
-    return (
-        head.lot_id,
-        head.account,
-        head.step,
-        head.model,
-        head.oldest_version,
-        head.wanted_groups,
-        head.total,
-    )
-
 
 class LotSpec(msgspec.Struct, frozen=True, kw_only=True):
     """A lot with its items."""
--- a/daisyhub/lots/tests/acceptance_variants.py
+++ b/daisyhub/lots/tests/acceptance_variants.py
@@ -6,7 +6,8 @@
 import contextlib
 
 from daisyhub.lots import LotStore
-from daisyhub.lots._lot_store import LOTS_KIND, LotConflictError
+from daisyhub.lots._lot_store import LOTS_KIND
+from daisyhub.lots._repeats import LotConflictError
 from daisyhub.objects import ObjectConflictError, ObjectStoreError
 
 
--- a/daisyhub/lots/tests/test_lot_writes.py
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -15,7 +15,7 @@
     LotStore,
     _lot_store,
 )
-from daisyhub.lots._lot_store import LotConflictError
+from daisyhub.lots._repeats import LotConflictError
 from daisyhub.lots._run_types import Progress
 from daisyhub.objects import ObjectConflictError, ObjectStoreError
 from daisyhub.testing.object_store import BareConflictStore, Fault, MemoryStore
