Gateway: an endpoint that was gone costs a request no attempt

Cause: an endpoint that left between the choice and its turn isn't counted against the route's maximum. But once each endpoint has been tried, only as many repeats to one of them follow as the maximum allows for all attempts, the unsent ones included, so that repeats to unreachable endpoints end. With two attempts, one endpoint gone and the other full once, the caller was refused although another attempt was allowed. An endpoint that was gone could also be chosen again.

Change: endpoints that were gone aren't counted there, and a request never chooses them again, which bounds the repeats.

--- a/daisyhub/filters/_forward_core.py
+++ b/daisyhub/filters/_forward_core.py
@@ -184,6 +184,9 @@
         self._open_attempts: set[int] = set()
         self._attempt_count = 0
         self._unsent_count = 0
+        # Endpoints by attempt, and those that were gone when their turn came.
+        self._endpoint_ids: dict[int, str] = {}
+        self._withdrawn: set[str] = set()
         self._withdrawn_count = 0
         # The outcome of the failed attempts that the caller must assume.
         self._ran = ExecutionStatus.NOT_RUN
@@ -232,6 +235,7 @@
         self._attempt_count += 1
         self._tried.add(endpoint_id)
         self._open_attempts.add(self._attempt_count)
+        self._endpoint_ids[self._attempt_count] = endpoint_id
         return [StartAttempt(self._attempt_count, endpoint_id, fresh)]
 
     def _on_tick(self, now_s: float) -> list[object]:
@@ -262,9 +266,10 @@
             return []
         candidate = self.choose(frozenset(self._tried))
         # Unsent attempts count here, so that repeats to endpoints that can't be
-        # reached end.
-        if candidate is None and self._attempt_count < plan.max_attempts:
-            candidate = self.choose(_NO_EXCLUSIONS)
+        # reached end. Endpoints that were gone don't; they aren't chosen again.
+        known_count = self._attempt_count - self._withdrawn_count
+        if candidate is None and known_count < plan.max_attempts:
+            candidate = self.choose(frozenset(self._withdrawn))
         if candidate is None or not (is_uncharged or self.budget.try_acquire()):
             return []
         return self._start(candidate, fresh=True)
@@ -275,7 +280,9 @@
         self._incomplete |= event.incomplete
         self._ran = _max_ran(self._ran, event.ran)
         self._unsent_count += not event.was_sent
-        self._withdrawn_count += event.is_withdrawn
+        if event.is_withdrawn:
+            self._withdrawn_count += 1
+            self._withdrawn.add(self._endpoint_ids[event.attempt])
         can_repeat = (
             self.plan.idempotent or event.ran is ExecutionStatus.NOT_RUN
         )
--- a/daisyhub/gateway/tests/test_unsent_attempts.py
+++ b/daisyhub/gateway/tests/test_unsent_attempts.py
@@ -30,6 +30,15 @@
     )
 
 
+def withdrawn_failure(action):
+    return AttemptFailed(
+        attempt=action.attempt,
+        ran=ExecutionStatus.NOT_RUN,
+        was_sent=False,
+        is_withdrawn=True,
+    )
+
+
 def refused_failure(action):
     return AttemptFailed(attempt=action.attempt, ran=ExecutionStatus.NOT_RUN)
 
@@ -59,6 +68,28 @@
         self.assertIs(action.ran, ExecutionStatus.NOT_RUN)
         self.assertLessEqual(tries, 6)
 
+    def test_an_endpoint_that_was_gone_costs_no_attempt(self):
+        for gone in ("a", "ab"):
+            forward = make_core([*gone, "x"], 2)
+            (action,) = forward.handle(ForwardStarted(), 0.0)
+            sent_to = []
+            while isinstance(action, StartAttempt):
+                failure = withdrawn_failure(action)
+                if action.endpoint_id == "x":
+                    sent_to.append(action.endpoint_id)
+                    failure = refused_failure(action)
+                (action,) = forward.handle(failure, 0.0)
+            self.assertEqual(sent_to, ["x", "x"], gone)
+
+    def test_the_request_fails_if_all_endpoints_are_gone(self):
+        forward = make_core("abc", 5)
+        (action,) = forward.handle(ForwardStarted(), 0.0)
+        for _ in range(2):
+            (action,) = forward.handle(withdrawn_failure(action), 0.0)
+        (action,) = forward.handle(withdrawn_failure(action), 0.0)
+        self.assertIsInstance(action, FailRequest)
+        self.assertIs(action.error, ErrorCode.NO_ENDPOINT)
+
     def test_attempts_that_an_endpoint_refused_count(self):
         forward = make_core("abc", 2)
         (action,) = forward.handle(ForwardStarted(), 0.0)
