--- a/daisyhub/lots/_filter.py
+++ b/daisyhub/lots/_filter.py
@@ -10,6 +10,7 @@
 from daisyhub.lots._calls import EndLot, ReadItemBody, ReadResults
 from daisyhub.lots._lot_store import LotStore
 from daisyhub.lots._reader import LotReader
+from daisyhub.lots._repeats import LotConflictError
 from daisyhub.lots._types import ItemResult
 from daisyhub.lots._wire import LotWire
 from daisyhub.messages import Request, Response
@@ -80,15 +81,27 @@
                 return Response(status=_OK)
         if req.route.kind is RouteKind.ROLLOUT:
             return await self._accept(req)
-        return await call_next(req)
+        try:
+            return await call_next(req)
+        except Refusal as exc:
+            if not exc.error.promises_not_run:
+                raise
+            if not self._wire.may_be_lot(req.body):
+                raise
+            # An earlier manifest may have had a route for lots here.
+            raise Refusal(
+                ErrorCode.LOT_UNCONFIRMED,
+                f"no route for lots, but the lot may be stored: {exc.detail}",
+                ran=ExecutionStatus.UNKNOWN,
+                retry_after_s=exc.retry_after_s,
+            ) from exc
 
     async def _accept(self, req: Request) -> Response:
         """Stores a submitted lot.
 
         Raises:
             Refusal: The body isn't a valid lot, the lot isn't stored, it is
-                unknown whether it is, or another account has a lot with this
-                id.
+                unknown whether it is, or another lot has this id.
         """
         spec = self._wire.read_lot(req, self._clock.now_s())
         with record_tries() as tries:
@@ -102,10 +115,12 @@
                     tries=_describe(tries),
                 )
                 raise _refusal(exc) from exc
-        if head.account != req.account:
-            raise Refusal(
-                ErrorCode.LOT_CONFLICT, "another account has a lot with this id"
-            )
+            except LotConflictError as exc:
+                raise Refusal(
+                    ErrorCode.LOT_CONFLICT,
+                    str(exc),
+                    ran=ExecutionStatus.NOT_RUN,
+                ) from exc
         self._reader.record_accepted(head)
         self._log.record(
             "lot_accepted",
