Test: a lot that is reported as deleted while it is loaded ends the holder

The load of a lot isn't stopped when its object is reported as deleted, and opens the lot once its items are read; the actions of the dispatch core then find no lot. A late list (test_late_lists) reports such deletions of lots that exist.

--- a/daisyhub/lots/tests/test_repeated_submissions.py
+++ b/daisyhub/lots/tests/test_repeated_submissions.py
@@ -130,6 +130,19 @@
         loaded = [f.__name__ for f, _ in self.holder._tasks.started]
         self.assertEqual(loaded, [])
 
+    async def test_a_lot_that_is_removed_while_it_is_loaded_is_not_opened(self):
+        """A late list reports a lot that a later call returned as deleted."""
+        lots = LotStore(self.store)
+        await lots.accept(LOT)
+        found = self.store.objects["lots", "L"]
+        self.holder._on_lot_changed(found)
+        self.holder._on_lot_changed(
+            msgspec.structs.replace(found, is_deleted=True)
+        )
+        for function, args in self.holder._tasks.started:
+            await function(*args)
+        self.assertEqual(self.holder._core.open_lots, ())
+
 
 class OtherEncodingTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_build_with_other_parts_does_not_deny_a_sent_head(self):
