Test: relayed writes and conflicts whose response contains no object

The check for a write's response with an explicit null, and the translation of an unset object of a conflict, could be removed without a failing test. Each removal fails one of these; on the code as it is, the file's 11 tests pass.

--- a/daisyhub/cluster/tests/test_store_calls.py
+++ b/daisyhub/cluster/tests/test_store_calls.py
@@ -131,6 +131,22 @@
             failure = await self.fail(relay_through(respond), verb)
             self.assertTrue(failure.may_be_done, verb)
 
+    async def test_a_write_that_returns_no_object_may_be_done(self):
+        async def respond(_):
+            return StoreResponse(found=None)
+
+        for verb in ("create", "replace"):
+            failure = await self.fail(relay_through(respond), verb)
+            self.assertTrue(failure.may_be_done, verb)
+
+    async def test_a_conflict_whose_object_is_unset_has_none(self):
+        async def respond(_):
+            return decode_response({"type": "sa", "failure": "conflict"})
+
+        with self.assertRaises(ObjectConflictError) as caught:
+            await relay_through(respond).create("k", "n", b"2")
+        self.assertIsNone(caught.exception.found)
+
     async def test_a_verb_that_the_peer_does_not_know_is_not_done(self):
         handler = StoreRequestHandler(MemoryStore(), copy=None)
         response = pass_on_wire(
