--- a/daisyhub/platform/tests/test_promised_statuses.py
+++ b/daisyhub/platform/tests/test_promised_statuses.py
@@ -113,6 +113,18 @@
                 self.assertIs(refusal.error, ErrorCode.OVERLOADED)
                 self.assertIs(refusal.ran, ExecutionStatus.NOT_RUN)
 
+    async def test_what_may_run_once_is_sent_over_a_new_connection(self):
+        """A rejection without an id may be an extra one of before."""
+        for kind in (RouteKind.UNSAFE, RouteKind.STREAMING):
+            with self.subTest(kind.value):
+                self.forget_endpoints()
+                server = await self.add_endpoint("a", make_response(200))
+                await self.send(RouteKind.SAFE)
+                response = await self.send(kind)
+                if response.stream is not None:
+                    await response.stream.aclose()
+                self.assertEqual(server.connections, 2)
+
     async def test_a_rejection_after_a_lost_response_is_no_promise(self):
         """The last of two attempts was refused, but the first may have run."""
         lost = await self.add_endpoint("a", None)
