--- a/daisyhub/controllers/tests/test_forwarded_calls.py
+++ b/daisyhub/controllers/tests/test_forwarded_calls.py
@@ -36,6 +36,19 @@
             await controller.serve(OPEN)
         self.assertIs(caught.exception.ran, ExecutionStatus.UNKNOWN)
 
+    async def test_a_lost_call_at_a_stopping_daemon_stays_unknown(self):
+        controller = new_controller(FakeClient(LEASE))
+        controller._network = LosingNetwork()
+        controller._is_released = True
+
+        async def find_spec(_):
+            return types.SimpleNamespace(account=OPEN.account)
+
+        controller._find_spec = find_spec
+        with self.assertRaises(Refusal) as caught:
+            await controller.serve(OPEN)
+        self.assertIs(caught.exception.ran, ExecutionStatus.UNKNOWN)
+
 
 if __name__ == "__main__":
     unittest.main()
