Test: a first write that fails may have sent bytes

The tests of failing writes fail after the head was written, so that setting has_sent only after a write went unnoticed. With that change this test fails; on the code as it is, the file's tests pass.

--- a/daisyhub/connections/tests/test_unknown_outcomes.py
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -7,6 +7,7 @@
 import anyio
 
 from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.connections._connection import _TrackedStream
 from daisyhub.exceptions import ExecutionStatus
 from daisyhub.settings import Address
 from daisyhub.testing.scripted_server import ScriptedServer, make_response
@@ -75,6 +76,18 @@
                 ran = await self.fail(address, body=LARGE_BODY)
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
 
+    async def test_a_first_write_that_fails_may_have_sent_bytes(self):
+        class FailingStream:
+            read = get_extra_info = None
+
+            async def write(self, *_):
+                raise OSError("reset after a part")
+
+        stream = _TrackedStream(FailingStream())
+        with self.assertRaises(OSError):
+            await stream.write(b"POST / HTTP/1.1")
+        self.assertTrue(stream.has_sent)
+
     async def test_a_lost_response_is_unknown(self):
         for reply in (
             None,
