Test: an extra rejection of a first run, taken for the second run's

Reproduced with a scripted server: the extra 503 is taken for the second run's, as nothing tells them apart. The connection then has unread bytes and is closed, which ends the second run at the engine; the third run goes over a new connection. Nothing is counted and no caller is told anything; the cost is one repeat.

The test passes on the code as it was (three runs).

--- a/daisyhub/connections/tests/test_unknown_outcomes.py
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -152,3 +152,22 @@
                 timeout_s=5.0,
             )
         self.assertEqual(server.connections, 1)
+
+    async def test_an_extra_rejection_of_a_first_run_costs_only_a_repeat(self):
+        """It can't be told from the second run's; the connection ends."""
+        rejection = make_response(503, request_id="q1")
+        answer = make_response(200, request_id="q1")
+        server = await self.serve(rejection, rejection + answer, answer)
+        statuses = []
+        for _ in range(3):
+            response = await self.client.request(
+                "POST",
+                server.address,
+                "/",
+                headers=id_header("q1"),
+                timeout_s=5.0,
+            )
+            statuses.append(response.status)
+        self.assertEqual(statuses, [503, 503, 200])
+        self.assertEqual(server.connections, 2)
+        self.assertEqual(len(server.requests), 3)
