Daemons that start later or were cut off learn of leaving endpoints from peers

Cause: an announcement was sent once, to the peers that were live then. A daemon that started later, or that was cut off or frozen, never learned of it and sent its next request to the endpoint. In a large cluster a short cut doesn't even make a peer count as lost.

Change: each ping contains a digest of the sender's marks in force. A daemon that receives an unknown digest requests the marks from that peer; a request without response is repeated at the next ping. Daemons with equal marks exchange nothing. Marks name a process and tell their age, so no other start of the endpoint is marked, and a mark ends at the same time everywhere.

--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -21,7 +21,11 @@
     EndpointTable,
     EndpointUpdate,
 )
-from daisyhub.balancing._leaving import EndpointProcess
+from daisyhub.balancing._leaving import (
+    EndpointProcess,
+    LeavingMark,
+    digest_marks,
+)
 
 __all__ = [
     "DRAIN_PREFIX",
@@ -34,5 +38,7 @@
     "EndpointTable",
     "EndpointUpdate",
     "LeastLoaded",
+    "LeavingMark",
     "RoundRobin",
+    "digest_marks",
 ]
--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -20,7 +20,11 @@
 import statistics
 from collections.abc import Callable, Iterable
 
-from daisyhub.balancing._leaving import EndpointProcess, LeavingMarks
+from daisyhub.balancing._leaving import (
+    EndpointProcess,
+    LeavingMark,
+    LeavingMarks,
+)
 from daisyhub.settings import Address
 
 __all__ = ["Endpoint", "EndpointDirectory", "EndpointEntry"]
@@ -255,12 +259,16 @@
         if self.mark_leaving(entry.process, now_s):
             self._on_leaving(entry, call)
 
-    def mark_leaving(self, process: EndpointProcess, now_s: float) -> bool:
+    def mark_leaving(
+        self, process: EndpointProcess, announced_at_s: float
+    ) -> bool:
         """Excludes a process from new requests; returns whether it is new."""
         known = self._endpoints.get(process.endpoint_id)
         is_listed = self._is_listed(process)
         is_confirmed = is_listed and known.entry.is_leaving
-        is_new = self._leaving.add(process, now_s, is_confirmed=is_confirmed)
+        is_new = self._leaving.add(
+            process, announced_at_s, is_confirmed=is_confirmed
+        )
         if is_listed:
             known.entry = dataclasses.replace(known.entry, is_leaving=True)
         return is_new
@@ -276,6 +284,10 @@
         """
         return self._leaving.confirm(process, now_s)
 
+    def leaving_marks(self, now_s: float, limit: int) -> list[LeavingMark]:
+        """Returns the marks in force; see `LeavingMarks.in_force`."""
+        return self._leaving.in_force(now_s, limit)
+
     def announced_leaving(self) -> list[str]:
         """Returns the ids of listed endpoints that announced their leaving."""
         return sorted(
--- a/daisyhub/balancing/_leaving.py
+++ b/daisyhub/balancing/_leaving.py
@@ -7,17 +7,23 @@
 """
 
 import dataclasses
+import functools
+import hashlib
 from collections.abc import Callable
 
 from daisyhub.settings import Address
 
-__all__ = ["EndpointProcess", "LeavingMarks"]
+__all__ = ["EndpointProcess", "LeavingMark", "LeavingMarks", "digest_marks"]
 
 # Maximum number of marks. Marks of listed endpoints are kept beyond it: their
 # number is bounded by the list. An endpoint serves for some seconds after its
 # announcement, so that even a thousand replacements a minute leave a mark for
 # minutes after the process ended.
 MAX_MARKS = 4096
+# Seconds for which the mark of an unlisted process is in force. Another daemon
+# may still have a list that contains the process.
+_UNLISTED_IN_FORCE_S = 60.0
+_DIGEST_BYTES = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,7 +47,7 @@
     """An announcement.
 
     Attributes:
-        announced_at_s: When it was received.
+        announced_at_s: When it was received, perhaps by a peer.
         is_confirmed: Whether the list has shown the endpoint as leaving or
             gone.
     """
@@ -50,6 +56,19 @@
     is_confirmed: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingMark:
+    """A mark in force.
+
+    Attributes:
+        process: The process that is leaving.
+        announced_at_s: When it announced that.
+    """
+
+    process: EndpointProcess
+    announced_at_s: float
+
+
 class LeavingMarks:
     """The processes of endpoints that announced that they are leaving.
 
@@ -59,7 +78,7 @@
 
     def __init__(self, is_listed: Callable[[EndpointProcess], bool]):
         self._is_listed = is_listed
-        # Ordered by time.
+        # In order of insertion.
         self._marks: dict[EndpointProcess, _Mark] = {}
 
     def __len__(self) -> int:
@@ -69,13 +88,17 @@
         return process in self._marks
 
     def add(
-        self, process: EndpointProcess, now_s: float, *, is_confirmed: bool
+        self,
+        process: EndpointProcess,
+        announced_at_s: float,
+        *,
+        is_confirmed: bool,
     ) -> bool:
         """Marks a process as leaving.
 
         Args:
             process: The process.
-            now_s: Current time.
+            announced_at_s: When it announced that.
             is_confirmed: Whether the list shows it as leaving already.
 
         Returns:
@@ -83,11 +106,30 @@
         """
         if process in self._marks:
             return False
-        self._marks[process] = _Mark(now_s, is_confirmed)
+        self._marks[process] = _Mark(announced_at_s, is_confirmed)
         if len(self._marks) > MAX_MARKS:
             self._drop_oldest_unlisted()
         return True
 
+    def in_force(self, now_s: float, limit: int) -> list[LeavingMark]:
+        """Returns the marks of processes that some list may still contain.
+
+        Args:
+            now_s: Current time.
+            limit: Maximum number of marks.
+
+        Returns:
+            The marks that were added last, in order of insertion.
+        """
+        found = []
+        for process, mark in reversed(self._marks.items()):
+            age_s = now_s - mark.announced_at_s
+            if age_s <= _UNLISTED_IN_FORCE_S or self._is_listed(process):
+                found.append(LeavingMark(process, mark.announced_at_s))
+                if len(found) == limit:
+                    break
+        return found[::-1]
+
     def confirm(self, process: EndpointProcess, now_s: float) -> float | None:
         """Records that the list shows a process as leaving or gone.
 
@@ -106,3 +148,21 @@
             if not self._is_listed(process):
                 del self._marks[process]
                 return
+
+
+def digest_marks(marks: list[LeavingMark]) -> int:
+    """Returns a number that is equal at daemons with the same marks.
+
+    It doesn't depend on their order and is 0 if there are none.
+    """
+    digest = 0
+    for mark in marks:
+        digest ^= _digest_process(mark.process)
+    return digest
+
+
+@functools.lru_cache(MAX_MARKS)
+def _digest_process(process: EndpointProcess) -> int:
+    text = f"{process.endpoint_id}|{process.incarnation}|{process.address}"
+    hashed = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES)
+    return int.from_bytes(hashed.digest())
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -10,6 +10,9 @@
     "CLUSTER_PROTOCOL",
     "EndpointLeavingNotification",
     "HolderNews",
+    "LeavingMarkNews",
+    "LeavingMarksRequest",
+    "LeavingMarksResponse",
     "LotResponse",
     "LotItemBodyRequest",
     "LotEndedNotification",
@@ -71,6 +74,8 @@
         holders: Other daemons that have a duty.
         speed: Processor speed available to it, in cores.
         peers: Addresses of some daemons that it knows, by id.
+        leaving_digest: Digest of its marks of leaving endpoints; 0 if it has
+            none.
     """
 
     domain: str
@@ -85,6 +90,7 @@
     standbys: tuple[str, ...] = ()
     holders: tuple[HolderNews, ...] = ()
     peers: dict[str, str] = {}
+    leaving_digest: int = 0
 
 
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True, tag="us"):
@@ -214,6 +220,39 @@
     address: str = ""
 
 
+class LeavingMarkNews(msgspec.Struct, frozen=True, array_like=True):
+    """A process of an endpoint that announced its leaving.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: Start time of its process, milliseconds since 1970; 0 if
+            unknown.
+        address: Where it listens, `IP:PORT`.
+        age_s: Seconds since its announcement.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    address: str
+    age_s: float
+
+
+class LeavingMarksRequest(msgspec.Struct, frozen=True, tag="mr"):
+    """Requests a peer's marks of leaving endpoints."""
+
+
+class LeavingMarksResponse(msgspec.Struct, frozen=True, kw_only=True, tag="ms"):
+    """The marks of leaving endpoints that the sender has.
+
+    Attributes:
+        digest: Their digest.
+        marks: The marks.
+    """
+
+    digest: int
+    marks: tuple[LeavingMarkNews, ...]
+
+
 class LotResponse(msgspec.Struct, frozen=True, kw_only=True, tag="la"):
     """A holder's response to a request about a lot.
 
@@ -401,6 +440,8 @@
         | LotAcceptedNotification
         | LotEndedNotification
         | EndpointLeavingNotification
+        | LeavingMarksRequest
+        | LeavingMarksResponse
         | _Call
         | _CallResponse,
         ...,
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -180,7 +180,6 @@
         self.leaving_news = LeavingNews(
             self.directory, self.network, self.peers, self.metrics, self.log
         )
-        self.network.add_receiver(self.leaving_news.receive)
         self.cluster = ClusterController(
             cfg.daemon_id,
             cfg.peer_address,
@@ -196,7 +195,9 @@
             self.log,
         )
         self.usage_aggregator = UsageAggregator()
+        # A response goes to the address that a ping told to `cluster`.
         self.network.add_receiver(self.cluster.receive)
+        self.network.add_receiver(self.leaving_news.receive)
         self.network.add_receiver(self._record_usage)
         self.network.add_request_handler(
             ManifestRequest, self.cluster.handle_manifest_request
@@ -470,6 +471,7 @@
             duties=self._held_duties(),
             newest={w.kind: w.newest_revision for w in self.watchers},
             standbys=self._choose_standbys(),
+            leaving_digest=self.leaving_news.digest(),
         )
 
     def _make_usage_report(self) -> UsageReport:
--- a/daisyhub/platform/tests/test_leaving_processes.py
+++ b/daisyhub/platform/tests/test_leaving_processes.py
@@ -91,6 +91,21 @@
         self.assertTrue(all(line["endpoint"] == leaving for line in lines))
         self.assertIn("peer", {line["call"] for line in lines})
 
+    async def test_a_daemon_that_restarts_learns_of_it_from_its_peers(self):
+        """A daemon that started after an announcement never learned of it."""
+        fleet = await self.start_fleet()
+        leaving = await self.busiest_server(fleet)
+        await fleet.announce_leaving(leaving)
+        await self.wait_until_known(fleet, [leaving])
+        name = fleet.daemon_names[-1]
+        fleet.signal(name, signal.SIGKILL)
+        fleet.processes[name].wait()
+        fleet.start_daemon(name)
+        await fleet.wait_until_ready(name)
+        with anyio.fail_after(_WAIT_TIMEOUT_S):
+            while (await fleet.status(name))["leaving_endpoints"] != [leaving]:
+                await anyio.sleep(0.1)
+
     async def test_requests_are_refused_while_all_servers_are_leaving(self):
         fleet = await self.start_fleet()
         for name in fleet.server_names:
