Orders and reports that waited for a connection don't go to leaving engines

Cause: the weight loader checked whether an engine is leaving only before it asked for a connection. A mark that came while the call waited for one didn't stop it. Look-ups, reward calls (both through Sender) and runs of items already checked again once the connection is open.

Change: EngineClient.order and report take `may_send`, as HttpClient does. A withdrawn order has the outcome REFUSED and a withdrawn report is missing, as if the engine had been known to be leaving before.

Before the change, test_calls_that_wait_for_a_connection_are_not_sent failed for both calls: the order was carried out, the report received.

--- a/daisyhub/platform/_engines.py
+++ b/daisyhub/platform/_engines.py
@@ -6,12 +6,15 @@
 running requests when it loads a version.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
 from daisyhub.connections import (
     HttpClient,
     HttpResponse,
     RequestFailedError,
+    RequestWithdrawnError,
 )
 from daisyhub.gateway import EndpointResponseHead
 from daisyhub.logs import DecisionLog
@@ -94,7 +97,10 @@
         self._wire = PlatformEndpointWire()
 
     async def order(
-        self, address: Address, order: VersionOrder
+        self,
+        address: Address,
+        order: VersionOrder,
+        may_send: Callable[[], bool],
     ) -> OrderResponse:
         """Sends an order; see `EngineClient.order`."""
         body = msgspec.json.encode(
@@ -120,7 +126,11 @@
                 headers=headers,
                 body=body,
                 timeout_s=_CALL_TIMEOUT_S,
+                may_send=may_send,
             )
+        except RequestWithdrawnError as exc:
+            self._log_failure("order_failed", order.endpoint_id, exc)
+            return OrderResponse(outcome=OrderOutcome.REFUSED)
         except RequestFailedError as exc:
             self._log_failure("order_failed", order.endpoint_id, exc)
             return OrderResponse(outcome=OrderOutcome.UNKNOWN)
@@ -134,12 +144,18 @@
             )
         return OrderResponse(outcome=outcome, is_leaving=head.is_leaving)
 
-    async def report(self, address: Address) -> ReportResponse:
+    async def report(
+        self, address: Address, may_send: Callable[[], bool]
+    ) -> ReportResponse:
         """Fetches an engine's report; see `EngineClient.report`."""
         is_leaving = False
         try:
             response = await self._http.request(
-                "GET", address, "/v1/report", timeout_s=_CALL_TIMEOUT_S
+                "GET",
+                address,
+                "/v1/report",
+                timeout_s=_CALL_TIMEOUT_S,
+                may_send=may_send,
             )
             is_leaving = self._read_head(response).is_leaving
             if response.status != _OK:
--- a/daisyhub/platform/tests/test_engine_orders.py
+++ b/daisyhub/platform/tests/test_engine_orders.py
@@ -30,7 +30,7 @@
         client = PlatformEngineClient(
             http, DecisionLog("d", write=lambda _: True)
         )
-        return (await client.order(server.address, ORDER)).outcome
+        return (await client.order(server.address, ORDER, lambda: True)).outcome
 
     async def test_an_order_without_a_statement_of_the_engine_is_unknown(self):
         """A bare 503 counted as a refusal of an order that may be accepted."""
--- a/daisyhub/platform/tests/test_engines.py
+++ b/daisyhub/platform/tests/test_engines.py
@@ -37,7 +37,7 @@
 class EngineOrderTest(unittest.IsolatedAsyncioTestCase):
     async def order(self, result):
         client = PlatformEngineClient(FakeHttp(result), LOG)
-        return (await client.order(ADDRESS, ORDER)).outcome
+        return (await client.order(ADDRESS, ORDER, lambda: True)).outcome
 
     async def test_outcomes_by_status(self):
         for status, outcome in (
--- a/daisyhub/platform/tests/test_leaving_engines.py
+++ b/daisyhub/platform/tests/test_leaving_engines.py
@@ -38,12 +38,12 @@
 
 
 class LeavingEnginesTest(unittest.IsolatedAsyncioTestCase):
-    async def serve(self, *replies):
+    async def serve(self, *replies, client_class=HttpClient):
         """Starts an engine with these replies and a controller for it."""
         self.server = ScriptedServer(*replies)
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
-        http = HttpClient(connect_timeout_s=1.0, idle_s=1.0)
+        http = client_class(connect_timeout_s=1.0, idle_s=1.0)
         self.addAsyncCleanup(http.aclose)
         self.calls = []
         self.directory = EndpointDirectory(
@@ -124,3 +124,27 @@
                 await self.serve(reply)
                 await self.fetch()
                 self.assertEqual(self.calls, [])
+
+    async def test_calls_that_wait_for_a_connection_are_not_sent(self):
+        """A call that waited while the announcement came was sent."""
+        directory = None
+
+        class LearnsWhileConnecting(HttpClient):
+            async def _acquire(self, *args):
+                conn = await super()._acquire(*args)
+                entry = directory.get("i-1").entry
+                directory.mark_leaving(entry.process, 0.0)
+                return conn
+
+        for call, answer in (
+            (self.order, OrderAnswered("i-1", OrderOutcome.REFUSED)),
+            (self.fetch, ReportFailed("i-1")),
+        ):
+            with self.subTest(call.__name__):
+                await self.serve(
+                    make_response(200, body=REPORT % b""),
+                    client_class=LearnsWhileConnecting,
+                )
+                directory = self.directory
+                self.assertEqual(await call(), answer)
+                self.assertEqual(self.server.requests, [])
--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -246,7 +246,11 @@
                 fencing=fencing,
                 orders_taken=action.orders_taken,
             )
-            response = await self._client.order(entry.address, order)
+            response = await self._client.order(
+                entry.address,
+                order,
+                lambda: not self._directory.is_leaving(entry),
+            )
             outcome = response.outcome
             if response.is_leaving:
                 self._directory.record_leaving(entry, "order", time.monotonic())
@@ -274,7 +278,9 @@
             self._handle(core, ReportFailed(action.endpoint_id))
             return
         entry = endpoint.entry
-        response = await self._client.report(entry.address)
+        response = await self._client.report(
+            entry.address, lambda: not self._directory.is_leaving(entry)
+        )
         report = response.report
         # The call names no endpoint, so that the response may be of another
         # process at the address.
--- a/daisyhub/weights/_engine_client.py
+++ b/daisyhub/weights/_engine_client.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 import enum
+from collections.abc import Callable
 
 from daisyhub.settings import Address
 
@@ -129,10 +130,22 @@
 
     @abc.abstractmethod
     async def order(
-        self, address: Address, order: VersionOrder
+        self,
+        address: Address,
+        order: VersionOrder,
+        may_send: Callable[[], bool],
     ) -> OrderResponse:
-        """Sends an order; the outcome is `UNKNOWN` without valid response."""
+        """Sends an order; the outcome is `UNKNOWN` without valid response.
+
+        Args:
+            address: Where the engine listens.
+            order: The order.
+            may_send: Whether the order may still be sent, called once a
+                connection is open; if not, the outcome is `REFUSED`.
+        """
 
     @abc.abstractmethod
-    async def report(self, address: Address) -> ReportResponse:
-        """Fetches an engine's report."""
+    async def report(
+        self, address: Address, may_send: Callable[[], bool]
+    ) -> ReportResponse:
+        """Fetches an engine's report; see `order` for the arguments."""
