Orders: the size of leaving endpoints doesn't hide that more are needed

Cause: endpoints that are leaving were left out of a pool's count, and their replacements ordered, but the capacity of one endpoint was taken from the largest of all. While a larger one was leaving, too few were ordered.

Change: only endpoints that stay tell the size; those that are leaving only if none stays. docs/QUESTIONS.md says why no replacement is ordered on the users' platform, and why no shared part of a group moves there.

Before the change, test_the_size_of_those_that_stay_decides_how_many_are_needed failed: nothing was ordered instead of two endpoints. After it: test_pool_sizing 3 passed (the replacement of each leaving endpoint, once, held before), test_proof_orders 3.

--- a/daisyhub/hosting/_pool_sizing.py
+++ b/daisyhub/hosting/_pool_sizing.py
@@ -171,8 +171,10 @@
         count: Number of remaining and starting endpoints.
     """
     load = sum(endpoint.load for endpoint in pool_state.endpoints)
+    # Those that are leaving may be of another size than the next ones.
+    staying = [e for e in pool_state.endpoints if not e.is_leaving]
     capacity = max(
-        (endpoint.capacity for endpoint in pool_state.endpoints), default=1
+        (e.capacity for e in staying or pool_state.endpoints), default=1
     )
     target_capacity = capacity * pool_state.target_load
     target = (
