Weights: the models of engines that were replaced are forgotten

Cause: the model that an engine serves was kept after the engine was gone, for every engine that ever existed since the duty was taken, and shown in /status.

Change: an engine that is leaving keeps its model until its entry is removed.

Before the change, test_replaced_engines_are_forgotten found 20 engines in `serves` after 18 replacements, of which 2 existed.

--- a/daisyhub/platform/tests/test_leaving_engines.py
+++ b/daisyhub/platform/tests/test_leaving_engines.py
@@ -1,5 +1,6 @@
 """Engines that announce their leaving get no orders and no loads."""
 
+import dataclasses
 import types
 import unittest
 
@@ -148,3 +149,26 @@
                 directory = self.directory
                 self.assertEqual(await call(), answer)
                 self.assertEqual(self.server.requests, [])
+
+    async def test_replaced_engines_are_forgotten(self):
+        """The model of each engine that ever existed was kept."""
+        await self.serve(make_response(200))
+        directory = self.directory
+        entry = directory.get("i-1").entry
+        for number in range(2, 20):
+            for endpoint_id in (f"i-{number}", f"i-{number + 1}"):
+                directory.upsert(
+                    dataclasses.replace(entry, endpoint_id=endpoint_id)
+                )
+            old = directory.get(f"i-{number - 1}").entry
+            directory.mark_leaving(old.process, 0.0)
+            self.assign_models()
+            self.assertIn(f"i-{number}", self.controller.status()["serves"])
+            directory.remove(old.endpoint_id, 0.0, is_store_stable=True)
+        self.assign_models()
+        self.assertEqual(
+            sorted(self.controller.status()["serves"]), ["i-19", "i-20"]
+        )
+
+    def assign_models(self):
+        self.controller._assign_models(self.directory.in_pools(["p"]))
--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -185,7 +185,7 @@
         """Updates which engine of a pool serves which model."""
         models = {m for e in engines for m in e.entry.versions}
         demand = self._get_demand()
-        ids = [endpoint.entry.endpoint_id for endpoint in engines]
+        ids = {endpoint.entry.endpoint_id for endpoint in engines}
         assigned = assign_engines(
             ids,
             {model: demand.get(model, 1.0) for model in models},
@@ -198,8 +198,12 @@
         }
         if changed:
             self._log.record("engines_shared", changed=changed, demand=demand)
-        for endpoint_id in ids:
-            self._model_by_engine.pop(endpoint_id, None)
+        # Engines that are leaving keep their model until they are gone.
+        self._model_by_engine = {
+            e: m
+            for e, m in self._model_by_engine.items()
+            if e not in ids and self._directory.get(e) is not None
+        }
         self._model_by_engine.update(assigned)
 
     def _current_mode(self) -> LoadMode:
