Command line: `endpoint list` names the daemons that know of a leaving endpoint

Cause: `endpoint list` shows the platform's list, which lags behind what an endpoint announces in a response, and the operators' drain orders. An operator couldn't see that daemons had stopped to use an endpoint, or which had.

Change: the column `leaving_at` names the daemons whose /status shows that start of the endpoint as leaving. Daemons out of reach are left out; the list is shown all the same, with exit code 0 as before.

Before the change, test_endpoint_list_shows_announcements_before_the_list_does failed with KeyError 'leaving_at'. After it: test_commands 8 passed, test_reference 2.

--- a/daisyhub/cli/_endpoints.py
+++ b/daisyhub/cli/_endpoints.py
@@ -6,7 +6,9 @@
 
 from daisyhub.balancing import DRAIN_PREFIX, DrainOrder
 from daisyhub.cli._base import Command, Context, ExitCode, UsageError
+from daisyhub.cli._status import read_statuses
 from daisyhub.exceptions import PlatformConflictError
+from daisyhub.hosting import EndpointRecord
 
 __all__ = ["EndpointCommand"]
 
@@ -38,6 +40,8 @@
                 for found in await ctx.platform.list(DRAIN_PREFIX)
             ]
         }
+        # The platform's list may lag behind what the daemons act on.
+        statuses = await read_statuses(ctx)
         rows = [
             {
                 "endpoint": record.endpoint_id,
@@ -48,6 +52,11 @@
                 "cheap": record.cheap,
                 "drained": drained.get(record.endpoint_id, 0)
                 >= record.incarnation,
+                "leaving_at": [
+                    daemon_id
+                    for daemon_id, status in statuses.items()
+                    if _is_leaving(record, status)
+                ],
             }
             for record in await ctx.platform.list_endpoints(domain)
         ]
@@ -91,3 +100,13 @@
             except PlatformConflictError:
                 continue
             return
+
+
+def _is_leaving(record: EndpointRecord, status: dict | None) -> bool:
+    """Whether a daemon's status shows that it sends an endpoint nothing new."""
+    known = (status or {}).get("endpoints", {}).get(record.endpoint_id)
+    return (
+        known is not None
+        and known["health"] == "leaving"
+        and known["incarnation"] == record.incarnation
+    )
--- a/daisyhub/cli/_status.py
+++ b/daisyhub/cli/_status.py
@@ -5,12 +5,12 @@
 from daisyhub.cli._base import Command, Context, ExitCode, UsageError
 from daisyhub.connections import RequestFailedError
 
-__all__ = ["LotCommand", "StatusCommand"]
+__all__ = ["LotCommand", "StatusCommand", "read_statuses"]
 
 _TIMEOUT_S = 2.0
 
 
-async def _read_statuses(ctx: Context) -> dict[str, dict | None]:
+async def read_statuses(ctx: Context) -> dict[str, dict | None]:
     """Returns the status of each daemon by id.
 
     None if the daemon is unreachable or its response is invalid.
@@ -45,7 +45,7 @@
 
     async def run(self, ctx: Context, args: list[str]) -> ExitCode:
         """Prints a row for each daemon in the settings."""
-        statuses = await _read_statuses(ctx)
+        statuses = await read_statuses(ctx)
         ctx.print_rows([_status_row(*item) for item in statuses.items()])
         return _exit_code(statuses)
 
@@ -86,7 +86,7 @@
                 wanted_lot_id = lot_id
             case _:
                 raise UsageError(self.usage)
-        statuses = await _read_statuses(ctx)
+        statuses = await read_statuses(ctx)
         rows = [
             {"lot": lot_id, "daemon": daemon_id, **lot}
             for daemon_id, status in statuses.items()
--- a/daisyhub/cli/tests/test_commands.py
+++ b/daisyhub/cli/tests/test_commands.py
@@ -54,12 +54,15 @@
     def __init__(self, platform):
         self.platform = platform
         self.is_down = False
+        self.status = STATUS
 
     async def request(self, method, address, target, *, body=b"", timeout_s):
         if self.is_down:
             raise RequestFailedError("down", ran=ExecutionStatus.NOT_RUN)
         if address.port == 2:
-            return _response(200, STATUS)
+            if self.status is None:
+                raise RequestFailedError("down", ran=ExecutionStatus.NOT_RUN)
+            return _response(200, self.status)
         url = urllib.parse.urlsplit(target)
         call = Request(
             method=method,
@@ -179,11 +182,37 @@
             "key", "create", "no one", team="yard", code=ExitCode.INVALID
         )
 
-    def test_endpoint_lot_usage_and_status_commands(self):
+    def list_endpoint(self):
         record = EndpointRecord(endpoint_id="e", pool="p", ip="::1", port=1)
         body = msgspec.json.encode([record])
         put = _call("/admin/endpoints/busan", "PUT", body)
         anyio.run(self.platform.handle, put)
+
+    def test_endpoint_list_shows_announcements_before_the_list_does(self):
+        """Nothing showed an announcement while the list lagged behind."""
+        self.list_endpoint()
+        # The fake platform can list no orders only in a single event loop.
+        self.run_cli("endpoint", "drain", "busan", "e")
+        for health, incarnation, expected in (
+            ("leaving", 1, ["d0"]),
+            ("live", 1, []),
+            ("suspect", 1, []),
+            # Of another start.
+            ("leaving", 2, []),
+        ):
+            with self.subTest(f"{health} {incarnation}"):
+                shown = {"health": health, "incarnation": incarnation}
+                self.http.status = {**STATUS, "endpoints": {"e": shown}}
+                (row,) = self.run_cli("endpoint", "list", "busan")
+                self.assertEqual(row["state"], "live")
+                self.assertEqual(row["leaving_at"], expected)
+        for status in (None, STATUS):
+            self.http.status = status
+            (row,) = self.run_cli("endpoint", "list", "busan")
+            self.assertEqual(row["leaving_at"], [])
+
+    def test_endpoint_lot_usage_and_status_commands(self):
+        self.list_endpoint()
         self.run_cli("endpoint", "drain", "busan", "e")
         rows = self.run_cli("endpoint", "list", "busan")
         self.assertTrue(rows[0]["drained"])
