--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -20,15 +20,8 @@
     ManifestRequest,
     ManifestResponse,
     Ping,
-    RewardEnd,
-    RewardOrder,
-    RunEnd,
-    RunOrder,
-    RunProgress,
     StoreRequest,
     StoreResponse,
-    TaskOrders,
-    TaskReport,
     UsageReport,
 )
 from daisyhub.cluster._peers import HolderView, PeerState, PeerTable
@@ -44,6 +37,15 @@
     PeerRelayProvider,
     StoreRequestHandler,
 )
+from daisyhub.cluster._task_messages import (
+    RewardEnd,
+    RewardOrder,
+    RunEnd,
+    RunOrder,
+    RunProgress,
+    TaskOrders,
+    TaskReport,
+)
 from daisyhub.cluster._verifier import WatchVerifier
 
 __all__ = [
