--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -9,11 +9,8 @@
     LeastLoaded,
     RoundRobin,
 )
-from daisyhub.balancing._directory import (
-    Endpoint,
-    EndpointDirectory,
-    EndpointEntry,
-)
+from daisyhub.balancing._directory import EndpointDirectory
+from daisyhub.balancing._endpoint import Endpoint, EndpointEntry
 from daisyhub.balancing._endpoint_table import (
     DRAIN_PREFIX,
     DrainOrder,
--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -14,12 +14,19 @@
 Times are seconds on a monotonic clock.
 """
 
-import collections
 import dataclasses
 import math
-import statistics
 from collections.abc import Callable, Iterable
 
+from daisyhub.balancing._endpoint import (
+    Endpoint,
+    EndpointEntry,
+    OpenRequest,
+    estimate_latency_ratio,
+    is_suspect,
+    queueing_factor,
+)
+from daisyhub.balancing._latencies import RouteLatencies
 from daisyhub.balancing._leaving import (
     EndpointProcess,
     LeavingMark,
@@ -27,25 +34,16 @@
 )
 from daisyhub.settings import Address
 
-__all__ = ["Endpoint", "EndpointDirectory", "EndpointEntry"]
+__all__ = ["EndpointDirectory"]
 
 # Weight of a new response in the moving average of the latency ratio, which
 # averages over about ten responses.
 _LATENCY_RATIO_SMOOTHING = 0.2
-# Half-life with which a latency ratio decays to 1, so that a slow endpoint is
-# tried again; several times shorter than a typical slow-down.
-_LATENCY_RATIO_HALF_LIFE_S = 3.0
 # Upper bound of the ratio. An endpoint this slow is used only if all are.
 _MAX_LATENCY_RATIO = 20.0
 # Added to latencies before they are compared, in seconds: differences of some
 # milliseconds between short requests tell nothing about an endpoint.
 _LATENCY_FLOOR_S = 0.02
-# Latency assumed for a route without responses so far; typical of a lookup.
-_DEFAULT_LATENCY_S = 0.05
-# Most recent responses of a route over which the median is taken.
-_MAX_LATENCY_SAMPLES = 31
-# Responses of a route needed before its median is used to detect silence.
-_MIN_LATENCY_SAMPLES = 3
 # What a new connection costs, in median latencies: a request on an open
 # connection may take that much longer. Connecting takes both sides time, and an
 # endpoint accepts a limited number of connections from all daemons. A daemon
@@ -56,125 +54,12 @@
 _NEW_CONNECTION_COST_IF_BUSY = 0.3
 # Factor by which queueing lengthens requests from which on an endpoint is busy.
 _BUSY_FACTOR = 1.2
-# Time for which a reported load is used.
-_REPORTED_LOAD_TTL_S = 1.0
-# Multiple of the median latency after which an endpoint with an open request
-# that has sent nothing counts as silent.
-_SILENCE_TIMEOUT_FACTOR = 4.0
-# Back-off of an endpoint after a failure, doubled with each further failure up
-# to the maximum. Both bounds lie between the typical time to restart a process
-# and the time until the entry of a crashed endpoint expires.
-_INITIAL_BACKOFF_S = 0.3
-_MAX_BACKOFF_S = 3.0
 # Time for which an entry that expired while the store was unavailable is kept:
 # the platform states that live servers are listed again within about two
 # seconds.
 _ABSENCE_GRACE_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class EndpointEntry:
-    """An endpoint's entry in the platform's store.
-
-    Attributes:
-        endpoint_id: Its id; may be the same after a restart.
-        pool: The pool that it belongs to.
-        address: Where it listens.
-        domain: Its failure domain.
-        incarnation: Start time of its process, milliseconds since 1970; 0 if
-            unknown.
-        slots: Number of requests that it serves concurrently.
-        is_leaving: Whether it accepts no new requests.
-        is_cheap: Whether the platform may reclaim it (spot capacity).
-        versions: Version of the weights by model.
-    """
-
-    endpoint_id: str
-    pool: str
-    address: Address
-    domain: str
-    incarnation: int = 0
-    slots: int = 1
-    is_leaving: bool = False
-    is_cheap: bool = False
-    versions: dict[str, int] = dataclasses.field(default_factory=dict)
-
-    @property
-    def process(self) -> EndpointProcess:
-        """The process that the entry describes."""
-        return EndpointProcess(self.endpoint_id, self.incarnation, self.address)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _OpenRequest:
-    """A request that was sent to an endpoint and has not ended.
-
-    Attributes:
-        route: Name of its route.
-        sent_s: When it was sent.
-        silence_timeout_s: Time without any response after which its endpoint
-            counts as silent; infinite while the route's latency is unknown.
-    """
-
-    route: str
-    sent_s: float
-    silence_timeout_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class Endpoint:
-    """An endpoint and its statistics in this daemon.
-
-    Attributes:
-        entry: The newest entry; leaving if the endpoint announced it, whatever
-            the list shows.
-        open_requests: Open requests of this daemon by token.
-        latency_ratio: Moving average of its latency divided by the route's
-            median latency.
-        latency_ratio_at_s: When `latency_ratio` was last updated.
-        reported_load: Open requests of all daemons, as it last reported.
-        load_reported_at_s: When it reported them.
-        failures: Consecutive failures.
-        backoff_until_s: Time until which other endpoints are preferred.
-        last_received_at_s: When a response or report last arrived.
-        absent_since_s: When its entry disappeared while the store was
-            unavailable; None if it is listed.
-    """
-
-    entry: EndpointEntry
-    open_requests: dict[int, _OpenRequest] = dataclasses.field(
-        default_factory=dict
-    )
-    latency_ratio: float = 1.0
-    latency_ratio_at_s: float = -math.inf
-    reported_load: int = 0
-    load_reported_at_s: float = -math.inf
-    failures: int = 0
-    backoff_until_s: float = -math.inf
-    last_received_at_s: float = -math.inf
-    absent_since_s: float | None = None
-
-    def load(self, now_s: float) -> int:
-        """Returns its estimated number of open requests, of all daemons."""
-        if now_s - self.load_reported_at_s > _REPORTED_LOAD_TTL_S:
-            return len(self.open_requests)
-        return max(len(self.open_requests), self.reported_load)
-
-    def expected_latency_ratio(self, now_s: float) -> float:
-        """Returns the latency ratio, decayed towards 1 by its age."""
-        age_s = now_s - self.latency_ratio_at_s
-        weight = 0.5 ** (age_s / _LATENCY_RATIO_HALF_LIFE_S)
-        return weight * self.latency_ratio + (1 - weight)
-
-    def is_silent(self, now_s: float) -> bool:
-        """Whether an open request exceeds its silence timeout."""
-        return any(
-            now_s - max(req.sent_s, self.last_received_at_s)
-            > req.silence_timeout_s
-            for req in self.open_requests.values()
-        )
-
-
 class EndpointDirectory:
     """All endpoints by id.
 
@@ -200,8 +85,7 @@
         self._on_leaving = on_leaving
         self._endpoints: dict[str, Endpoint] = {}
         self._leaving = LeavingMarks(self._is_listed)
-        # The most recent latencies by route.
-        self._latencies_s: dict[str, collections.deque[float]] = {}
+        self._latencies = RouteLatencies()
         self._last_token = 0
         self._unreachable_domains: frozenset[str] = frozenset()
 
@@ -374,7 +258,7 @@
             endpoint
             for endpoint in candidates
             if endpoint.entry.domain not in self._unreachable_domains
-            and not _is_suspect(endpoint, now_s)
+            and not is_suspect(endpoint, now_s)
         ]
         best = min(
             healthy or candidates, key=lambda e: self._choice_key(e, now_s)
@@ -385,10 +269,10 @@
         self, endpoint: Endpoint, now_s: float
     ) -> tuple[float, bool, float]:
         """Returns a sort key; the endpoint with the lowest one is chosen."""
-        ratio = _estimate_latency_ratio(endpoint, now_s)
+        ratio = estimate_latency_ratio(endpoint, now_s)
         is_connected = self._has_connection(endpoint.entry.address)
         if is_connected:
-            is_busy = _queueing_factor(endpoint, now_s) > _BUSY_FACTOR
+            is_busy = queueing_factor(endpoint, now_s) > _BUSY_FACTOR
             ratio -= (
                 _NEW_CONNECTION_COST_IF_BUSY
                 if is_busy
@@ -401,16 +285,8 @@
         )
 
     def median_latency_s(self, route: str) -> float:
-        """Returns the median latency of a route's recent responses.
-
-        A default if the route had no response yet.
-        """
-        latencies_s = self._latencies_s.get(route)
-        return (
-            statistics.median_low(latencies_s)
-            if latencies_s
-            else _DEFAULT_LATENCY_S
-        )
+        """Returns a route's median latency; see `RouteLatencies.median_s`."""
+        return self._latencies.median_s(route)
 
     def record_sent(self, endpoint_id: str, route: str, now_s: float) -> int:
         """Records that a request is sent.
@@ -421,13 +297,8 @@
         self._last_token += 1
         endpoint = self._endpoints.get(endpoint_id)
         if endpoint is not None:
-            silence_timeout_s = math.inf
-            if len(self._latencies_s.get(route, ())) >= _MIN_LATENCY_SAMPLES:
-                silence_timeout_s = (
-                    _SILENCE_TIMEOUT_FACTOR * self.median_latency_s(route)
-                )
-            endpoint.open_requests[self._last_token] = _OpenRequest(
-                route, now_s, silence_timeout_s
+            endpoint.open_requests[self._last_token] = OpenRequest(
+                route, now_s, self._latencies.silence_timeout_s(route)
             )
         return self._last_token
 
@@ -449,10 +320,7 @@
             return
         latency_s = now_s - req.sent_s
         self._update_latency_ratio(endpoint, req.route, latency_s, now_s)
-        latencies_s = self._latencies_s.setdefault(
-            req.route, collections.deque(maxlen=_MAX_LATENCY_SAMPLES)
-        )
-        latencies_s.append(latency_s)
+        self._latencies.add(req.route, latency_s)
 
     def _update_latency_ratio(
         self, endpoint: Endpoint, route: str, latency_s: float, now_s: float
@@ -491,9 +359,7 @@
         if endpoint is None:
             return
         endpoint.open_requests.pop(token, None)
-        endpoint.failures += 1
-        backoff_s = _INITIAL_BACKOFF_S * 2 ** (endpoint.failures - 1)
-        endpoint.backoff_until_s = now_s + min(backoff_s, _MAX_BACKOFF_S)
+        endpoint.start_backoff(now_s)
 
     def record_closed(self, endpoint_id: str, token: int) -> None:
         """Records the end of a request that gives no latency.
@@ -525,31 +391,3 @@
             endpoint.entry = dataclasses.replace(
                 endpoint.entry, versions=versions
             )
-
-
-def _estimate_latency_ratio(endpoint: Endpoint, now_s: float) -> float:
-    """Estimates the latency of a further request, queueing included.
-
-    The estimate is relative to the route's median and rounded to one decimal:
-    near-equal endpoints tie, and the other criteria decide.
-    """
-    ratio = endpoint.expected_latency_ratio(now_s)
-    return round(ratio * _queueing_factor(endpoint, now_s), 1)
-
-
-def _queueing_factor(endpoint: Endpoint, now_s: float) -> float:
-    """Estimates by what factor queueing lengthens a further request.
-
-    Requests are assumed to queue once half of the slots are taken, since other
-    daemons send to the endpoint as well.
-    """
-    load = endpoint.load(now_s) + 1
-    slots = max(1, endpoint.entry.slots)
-    return 1 + max(0.0, load - slots / 2) / slots
-
-
-def _is_suspect(endpoint: Endpoint, now_s: float) -> bool:
-    """Whether an endpoint is in back-off, absent or silent."""
-    if now_s < endpoint.backoff_until_s or endpoint.absent_since_s is not None:
-        return True
-    return endpoint.is_silent(now_s)
