--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -9,11 +9,8 @@
     LeastLoaded,
     RoundRobin,
 )
-from daisyhub.balancing._directory import (
-    Endpoint,
-    EndpointDirectory,
-    EndpointEntry,
-)
+from daisyhub.balancing._directory import EndpointDirectory
+from daisyhub.balancing._endpoint import Endpoint, EndpointEntry
 from daisyhub.balancing._endpoint_table import (
     DRAIN_PREFIX,
     DrainOrder,
@@ -21,7 +18,11 @@
     EndpointTable,
     EndpointUpdate,
 )
-from daisyhub.balancing._leaving import EndpointProcess
+from daisyhub.balancing._leaving import (
+    EndpointProcess,
+    LeavingMark,
+    digest_marks,
+)
 
 __all__ = [
     "DRAIN_PREFIX",
@@ -34,5 +35,7 @@
     "EndpointTable",
     "EndpointUpdate",
     "LeastLoaded",
+    "LeavingMark",
     "RoundRobin",
+    "digest_marks",
 ]
