Test: timeouts of the connection fuzz don't depend on the machine's speed

Every request had a timeout of 50 ms, in a process that also runs the server and 12 tasks. Once a response takes longer, valid requests time out, and each timeout costs a new connection.

Of 8 runs on one processor beside two busy processes, one completed no request. No fault of the client was found behind it.

Now only silent requests have 50 ms, a tenth of all has 2 ms, so that timeouts at arbitrary times occur on every machine, and the rest may take 30 s. New and stricter: none of the rest may time out. The bounds are unchanged.

--- a/daisyhub/connections/tests/test_complete_responses.py
+++ b/daisyhub/connections/tests/test_complete_responses.py
@@ -30,6 +30,9 @@
 SEED = int(os.environ.get("DAISYHUB_SEED", "1"))
 # Most responses are valid, so that connections are reused and shared.
 MIX = (*BEHAVIOURS, *VALID_BEHAVIOURS * 4)
+# Enough for any response on a slow machine.
+PATIENT_S = 30.0
+SILENT_S = 0.05
 
 
 class Fuzz:
@@ -38,8 +41,9 @@
     def __init__(self, seed):
         self.random = random.Random(seed)
         self.server = HostileServer()
-        self.client = HttpClient(connect_timeout_s=2.0, idle_s=0.2)
+        self.client = HttpClient(connect_timeout_s=PATIENT_S, idle_s=0.2)
         self.wrong, self.completed_count, self.failed_count = [], 0, 0
+        self.unanswered = []
         self.remaining_count, self.fresh_ids = REQUESTS, set()
 
     async def run(self):
@@ -62,7 +66,17 @@
             with anyio.move_on_after(cancel_s):
                 await self.send(request_id, behaviour)
 
+    def choose_timeout_s(self, behaviour):
+        """Returns a timeout; the machine's speed decides a few requests only.
+
+        These time out at arbitrary times. Others get any response sent.
+        """
+        if self.random.random() < 0.1:
+            return 0.002
+        return SILENT_S if behaviour == "silent" else PATIENT_S
+
     async def send(self, request_id, behaviour):
+        timeout_s = self.choose_timeout_s(behaviour)
         method = self.random.choice(["GET", "GET", "POST", "HEAD"])
         is_fresh = self.random.random() < 0.1
         if is_fresh:
@@ -73,12 +87,14 @@
                 self.address,
                 f"/{request_id}/{behaviour}",
                 headers=((b"daisyhub-request-id", request_id.encode()),),
-                timeout_s=0.05,
+                timeout_s=timeout_s,
                 fresh=is_fresh,
                 may_wait=not is_fresh and self.random.random() < 0.5,
             )
-        except RequestFailedError:
+        except RequestFailedError as exc:
             self.failed_count += 1
+            if exc.timed_out and timeout_s == PATIENT_S:
+                self.unanswered.append((request_id, behaviour))
             return
         self.completed_count += 1
         is_empty = method == "HEAD" or response.status in (204, 304)
@@ -97,6 +113,7 @@
     def test_each_request_gets_its_own_complete_response(self):
         fuzz = anyio.run(run_fuzz, SEED)
         self.assertEqual(fuzz.wrong, [])
+        self.assertEqual(fuzz.unanswered, [])
         self.assertEqual(fuzz.server.unsafe_reuses, [])
         self.assertFalse(fuzz.fresh_ids & fuzz.server.reused_ids)
         self.assertGreater(fuzz.completed_count, REQUESTS / 4)
