Test: the drain test waits for responses, not for half a second

It sent SIGTERM 0.5 s after the callers started. If no daemon has responded by then, each of the 24 callers gets one response, which rightly has `Connection: close`.

In no run did a response say `Connection: close` before SIGTERM, so no fault of the daemons was found.

Now the test waits until each caller has had a response (each goes on at once, so requests are queued at a limit of 5), opens the streams and sends SIGTERM. Stricter than before: both streams are open then, and every caller has at least two responses, one before the signal and one after it.

--- a/daisyhub/serving/tests/test_process_drain.py
+++ b/daisyhub/serving/tests/test_process_drain.py
@@ -1,6 +1,7 @@
 """Withdrawn keys and graceful shutdown with real processes and sockets."""
 
 import asyncio
+import collections
 import signal
 import socket
 import unittest
@@ -17,6 +18,7 @@
 from daisyhub.testing.processes import Deployment
 
 WITHDRAWAL_TIMEOUT_S = 5
+WAIT_TIMEOUT_S = 20
 CALLERS = 12
 CONCURRENCY_LIMIT = 5
 
@@ -103,33 +105,49 @@
         """
         self.statuses = []
         self.chunk_counts = []
+        self.response_counts = collections.Counter()
+        self.open_stream_count = 0
         daemons = self.deployment.daemons()
         async with anyio.create_task_group() as tasks:
+            for number in (0, 1):
+                for index in range(CALLERS):
+                    tasks.start_soon(self.call_until_close, number, index)
+            # Each caller goes on at once, so that more requests are queued.
+            await self.wait_until(
+                lambda: len(self.response_counts) == 2 * CALLERS
+            )
             for number in (0, 1):
                 tasks.start_soon(self.read_stream, number)
-                for _ in range(CALLERS):
-                    tasks.start_soon(self.call_until_close, number)
-            await anyio.sleep(0.5)
+            await self.wait_until(lambda: self.open_stream_count == 2)
+            self.assertEqual(self.chunk_counts, [])
             for daemon in daemons:
                 daemon.send_signal(signal.SIGTERM)
         codes = [await anyio.to_thread.run_sync(d.wait) for d in daemons]
         self.assertEqual(codes, [0, 0])
         self.assertEqual(self.chunk_counts, [40, 40])
-        self.assertGreater(len(self.statuses), 2 * CALLERS)
+        # One response before the signal and one after it.
+        self.assertGreaterEqual(min(self.response_counts.values()), 2)
         self.assertEqual(set(self.statuses), {200})
 
+    async def wait_until(self, is_reached):
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            while not is_reached():
+                await anyio.sleep(0.01)
+
     async def read_stream(self, number):
         stream = await self.open_stream(number, self.keys.archive)
+        self.open_stream_count += 1
         content = b"".join([chunk async for chunk in stream.chunks()])
         self.chunk_counts.append(content.count(b"chunk"))
         await stream.aclose()
 
-    async def call_until_close(self, number):
+    async def call_until_close(self, number, index):
         """Sends requests until a response has `Connection: close`."""
         caller = self.caller(number, self.keys.archive)
         while True:
             response = await caller.send("GET", "/records/7")
             self.statuses.append(response.status)
+            self.response_counts[number, index] += 1
             if (b"connection", b"close") in response.headers:
                 await caller.aclose()
                 return
