Split the HTTP client: exchanges and responses in modules of their own

The requests and checks of one exchange are now in _exchange.py, the complete and the streamed response in _response.py; the client keeps the pool. No change of behaviour: bodies are moved as they were, names used across modules lose their underscore.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -14,34 +14,39 @@
 
 import asyncio
 import collections
-import contextlib
-import dataclasses
 import time
-from collections.abc import AsyncIterator, Callable, Collection
+from collections.abc import Callable
 
 import anyio
-import httpcore
 
 from daisyhub.connections._connection import (
     Connection,
     RequestFailedError,
-    RequestWithdrawnError,
     connect,
     mapped_errors,
 )
+from daisyhub.connections._exchange import (
+    check_may_send,
+    exchange_heads,
+    find_request_id,
+    lower_names,
+    read_body,
+)
+from daisyhub.connections._response import (
+    HttpResponse,
+    StreamedResponse,
+    Timing,
+)
 from daisyhub.exceptions import ExecutionStatus
 from daisyhub.messages import Header
 from daisyhub.settings import Address
 
-__all__ = ["HttpClient", "HttpResponse", "ResponseStream", "StreamedResponse"]
+__all__ = ["HttpClient"]
 
 # Maximum seconds for which a request waits for a connection in use instead of
 # opening another one: small beside the latency of a look-up, and long beside
 # that of the shortest requests.
 _MAX_RELEASE_WAIT_S = 0.015
-_REQUEST_ID_HEADER = b"daisyhub-request-id"
-_NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE"})
-_NO_BODY_STATUSES = frozenset({204, 304})
 
 
 def _always() -> bool:
@@ -49,122 +54,6 @@
     return True
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class HttpResponse:
-    """A complete response, its body included."""
-
-    status: int
-    headers: tuple[Header, ...]
-    body: bytes
-
-
-class StreamedResponse:
-    """A response whose body is read in chunks.
-
-    Attributes:
-        status: HTTP status.
-        headers: Header fields, with names in lower case.
-    """
-
-    def __init__(self, *, client, conn, address, response, timing):
-        self.status: int = response.status
-        self.headers: tuple[Header, ...] = _lower_names(response.headers)
-        self._client = client
-        self._conn = conn
-        self._address = address
-        self._response = response
-        self._timing = timing
-        self._has_failed = False
-        self._is_closed = False
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body; returns only after a complete body.
-
-        Raises:
-            RequestFailedError: The body was truncated or timed out.
-        """
-        parts = aiter(self._response.stream)
-        while True:
-            chunk = None
-            try:
-                with mapped_errors(
-                    self._address,
-                    lambda: self._conn.ran,
-                    self._timing.deadline_s,
-                ):
-                    chunk = await anext(parts, None)
-            except RequestFailedError:
-                self._has_failed = True
-                raise
-            if chunk is None:
-                # After `aclose`, httpcore's connection is idle, or closed if
-                # the server ends it. `end_exchange` comes first, so that this
-                # close isn't a reset.
-                self._conn.end_exchange()
-                await self._response.aclose()
-                return
-            yield chunk
-
-    async def aclose(self) -> None:
-        """Releases the connection after a complete body, else closes it.
-
-        A reader that stops early doesn't make other connections suspect.
-        Further calls do nothing.
-        """
-        if self._is_closed:
-            return
-        self._is_closed = True
-        if not self._has_failed and not self._conn.http.is_idle():
-            await self._conn.aclose()
-            return
-        await self._client.release(
-            self._address, self._conn, self._timing.started_s
-        )
-
-    async def drain(self) -> None:
-        """Reads and discards the body, so that the connection is reused."""
-        with contextlib.suppress(RequestFailedError):
-            async for _ in self.chunks():
-                pass
-        await self.aclose()
-
-
-class ResponseStream(AsyncIterator[bytes]):
-    """Iterates over the body of a response.
-
-    Unlike `aclose` of a generator, `aclose` of this class also closes the
-    response if it is called before the first chunk.
-
-    Args:
-        response: The response to read.
-    """
-
-    def __init__(self, response: StreamedResponse):
-        self._response = response
-        self._chunks = response.chunks()
-
-    async def __anext__(self) -> bytes:
-        return await anext(self._chunks)
-
-    async def aclose(self) -> None:
-        """Closes the response."""
-        await self._chunks.aclose()
-        await self._response.aclose()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Timing:
-    """Start and deadline of an exchange.
-
-    Attributes:
-        started_s: Monotonic time of the start.
-        deadline_s: Deadline on anyio's clock.
-    """
-
-    started_s: float
-    deadline_s: float
-
-
 class HttpClient:
     """Sends requests over pooled connections, the last used first.
 
@@ -228,7 +117,7 @@
             conn = None
             if is_shared and not self._idle.get(address):
                 conn = await self._wait_for_release(address)
-            request_id = _request_id(headers)
+            request_id = find_request_id(headers)
             if conn is not None and request_id in conn.failed_ids:
                 self._idle.setdefault(address, []).append(conn)
                 conn = None
@@ -239,7 +128,7 @@
                 conn = await self._acquire(
                     address, request_id, fresh, deadline_s
                 )
-            await _check_may_send(may_send, conn, address)
+            await check_may_send(may_send, conn, address)
             return await self._exchange(
                 conn,
                 (method, address, target, headers, body),
@@ -276,10 +165,10 @@
         conn.begin_exchange()
         try:
             with mapped_errors(address, lambda: conn.ran, deadline_s):
-                response = await _exchange_heads(
+                response = await exchange_heads(
                     conn, method, address, target, headers, body
                 )
-                content = await _read_body(conn, response, max_body_bytes)
+                content = await read_body(conn, response, max_body_bytes)
         except RequestFailedError:
             await self._discard(address, conn, started_s)
             raise
@@ -291,7 +180,7 @@
         await self.release(address, conn, started_s)
         return HttpResponse(
             status=response.status,
-            headers=_lower_names(response.headers),
+            headers=lower_names(response.headers),
             body=content,
         )
 
@@ -306,7 +195,7 @@
         timeout_s: float,
         fresh: bool = False,
         may_send: Callable[[], bool] = _always,
-    ) -> "StreamedResponse":
+    ) -> StreamedResponse:
         """Sends a request and returns once the response's head is received.
 
         The caller reads `chunks()` and must call `aclose()`. The timeout
@@ -318,15 +207,15 @@
         """
         started_s = time.monotonic()
         deadline_s = anyio.current_time() + timeout_s
-        timing = _Timing(started_s, deadline_s)
+        timing = Timing(started_s, deadline_s)
         conn = await self._acquire(
-            address, _request_id(headers), fresh, deadline_s
+            address, find_request_id(headers), fresh, deadline_s
         )
-        await _check_may_send(may_send, conn, address)
+        await check_may_send(may_send, conn, address)
         conn.begin_exchange()
         try:
             with mapped_errors(address, lambda: conn.ran, deadline_s):
-                response = await _exchange_heads(
+                response = await exchange_heads(
                     conn, method, address, target, headers, body
                 )
         except RequestFailedError:
@@ -497,146 +386,3 @@
             address, lambda: ExecutionStatus.NOT_RUN, deadline_s
         ):
             return await connect(address, self._connect_timeout_s)
-
-
-async def _check_may_send(
-    may_send: Callable[[], bool], conn: Connection, address: Address
-) -> None:
-    """Closes the connection and raises an error if nothing may be sent.
-
-    Raises:
-        RequestWithdrawnError: `may_send` returned False.
-    """
-    if may_send():
-        return
-    await conn.aclose()
-    raise RequestWithdrawnError(
-        f"the request to {address} was withdrawn before it was sent",
-        ran=ExecutionStatus.NOT_RUN,
-    )
-
-
-async def _exchange_heads(
-    conn: Connection,
-    method: str,
-    address: Address,
-    target: str,
-    headers: tuple[Header, ...],
-    body: bytes,
-) -> httpcore.Response:
-    """Sends a request; returns once the response's head is received.
-
-    Raises:
-        RequestFailedError: The response fails `_check_request_id` or
-            `_check_framing`.
-    """
-    req = _build_request(method, address, target, headers, body)
-    response = await conn.http.handle_async_request(req)
-    conn.has_response_head = True
-    request_id = _request_id(headers)
-    _check_request_id(response, request_id, conn.carried_ids)
-    if request_id:
-        conn.record_request(request_id, response.status)
-    _check_framing(response, method)
-    return response
-
-
-async def _read_body(
-    conn: Connection, response: httpcore.Response, max_bytes: int
-) -> bytes:
-    """Returns the complete body of a response.
-
-    Raises:
-        RequestFailedError: The body is larger than `max_bytes`.
-    """
-    chunks = []
-    size = 0
-    async for chunk in response.stream:
-        size += len(chunk)
-        if size > max_bytes:
-            raise RequestFailedError(
-                f"the response exceeds {max_bytes} bytes",
-                ran=ExecutionStatus.RAN,
-            )
-        chunks.append(chunk)
-    # After `aclose`, httpcore's connection is idle, or closed if the server
-    # ends it. `end_exchange` comes first, so that this close isn't a reset.
-    conn.end_exchange()
-    await response.aclose()
-    return b"".join(chunks)
-
-
-def _build_request(
-    method: str,
-    address: Address,
-    target: str,
-    headers: tuple[Header, ...],
-    body: bytes,
-) -> httpcore.Request:
-    added = []
-    if all(name != b"host" for name, _ in headers):
-        added.append((b"host", str(address).encode()))
-    if body or method not in _NO_BODY_METHODS:
-        added.append((b"content-length", str(len(body)).encode()))
-    return httpcore.Request(
-        method,
-        httpcore.URL(
-            scheme=b"http",
-            host=address.ip.encode(),
-            port=address.port,
-            target=target.encode(),
-        ),
-        headers=[*added, *headers],
-        content=body,
-    )
-
-
-def _request_id(headers: tuple[Header, ...]) -> bytes | None:
-    """Returns the id in the headers of a request, or None."""
-    for name, value in headers:
-        if name == _REQUEST_ID_HEADER:
-            return value
-    return None
-
-
-def _check_request_id(
-    response: httpcore.Response,
-    request_id: bytes | None,
-    earlier_ids: Collection[bytes],
-) -> None:
-    """Rejects a response that echoes the id of another request.
-
-    Args:
-        response: The response.
-        request_id: The id that was sent, if any.
-        earlier_ids: Ids of earlier requests on the connection.
-
-    Raises:
-        RequestFailedError: The response belongs to another request.
-    """
-    for name, value in response.headers:
-        if name.lower() != _REQUEST_ID_HEADER or value == request_id:
-            continue
-        # A server may choose the id of a request that was sent without one.
-        if request_id is not None or value in earlier_ids:
-            raise RequestFailedError(
-                "the response has the request id of another request",
-                ran=ExecutionStatus.UNKNOWN,
-            )
-
-
-def _check_framing(response: httpcore.Response, method: str) -> None:
-    """Rejects a response whose end can't be told from a lost connection."""
-    if method == "HEAD" or response.status in _NO_BODY_STATUSES:
-        return
-    names = {name.lower() for name, _ in response.headers}
-    if b"content-length" in names or b"transfer-encoding" in names:
-        return
-    raise RequestFailedError(
-        "the response has neither Content-Length nor Transfer-Encoding",
-        ran=ExecutionStatus.RAN,
-    )
-
-
-def _lower_names(headers) -> tuple[Header, ...]:
-    return tuple((name.lower(), value) for name, value in headers)
--- /dev/null
+++ b/daisyhub/connections/_exchange.py
@@ -0,0 +1,175 @@
+"""One exchange on an open connection.
+
+Decides whether a request is still sent, how it is framed, and whether a
+response may be taken for the response to it: its request id and its framing
+must fit.
+"""
+
+from collections.abc import Callable, Collection
+
+import httpcore
+
+from daisyhub.connections._connection import (
+    Connection,
+    RequestFailedError,
+    RequestWithdrawnError,
+)
+from daisyhub.exceptions import ExecutionStatus
+from daisyhub.messages import Header
+from daisyhub.settings import Address
+
+__all__ = [
+    "check_may_send",
+    "exchange_heads",
+    "find_request_id",
+    "lower_names",
+    "read_body",
+]
+
+_REQUEST_ID_HEADER = b"daisyhub-request-id"
+_NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE"})
+_NO_BODY_STATUSES = frozenset({204, 304})
+
+
+async def check_may_send(
+    may_send: Callable[[], bool], conn: Connection, address: Address
+) -> None:
+    """Closes the connection and raises an error if nothing may be sent.
+
+    Raises:
+        RequestWithdrawnError: `may_send` returned False.
+    """
+    if may_send():
+        return
+    await conn.aclose()
+    raise RequestWithdrawnError(
+        f"the request to {address} was withdrawn before it was sent",
+        ran=ExecutionStatus.NOT_RUN,
+    )
+
+
+async def exchange_heads(
+    conn: Connection,
+    method: str,
+    address: Address,
+    target: str,
+    headers: tuple[Header, ...],
+    body: bytes,
+) -> httpcore.Response:
+    """Sends a request; returns once the response's head is received.
+
+    Raises:
+        RequestFailedError: The response fails `_check_request_id` or
+            `_check_framing`.
+    """
+    req = _build_request(method, address, target, headers, body)
+    response = await conn.http.handle_async_request(req)
+    conn.has_response_head = True
+    request_id = find_request_id(headers)
+    _check_request_id(response, request_id, conn.carried_ids)
+    if request_id:
+        conn.record_request(request_id, response.status)
+    _check_framing(response, method)
+    return response
+
+
+async def read_body(
+    conn: Connection, response: httpcore.Response, max_bytes: int
+) -> bytes:
+    """Returns the complete body of a response.
+
+    Raises:
+        RequestFailedError: The body is larger than `max_bytes`.
+    """
+    chunks = []
+    size = 0
+    async for chunk in response.stream:
+        size += len(chunk)
+        if size > max_bytes:
+            raise RequestFailedError(
+                f"the response exceeds {max_bytes} bytes",
+                ran=ExecutionStatus.RAN,
+            )
+        chunks.append(chunk)
+    # After `aclose`, httpcore's connection is idle, or closed if the server
+    # ends it. `end_exchange` comes first, so that this close isn't a reset.
+    conn.end_exchange()
+    await response.aclose()
+    return b"".join(chunks)
+
+
+def _build_request(
+    method: str,
+    address: Address,
+    target: str,
+    headers: tuple[Header, ...],
+    body: bytes,
+) -> httpcore.Request:
+    added = []
+    if all(name != b"host" for name, _ in headers):
+        added.append((b"host", str(address).encode()))
+    if body or method not in _NO_BODY_METHODS:
+        added.append((b"content-length", str(len(body)).encode()))
+    return httpcore.Request(
+        method,
+        httpcore.URL(
+            scheme=b"http",
+            host=address.ip.encode(),
+            port=address.port,
+            target=target.encode(),
+        ),
+        headers=[*added, *headers],
+        content=body,
+    )
+
+
+def find_request_id(headers: tuple[Header, ...]) -> bytes | None:
+    """Returns the id in the headers of a request, or None."""
+    for name, value in headers:
+        if name == _REQUEST_ID_HEADER:
+            return value
+    return None
+
+
+def _check_request_id(
+    response: httpcore.Response,
+    request_id: bytes | None,
+    earlier_ids: Collection[bytes],
+) -> None:
+    """Rejects a response that echoes the id of another request.
+
+    Args:
+        response: The response.
+        request_id: The id that was sent, if any.
+        earlier_ids: Ids of earlier requests on the connection.
+
+    Raises:
+        RequestFailedError: The response belongs to another request.
+    """
+    for name, value in response.headers:
+        if name.lower() != _REQUEST_ID_HEADER or value == request_id:
+            continue
+        # A server may choose the id of a request that was sent without one.
+        if request_id is not None or value in earlier_ids:
+            raise RequestFailedError(
+                "the response has the request id of another request",
+                ran=ExecutionStatus.UNKNOWN,
+            )
+
+
+def _check_framing(response: httpcore.Response, method: str) -> None:
+    """Rejects a response whose end can't be told from a lost connection."""
+    if method == "HEAD" or response.status in _NO_BODY_STATUSES:
+        return
+    names = {name.lower() for name, _ in response.headers}
+    if b"content-length" in names or b"transfer-encoding" in names:
+        return
+    raise RequestFailedError(
+        "the response has neither Content-Length nor Transfer-Encoding",
+        ran=ExecutionStatus.RAN,
+    )
+
+
+def lower_names(headers) -> tuple[Header, ...]:
+    """Returns header fields with their names in lower case."""
+    return tuple((name.lower(), value) for name, value in headers)
--- a/daisyhub/connections/tests/test_complete_responses.py
+++ b/daisyhub/connections/tests/test_complete_responses.py
@@ -15,6 +15,7 @@
 
 from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.connections import _client as client_module
+from daisyhub.connections import _exchange as exchange_module
 from daisyhub.connections._connection import Connection
 from daisyhub.exceptions import ExecutionStatus
 from daisyhub.settings import Address
@@ -132,7 +133,7 @@
             mock.patch.object(Connection, "is_reusable", is_idle),
             mock.patch.object(Connection, "is_readable", lambda _: False),
             mock.patch.object(
-                client_module, "_check_request_id", lambda *_: None
+                exchange_module, "_check_request_id", lambda *_: None
             ),
         ):
             fuzz = anyio.run(run_fuzz, SEED)
