Duties: a candidate learns soon what became of its lost write

Seen in review: with the old holder live again, a candidate whose write of a duty was lost read the record every 5 s only, while other daemons read every second; a write that took effect late left the duty with a daemon that didn't know of it. Cause: the check of a live holder came before the undecided write. Change: the undecided write is read first. test_unresolved_writes.py failed before (gaps of 5.0 s against 1.2 s); the 20 tests of duties pass.

--- a/daisyhub/duties/_core.py
+++ b/daisyhub/duties/_core.py
@@ -208,7 +208,7 @@
         if self._revision is None:
             return self._read(now_s)
         if tick.is_holder_live and self._record and self._record.holder:
-            return self._check_holder(now_s)
+            return self._resolve_write(now_s) or self._check_holder(now_s)
         if now_s < self._cooldown_until_s:
             return []
         return self._acquire(now_s)
