Watches: a list that arrives late deletes no newer object

Seen in review: a slow or relayed list that was executed before verify found a new object reported it as deleted; the holder closes such a lot and cancels its runs, and a server leaves the directory until the watch's next change. Cause: an older read replaced what a newer one had shown.

--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -10,6 +10,7 @@
 from daisyhub.logs import DecisionLog
 from daisyhub.objects._base import (
     HistoryGoneError,
+    ObjectList,
     ObjectSource,
     ObjectStoreError,
     StoredObject,
@@ -161,7 +162,7 @@
         if listed.revision < self._newest_revision:
             # The list is older than the changes from the watch.
             return
-        self._apply_list(listed.items)
+        self._apply_list(listed)
         if self._newest_revision > before:
             # The list that follows also updates the followers.
             self._restart_with_list(self._newest_revision)
@@ -208,7 +209,7 @@
     async def _step(self) -> None:
         if self._revision is None:
             listed = await self._store.list_all(self._kind)
-            self._apply_list(listed.items)
+            self._apply_list(listed)
             self._revision = listed.revision
             self._kept.clear()
             self._kept_after = self._copied_revision = listed.revision
@@ -252,17 +253,26 @@
             self._is_batching = False
             self._behind_since_s = None
 
-    def _apply_list(self, items: tuple[StoredObject, ...]) -> None:
-        """Applies a complete list; objects that it lacks were deleted."""
-        for item in items:
+    def _apply_list(self, listed: ObjectList) -> None:
+        """Applies a complete list; objects that it lacks were deleted.
+
+        Of objects that are newer than the list, as after `verify`, it says
+        nothing; the watch from its revision on does.
+        """
+        for item in listed.items:
             self._apply_change(item)
-        present = {item.name for item in items}
-        for name in [n for n in self._objects if n not in present]:
-            gone = self._objects.pop(name)
+        present = {item.name for item in listed.items}
+        absent = [
+            known
+            for known in self._objects.values()
+            if known.name not in present and known.revision <= listed.revision
+        ]
+        for gone in absent:
+            del self._objects[gone.name]
             self._on_change(
                 StoredObject(
                     kind=gone.kind,
-                    name=name,
+                    name=gone.name,
                     revision=gone.revision,
                     is_deleted=True,
                 )
