Weights: a report of another process decides no order

Seen in review: versions and the count of orders in the report of another process at an engine's address were taken for the engine's. Cause: only its announcement of leaving was checked against the incarnation. Change: such a report counts as failed.

--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -287,14 +287,16 @@
         )
         report = response.report
         # The call names no endpoint, so that the response may be of another
-        # process at the address.
-        is_other = report is not None and report.incarnation not in (
-            0,
-            entry.incarnation,
+        # process at the address. Of the engine and its orders it says nothing.
+        is_other = (
+            report is not None
+            and report.incarnation
+            and entry.incarnation
+            and report.incarnation != entry.incarnation
         )
         if response.is_leaving and not is_other:
             self._directory.record_leaving(entry, "report", time.monotonic())
-        if report is None:
+        if report is None or is_other:
             self._handle(core, ReportFailed(action.endpoint_id))
             return
         self._directory.record_versions(action.endpoint_id, report.versions)
