Lots: a repeat of an ended lot isn't announced to the holder

Seen in review: a repeat of a lot that was ended was answered 202 and announced to the holder; a new one that hadn't listed the lots yet opened it and ran its items. Cause: accepting a lot dropped the status of the stored object that it read.

--- a/daisyhub/lots/_filter.py
+++ b/daisyhub/lots/_filter.py
@@ -106,7 +106,7 @@
         spec = self._wire.read_lot(req, self._clock.now_s())
         with record_tries() as tries:
             try:
-                head = await self._lots.accept(spec)
+                head, status = await self._lots.accept(spec)
             except ObjectStoreError as exc:
                 self._log.record(
                     "lot_not_accepted",
@@ -121,7 +121,7 @@
                     str(exc),
                     ran=ExecutionStatus.NOT_RUN,
                 ) from exc
-        self._reader.record_accepted(head)
+        self._reader.record_accepted(head, is_ended=status.is_ended)
         self._log.record(
             "lot_accepted",
             id=req.request_id,
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -86,6 +86,20 @@
     return head, status or LotStatus()
 
 
+def _decode_repeat(
+    found: StoredObject, head: LotHead
+) -> tuple[LotHead, LotStatus]:
+    """Decodes the stored object of a lot that is submitted again.
+
+    Raises:
+        LotConflictError: It is another lot's.
+        msgspec.DecodeError: The object has another schema.
+    """
+    stored, status = decode_head(found)
+    check_repeat(stored, head)
+    return stored, status
+
+
 class LotStore:
     """Reads and writes lots.
 
@@ -103,12 +117,12 @@
             collections.OrderedDict()
         )
 
-    async def accept(self, spec: LotSpec) -> LotHead:
+    async def accept(self, spec: LotSpec) -> tuple[LotHead, LotStatus]:
         """Stores a lot.
 
         Returns:
-            The stored head: this lot's, or that of an earlier submission of
-            the same lot.
+            The stored head and its status: this lot's, or those of an earlier
+            submission of the same lot, which may have ended.
 
         Raises:
             LotConflictError: A lot of another account or with other content
@@ -135,13 +149,13 @@
             await self._store.create(LOTS_KIND, head.lot_id, content)
         except ObjectConflictError as exc:
             if exc.found is not None:
-                return check_repeat(decode_head(exc.found)[0], head)
+                return _decode_repeat(exc.found, head)
             failure = ObjectStoreError(str(exc), may_be_done=True)
         except ObjectStoreError as exc:
             failure = exc
         else:
             self._cache_lot(LotSpec(head=head, items=spec.items))
-            return head
+            return head, LotStatus()
         return await self._resolve_failure(failure, head)
 
     async def _create_part(self, name: str, content: bytes) -> None:
@@ -161,8 +175,8 @@
 
     async def _resolve_failure(
         self, failure: ObjectStoreError, head: LotHead
-    ) -> LotHead:
-        """Returns the head that is stored although accepting the lot failed.
+    ) -> tuple[LotHead, LotStatus]:
+        """Returns what is stored of a lot although accepting it failed.
 
         An earlier submission may have stored it, or a create of unknown
         outcome.
@@ -175,7 +189,7 @@
             with anyio.fail_after(_RESOLVE_TIMEOUT_S):
                 found = await self._store.read(LOTS_KIND, head.lot_id)
                 if found is not None:
-                    return check_repeat(decode_head(found)[0], head)
+                    return _decode_repeat(found, head)
                 may_be_done = (
                     failure.may_be_done or await self._may_head_be_sent(head)
                 )
--- a/daisyhub/lots/_reader.py
+++ b/daisyhub/lots/_reader.py
@@ -156,13 +156,18 @@
         self._holder.end(lot_id)
         self._notify_holder(LotEndedNotification(lot_id=lot_id))
 
-    def record_accepted(self, head: LotHead) -> None:
+    def record_accepted(self, head: LotHead, *, is_ended: bool) -> None:
         """Caches the head of a lot accepted here, and notifies the holder.
 
+        The holder isn't notified of a repeat of a lot that was ended: it must
+        not run it again.
+
         The holder's watch reports the lot, too. The notification covers the
         time in which that watch is silent or the holder can't reach the store.
         """
-        self._cache_lot(_CachedLot(head, is_ended=False))
+        self._cache_lot(_CachedLot(head, is_ended))
+        if is_ended:
+            return
         self._holder.add_accepted(head)
         self._notify_holder(
             LotAcceptedNotification(head=msgspec.json.encode(head))
--- a/daisyhub/lots/_repeats.py
+++ b/daisyhub/lots/_repeats.py
@@ -12,8 +12,8 @@
     code = "lot_conflict"
 
 
-def check_repeat(stored: LotHead, head: LotHead) -> LotHead:
-    """Returns the stored head if `head` is of the same submission.
+def check_repeat(stored: LotHead, head: LotHead) -> None:
+    """Checks that `head` is of the same submission as the stored one.
 
     What the manifest adds may differ, and so may the time. Heads without a
     digest, those of older builds, aren't compared by their items.
@@ -26,7 +26,7 @@
     if is_same and not (
         has_digests and stored.parts_digest != head.parts_digest
     ):
-        return stored
+        return
     whose = "with other content"
     if stored.account != head.account:
         whose = "of another account"
--- a/daisyhub/lots/tests/acceptance_model.py
+++ b/daisyhub/lots/tests/acceptance_model.py
@@ -74,7 +74,7 @@
         self.handler = StoreRequestHandler(direct, direct)
         self.filter = SubmittedLotsFilter(
             lot_store_class(store),
-            types.SimpleNamespace(record_accepted=lambda head: None),
+            types.SimpleNamespace(record_accepted=lambda head, is_ended: None),
             types.SimpleNamespace(read_lot=_read_lot),
             types.SimpleNamespace(now_s=time.monotonic),
             log,
--- a/daisyhub/lots/tests/acceptance_variants.py
+++ b/daisyhub/lots/tests/acceptance_variants.py
@@ -6,7 +6,7 @@
 import contextlib
 
 from daisyhub.lots import LotStore
-from daisyhub.lots._lot_store import LOTS_KIND
+from daisyhub.lots._lot_store import LOTS_KIND, LotStatus
 from daisyhub.lots._repeats import LotConflictError
 from daisyhub.objects import ObjectConflictError, ObjectStoreError
 
@@ -116,4 +116,4 @@
     async def accept(self, spec):
         with contextlib.suppress(LotConflictError):
             await super().accept(spec)
-        return spec.head
+        return spec.head, LotStatus()
--- a/daisyhub/lots/tests/test_acceptance_evidence.py
+++ b/daisyhub/lots/tests/test_acceptance_evidence.py
@@ -31,7 +31,7 @@
         await self.lots.accept(SPEC)
         self.store.fail_next("create", Fault.REFUSED)
         self.store.fail_next("stale read", *[Fault.EMPTY] * 4)
-        head = await self.lots.accept(SPEC)
+        head, _ = await self.lots.accept(SPEC)
         self.assertEqual(head.lot_id, SPEC.head.lot_id)
 
 
--- a/daisyhub/lots/tests/test_holder.py
+++ b/daisyhub/lots/tests/test_holder.py
@@ -197,7 +197,7 @@
             await self.holder.results("L", 0, 0.0)
             return await spec(head)
 
-        head = await self.lots.accept(
+        head, _ = await self.lots.accept(
             LotSpec(head=self.lot.head, items=self.items)
         )
         self.lot.head = head
--- a/daisyhub/lots/tests/test_lot_writes.py
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -124,7 +124,7 @@
             self.store.create = create
             items = tuple(reversed(SPEC.items))
             other = msgspec.structs.replace(SPEC, items=items)
-            head = await self.lots.accept(other)
+            head, _ = await self.lots.accept(other)
             stored = await LotStore(self.store).spec(head)
         self.assertEqual(stored.items, other.items)
 
@@ -147,7 +147,7 @@
             )
         ]
         for store in (MemoryStore(), BareConflictStore()):
-            stored = await LotStore(store).accept(SPEC)
+            stored, _ = await LotStore(store).accept(SPEC)
             for other in others:
                 with self.assertRaises(LotConflictError):
                     await LotStore(store).accept(other)
@@ -175,7 +175,7 @@
     async def test_a_lot_that_is_deleted_in_part_is_not_run_again(self):
         for failing in range(6):
             self.setUp()
-            head = await self.lots.accept(SPEC)
+            head, _ = await self.lots.accept(SPEC)
             for first, result in enumerate(MORE):
                 await self.lots.write_chunk("L", first, (result,))
             await self.delete_in_part(head, failing)
--- a/daisyhub/lots/tests/test_reader.py
+++ b/daisyhub/lots/tests/test_reader.py
@@ -103,7 +103,7 @@
         self.store = MemoryStore()
         lots = LotStore(self.store)
         item = ItemSpec(item_id="a", path="/p", headers={}, body=b"", group="g")
-        self.head = await lots.accept(LotSpec(head=HEAD, items=(item,)))
+        self.head, _ = await lots.accept(LotSpec(head=HEAD, items=(item,)))
         self.store.calls.clear()
 
     def reader(self, network):
@@ -134,7 +134,7 @@
         lots = LotStore(self.store)
         head = msgspec.structs.replace(self.head, lot_id="M", total=3)
         item = ItemSpec(item_id="a", path="/p", headers={}, body=b"", group="g")
-        head = await lots.accept(LotSpec(head=head, items=(item,)))
+        head, _ = await lots.accept(LotSpec(head=head, items=(item,)))
         await lots.end("M")
         long_text = "x" * 300_000
         for first, item_id in enumerate("abc"):
@@ -223,7 +223,7 @@
 
         async def main():
             if is_head_known:
-                reader.record_accepted(HEAD)
+                reader.record_accepted(HEAD, is_ended=False)
             store.fail_next("read", *[Fault.REFUSED] * 10_000)
             async with anyio.create_task_group() as tasks:
                 for _ in range(20):
--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -69,7 +69,7 @@
     def __init__(self):
         self.heads = []
 
-    def record_accepted(self, head):
+    def record_accepted(self, head, *, is_ended):
         self.heads.append(head)
 
 
