Lots: a late notification doesn't reopen a deleted lot

Seen in review: a notification of a daemon that was frozen beyond the retention time made the holder add a lot that had been deleted, and read it again and again for ever. Change: a notification of a lot older than the minimum retention is ignored; whether such a lot exists, the watch reports. test_a_late_notification_does_not_reopen_a_deleted_lot failed before.

--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -197,6 +197,11 @@
         """Returns the number of open runs at an engine."""
         return self._core.open_run_count(endpoint_id)
 
+    @property
+    def _min_retention_s(self) -> float:
+        """Seconds after its acceptance before which no lot is deleted."""
+        return self._deps.status_s + _DELETE_MARGIN_S
+
     def demand(self) -> dict[str, float]:
         """Returns the work of the latest lot by model, in seconds of a slot.
 
@@ -632,9 +637,16 @@
         return LotResponse(is_held=True, is_found=False)
 
     def add_accepted(self, head: LotHead) -> None:
-        """Adds a lot that was just accepted, if this daemon has the duty."""
+        """Adds a lot that was just accepted, if this daemon has the duty.
+
+        A notification of a daemon that was frozen may be older than the time
+        after which lots are deleted. Whether its lot exists, the watch reports.
+        """
         if not self._duty.fencing or head.lot_id in self._lots:
             return
+        age_s = self._deps.clock.now_s() - head.accepted_s
+        if age_s >= self._min_retention_s:
+            return
         self._add_lot(head, is_ended=False)
 
     def receive(self, _, message: object) -> None:
@@ -653,15 +665,14 @@
         while True:
             await anyio.sleep(_DELETE_INTERVAL_S)
             now_s = self._deps.clock.now_s()
-            min_retention_s = self._deps.status_s + _DELETE_MARGIN_S
             for found in list(watcher.objects.values()):
                 lot = self._lots.get(found.name)
                 if lot is None:
                     continue
                 retention_s = (
-                    min_retention_s
+                    self._min_retention_s
                     if lot.is_ended
-                    else _UNENDED_RETENTION_FACTOR * min_retention_s
+                    else _UNENDED_RETENTION_FACTOR * self._min_retention_s
                 )
                 if now_s - lot.head.accepted_s < retention_s:
                     continue
