Test: announced leaving as processes without store, frozen, in a release

Daemons that hear a server's announcement while the list shows it as ready: one without the store, one without store and peers, one frozen between the announcing response and later requests; a release under load in which each server announces, drains and is replaced at its old address, and all servers leaving at once. Asserted is the order of events: no request that a client sent after the daemon had read the announcement reaches that process from it, no request of a release fails, a refusal has Retry-After and reaches no server.

--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -79,14 +79,19 @@
         """Starts the fake platform and the fake servers."""
         self._start_fake("platform", "--role=platform")
         for name in self.server_names:
-            self._start_fake(
-                name,
-                "--role=server",
-                f"--name={name}",
-                f"--event_s={self.event_s}",
-            )
+            self._start_server_process(name)
         await self._wait_until_listening("platform", *self.server_names)
 
+    async def start_server(self, name: str) -> None:
+        """Starts a server that was killed, at its old address."""
+        self._start_server_process(name)
+        await self._wait_until_listening(name)
+
+    def kill_server(self, name: str) -> None:
+        """Kills a server and waits for the end of its process."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
     async def start_daemons(self) -> None:
         """Writes the manifest and the servers' entries; starts the daemons."""
         await self.write_config({"t": [KEY]})
@@ -444,8 +449,17 @@
             **self._settings,
         }
 
+    def _start_server_process(self, name: str) -> None:
+        self._start_fake(
+            name,
+            "--role=server",
+            f"--name={name}",
+            f"--event_s={self.event_s}",
+        )
+
     def _start_fake(self, name: str, *args: str) -> None:
-        self.ports[name] = _free_port()
+        if name not in self.ports:
+            self.ports[name] = _free_port()
         command = [sys.executable, "-m", "daisyhub.testing.fake_fleet"]
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
