Split the admission core: its events and actions in _admission_types.py

The messages of the core move as they were, like those of the claim core; the core keeps the decisions. No change of behaviour.

--- a/daisyhub/filters/__init__.py
+++ b/daisyhub/filters/__init__.py
@@ -3,6 +3,9 @@
 from daisyhub.filters._account import AccountFilter
 from daisyhub.filters._admission_core import (
     AdmissionCore,
+    compute_concurrency_limit,
+)
+from daisyhub.filters._admission_types import (
     AdmissionTick,
     AdmitRequest,
     ConcurrencyLimitChanged,
@@ -10,7 +13,6 @@
     RequestArrived,
     RequestDeparted,
     ShedRequest,
-    compute_concurrency_limit,
 )
 from daisyhub.filters._admit import AdmitFilter
 from daisyhub.filters._attempts import AttemptOutcome, run_attempts
--- a/daisyhub/filters/_admit.py
+++ b/daisyhub/filters/_admit.py
@@ -13,6 +13,8 @@
 from daisyhub.exceptions import Refusal
 from daisyhub.filters._admission_core import (
     AdmissionCore,
+)
+from daisyhub.filters._admission_types import (
     AdmissionTick,
     AdmitRequest,
     ConcurrencyLimitChanged,
