--- a/daisyhub/weights/__init__.py
+++ b/daisyhub/weights/__init__.py
@@ -15,6 +15,9 @@
     VersionOrder,
 )
 from daisyhub.weights._load_core import (
+    WeightLoadCore,
+)
+from daisyhub.weights._load_types import (
     EngineObservation,
     EnginesObserved,
     FetchReport,
@@ -23,7 +26,6 @@
     ReportReceived,
     SendOrder,
     VersionPublished,
-    WeightLoadCore,
 )
 from daisyhub.weights._sharing import assign_engines
 
