Split the lot server: the translation of trainers' calls in _lot_calls.py

The functions that make the core's events from calls and the responses from its actions move as they were, with the table of error codes; the server keeps the lease and the execution of actions. No change of behaviour. _make_event and _make_response lose their underscore, as they cross a module border; their test imports them from there.

--- a/daisyhub/controllers/_lot_server.py
+++ b/daisyhub/controllers/_lot_server.py
@@ -13,10 +13,14 @@
 from daisyhub.clocks import wall_time_s
 from daisyhub.connections import HttpClient
 from daisyhub.controllers._config import ConfigController
+from daisyhub.controllers._lot_calls import (
+    decode_body,
+    make_event,
+    make_response,
+)
 from daisyhub.controllers._lot_engines import LotEngines
 from daisyhub.exceptions import (
     ErrorCode,
-    ExecutionStatus,
     PlatformConflictError,
     PlatformUnavailableError,
     Refusal,
@@ -26,10 +30,7 @@
 from daisyhub.metrics import Metrics
 from daisyhub.peers import LotCallRequest, LotCallResponse
 from daisyhub.rollouts import (
-    AckBody,
-    AckRequested,
     CancelSample,
-    CloseRequested,
     CountUsage,
     DeliverGroups,
     Generate,
@@ -39,13 +40,7 @@
     LotState,
     LotTick,
     OpenBody,
-    OpenRequested,
-    ProgressResponse,
-    PullBody,
-    PullRequested,
-    PullResponse,
     ReadState,
-    RefusalReason,
     RefuseCall,
     SampleFailed,
     SampleReceived,
@@ -60,24 +55,12 @@
 )
 from daisyhub.settings import DaemonSettings
 
-__all__ = ["LotServer", "LotServerDependencies", "decode_body"]
+__all__ = ["LotServer", "LotServerDependencies"]
 
-_RETRY_AFTER_S = 1.0
-_CALL_TIMEOUT_S = 5.0
 _RELEASE_TIMEOUT_S = 2.0
 _MAX_TICK_INTERVAL_S = 1.0
 _MIN_TICK_INTERVAL_S = 0.005
 _POLL_INTERVAL_S = 0.02
-_OK = 200
-_ERROR_CODES = {
-    RefusalReason.RELEASED: ErrorCode.LOT_ELSEWHERE,
-    RefusalReason.PLATFORM: ErrorCode.PLATFORM_UNAVAILABLE,
-    RefusalReason.CLOSED: ErrorCode.LOT_CONFLICT,
-    RefusalReason.ACKED: ErrorCode.LOT_CONFLICT,
-    RefusalReason.UNKNOWN_PULL: ErrorCode.LOT_CONFLICT,
-}
-# Reasons with which a call ends while a write of its effect may be under way.
-_UNKNOWN_OUTCOMES = (RefusalReason.RELEASED, RefusalReason.PLATFORM)
 
 log = get_logger("lots")
 
@@ -195,12 +178,12 @@
         pending = self._pending_calls[number] = _PendingCall()
         try:
             if self.is_serving:
-                self._feed(_make_event(call, number))
+                self._feed(make_event(call, number))
                 self._wakeup.set()
                 await pending.event.wait()
         finally:
             del self._pending_calls[number]
-        return _make_response(pending.response)
+        return make_response(pending.response)
 
     def _check_open_request(self, body: OpenBody) -> None:
         """Refuses to open a lot again with another class or other prompts."""
@@ -331,88 +314,3 @@
         except PlatformUnavailableError:
             return StateWriteUncertain(action.write_id)
         return StateWritten(action.write_id, version)
-
-
-def _make_event(call: LotCallRequest, number: int) -> object:
-    """Returns the core's event for a trainer's call.
-
-    Raises:
-        Refusal: The verb is unknown or the body is invalid.
-    """
-    until_s = time.monotonic() + _CALL_TIMEOUT_S
-    match call.verb:
-        case "open":
-            return OpenRequested(call=number, until_s=until_s)
-        case "close":
-            return CloseRequested(call=number, until_s=until_s)
-        case "ack":
-            body = decode_body(call.body, AckBody)
-            return AckRequested(
-                call=number, pull_id=body.pull_id, until_s=until_s
-            )
-        case "pull":
-            body = decode_body(call.body, PullBody)
-            return PullRequested(
-                call=number,
-                pull_id=body.pull_id,
-                version=body.version,
-                max_groups=body.max_groups,
-                until_s=time.monotonic() + body.wait_s,
-                acks=body.acks,
-            )
-    raise Refusal(ErrorCode.ROUTE_UNKNOWN, f"unknown verb {call.verb!r}")
-
-
-def _make_response(action: object) -> LotCallResponse:
-    """Returns the response for the trainer.
-
-    Raises:
-        Refusal: The call was refused, or the server stopped before the call
-            ended.
-    """
-    match action:
-        case DeliverGroups():
-            return _json_response(
-                PullResponse(
-                    pull_id=action.pull_id,
-                    groups=action.groups,
-                    remaining=action.remaining,
-                )
-            )
-        case SendProgress():
-            return _json_response(
-                ProgressResponse(
-                    remaining=action.remaining,
-                    open_pulls=action.open_pulls,
-                    closed=action.is_closed,
-                )
-            )
-    reason = RefusalReason.RELEASED
-    if isinstance(action, RefuseCall):
-        reason = action.reason
-    error = _ERROR_CODES[reason]
-    is_final = error is ErrorCode.LOT_CONFLICT
-    raise Refusal(
-        error,
-        reason.value,
-        ran=ExecutionStatus.UNKNOWN
-        if reason in _UNKNOWN_OUTCOMES
-        else ExecutionStatus.NOT_RUN,
-        retry_after_s=None if is_final else _RETRY_AFTER_S,
-    )
-
-
-def decode_body(body: bytes, body_type: type):
-    """Decodes a trainer's JSON body as a `body_type`.
-
-    Raises:
-        Refusal: The body is invalid.
-    """
-    try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
-        raise Refusal(ErrorCode.BODY_INVALID, str(exc)) from exc
-
-
-def _json_response(value: object) -> LotCallResponse:
-    return LotCallResponse(status=_OK, body=msgspec.json.encode(value))
--- a/daisyhub/controllers/_lots.py
+++ b/daisyhub/controllers/_lots.py
@@ -6,11 +6,8 @@
 import msgspec
 
 from daisyhub.base import Controller
-from daisyhub.controllers._lot_server import (
-    LotServer,
-    LotServerDependencies,
-    decode_body,
-)
+from daisyhub.controllers._lot_calls import decode_body
+from daisyhub.controllers._lot_server import LotServer, LotServerDependencies
 from daisyhub.controllers._lot_specs import LotSpecStore
 from daisyhub.exceptions import (
     ErrorCode,
--- a/daisyhub/controllers/tests/test_lot_calls.py
+++ b/daisyhub/controllers/tests/test_lot_calls.py
@@ -4,7 +4,7 @@
 import unittest
 
 from daisyhub.controllers import LotController
-from daisyhub.controllers._lot_server import _make_response
+from daisyhub.controllers._lot_calls import make_response
 from daisyhub.exceptions import (
     ExecutionStatus,
     PlatformUnavailableError,
@@ -99,5 +99,5 @@
             (RefuseCall(1, RefusalReason.CLOSED), ExecutionStatus.NOT_RUN),
         ):
             with self.assertRaises(Refusal) as caught:
-                _make_response(response)
+                make_response(response)
             self.assertIs(caught.exception.ran, ran, response)
