--- a/daisyhub/controllers/tests/test_forwarded_calls.py
+++ b/daisyhub/controllers/tests/test_forwarded_calls.py
@@ -28,7 +28,11 @@
             return types.SimpleNamespace()
 
         async def refuse(*_):
-            raise Refusal(ErrorCode.LOT_CONFLICT, "the lot is closed")
+            raise Refusal(
+                ErrorCode.LOT_CONFLICT,
+                "the lot is closed",
+                ran=ExecutionStatus.NOT_RUN,
+            )
 
         controller._get_or_start_server = start_server
         controller._serve_here = refuse
