Own interface: calls that waited for a connection don't go to leaving engines

Cause: an engine could be told to be leaving, by a peer, a response or a drain order, while a generation request or an order to load weights waited for a connection; both were sent. The order was also sent if the engine was leaving before.

Change: both check again once the connection is open. A generation request that is withdrawn doesn't count as a failure of the engine. Requests of callers (filters/_forward.py) don't check again yet.

Before the change, both tests of controllers/tests/test_leaving_engines failed: the engine received the request. After it: 2 passed, test_lot_calls 3, test_proof_weights 2, test_lot_processes 4.

--- a/daisyhub/controllers/_lot_engines.py
+++ b/daisyhub/controllers/_lot_engines.py
@@ -7,7 +7,12 @@
 
 from daisyhub.balancing import EndpointState, EndpointTable
 from daisyhub.base import Balancer
-from daisyhub.connections import HttpClient, HttpResponse, RequestFailedError
+from daisyhub.connections import (
+    HttpClient,
+    HttpResponse,
+    RequestFailedError,
+    RequestWithdrawnError,
+)
 from daisyhub.filters._forward import parse_endpoint_headers
 from daisyhub.logs import get_logger
 from daisyhub.rollouts import EngineResponse, Generate, LotSpec
@@ -113,8 +118,12 @@
                 headers=_JSON,
                 body=msgspec.json.encode(body),
                 timeout_s=self._spec.sample_timeout_s,
+                may_send=lambda: not state.is_leaving,
             )
             has_failed = response.status != _OK
+        except RequestWithdrawnError as exc:
+            log.debug("generation request not sent: {}", exc)
+            return None
         except RequestFailedError as exc:
             log.debug("generation request failed: {}", exc)
             has_failed = True
--- a/daisyhub/controllers/_weights.py
+++ b/daisyhub/controllers/_weights.py
@@ -169,7 +169,7 @@
         The lease is checked immediately before sending.
         """
         state = self._table.get(order.endpoint_id)
-        if state is None:
+        if state is None or state.is_leaving:
             return OrderFailed(order.attempt)
         fencing = self._lease.fencing_with_margin(order.extra_margin_s)
         if not fencing:
@@ -186,6 +186,7 @@
                 body=msgspec.json.encode(body),
                 timeout_s=_ORDER_TIMEOUT_S,
                 fresh=True,
+                may_send=lambda: not state.is_leaving,
             )
         except RequestFailedError as exc:
             log.warning("weight order to {} failed: {}", order.endpoint_id, exc)
