Lots: an attempt that is too old no longer accepts its lot

Cause: an attempt at a daemon that was frozen, slow, or didn't learn that its caller had left could go on at any later time, after another attempt had been answered 503: it stored the last part, then the head, and the lot ran. The proof counted such promises and didn't fail.

A promise needs a current read that finds no last part. An attempt that passed its check before that read had stored its last part, so the read finds it. One that was too old by then fails its check. So a promise is final for all attempts that were read 2 s or more before its reads.

Evidence: the new machine OldAttemptMachine freezes attempts, lets a repeat be refused and resumes them. With the check disabled it fails ('"not run" of a lot that an old attempt stored later'), and so does the broken variant IgnoresAge; now it passes. All machines check this at their end, and time also passes by 2.5 s. An EvidenceMachine refusal may name the age instead of a failed call, but only once the attempt is that old.

What remains: an attempt younger than 2 s that is still under way when another is promised, and a submission that lay unread in a frozen daemon's socket, whose age starts when it is read.

--- a/daisyhub/lots/_filter.py
+++ b/daisyhub/lots/_filter.py
@@ -30,6 +30,9 @@
 _MAX_RESPONSE_CHARACTERS = 700_000
 # Seconds after which a lot that couldn't be stored may be submitted again.
 _RETRY_AFTER_S = 0.3
+# Seconds after which an attempt no longer accepts its lot. Callers leave after
+# about one, and may then be refused elsewhere while this daemon is stopped.
+_MAX_ATTEMPT_S = 2.0
 _JSON = (b"content-type", b"application/json")
 # Maximum number of tries of store calls in a log line. A lot has few parts, and
 # each call has up to three tries.
@@ -106,7 +109,9 @@
         spec = self._wire.read_lot(req, self._clock.now_s())
         with record_tries() as tries:
             try:
-                head = await self._lots.accept(spec)
+                head = await self._lots.accept(
+                    spec, req.started_s + _MAX_ATTEMPT_S
+                )
             except ObjectStoreError as exc:
                 self._log.record(
                     "lot_not_accepted",
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -11,6 +11,8 @@
 
 import collections
 import hashlib
+import math
+import time
 
 import anyio
 import msgspec
@@ -103,9 +105,14 @@
             collections.OrderedDict()
         )
 
-    async def accept(self, spec: LotSpec) -> LotHead:
+    async def accept(self, spec: LotSpec, until_s: float = math.inf) -> LotHead:
         """Stores a lot.
 
+        Args:
+            spec: The lot.
+            until_s: Monotonic time after which no create of the head is sent:
+                its caller may have been answered elsewhere.
+
         Returns:
             The stored head: this lot's, or that of an earlier submission of
             the same lot.
@@ -132,6 +139,7 @@
         try:
             for number, part in enumerate(parts):
                 await self._create_part(_part_name(head, number), part)
+            _check_time(until_s)
             await self._store.create(LOTS_KIND, head.lot_id, content)
         except ObjectConflictError as exc:
             if exc.found is not None:
@@ -145,11 +153,7 @@
         return await self._resolve_failure(failure, head)
 
     async def _create_part(self, name: str, content: bytes) -> None:
-        """Creates a part.
-
-        A failure is always reported as not done, as a lot without a head
-        isn't run.
-        """
+        """Creates a part; without a head, a failure is always not done."""
         try:
             await self._store.create(_ITEMS_KIND, name, content)
         except ObjectConflictError:
@@ -368,6 +372,14 @@
             self._cache.popitem(last=False)
 
 
+def _check_time(until_s: float) -> None:
+    late_s = time.monotonic() - until_s
+    if late_s >= 0:
+        raise ObjectStoreError(
+            f"the submission is {late_s:.3f} s too old", may_be_done=False
+        )
+
+
 def _split_into_parts(items: tuple[ItemSpec, ...]):
     """Yields consecutive items that fit into one part each."""
     part: list[ItemSpec] = []
--- a/daisyhub/lots/tests/acceptance_calls.py
+++ b/daisyhub/lots/tests/acceptance_calls.py
@@ -91,19 +91,23 @@
         status: HTTP status of the answer; 0 without one.
         refusal: The refusal, if it was refused.
         failures: Texts of the failed calls that the daemon saw.
+        started_s: When the daemon read it.
         absent_at: The store's revision at the last current read that showed
             the daemon that there is no head or no part, since its last create
             of the head; None without such a read.
+        absent_s: When the store executed that read.
         task: The daemon's task.
     """
 
     submission: Submission
     daemon: int
+    started_s: float
     has_caller: bool = True
     status: int = 0
     refusal: Refusal | None = None
     failures: list[str] = dataclasses.field(default_factory=list)
     absent_at: int | None = None
+    absent_s: float = 0.0
     task: asyncio.Task | None = None
 
     @property
@@ -173,7 +177,10 @@
         elif outcome is not Outcome.DONE:
             raise self._failure("read", kind, outcome, may_be_done=False)
         revisions = self._world.read_revisions
-        revisions[asyncio.current_task()] = self._world.store.revision
+        revisions[asyncio.current_task()] = (
+            self._world.store.revision,
+            self._world.loop.time(),
+        )
         return await self._world.store.read(kind, name)
 
     async def create(self, kind, name, spec):
@@ -221,8 +228,10 @@
                 kind, name, can_be_stale=can_be_stale
             )
         if found is None and not can_be_stale:
-            revision = self._world.read_revisions[asyncio.current_task()]
-            current_attempt.get().absent_at = revision
+            attempt = current_attempt.get()
+            attempt.absent_at, attempt.absent_s = self._world.read_revisions[
+                asyncio.current_task()
+            ]
         return found
 
     async def create(self, kind, name, spec):
--- a/daisyhub/lots/tests/acceptance_model.py
+++ b/daisyhub/lots/tests/acceptance_model.py
@@ -102,7 +102,8 @@
         delayed: Writes to be executed later.
         creators: The attempt that created each head, by name.
         open_attempts: Attempts that their daemons still work on.
-        read_revisions: The store's revision at the last read, by task.
+        read_revisions: The store's revision at the last read, and its time, by
+            task.
     """
 
     def __init__(
@@ -173,7 +174,7 @@
 
     def submit(self, submission: Submission, daemon: int) -> Attempt:
         """Starts an attempt, up to its first call."""
-        attempt = Attempt(submission, daemon)
+        attempt = Attempt(submission, daemon, self.loop.time())
         submission.attempts.append(attempt)
         context = contextvars.copy_context()
         context.run(current_attempt.set, attempt)
@@ -194,7 +195,7 @@
             host=spec.head.host,
             headers=(),
             read_body=None,
-            started_s=0.0,
+            started_s=attempt.started_s,
             deadline_s=0.0,
             account=spec.head.account,
             route=types.SimpleNamespace(kind=RouteKind.ROLLOUT),
--- a/daisyhub/lots/tests/acceptance_variants.py
+++ b/daisyhub/lots/tests/acceptance_variants.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import math
 
 from daisyhub.lots import LotStore
 from daisyhub.lots._lot_store import LOTS_KIND
@@ -83,10 +84,10 @@
             self._conflicts.add(name)
             raise
 
-    async def accept(self, spec):
+    async def accept(self, spec, until_s=math.inf):
         self._conflicts = set()
         try:
-            return await super().accept(spec)
+            return await super().accept(spec, until_s)
         except ObjectStoreError as exc:
             if spec.head.lot_id not in self._conflicts:
                 raise
@@ -100,10 +101,10 @@
         self._kinds.add(kind)
         return await super().create(kind, name, spec)
 
-    async def accept(self, spec):
+    async def accept(self, spec, until_s=math.inf):
         self._kinds = set()
         try:
-            return await super().accept(spec)
+            return await super().accept(spec, until_s)
         except ObjectStoreError as exc:
             if LOTS_KIND in self._kinds:
                 raise
@@ -113,7 +114,14 @@
 class IgnoresOtherHead(_Variant):
     """Broken: takes the head of an earlier lot for its own."""
 
-    async def accept(self, spec):
+    async def accept(self, spec, until_s=math.inf):
         with contextlib.suppress(LotConflictError):
-            await super().accept(spec)
+            await super().accept(spec, until_s)
         return spec.head
+
+
+class IgnoresAge(_Variant):
+    """Broken: accepts a lot long after its caller left."""
+
+    async def accept(self, spec, until_s=math.inf):
+        return await super().accept(spec)
--- a/daisyhub/lots/tests/test_proof_acceptance.py
+++ b/daisyhub/lots/tests/test_proof_acceptance.py
@@ -16,7 +16,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from daisyhub.exceptions import ErrorCode, ExecutionStatus
-from daisyhub.lots import LotStore, _lot_store
+from daisyhub.lots import LotStore, _filter, _lot_store
 from daisyhub.lots.tests.acceptance_calls import Outcome, Submission
 from daisyhub.lots.tests.acceptance_model import World, make_spec
 from daisyhub.lots.tests.acceptance_variants import (
@@ -24,6 +24,7 @@
     DeniesAfterConflict,
     ForgetsUnknownCreate,
     HidesStoredParts,
+    IgnoresAge,
     IgnoresOtherHead,
     PromisesFromParts,
     TrustsFailedRead,
@@ -35,6 +36,7 @@
 ACCEPTED = 202
 # Upper bound of the calls that end all attempts of an example.
 _MAX_CALLS = 1000
+MAX_ATTEMPT_S = _filter._MAX_ATTEMPT_S
 DAEMONS = (0, 1, 2)
 # Steps of an example, most of them with several attempts.
 STEPS = 12
@@ -62,6 +64,11 @@
     ),
     st.sampled_from((*[_MAX_CALLS] * 6, 1, 2, 3, 4, 6)),
 )
+# The store refuses writes, and relays can't be reached for them.
+NO_WRITES = {
+    "create": Outcome.REFUSED,
+    "relay create": Outcome.LOST,
+}
 # What becomes of the write of a call that is cancelled.
 CANCELLED = (Outcome.LOST, Outcome.DONE, Outcome.DELAYED)
 
@@ -95,6 +102,9 @@
         )
         self.submissions = [Submission(make_spec(*lot)) for lot in self.lots]
         self.has_failed = False
+        # The lots that were promised not to run, each with the attempts that
+        # were too old at that time to accept it.
+        self.promises = []
 
     @rule(
         lot=st.sampled_from((0, 1, 2)),
@@ -167,7 +177,7 @@
         self.world.kill(daemon, outcome)
         self.check_answers()
 
-    @rule(seconds=st.sampled_from((0.6, 1.1)))
+    @rule(seconds=st.sampled_from((0.6, 1.1, 2.5)))
     def pass_time(self, seconds):
         self.world.run(asyncio.sleep(seconds))
         self.check_answers()
@@ -214,7 +224,10 @@
         if attempt.is_promise:
             self.check_promise(attempt, stored)
         if self.checks_evidence:
-            assert any(f in refusal.detail for f in attempt.failures), (
+            failures = list(attempt.failures)
+            if self.world.loop.time() >= attempt.started_s + MAX_ATTEMPT_S:
+                failures.append("s too old")
+            assert any(f in refusal.detail for f in failures), (
                 f"no failure is named: {refusal.detail}"
             )
             assert not attempt.is_promise or attempt.absent_at is not None, (
@@ -232,6 +245,12 @@
                 '"not run" of a lot that an earlier attempt stored'
             )
             self.counts["stored between the last read and the promise"] += 1
+        old = [
+            earlier
+            for earlier in submission.attempts
+            if earlier.started_s + MAX_ATTEMPT_S <= attempt.absent_s
+        ]
+        self.promises.append((submission, old))
         delayed = self.creates_of(submission, self.world.delayed)
         pending = self.creates_of(submission, self.world.pending)
         assert attempt not in delayed + pending, (
@@ -268,6 +287,7 @@
     def check_end(self):
         self.end_faults()
         self.check_runs()
+        self.check_old_attempts()
         self.pass_time(2.0)
         for daemon, submission in zip(DAEMONS, self.submissions, strict=True):
             self.check_repeat(submission, daemon)
@@ -294,6 +314,15 @@
                     "a lot runs of which every answer said not run"
                 )
 
+    def check_old_attempts(self):
+        """A promise is final for attempts that are older than the bound."""
+        for submission, old in self.promises:
+            stored = self.world.stored_head(submission.lot_id)
+            if stored and submission.is_stored_as(stored[0]):
+                assert self.world.creators[submission.lot_id] not in old, (
+                    '"not run" of a lot that an old attempt stored later'
+                )
+
     def check_repeat(self, submission, daemon):
         stored = self.world.stored_head(submission.lot_id)
         attempt = self.world.submit(submission, daemon)
@@ -318,6 +347,20 @@
     checks_earlier_creates = True
 
 
+class OldAttemptMachine(AcceptanceMachine):
+    """Daemons also freeze until their attempts are too old."""
+
+    @rule(
+        lot=st.sampled_from((0, 1, 2)),
+        daemons=st.permutations(DAEMONS),
+        call_count=st.integers(0, 3),
+    )
+    def refuse_a_repeat_after_a_freeze(self, lot, daemons, call_count):
+        self.submit(lot, [(daemons[0], {}, call_count)])
+        self.pass_time(MAX_ATTEMPT_S + 0.5)
+        self.submit(lot, [(daemons[1], NO_WRITES, _MAX_CALLS)])
+
+
 class SharedIdMachine(AcceptanceMachine):
     """Accounts submit lots with the same id."""
 
@@ -345,6 +388,9 @@
     def test_no_promise_while_an_earlier_create_may_still_take_effect(self):
         run_proof(EarlierCreateMachine, examples=60, steps=STEPS)
 
+    def test_no_attempt_that_was_too_old_stores_a_lot_that_was_denied(self):
+        run_proof(OldAttemptMachine, examples=60, steps=STEPS)
+
     def test_lots_of_accounts_with_one_id_are_not_mixed(self):
         run_proof(SharedIdMachine, examples=50, steps=STEPS)
 
@@ -365,6 +411,7 @@
                 ),
             ),
             (EarlierCreateMachine, (HidesStoredParts,)),
+            (OldAttemptMachine, (IgnoresAge,)),
             (SharedIdMachine, (IgnoresOtherHead,)),
             (SharedAccountMachine, (IgnoresOtherHead,)),
         ):
