Lots: the parts of a lot in a module of their own

No change of behaviour: the functions moved to _parts.py, and the tests patch the limit of a part there. test_lot_writes, test_submitted_lots, test_acceptance_faults and test_proof_acceptance pass.

--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -10,13 +10,18 @@
 """
 
 import collections
-import hashlib
 import math
 import time
 
 import anyio
 import msgspec
 
+from daisyhub.lots._parts import (
+    Part,
+    digest_parts,
+    part_name,
+    split_into_parts,
+)
 from daisyhub.lots._repeats import check_repeat
 from daisyhub.lots._run_types import Progress
 from daisyhub.lots._types import ItemResult, ItemSpec, LotHead, LotSpec
@@ -38,9 +43,6 @@
 _ITEMS_KIND = "lot-items"
 _RESULTS_KIND = "lot-results"
 _PROGRESS_KIND = "lot-progress"
-# Maximum size in bytes of a part with several items. The platform's values may
-# have a megabyte, and contents grow by a third when encoded in JSON.
-_MAX_PART_BYTES = 500_000
 # Bytes after which a read of several chunks stops; the first chunk isn't
 # counted. A response may have a megabyte, and the chunks are read one after the
 # other within a caller's second.
@@ -51,8 +53,6 @@
 # Seconds within which the reads after a failed submission must end: one call's
 # usual timeout. Callers leave after about a second.
 _RESOLVE_TIMEOUT_S = 0.7
-# Size in bytes of the digest that tells submissions with one id apart.
-_DIGEST_BYTES = 8
 
 
 class LotStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -65,10 +65,6 @@
     is_ended: bool = False
 
 
-class _Part(msgspec.Struct, frozen=True, kw_only=True):
-    items: tuple[ItemSpec, ...]
-
-
 class _Chunk(msgspec.Struct, frozen=True, kw_only=True):
     results: tuple[ItemResult, ...]
 
@@ -125,20 +121,18 @@
                 have sent a create of the head.
         """
         parts = [
-            msgspec.json.encode(
-                _Part(items=tuple(items)), order="deterministic"
-            )
-            for items in _split_into_parts(spec.items)
+            msgspec.json.encode(Part(items=tuple(items)), order="deterministic")
+            for items in split_into_parts(spec.items)
         ]
         head = msgspec.structs.replace(
             spec.head,
             parts=len(parts),
-            parts_digest=_digest(parts),
+            parts_digest=digest_parts(parts),
         )
         content = msgspec.json.encode(head)
         try:
             for number, part in enumerate(parts):
-                await self._create_part(_part_name(head, number), part)
+                await self._create_part(part_name(head, number), part)
             _check_time(until_s)
             await self._store.create(LOTS_KIND, head.lot_id, content)
         except ObjectConflictError as exc:
@@ -198,7 +192,7 @@
 
         A daemon sends it only after the last part is known to be stored.
         """
-        name = _part_name(head, head.parts - 1)
+        name = part_name(head, head.parts - 1)
         return await self._store.read(_ITEMS_KIND, name) is not None
 
     async def head(self, lot_id: str) -> tuple[LotHead, LotStatus] | None:
@@ -221,13 +215,13 @@
             return cached
         items: list[ItemSpec] = []
         for number in range(head.parts):
-            name = _part_name(head, number)
+            name = part_name(head, number)
             found = await self._read_immutable(_ITEMS_KIND, name)
             if found is None:
                 raise ObjectStoreError(
                     f"lot part {name} does not exist", may_be_done=False
                 )
-            items += msgspec.json.decode(found.spec, type=_Part).items
+            items += msgspec.json.decode(found.spec, type=Part).items
         spec = LotSpec(head=head, items=tuple(items))
         self._cache_lot(spec)
         return spec
@@ -358,7 +352,7 @@
             chunk_positions: Positions of the first results of its chunks.
         """
         for number in range(head.parts):
-            name = _part_name(head, number)
+            name = part_name(head, number)
             await self._store.delete(_ITEMS_KIND, name)
         await self._store.delete(_PROGRESS_KIND, head.lot_id)
         for first in reversed(chunk_positions):
@@ -380,35 +374,5 @@
         )
 
 
-def _split_into_parts(items: tuple[ItemSpec, ...]):
-    """Yields consecutive items that fit into one part each."""
-    part: list[ItemSpec] = []
-    size = 0
-    for item in items:
-        reward_bytes = len(item.reward.body) if item.reward else 0
-        item_bytes = len(item.body) + reward_bytes + len(str(item.headers))
-        if part and size + item_bytes > _MAX_PART_BYTES:
-            yield part
-            part, size = [], 0
-        part.append(item)
-        size += item_bytes
-    if part:
-        yield part
-
-
-def _digest(parts: list[bytes]) -> str:
-    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in parts:
-        digest.update(part)
-    return digest.hexdigest()
-
-
-def _part_name(head: LotHead, number: int) -> str:
-    """Returns a part's name, which lots with other items don't share."""
-    if not head.parts_digest:
-        return f"{head.lot_id}.{number}"
-    return f"{head.lot_id}.{head.parts_digest}.{number}"
-
-
 def _chunk_name(lot_id: str, first: int) -> str:
     return f"{lot_id}.{first:06d}"
--- a/daisyhub/lots/tests/test_acceptance_faults.py
+++ b/daisyhub/lots/tests/test_acceptance_faults.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from daisyhub.logs import DecisionLog
-from daisyhub.lots import LotStore, _lot_store
+from daisyhub.lots import LotStore, _lot_store, _parts
 from daisyhub.lots.tests.acceptance_model import make_spec
 from daisyhub.objects import ObjectStoreError, RelayedStore, RelayProvider
 from daisyhub.testing.object_store import Fault, MemoryStore
@@ -125,7 +125,7 @@
                 self.subTest(
                     make_lots.__name__, parts=parts, later=later_fault
                 ),
-                mock.patch.object(_lot_store, "_MAX_PART_BYTES", 1),
+                mock.patch.object(_parts, "_MAX_PART_BYTES", 1),
             ):
                 counts = await _count_false_promises(
                     make_lots, parts, later_fault
@@ -136,7 +136,7 @@
         for make_lots, parts in itertools.product((_direct, _relayed), (1, 2)):
             with (
                 self.subTest(make_lots.__name__, parts=parts),
-                mock.patch.object(_lot_store, "_MAX_PART_BYTES", 1),
+                mock.patch.object(_parts, "_MAX_PART_BYTES", 1),
             ):
                 count = await _count_promises_before_delayed_creates(
                     make_lots, parts
--- a/daisyhub/lots/tests/test_lot_writes.py
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -13,7 +13,7 @@
     LotHead,
     LotSpec,
     LotStore,
-    _lot_store,
+    _parts,
 )
 from daisyhub.lots._repeats import LotConflictError
 from daisyhub.lots._run_types import Progress
@@ -117,7 +117,7 @@
             return await create(kind, name, spec)
 
         self.store.create = refuse_second_part
-        with mock.patch.object(_lot_store, "_MAX_PART_BYTES", 1):
+        with mock.patch.object(_parts, "_MAX_PART_BYTES", 1):
             with self.assertRaises(ObjectStoreError) as caught:
                 await self.lots.accept(SPEC)
             self.assertFalse(caught.exception.may_be_done)
--- a/daisyhub/lots/tests/test_proof_acceptance.py
+++ b/daisyhub/lots/tests/test_proof_acceptance.py
@@ -16,7 +16,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from daisyhub.exceptions import ErrorCode, ExecutionStatus
-from daisyhub.lots import LotStore, _filter, _lot_store
+from daisyhub.lots import LotStore, _filter, _lot_store, _parts
 from daisyhub.lots.tests.acceptance_calls import Outcome, Submission
 from daisyhub.lots.tests.acceptance_model import World, make_spec
 from daisyhub.lots.tests.acceptance_variants import (
@@ -375,7 +375,7 @@
 
 class AcceptanceProof(unittest.TestCase):
     def setUp(self):
-        patch = mock.patch.object(_lot_store, "_MAX_PART_BYTES", 1)
+        patch = mock.patch.object(_parts, "_MAX_PART_BYTES", 1)
         patch.start()
         self.addCleanup(patch.stop)
 
