--- a/daisyhub/controllers/_lot_server.py
+++ b/daisyhub/controllers/_lot_server.py
@@ -21,6 +21,7 @@
 from daisyhub.controllers._lot_engines import LotEngines
 from daisyhub.exceptions import (
     ErrorCode,
+    ExecutionStatus,
     PlatformConflictError,
     PlatformUnavailableError,
     Refusal,
