Benchmark: a rolling release under load, also with daemons of another build

`benchmarks.leaving`, part of `make bench`: seconds from the first announcing response to the last request that a client sent and that reached the process, at the daemon that passed it on and at its peers, and requests lost. Three daemons, three servers replaced in turn 2 s after their announcement, 12 callers, half safe and half unsafe requests; `--build` takes the daemons of another tree.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	$(PY) -m benchmarks.fleet_daemon
 	$(PY) -m benchmarks.dispatch
 	$(PY) -m benchmarks.peers_at_rest
+	$(PY) -m benchmarks.leaving
 
 prove: $(STAMP)
 	DAISYHUB_EXAMPLES=$(EXAMPLES) DAISYHUB_SEED=$(SEED) \
