Test that a failed request leaves the connection it waited for

A connection that was waited for doesn't come from `_acquire`, so `request` checks its failed ids itself.

Without the check, the test failed with "1 != 2" connections: the id of the 500 was sent again on its connection. Without the return of the connection to the pool, it failed with "1 != 2" idle connections.

--- a/daisyhub/connections/tests/test_unknown_outcomes.py
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -3,10 +3,12 @@
 import functools
 import socket
 import unittest
+from unittest import mock
 
 import anyio
 
 from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.connections import _client as client_module
 from daisyhub.connections._connection import _TrackedStream
 from daisyhub.exceptions import ExecutionStatus
 from daisyhub.settings import Address
@@ -153,6 +155,33 @@
             )
         self.assertEqual(server.connections, 2)
 
+    async def test_a_failed_request_leaves_the_connection_it_waited_for(self):
+        """It is repeated on another one, and the first stays in the pool."""
+        server = await self.serve(
+            make_response(500, request_id="q1"),
+            make_response(200, request_id="q2"),
+            make_response(200, request_id="q1"),
+        )
+
+        async def send(request_id):
+            await self.client.request(
+                "POST",
+                server.address,
+                "/",
+                headers=id_header(request_id),
+                timeout_s=5.0,
+                may_wait=True,
+            )
+
+        await send("q1")
+        with mock.patch.object(client_module, "_MAX_RELEASE_WAIT_S", 5.0):
+            async with anyio.create_task_group() as tasks:
+                # The second starts while the first uses the connection.
+                tasks.start_soon(send, "q2")
+                tasks.start_soon(send, "q1")
+        self.assertEqual(server.connections, 2)
+        self.assertEqual(len(self.client._idle[server.address]), 2)
+
     async def test_a_rejected_request_keeps_to_its_connection(self):
         """An item that a full engine rejects is repeated ten times a second."""
         server = await self.serve(make_response(503, request_id="q1"))
