Tests: assertions that called an overridden `fail` could not fail

`assertIs`, `assertIsNone` and others report by calling `self.fail`; here that made a coroutine that nobody awaited, so they passed whatever they compared.

--- a/daisyhub/cluster/tests/test_store_calls.py
+++ b/daisyhub/cluster/tests/test_store_calls.py
@@ -72,7 +72,7 @@
 
 
 class RelayedWriteTest(unittest.IsolatedAsyncioTestCase):
-    async def fail(self, store, verb):
+    async def get_failure(self, store, verb):
         with self.assertRaises(ObjectStoreError) as caught:
             await WRITES[verb](store)
         return caught.exception
@@ -88,7 +88,7 @@
                 if verb != "create":
                     store.put("k", "n", b"1")
                 store.fail_next(verb, fault)
-                failure = await self.fail(relay_to(store), verb)
+                failure = await self.get_failure(relay_to(store), verb)
                 self.assertEqual(
                     failure.may_be_done, may_be_done, (fault, verb)
                 )
@@ -98,7 +98,7 @@
             raise PeerUnreachableError("no response")
 
         for verb in WRITES:
-            failure = await self.fail(relay_through(lose), verb)
+            failure = await self.get_failure(relay_through(lose), verb)
             self.assertTrue(failure.may_be_done, verb)
         with self.assertRaises(ObjectStoreError) as caught:
             await relay_through(lose).read("k", "n")
@@ -120,7 +120,7 @@
             return StoreResponse(failure="a later build's", may_be_done=False)
 
         for verb in WRITES:
-            failure = await self.fail(relay_through(respond), verb)
+            failure = await self.get_failure(relay_through(respond), verb)
             self.assertTrue(failure.may_be_done, verb)
 
     async def test_a_write_whose_response_has_no_object_may_be_done(self):
@@ -128,7 +128,7 @@
             return StoreResponse()
 
         for verb in ("create", "replace"):
-            failure = await self.fail(relay_through(respond), verb)
+            failure = await self.get_failure(relay_through(respond), verb)
             self.assertTrue(failure.may_be_done, verb)
 
     async def test_a_write_that_returns_no_object_may_be_done(self):
@@ -136,7 +136,7 @@
             return StoreResponse(found=None)
 
         for verb in ("create", "replace"):
-            failure = await self.fail(relay_through(respond), verb)
+            failure = await self.get_failure(relay_through(respond), verb)
             self.assertTrue(failure.may_be_done, verb)
 
     async def test_a_conflict_whose_object_is_unset_has_none(self):
@@ -164,7 +164,7 @@
         store = relay_through(respond)
         with self.assertRaises(ObjectStoreError):
             await store.read("k", "n")
-        failure = await self.fail(store, "set_status")
+        failure = await self.get_failure(store, "set_status")
         self.assertTrue(failure.may_be_done)
 
     async def test_an_object_that_does_not_exist_is_reported_as_absent(self):
--- a/daisyhub/connections/tests/test_unknown_outcomes.py
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -33,7 +33,7 @@
         self.addAsyncCleanup(server.stop)
         return server
 
-    async def fail(self, address, *, timeout_s=5.0, **options):
+    async def get_failure(self, address, *, timeout_s=5.0, **options):
         """Sends a request that must fail; returns what is known of it."""
         with self.assertRaises(RequestFailedError) as caught:
             await self.client.request(
@@ -48,14 +48,16 @@
             listener.listen(0)
             address = Address(ip="127.0.0.1", port=listener.getsockname()[1])
             with socket.create_connection(("127.0.0.1", address.port)):
-                ran = await self.fail(address)
+                ran = await self.get_failure(address)
         self.assertIs(ran, ExecutionStatus.NOT_RUN)
 
     async def test_a_partly_written_request_is_unknown(self):
         """The server reads nothing, so that the body is never whole."""
         with socket.create_server(("127.0.0.1", 0)) as listener:
             address = Address(ip="127.0.0.1", port=listener.getsockname()[1])
-            ran = await self.fail(address, timeout_s=0.2, body=LARGE_BODY)
+            ran = await self.get_failure(
+                address, timeout_s=0.2, body=LARGE_BODY
+            )
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
 
     async def test_a_write_that_fails_is_unknown(self):
@@ -75,7 +77,7 @@
                         anyio.to_thread.run_sync, reset_after_a_part
                     )
                 )
-                ran = await self.fail(address, body=LARGE_BODY)
+                ran = await self.get_failure(address, body=LARGE_BODY)
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
 
     async def test_a_first_write_that_fails_may_have_sent_bytes(self):
@@ -99,26 +101,26 @@
         ):
             with self.subTest(reply):
                 server = await self.serve(reply)
-                ran = await self.fail(server.address)
+                ran = await self.get_failure(server.address)
                 self.assertIs(ran, ExecutionStatus.UNKNOWN)
 
     async def test_a_connection_that_the_server_closes_is_unknown(self):
         """The server closes a reused connection after the request was sent."""
         server = await self.serve(make_response(200), None)
         await self.client.request("POST", server.address, "/", timeout_s=5.0)
-        ran = await self.fail(server.address)
+        ran = await self.get_failure(server.address)
         self.assertEqual((server.connections, len(server.requests)), (1, 2))
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
 
     async def test_a_response_cut_in_its_body_is_not_not_run(self):
         cut = make_response(503, body=b"1234")[:-1]
         server = await self.serve([cut])
-        ran = await self.fail(server.address)
+        ran = await self.get_failure(server.address)
         self.assertIs(ran, ExecutionStatus.RAN)
 
     async def test_no_time_to_connect_is_not_run(self):
         server = await self.serve(make_response(200))
-        ran = await self.fail(server.address, timeout_s=0.0)
+        ran = await self.get_failure(server.address, timeout_s=0.0)
         self.assertIs(ran, ExecutionStatus.NOT_RUN)
         await server.stop()
         self.assertFalse(server.requests)
@@ -134,7 +136,7 @@
             headers=id_header("q1"),
             timeout_s=5.0,
         )
-        ran = await self.fail(server.address)
+        ran = await self.get_failure(server.address)
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
         self.assertEqual(server.connections, 1)
 
--- a/daisyhub/lots/tests/test_acceptance_evidence.py
+++ b/daisyhub/lots/tests/test_acceptance_evidence.py
@@ -15,17 +15,17 @@
         self.store = BareConflictStore()
         self.lots = LotStore(self.store)
 
-    async def fail(self):
+    async def get_failure(self):
         with self.assertRaises(ObjectStoreError) as caught:
             await self.lots.accept(SPEC)
         return caught.exception
 
     async def test_a_part_that_a_stale_read_misses_is_found(self):
         self.store.fail_next("create", None, Fault.DELAYED)
-        await self.fail()
+        await self.get_failure()
         self.store.fail_next("create", Fault.REFUSED)
         self.store.fail_next("stale read", *[Fault.EMPTY] * 4)
-        self.assertTrue((await self.fail()).may_be_done)
+        self.assertTrue((await self.get_failure()).may_be_done)
 
     async def test_a_head_that_a_stale_read_misses_is_found(self):
         await self.lots.accept(SPEC)
--- a/daisyhub/platform/tests/test_store.py
+++ b/daisyhub/platform/tests/test_store.py
@@ -41,7 +41,7 @@
 
 
 class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
-    async def fail(self, call, result, body=b""):
+    async def get_failure(self, call, result, body=b""):
         with self.assertRaises(ObjectStoreError) as caught:
             await call(new_store(result, body))
         return caught.exception
@@ -49,7 +49,7 @@
     async def test_only_status_503_says_that_a_write_was_not_done(self):
         for verb, call in WRITES.items():
             for status in (429, 503, 400, 408, 410, 500, 502, 504):
-                failure = await self.fail(call, status)
+                failure = await self.get_failure(call, status)
                 self.assertEqual(
                     failure.may_be_done, status != 503, (verb, status)
                 )
@@ -57,7 +57,7 @@
     async def test_a_write_without_response_may_be_done_once_it_was_sent(self):
         for verb, call in WRITES.items():
             for ran in ExecutionStatus:
-                failure = await self.fail(
+                failure = await self.get_failure(
                     call, RequestFailedError("cut", ran=ran)
                 )
                 self.assertEqual(
@@ -75,13 +75,13 @@
         )
         for verb, call in READS.items():
             for result in failures:
-                failure = await self.fail(call, result, b"garbled")
+                failure = await self.get_failure(call, result, b"garbled")
                 self.assertFalse(failure.may_be_done, (verb, result))
 
     async def test_a_write_with_a_garbled_response_may_be_done(self):
         for verb in ("create", "replace", "set_status"):
             for body in (b"", b"{", b"\xff", b"{}", b'{"metadata":7}'):
-                failure = await self.fail(WRITES[verb], 200, body)
+                failure = await self.get_failure(WRITES[verb], 200, body)
                 self.assertTrue(failure.may_be_done, (verb, body))
 
     async def test_a_status_that_a_write_does_not_have_leaves_it_unknown(self):
@@ -90,7 +90,7 @@
             ("set_status", 409),
             ("delete", 409),
         ):
-            failure = await self.fail(WRITES[verb], status, OBJECT)
+            failure = await self.get_failure(WRITES[verb], status, OBJECT)
             self.assertTrue(failure.may_be_done, (verb, status))
 
     async def test_a_conflict_has_the_object_only_if_the_response_has_it(self):
