Test which responses the framing check rejects and accepts

Reverted in `_exchange.py` one at a time, each making one test fail: the call ("RequestFailedError not raised"); `ran` as NOT_RUN ("NOT_RUN is not RAN"); the exceptions for HEAD and for 204 and 304, `transfer-encoding`, and the lower case of names ("the response has neither Content-Length nor Transfer-Encoding").

--- a/daisyhub/connections/tests/test_unknown_outcomes.py
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -118,6 +118,31 @@
         ran = await self.get_failure(server.address)
         self.assertIs(ran, ExecutionStatus.RAN)
 
+    async def test_a_response_that_ends_with_its_connection_has_run(self):
+        """It may be cut: a lost connection would look the same."""
+        for status in (200, 500, 503):
+            with self.subTest(status):
+                head = f"HTTP/1.1 {status} X\r\n\r\n"
+                server = await self.serve([head.encode() + b"whole or cut"])
+                ran = await self.get_failure(server.address)
+                self.assertIs(ran, ExecutionStatus.RAN)
+
+    async def test_a_response_whose_end_is_stated_is_complete(self):
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+        for method, reply, body in (
+            ("POST", b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nx", b"x"),
+            ("POST", b"HTTP/1.1 200 X\r\n" + chunked, b"x"),
+            ("POST", b"HTTP/1.1 204 X\r\n\r\n", b""),
+            ("GET", b"HTTP/1.1 304 X\r\n\r\n", b""),
+            ("HEAD", b"HTTP/1.1 200 X\r\n\r\n", b""),
+        ):
+            with self.subTest(method=method, reply=reply):
+                server = await self.serve(reply)
+                response = await self.client.request(
+                    method, server.address, "/", timeout_s=5.0
+                )
+                self.assertEqual(response.body, body)
+
     async def test_no_time_to_connect_is_not_run(self):
         server = await self.serve(make_response(200))
         ran = await self.get_failure(server.address, timeout_s=0.0)
