Test that a load without effect is ordered anew with the reported count

An engine rejects orders that expect another number of accepted orders, so the core must take over the reported one when it gives up a load.

Reverted in `_check_load_timeout`: without the reported count the test failed with "(2, 1) != (2, 0)" and "(2, 1) != (2, 4)"; without the delay of the next order, the check of the timeout, or the end of the order, it failed too.

--- a/daisyhub/weights/tests/test_load_core.py
+++ b/daisyhub/weights/tests/test_load_core.py
@@ -157,6 +157,25 @@
         if other is not None:
             self.assertNotEqual(other.endpoint_id, name)
 
+    def test_a_load_without_effect_is_ordered_anew_with_the_reported_count(
+        self,
+    ):
+        """An engine rejects all orders that expect another count."""
+        for reported in (0, 4):
+            with self.subTest(reported=reported):
+                core, _ = self.make_core({"a": 1}, share=1.0)
+                core.handle(OrderAnswered("a", OrderOutcome.ACCEPTED), 0.0)
+                loading = ReportReceived("a", report(1, reported))
+                self.assertEqual(core.handle(loading, 6.0), [])
+                self.assertTrue(core.is_loading("a"))
+                self.assertEqual(core.handle(loading, 6.25), [])
+                self.assertFalse(core.is_loading("a"))
+                self.assertEqual(core.handle(observed({"a": 1}), 6.5), [])
+                (order,) = core.handle(observed({"a": 1}), 6.75)
+                self.assertEqual(
+                    (order.version, order.orders_taken), (2, reported)
+                )
+
     def test_engine_of_one_model_loads_no_other(self):
         core = WeightLoadCore(1.0)
         core.handle(observed({"a": 1}, model="other"), 0.0)
