Test that a call without a way to the store is recorded as a try

Log lines of refused lots list the tries; one that found no way to the store is among them.

Without `call.record("none", ...)` the test failed: the second line "create k/n by none: not_done" was missing. With UNKNOWN instead of NOT_DONE it failed too. With the code unchanged, the tests of test_relayed_store.py pass.

--- a/daisyhub/objects/tests/test_relayed_store.py
+++ b/daisyhub/objects/tests/test_relayed_store.py
@@ -1,6 +1,8 @@
 """Calls succeed through peers, and each write takes effect once."""
 
+import math
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -10,7 +12,9 @@
     ObjectStoreError,
     RelayedStore,
     RelayProvider,
+    record_tries,
 )
+from daisyhub.objects import _relayed as relayed_module
 from daisyhub.testing.object_store import (
     BareConflictStore,
     Fault,
@@ -82,6 +86,25 @@
                 await store.read("k", "n")
         self.assertEqual(unreachable.calls["read"], 1)
 
+    async def test_a_call_without_a_way_to_the_store_is_recorded(self):
+        store = RelayedStore(
+            UnreachableStore(), FixedRelayProvider(), silent_log()
+        )
+        with (
+            mock.patch.object(relayed_module, "_DIRECT_RETRY_S", math.inf),
+            record_tries() as tries,
+        ):
+            for _ in range(2):
+                with self.assertRaises(ObjectStoreError):
+                    await store.create("k", "n", b"1")
+        self.assertEqual(
+            [str(store_try) for store_try in tries],
+            [
+                "create k/n by direct: not_done (unreachable)",
+                "create k/n by none: not_done",
+            ],
+        )
+
     async def test_a_failed_direct_call_ends_direct_watches(self):
         """Guards against a watch that outlasts the connection to the store.
 
