Test that a refused lot's log line says whether it may be stored

Without the field the test fails in both cases with a KeyError; with the field always False it fails for a create that is done later ("False is not True"), with always True for one that every way refused ("True is not False").

--- a/daisyhub/lots/tests/test_submitted_lots.py
+++ b/daisyhub/lots/tests/test_submitted_lots.py
@@ -158,6 +158,22 @@
             line["tries"][0], r"create lot-items/L\.\w+\.0 by direct: not_done"
         )
 
+    async def test_a_refusal_is_logged_with_whether_the_lot_may_be_stored(
+        self,
+    ):
+        for faults, may_be_stored in (
+            ((Fault.REFUSED, Fault.REFUSED), False),
+            ((None, Fault.REFUSED, Fault.DELAYED), True),
+        ):
+            with self.subTest(faults):
+                shared = BareConflictStore()
+                shared.fail_next("create", *faults)
+                daemon = Daemon(shared, shared)
+                status = await daemon.submit()
+                self.assertEqual(status in PROMISES, not may_be_stored)
+                (line,) = daemon.find("lot_not_accepted")
+                self.assertIs(line["may_be_stored"], may_be_stored)
+
     async def test_an_accepted_lot_is_logged_with_its_failed_tries(self):
         self.shared.fail_next("create", Fault.REFUSED)
         await self.daemon.submit()
