Test that an equal value conflicts with a write that was tried once

Only a repeated write can meet its own value.

With `if is_own:` in place of `if attempts > 1 and is_own:`, the test failed with "ObjectConflictError not raised". With the code unchanged, the 15 tests of test_relayed_store.py pass.

--- a/daisyhub/objects/tests/test_relayed_store.py
+++ b/daisyhub/objects/tests/test_relayed_store.py
@@ -69,6 +69,17 @@
         with self.assertRaises(ObjectConflictError):
             await store.create("k", "n", b'"own"')
 
+    async def test_an_equal_value_is_another_daemons_after_a_single_try(self):
+        """Only a repeated write can conflict with itself."""
+        shared = MemoryStore()
+        found = shared.put("k", "n", b"1")
+        store = RelayedStore(shared, FixedRelayProvider(shared), silent_log())
+        with self.assertRaises(ObjectConflictError) as caught:
+            await store.create("k", "n", b"1")
+        self.assertEqual(caught.exception.found, found)
+        with self.assertRaises(ObjectConflictError):
+            await store.replace("k", "n", b"1", revision=found.revision + 1)
+
     async def test_an_unknown_outcome_stays_unknown_if_peers_fail(self):
         shared, peer = MemoryStore(), MemoryStore()
         store = RelayedStore(shared, FixedRelayProvider(peer), silent_log())
