--- a/daisyhub/connections/tests/test_unknown_outcomes.py
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -3,10 +3,12 @@
 import functools
 import socket
 import unittest
+from unittest import mock
 
 import anyio
 
 from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.connections import _client as client_module
 from daisyhub.connections._connection import _TrackedStream
 from daisyhub.exceptions import ExecutionStatus
 from daisyhub.settings import Address
@@ -31,7 +33,7 @@
         self.addAsyncCleanup(server.stop)
         return server
 
-    async def fail(self, address, *, timeout_s=5.0, **options):
+    async def get_failure(self, address, *, timeout_s=5.0, **options):
         """Sends a request that must fail; returns what is known of it."""
         with self.assertRaises(RequestFailedError) as caught:
             await self.client.request(
@@ -46,14 +48,16 @@
             listener.listen(0)
             address = Address(ip="127.0.0.1", port=listener.getsockname()[1])
             with socket.create_connection(("127.0.0.1", address.port)):
-                ran = await self.fail(address)
+                ran = await self.get_failure(address)
         self.assertIs(ran, ExecutionStatus.NOT_RUN)
 
     async def test_a_partly_written_request_is_unknown(self):
         """The server reads nothing, so that the body is never whole."""
         with socket.create_server(("127.0.0.1", 0)) as listener:
             address = Address(ip="127.0.0.1", port=listener.getsockname()[1])
-            ran = await self.fail(address, timeout_s=0.2, body=LARGE_BODY)
+            ran = await self.get_failure(
+                address, timeout_s=0.2, body=LARGE_BODY
+            )
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
 
     async def test_a_write_that_fails_is_unknown(self):
@@ -73,7 +77,7 @@
                         anyio.to_thread.run_sync, reset_after_a_part
                     )
                 )
-                ran = await self.fail(address, body=LARGE_BODY)
+                ran = await self.get_failure(address, body=LARGE_BODY)
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
 
     async def test_a_first_write_that_fails_may_have_sent_bytes(self):
@@ -97,26 +101,51 @@
         ):
             with self.subTest(reply):
                 server = await self.serve(reply)
-                ran = await self.fail(server.address)
+                ran = await self.get_failure(server.address)
                 self.assertIs(ran, ExecutionStatus.UNKNOWN)
 
     async def test_a_connection_that_the_server_closes_is_unknown(self):
         """The server closes a reused connection after the request was sent."""
         server = await self.serve(make_response(200), None)
         await self.client.request("POST", server.address, "/", timeout_s=5.0)
-        ran = await self.fail(server.address)
+        ran = await self.get_failure(server.address)
         self.assertEqual((server.connections, len(server.requests)), (1, 2))
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
 
     async def test_a_response_cut_in_its_body_is_not_not_run(self):
         cut = make_response(503, body=b"1234")[:-1]
         server = await self.serve([cut])
-        ran = await self.fail(server.address)
+        ran = await self.get_failure(server.address)
         self.assertIs(ran, ExecutionStatus.RAN)
 
+    async def test_a_response_that_ends_with_its_connection_has_run(self):
+        """It may be cut: a lost connection would look the same."""
+        for status in (200, 500, 503):
+            with self.subTest(status):
+                head = f"HTTP/1.1 {status} X\r\n\r\n"
+                server = await self.serve([head.encode() + b"whole or cut"])
+                ran = await self.get_failure(server.address)
+                self.assertIs(ran, ExecutionStatus.RAN)
+
+    async def test_a_response_whose_end_is_stated_is_complete(self):
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+        for method, reply, body in (
+            ("POST", b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nx", b"x"),
+            ("POST", b"HTTP/1.1 200 X\r\n" + chunked, b"x"),
+            ("POST", b"HTTP/1.1 204 X\r\n\r\n", b""),
+            ("GET", b"HTTP/1.1 304 X\r\n\r\n", b""),
+            ("HEAD", b"HTTP/1.1 200 X\r\n\r\n", b""),
+        ):
+            with self.subTest(method=method, reply=reply):
+                server = await self.serve(reply)
+                response = await self.client.request(
+                    method, server.address, "/", timeout_s=5.0
+                )
+                self.assertEqual(response.body, body)
+
     async def test_no_time_to_connect_is_not_run(self):
         server = await self.serve(make_response(200))
-        ran = await self.fail(server.address, timeout_s=0.0)
+        ran = await self.get_failure(server.address, timeout_s=0.0)
         self.assertIs(ran, ExecutionStatus.NOT_RUN)
         await server.stop()
         self.assertFalse(server.requests)
@@ -132,7 +161,7 @@
             headers=id_header("q1"),
             timeout_s=5.0,
         )
-        ran = await self.fail(server.address)
+        ran = await self.get_failure(server.address)
         self.assertIs(ran, ExecutionStatus.UNKNOWN)
         self.assertEqual(server.connections, 1)
 
@@ -153,6 +182,33 @@
             )
         self.assertEqual(server.connections, 2)
 
+    async def test_a_failed_request_leaves_the_connection_it_waited_for(self):
+        """It is repeated on another one, and the first stays in the pool."""
+        server = await self.serve(
+            make_response(500, request_id="q1"),
+            make_response(200, request_id="q2"),
+            make_response(200, request_id="q1"),
+        )
+
+        async def send(request_id):
+            await self.client.request(
+                "POST",
+                server.address,
+                "/",
+                headers=id_header(request_id),
+                timeout_s=5.0,
+                may_wait=True,
+            )
+
+        await send("q1")
+        with mock.patch.object(client_module, "_MAX_RELEASE_WAIT_S", 5.0):
+            async with anyio.create_task_group() as tasks:
+                # The second starts while the first uses the connection.
+                tasks.start_soon(send, "q2")
+                tasks.start_soon(send, "q1")
+        self.assertEqual(server.connections, 2)
+        self.assertEqual(len(self.client._idle[server.address]), 2)
+
     async def test_a_rejected_request_keeps_to_its_connection(self):
         """An item that a full engine rejects is repeated ten times a second."""
         server = await self.serve(make_response(503, request_id="q1"))
