Own interface: look-ups that waited don't go to leaving endpoints

Cause: on the product's own interface, a look-up whose endpoint became leaving while its connection was opened was sent; and whoever checked the chosen state only, also orders and generation requests, sent to the next start of the endpoint, whose state is another object. Change: EndpointTable.may_send_to says whether a chosen endpoint may still get a request; look-ups, generation requests and weight orders ask it before they send. Nothing sent counts as no attempt and no failure.

--- a/daisyhub/balancing/_endpoint_table.py
+++ b/daisyhub/balancing/_endpoint_table.py
@@ -156,6 +156,14 @@
         """Returns an endpoint, or None."""
         return self._endpoints.get(endpoint_id)
 
+    def may_send_to(self, state: EndpointState) -> bool:
+        """Whether a chosen endpoint may still get a request.
+
+        False once it is leaving, was restarted or isn't known any more.
+        """
+        known = self._endpoints.get(state.endpoint_id)
+        return known is state and not state.is_leaving
+
     def all(self) -> list[EndpointState]:
         """Returns every endpoint, ordered by id."""
         return [self._endpoints[key] for key in sorted(self._endpoints)]
--- a/daisyhub/controllers/_lot_engines.py
+++ b/daisyhub/controllers/_lot_engines.py
@@ -118,7 +118,7 @@
                 headers=_JSON,
                 body=msgspec.json.encode(body),
                 timeout_s=self._spec.sample_timeout_s,
-                may_send=lambda: not state.is_leaving,
+                may_send=lambda: self._table.may_send_to(state),
             )
             has_failed = response.status != _OK
         except RequestWithdrawnError as exc:
--- a/daisyhub/controllers/_weights.py
+++ b/daisyhub/controllers/_weights.py
@@ -186,7 +186,7 @@
                 body=msgspec.json.encode(body),
                 timeout_s=_ORDER_TIMEOUT_S,
                 fresh=True,
-                may_send=lambda: not state.is_leaving,
+                may_send=lambda: self._table.may_send_to(state),
             )
         except RequestFailedError as exc:
             log.warning("weight order to {} failed: {}", order.endpoint_id, exc)
--- a/daisyhub/controllers/tests/test_leaving_engines.py
+++ b/daisyhub/controllers/tests/test_leaving_engines.py
@@ -1,16 +1,22 @@
 """Calls to engines that become leaving while they wait for a connection."""
 
+import time
 import types
 import unittest
 from unittest import mock
 
 from daisyhub.balancing import EndpointTable, EndpointUpdate, LeastLoaded
+from daisyhub.config import Route
 from daisyhub.connections import HttpClient
 from daisyhub.controllers._lot_engines import LotEngines
 from daisyhub.controllers._weights import WeightController
+from daisyhub.exceptions import ExecutionStatus, Refusal
+from daisyhub.filters import ForwardFilter
 from daisyhub.hosting import EndpointRecord
+from daisyhub.messages import Request
+from daisyhub.metrics import Metrics
 from daisyhub.rollouts import Generate, LotSpec, OrderFailed, SendOrder
-from daisyhub.settings import TimingSettings
+from daisyhub.settings import LimitSettings, TimingSettings
 from daisyhub.testing.scripted_server import ScriptedServer, make_response
 
 SPEC = LotSpec(
@@ -39,14 +45,15 @@
         )
         table.apply_list([record])
 
+        self.learn = lambda: table.apply_update(
+            EndpointUpdate(endpoint_id="e", incarnation=1, is_leaving=True)
+        )
+        test = self
+
         class LearnsWhileConnecting(HttpClient):
             async def _acquire(self, *args):
                 conn = await super()._acquire(*args)
-                table.apply_update(
-                    EndpointUpdate(
-                        endpoint_id="e", incarnation=1, is_leaving=True
-                    )
-                )
+                test.learn()
                 return conn
 
         self.http = LearnsWhileConnecting(connect_timeout_s=1.0, idle_s=1.0)
@@ -77,3 +84,50 @@
             outcome = await controller._send(SendOrder(1, "e", "p", 2, 0.0))
             self.assertEqual(outcome, OrderFailed(1))
         self.assertEqual(self.server.requests, [])
+
+    async def forward(self, **route):
+        """Forwards a request; returns what its refusal says."""
+        forward = ForwardFilter(
+            self.table, LeastLoaded(), self.http, LimitSettings(), Metrics()
+        )
+        now_s = time.monotonic()
+        req = Request(
+            request_id="r",
+            method="GET",
+            path="/x",
+            query="",
+            host="h",
+            headers=(),
+            read_body=None,
+            started_s=now_s,
+            deadline_s=now_s + 10.0,
+            route=Route(path_prefix="/", pool="p", **route),
+        )
+        with self.assertRaises(Refusal) as caught:
+            await forward.handle(req, None)
+        return caught.exception.ran
+
+    async def test_a_forwarded_request_is_not_sent(self):
+        ran = await self.forward()
+        self.assertEqual(self.server.requests, [])
+        self.assertIs(ran, ExecutionStatus.NOT_RUN)
+
+    async def test_a_streamed_request_is_not_sent(self):
+        ran = await self.forward(answer="stream")
+        self.assertEqual(self.server.requests, [])
+        self.assertIs(ran, ExecutionStatus.NOT_RUN)
+
+    async def test_a_request_is_not_sent_to_another_start(self):
+        """The restarted process at the address got the old one's request."""
+        address = self.server.address
+        restarted = EndpointRecord(
+            endpoint_id="e",
+            pool="p",
+            ip=address.ip,
+            port=address.port,
+            incarnation=2,
+        )
+        self.learn = lambda: self.table.apply_list([restarted])
+        engines = LotEngines(SPEC, self.table, LeastLoaded(), self.http)
+        self.assertIsNone(await engines.generate(Generate(1, 0, 0)))
+        self.assertEqual(self.server.requests, [])
--- a/daisyhub/filters/_forward.py
+++ b/daisyhub/filters/_forward.py
@@ -15,6 +15,7 @@
     HttpClient,
     HttpResponse,
     RequestFailedError,
+    RequestWithdrawnError,
     ResponseStream,
     StreamedResponse,
 )
@@ -122,6 +123,11 @@
         try:
             response = await self._send(req, state, fresh=action.fresh)
             failed = False
+        except RequestWithdrawnError as exc:
+            failed = False
+            return _make_failed_outcome(
+                action, exc.ran, was_sent=False, is_withdrawn=True
+            )
         except RequestFailedError as exc:
             self._client.drop_idle_connections(state.address)
             return _make_failed_outcome(
@@ -152,6 +158,10 @@
         self, req: Request, state: EndpointState, *, fresh: bool
     ) -> HttpResponse | StreamedResponse:
         target = f"{req.path}?{req.query}" if req.query else req.path
+
+        def may_send() -> bool:
+            return self._table.may_send_to(state)
+
         timeout_s = max(0.0, req.deadline_s - time.monotonic())
         if req.route.answer == "stream":
             return await self._client.open(
@@ -162,6 +172,7 @@
                 body=req.body,
                 timeout_s=timeout_s,
                 fresh=fresh,
+                may_send=may_send,
             )
         return await self._client.request(
             req.method,
@@ -172,6 +183,7 @@
             timeout_s=timeout_s,
             max_body_bytes=self._limits.answer_bytes,
             fresh=fresh,
+            may_send=may_send,
         )
 
 
@@ -191,6 +203,8 @@
     *,
     timed_out: bool = False,
     incomplete: bool = False,
+    was_sent: bool = True,
+    is_withdrawn: bool = False,
 ) -> AttemptOutcome:
     return AttemptOutcome(
         AttemptFailed(
@@ -198,6 +212,8 @@
             ran=ran,
             timed_out=timed_out,
             incomplete=incomplete,
+            was_sent=was_sent,
+            is_withdrawn=is_withdrawn,
         )
     )
 
