Tests: a frozen daemon's filing, whatever the speed of the machine

The test froze the daemon between its claim and its request, and for that had to notice the claim and send SIGSTOP within the 0.5 s by which the fake store delayed its reply.

The fake's new fault `hold` replies once the fault is removed. The test removes it after the daemon is frozen and the repeat at the other daemon was refused. It has a deployment of its own with time-outs of 30 s, since the store calls' 1.0 s and the route's 3.0 s were limits on its speed too. It asserts what it did before and, in addition, that the filing hasn't run while its daemon is frozen.

--- a/daisyhub/filters/tests/test_process_requests.py
+++ b/daisyhub/filters/tests/test_process_requests.py
@@ -15,18 +15,22 @@
 from daisyhub.testing.processes import Deployment
 
 DOMAIN = "busan"
+# Longer than any step of a test that must not run into it.
+_LONG_TIMEOUT_S = 30.0
 
 
 class RequestFailures(unittest.IsolatedAsyncioTestCase):
     """Two daemons in front of one service."""
 
-    async def asyncSetUp(self):
-        self.deployment = Deployment((DOMAIN,), 2, 0, 1)
+    async def start(self, route_timeout_s=3.0, platform_timeout_s=1.0):
+        self.deployment = Deployment(
+            (DOMAIN,), 2, 0, 1, {"platform_timeout_s": platform_timeout_s}
+        )
         self.addCleanup(self.deployment.stop)
         await self.deployment.start()
         self.keys = DemoKeys.make()
         document = demo_document(self.keys)
-        document["routes"]["filings"]["timeout_s"] = 3.0
+        document["routes"]["filings"]["timeout_s"] = route_timeout_s
         self.http = Caller(self.deployment.platform.address).http
         platform = PlatformClient(
             self.deployment.platform.address, self.http, 5.0
@@ -81,6 +85,7 @@
 
         A repeat over another open connection would get no response either.
         """
+        await self.start()
         await self.look_up_records()
         silent = await self.service.json("POST", "/faults", {"kind": "silent"})
         self.assertGreater(silent["connections"], 1)
@@ -101,13 +106,45 @@
                 tasks.start_soon(look_up, number)
 
     async def test_filings_run_at_most_once(self):
+        await self.start()
         await self.check_replay()
         await self.check_lost_response()
         await self.check_truncated_response()
         await self.check_store_outage()
-        await self.check_frozen_daemon()
         await self.check_killed_daemon()
 
+    async def test_a_frozen_daemon_runs_a_filing_only_once(self):
+        """The daemon is frozen between the claim and its request.
+
+        The store holds its reply to the claim's write until the daemon is
+        frozen and a repeat at the other daemon has been refused.
+        """
+        await self.start(_LONG_TIMEOUT_S, _LONG_TIMEOUT_S)
+        platform = Caller(self.deployment.platform.address)
+        listing = "/objects?prefix=claims/"
+        fault = {"kind": "hold", "path": "/objects/claims", "method": "PUT"}
+        await platform.json("POST", "/faults", {**fault, "count": 1})
+        first = []
+
+        async def file():
+            first.append(await self.file(0, "frozen", 2 * _LONG_TIMEOUT_S))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(file)
+            with anyio.fail_after(10):
+                while not (await platform.json("GET", listing))["objects"]:
+                    await anyio.sleep(0.01)
+            self.daemons[0].send_signal(signal.SIGSTOP)
+            response = await self.file(1, "frozen")
+            self.assertEqual(problem(response), ("outcome_unknown", "unknown"))
+            self.assertEqual(await self.count_runs("frozen"), 0)
+            await platform.json("DELETE", "/faults")
+            self.daemons[0].send_signal(signal.SIGCONT)
+        again = await self.file_until(1, "frozen", 201)
+        self.assertEqual((first[0].status, first[0].body), (201, again.body))
+        self.assertEqual(await self.count_runs("frozen"), 1)
+        await platform.aclose()
+
     async def check_replay(self):
         """A repeat at another daemon gets the stored response."""
         first = await self.file(0, "plain")
@@ -151,40 +188,6 @@
         await self.file_until(1, "outage", 201)
         self.assertEqual(await self.count_runs("outage"), 1)
 
-    async def check_frozen_daemon(self):
-        """A daemon frozen between claim and send runs the request only once.
-
-        The store delays its reply to the claim's write, so that the daemon is
-        frozen before it sends the request.
-        """
-        platform = Caller(self.deployment.platform.address)
-        listing = "/objects?prefix=claims/"
-        before = len((await platform.json("GET", listing))["objects"])
-        fault = {"kind": "late", "path": "/objects/claims", "method": "PUT"}
-        await platform.json(
-            "POST", "/faults", {**fault, "count": 1, "delay_s": 0.5}
-        )
-        first = []
-
-        async def file():
-            first.append(await self.file(0, "frozen"))
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(file)
-            with anyio.fail_after(10):
-                while len((await platform.json("GET", listing))["objects"]) == (
-                    before
-                ):
-                    await anyio.sleep(0.01)
-            self.daemons[0].send_signal(signal.SIGSTOP)
-            response = await self.file(1, "frozen")
-            self.daemons[0].send_signal(signal.SIGCONT)
-        self.assertEqual(problem(response), ("outcome_unknown", "unknown"))
-        again = await self.file_until(1, "frozen", 201)
-        self.assertEqual((first[0].status, first[0].body), (201, again.body))
-        self.assertEqual(await self.count_runs("frozen"), 1)
-        await platform.aclose()
-
     async def check_killed_daemon(self):
         """A killed daemon's claim blocks its key, also after a restart."""
         await self.inject_fault("late", delay_s=60.0)
--- a/daisyhub/testing/fake_app.py
+++ b/daisyhub/testing/fake_app.py
@@ -29,7 +29,8 @@
 
     Attributes:
         kind: `hang` has no effect and sends no response; `late` takes effect
-            and responds after `delay_s`; `lose` takes effect and sends no
+            and responds after `delay_s`; `hold` takes effect and responds once
+            the fault is removed; `lose` takes effect and sends no
             response; `defer` takes effect after `delay_s` and sends no
             response; `truncate` takes effect and cuts the response in the
             middle; `error` has no effect and responds with `status`; `silent`
@@ -49,7 +50,14 @@
     """
 
     kind: Literal[
-        "hang", "late", "lose", "defer", "truncate", "error", "silent"
+        "hang",
+        "late",
+        "hold",
+        "lose",
+        "defer",
+        "truncate",
+        "error",
+        "silent",
     ]
     id: str = ""
     path: str = "/"
@@ -61,12 +69,19 @@
     then: "Fault | None" = None
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _ActiveFault:
-    """An injected fault and the IP addresses to which it was applied."""
+    """An injected fault.
+
+    Attributes:
+        fault: The fault.
+        clients: The IP addresses to which it was applied.
+        removed: Set when the fault is removed.
+    """
 
     fault: Fault
     clients: list[str] = dataclasses.field(default_factory=list)
+    removed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     def matches(self, request: "Request", ip: str) -> bool:
         fault = self.fault
@@ -136,10 +151,13 @@
         self._clients.add(client)
         if client in self._silenced_clients:
             await anyio.sleep(_FOREVER_S)
-        fault = self._consume_fault(request, client[0])
-        await self._serve(request, fault, send)
+        active = self._consume_fault(request, client[0])
+        await self._serve(request, active, send)
 
-    async def _serve(self, request: Request, fault: Fault | None, send) -> None:
+    async def _serve(
+        self, request: Request, active: _ActiveFault | None, send
+    ) -> None:
+        fault = active.fault if active else None
         kind = fault.kind if fault else ""
         if kind == "hang":
             await anyio.sleep(_FOREVER_S)
@@ -152,6 +170,8 @@
         response = await self.handle(request)
         if kind == "late":
             await anyio.sleep(fault.delay_s)
+        if kind == "hold":
+            await active.removed.wait()
         if kind in ("lose", "defer"):
             await anyio.sleep(_FOREVER_S)
         await _send(send, response, truncate=kind == "truncate")
@@ -161,9 +181,12 @@
             return Response(value={a.fault.id: a.clients for a in self._faults})
         if request.method == "DELETE":
             fault_id = request.query.get("id")
-            self._faults = [
-                a for a in self._faults if fault_id not in (None, a.fault.id)
+            removed = [
+                a for a in self._faults if fault_id in (None, a.fault.id)
             ]
+            for active in removed:
+                self._faults.remove(active)
+                active.removed.set()
             return Response(value={})
         fault = request.json(Fault)
         if fault.kind == "silent":
@@ -172,13 +195,13 @@
         self._faults.append(_ActiveFault(fault))
         return Response(value={})
 
-    def _consume_fault(self, request: Request, ip: str) -> Fault | None:
+    def _consume_fault(self, request: Request, ip: str) -> _ActiveFault | None:
         for active in self._faults:
             if active.matches(request, ip):
                 active.clients.append(ip)
                 if active.fault.then and len(active.clients) == 1:
                     self._faults.append(_ActiveFault(active.fault.then))
-                return active.fault
+                return active
         return None
 
 
