Tests: news of leaving endpoints to daemons that missed its spread

Two process tests: a daemon is frozen (SIGSTOP), or cut off from its peers, until its peers show it as silent; a server then announces its leaving to another daemon, which tells the peers it sees. Once the silent daemon is reachable again it learns of the announcement from a peer, while the list shows the server as ready and before any call through it; it sends the server nothing. The chosen daemon holds no duty, so it reads no reports of servers; its log must show one `endpoint_leaving`, with call `peer`. Events are asserted in their order, with time-outs of 20 s.

The stand-in daisyhub.testing.cut_off_daemon drops messages of peers while a file exists. The store is down during the cut, so that the daemon doesn't acquire a duty; the list shows the server as ready again afterwards.

--- a/daisyhub/platform/tests/test_leaving_unseen_processes.py
+++ b/daisyhub/platform/tests/test_leaving_unseen_processes.py
@@ -5,11 +5,13 @@
 this daemon.
 """
 
+import contextlib
 import signal
 import unittest
 
 import anyio
 
+from daisyhub.connections import RequestFailedError
 from daisyhub.testing.fleet import KEY, Fleet
 from daisyhub.testing.rolling_release import RollingRelease, SteadyCalls
 
@@ -18,10 +20,13 @@
 
 
 class LeavingUnseenProcessesTest(unittest.IsolatedAsyncioTestCase):
-    async def start_fleet(self):
-        fleet = Fleet(servers=3)
+    async def start_fleet(self, module="daisyhub.platform"):
+        fleet = Fleet(servers=3, module=module)
         self.addCleanup(fleet.stop)
         self.addAsyncCleanup(fleet.http.aclose)
+        for name in fleet.daemon_names:
+            path = fleet.folder / f"{name}.cut-off"
+            fleet.daemon_env[name] = {"DAISYHUB_CUT_OFF_FILE": str(path)}
         await fleet.start()
         self.fleet = fleet
         self.calls = SteadyCalls(fleet)
@@ -99,6 +104,85 @@
         self.assertEqual(self.calls.failed(), [])
         await self.assert_none_sent_after(known_s, "edge-0")
 
+    async def daemon_without_duty(self):
+        """Returns a daemon that reads no reports of servers."""
+        with anyio.fail_after(_WAIT_TIMEOUT_S):
+            while True:
+                await self.fleet.holder()
+                for name in self.fleet.daemon_names:
+                    status = await self.fleet.status(name)
+                    duties = [v for k, v in status.items() if "duty " in k]
+                    if not any(duty["fencing"] for duty in duties):
+                        return name
+                await anyio.sleep(0.05)
+
+    async def announce_without(self, daemon):
+        """Spreads an announcement once `daemon` is silent for its peers.
+
+        Returns:
+            What the leaving server had executed before.
+        """
+        peers = [n for n in self.fleet.daemon_names if n != daemon]
+        for name in peers:
+            await self.wait_for_status(
+                name, lambda s: daemon in s["cluster"]["silent"]
+            )
+        before = await self.fleet.executed_requests(self.leaving)
+        await self.fleet.announce_leaving(self.leaving)
+        await self.calls.call_until_known(peers[0], self.leaving)
+        for name in peers:
+            await self.wait_for_status(name, self.is_known)
+        return before
+
+    async def wait_for_status(self, daemon, is_met):
+        with anyio.fail_after(_WAIT_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(RequestFailedError):
+                    if is_met(await self.fleet.status(daemon)):
+                        return
+                await anyio.sleep(0.05)
+
+    def is_known(self, status):
+        return status["leaving_endpoints"] == [self.leaving]
+
+    async def assert_told(self, daemon, before):
+        """A reachable daemon is told by a peer before it meets the server."""
+        await self.wait_for_status(daemon, self.is_known)
+        await self.call_served(daemon)
+        lines = [
+            line
+            for line in self.fleet.read_log(daemon)
+            if line["event"] == "endpoint_leaving"
+        ]
+        self.assertEqual([line["call"] for line in lines], ["peer"])
+        executed = await self.fleet.executed_requests(self.leaving)
+        late = [r for r in executed if r["id"].startswith(daemon)]
+        self.assertEqual(
+            late, [r for r in before if r["id"].startswith(daemon)]
+        )
+
+    async def test_a_frozen_daemon_is_told_what_it_missed(self):
+        await self.start_fleet()
+        daemon = await self.daemon_without_duty()
+        self.fleet.signal(daemon, signal.SIGSTOP)
+        before = await self.announce_without(daemon)
+        self.fleet.signal(daemon, signal.SIGCONT)
+        await self.assert_told(daemon, before)
+
+    async def test_a_daemon_cut_off_from_its_peers_is_told_what_it_missed(self):
+        """The store is down, so that no daemon acquires a duty meanwhile."""
+        await self.start_fleet("daisyhub.testing.cut_off_daemon")
+        daemon = await self.daemon_without_duty()
+        self.fleet.signal("platform", signal.SIGSTOP)
+        cut_off = self.fleet.folder / f"{daemon}.cut-off"
+        cut_off.touch()
+        before = await self.announce_without(daemon)
+        self.assertFalse(self.is_known(await self.fleet.status(daemon)))
+        cut_off.unlink()
+        await self.assert_told(daemon, before)
+        await self.restore_store(daemon)
+        await self.assert_told(daemon, before)
+
     async def test_a_release_under_load_loses_no_request(self):
         await self.start_fleet()
         release = RollingRelease(self.fleet, list_lag_s=None)
