Tests: lots on processes can't end before their fault

The tests inject a fault "in the middle" of a lot that takes about a second. If the fault comes later, the lot has ended.

Each engine now returns a quarter of the lot's samples and holds the others (fault `hold` of the fakes) until the fault is injected: after the holder or the engine has exited, after the platform is stopped, and after the frozen holder resumes while another one holds the lot. The assertions are unchanged.

--- a/daisyhub/rollouts/tests/test_lot_processes.py
+++ b/daisyhub/rollouts/tests/test_lot_processes.py
@@ -17,6 +17,9 @@
 STALENESS = 2
 DOMAIN = "busan"
 OUTAGE_S = 2.5  # longer than a lease term
+# Samples that each engine returns before its responses are held. Both engines
+# together return half of the lot's, and the first groups whole.
+FREE_SAMPLES = GROUPS * GROUP_SIZE // 4
 
 
 class LotProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -43,7 +46,11 @@
         )
 
     async def train(self, inject_fault):
-        """Trains one lot and runs `inject_fault(holder)` in the middle."""
+        """Trains one lot and runs `inject_fault(holder)` in the middle.
+
+        The lot can't end until `inject_fault` calls `release_engines`.
+        """
+        await self.hold_engines()
         key = DemoKeys.text(self.keys.trainer)
         daemons = self.deployment.daemons()
         callers = [Caller(daemon.address, key) for daemon in daemons]
@@ -71,6 +78,25 @@
         self.check(results[0])
         return results[0]
 
+    async def hold_engines(self):
+        """Lets each engine return some samples and hold the others."""
+        fault = {"path": "/generate"}
+        for engine in self.deployment.engines():
+            caller = Caller(engine.address)
+            free = {**fault, "kind": "late", "count": FREE_SAMPLES}
+            await caller.json("POST", "/faults", free)
+            await caller.json("POST", "/faults", {**fault, "kind": "hold"})
+            await caller.aclose()
+
+    async def release_engines(self, skip=None):
+        """Lets the engines return the held samples, and all later ones."""
+        for engine in self.deployment.engines():
+            if engine is skip:
+                continue
+            caller = Caller(engine.address)
+            await caller.json("DELETE", "/faults")
+            await caller.aclose()
+
     async def wait_for_holder(self, skip=None):
         """Returns the lot's holder once groups are committed to pulls."""
         with anyio.fail_after(20):
@@ -97,6 +123,8 @@
     async def test_no_group_is_lost_when_the_holder_is_killed(self):
         async def inject_fault(holder):
             holder.send_signal(signal.SIGKILL)
+            holder.wait()
+            await self.release_engines()
 
         result = await self.train(inject_fault)
         self.assertGreater(result.retries, 0)
@@ -106,12 +134,16 @@
             holder.send_signal(signal.SIGSTOP)
             await self.wait_for_holder(skip=holder)
             holder.send_signal(signal.SIGCONT)
+            await self.release_engines()
 
         await self.train(inject_fault)
 
     async def test_no_group_is_lost_when_an_engine_is_killed(self):
         async def inject_fault(_):
-            self.deployment.engines()[0].send_signal(signal.SIGKILL)
+            engine = self.deployment.engines()[0]
+            engine.send_signal(signal.SIGKILL)
+            engine.wait()
+            await self.release_engines(skip=engine)
 
         await self.train(inject_fault)
 
@@ -120,6 +152,7 @@
     ):
         async def inject_fault(_):
             self.deployment.platform.send_signal(signal.SIGSTOP)
+            await self.release_engines()
             await anyio.sleep(OUTAGE_S)
             self.deployment.platform.send_signal(signal.SIGCONT)
 
