Test: in the release under load, each daemon reads the announcement

Cause: a server was killed 2 s after its announcement whether a daemon had read it or not. Daemons prefer endpoints that they have a connection to, so on a slow machine none may call it in that time. A call that no daemon could know to be late isn't what the test is about. Change: the drain time begins when all daemons know; bursts of calls reach an idle server, too. All calls must succeed as before, those of the bursts included.

--- a/daisyhub/platform/tests/test_leaving_unseen_processes.py
+++ b/daisyhub/platform/tests/test_leaving_unseen_processes.py
@@ -183,9 +183,28 @@
         await self.restore_store(daemon)
         await self.assert_told(daemon, before)
 
+    async def wait_until_known(self, server):
+        """Calls each daemon until it knows that a server is leaving.
+
+        So many calls at once reach a server that the steady ones leave idle.
+        """
+        with anyio.fail_after(_WAIT_TIMEOUT_S):
+            for daemon in self.fleet.daemon_names:
+                while (
+                    server
+                    not in (await self.fleet.status(daemon))[
+                        "leaving_endpoints"
+                    ]
+                ):
+                    async with anyio.create_task_group() as tasks:
+                        for _ in range(_CALLS):
+                            tasks.start_soon(self.calls.call, daemon)
+
     async def test_a_release_under_load_loses_no_request(self):
         await self.start_fleet()
-        release = RollingRelease(self.fleet, list_lag_s=None)
+        release = RollingRelease(
+            self.fleet, list_lag_s=None, wait_until_known=self.wait_until_known
+        )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.calls.run, 2)
             await release.run()
--- a/daisyhub/testing/rolling_release.py
+++ b/daisyhub/testing/rolling_release.py
@@ -8,6 +8,7 @@
 import dataclasses
 import itertools
 import time
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -183,14 +184,23 @@
         fleet: The fleet.
         list_lag_s: Seconds after its announcement at which the list shows a
             server as leaving; None if it never does.
+        wait_until_known: Called after a server's announcement, with its name;
+            the server ends `DRAIN_S` after it returns. By default, servers end
+            `DRAIN_S` after their announcement, whether a daemon read it or not.
 
     Attributes:
         ended: The processes replaced so far.
     """
 
-    def __init__(self, fleet: Fleet, list_lag_s: float | None):
+    def __init__(
+        self,
+        fleet: Fleet,
+        list_lag_s: float | None,
+        wait_until_known: Callable[[str], Awaitable[None]] | None = None,
+    ):
         self._fleet = fleet
         self._list_lag_s = list_lag_s
+        self._wait_until_known = wait_until_known
         self.ended: list[EndedProcess] = []
 
     async def run(self) -> None:
@@ -200,9 +210,11 @@
             await self.start(server)
 
     async def end(self, server: str) -> None:
-        """Has a server announce its leaving; kills it after `DRAIN_S`."""
+        """Has a server announce its leaving; kills it when it has drained."""
         async with anyio.create_task_group() as tasks:
             await self._fleet.announce_leaving(server)
+            if self._wait_until_known is not None:
+                await self._wait_until_known(server)
             if self._list_lag_s is not None and self._list_lag_s < DRAIN_S:
                 tasks.start_soon(self._list_as_leaving, server)
             await anyio.sleep(DRAIN_S)
