Endpoints that limit their rate get no more from all daemons together

Cause: no place read the limit, so traffic went on as before: of 117 sends of one daemon log to the limited endpoint, 116 were first attempts, so neither retries nor hedges caused it. A limit that each daemon kept alone would still be exceeded by up to the number of daemons.

Change: the adapter decodes the limit; everything that is sent to an endpoint needs a permit (requests, second attempts, items, reward calls, orders, reports). One live daemon at a time decides for an endpoint, the first by rendezvous hashing, and grants nothing that it isn't the first for in its own view. Urgent and patient requests each keep a share while the other is denied. Denied requests go to other endpoints, then wait if room comes in time, else are refused at once with the time of the next room.

Evidence: test_limit_processes failed on the code before (81 and 111 requests in 4 s of 11 allowed, one error) and passes. Simulations of 1, 8, 28 and 195 daemons, with the deciding daemon cut off, leaving and new daemons.

--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -23,9 +23,18 @@
     LeavingMark,
     digest_marks,
 )
+from daisyhub.balancing._permit_core import (
+    Denial,
+    Grant,
+    PermitCore,
+    Urgency,
+)
+from daisyhub.balancing._permits import LocalPermits, Permit, PermitSource
+from daisyhub.balancing._rate_limits import RateLimit, RateLimits
 
 __all__ = [
     "DRAIN_PREFIX",
+    "Denial",
     "DrainOrder",
     "Endpoint",
     "EndpointDirectory",
@@ -34,8 +43,16 @@
     "EndpointState",
     "EndpointTable",
     "EndpointUpdate",
+    "Grant",
     "LeastLoaded",
     "LeavingMark",
+    "LocalPermits",
+    "Permit",
+    "PermitCore",
+    "PermitSource",
+    "RateLimit",
+    "RateLimits",
     "RoundRobin",
+    "Urgency",
     "digest_marks",
 ]
--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -19,12 +19,17 @@
     LotResultsRequest,
     ManifestRequest,
     ManifestResponse,
+    PermitRequest,
+    PermitResponse,
     Ping,
+    RateLimitNotification,
     StoreRequest,
     StoreResponse,
     UsageReport,
 )
+from daisyhub.cluster._owners import OwnerTable
 from daisyhub.cluster._peers import HolderView, PeerState, PeerTable
+from daisyhub.cluster._permits import SharedPermits
 from daisyhub.cluster._ping_plan import (
     PING_INTERVAL_S,
     STANDBY_COUNT,
@@ -52,6 +57,11 @@
     "CLUSTER_PROTOCOL",
     "EndpointLeavingNotification",
     "LeavingNews",
+    "OwnerTable",
+    "PermitRequest",
+    "PermitResponse",
+    "RateLimitNotification",
+    "SharedPermits",
     "ClusterController",
     "HolderNews",
     "HolderView",
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -22,7 +22,10 @@
     "LotAcceptedNotification",
     "ManifestResponse",
     "ManifestRequest",
+    "PermitRequest",
+    "PermitResponse",
     "Ping",
+    "RateLimitNotification",
     "StoreResponse",
     "StoreRequest",
     "UsageReport",
@@ -247,6 +250,71 @@
     marks: tuple[LeavingMarkNews, ...]
 
 
+class RateLimitNotification(
+    msgspec.Struct, frozen=True, kw_only=True, tag="rl"
+):
+    """Notifies peers that an endpoint limits its requests, or no more.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: Start time of its process, milliseconds since 1970; 0 if
+            unknown.
+        address: Where it listens, `IP:PORT`.
+        rate_per_s: Requests a second that it accepts; infinite if it states no
+            limit.
+        age_s: Seconds since the time from which that holds.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    address: str
+    rate_per_s: float
+    age_s: float
+
+
+class PermitRequest(msgspec.Struct, frozen=True, kw_only=True, tag="pq"):
+    """Asks for a permit for one request to an endpoint with a limit.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: Start time of its process, milliseconds since 1970; 0 if
+            unknown.
+        address: Where it listens, `IP:PORT`.
+        rate_per_s: Requests a second that it accepts, as the sender knows it.
+        age_s: Seconds since the time from which that holds.
+        is_urgent: Whether somebody waits for the request.
+        max_wait_s: How far ahead the permit may start.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    address: str
+    rate_per_s: float
+    age_s: float
+    is_urgent: bool
+    max_wait_s: float
+
+
+class PermitResponse(msgspec.Struct, frozen=True, kw_only=True, tag="pa"):
+    """The response to a request for a permit.
+
+    Attributes:
+        is_decided: Whether the daemon decides for the endpoint.
+        is_granted: Whether the request may be sent.
+        wait_s: Seconds until it may be sent, or until there is room if it was
+            denied.
+        rate_per_s: Requests a second that the endpoint accepts, as the daemon
+            knows it; None if it doesn't.
+        age_s: Seconds since the time from which that holds.
+    """
+
+    is_decided: bool
+    is_granted: bool = False
+    wait_s: float = 0.0
+    rate_per_s: float | None = None
+    age_s: float = 0.0
+
+
 class LotResponse(msgspec.Struct, frozen=True, kw_only=True, tag="la"):
     """A holder's response to a request about a lot.
 
@@ -273,6 +341,7 @@
         | LotHeadRequest
         | LotResultsRequest
         | LotItemBodyRequest
+        | PermitRequest
     )
 
 
@@ -280,7 +349,9 @@
     """The response to a call; `content` is None if the call failed."""
 
     call_id: int
-    content: StoreResponse | ManifestResponse | LotResponse | None
+    content: (
+        StoreResponse | ManifestResponse | LotResponse | PermitResponse | None
+    )
 
 
 class _Envelope(msgspec.Struct, frozen=True, kw_only=True):
@@ -298,6 +369,7 @@
         | EndpointLeavingNotification
         | LeavingMarksRequest
         | LeavingMarksResponse
+        | RateLimitNotification
         | _Call
         | _CallResponse,
         ...,
--- a/daisyhub/cluster/_task_messages.py
+++ b/daisyhub/cluster/_task_messages.py
@@ -107,12 +107,15 @@
         fault: Value of a `RunFault`; empty if the stream is complete.
         events: Number of the last event within the text.
         detail: Description for the log.
+        retry_after_s: Seconds after which the engine has room again; 0 if
+            unknown.
     """
 
     task_id: int
     fault: str
     events: int
     detail: str
+    retry_after_s: float = 0.0
 
 
 class RewardEnd(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/daisyhub/gateway/__init__.py
+++ b/daisyhub/gateway/__init__.py
@@ -5,7 +5,8 @@
 from daisyhub.gateway._key_filter import KeyFilter
 from daisyhub.gateway._route_filter import FindRouteFilter
 from daisyhub.gateway._send_filter import SendFilter
-from daisyhub.gateway._sender import Sender, SendTask
+from daisyhub.gateway._send_task import SendTask
+from daisyhub.gateway._sender import Sender
 from daisyhub.gateway._wire import (
     CallerWire,
     EndpointRequest,
--- a/daisyhub/gateway/_send_filter.py
+++ b/daisyhub/gateway/_send_filter.py
@@ -4,7 +4,8 @@
 from daisyhub.billing import UsageMeter
 from daisyhub.catalog import RouteKind
 from daisyhub.exceptions import ExecutionStatus, Refusal
-from daisyhub.gateway._sender import Sender, SendTask
+from daisyhub.gateway._send_task import SendTask
+from daisyhub.gateway._sender import Sender
 from daisyhub.messages import Request, Response
 
 __all__ = ["SendFilter"]
--- /dev/null
+++ b/daisyhub/gateway/_send_task.py
@@ -0,0 +1,78 @@
+"""A request to send to an endpoint, and its state across attempts."""
+
+import dataclasses
+
+from daisyhub.balancing import Urgency
+from daisyhub.catalog import Route
+from daisyhub.messages import Header
+
+__all__ = ["SendState", "SendTask"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SendTask:
+    """A request to send to an endpoint of its route.
+
+    Attributes:
+        request_id: Id that the caller sent, or id of a reward call.
+        route: Route of the request.
+        method: HTTP method.
+        target: Path and query, sent unchanged.
+        host: Value of the `Host` header.
+        headers: The caller's headers.
+        body: The complete body.
+        account: Client account to send; empty for none.
+        deadline_s: Monotonic time by which the response must be complete.
+        is_streamed: Whether the response is streamed instead of buffered.
+        is_background: Whether no caller waits for this response itself. A
+            hedge is then sent only after the target latency.
+    """
+
+    request_id: str
+    route: Route
+    method: str
+    target: str
+    host: str
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+    account: str = ""
+    deadline_s: float
+    is_streamed: bool = False
+    is_background: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class SendState:
+    """State of one request across its attempts.
+
+    Attributes:
+        task: The request.
+        trace: A description of each ended attempt, for the log.
+        tried: Ids of the endpoints that were tried.
+        max_wait_s: How long the request may wait for room at an endpoint that
+            limits its rate.
+    """
+
+    task: SendTask
+    trace: list[str] = dataclasses.field(default_factory=list)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    max_wait_s: float = 0.0
+
+    @property
+    def urgency(self) -> Urgency:
+        """How urgent the request is at an endpoint that limits its rate."""
+        is_background = self.task.is_background
+        return Urgency.PATIENT if is_background else Urgency.URGENT
+
+    def record_attempt(self, endpoint_id: str) -> bool:
+        """Records an attempt; returns whether it must use a new connection.
+
+        A request that isn't idempotent can't be repeated if the endpoint has
+        closed an idle connection. A second attempt at an endpoint must not use
+        a connection that may be as unresponsive as the one of the first. A
+        first attempt at another endpoint may reuse a connection, although the
+        core's `StartAttempt.fresh` is set.
+        """
+        is_repeated = endpoint_id in self.tried
+        self.tried.add(endpoint_id)
+        return is_repeated or not self.task.route.idempotent
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -1,25 +1,32 @@
 """Sends requests to endpoints; the forward core decides on attempts."""
 
 import dataclasses
+import math
 import random
 import time
+from collections.abc import Callable
 
 import anyio
 
-from daisyhub.balancing import EndpointDirectory, EndpointEntry
+from daisyhub.balancing import (
+    Denial,
+    EndpointDirectory,
+    EndpointEntry,
+    LocalPermits,
+    Permit,
+    PermitSource,
+)
 from daisyhub.catalog import Route
 from daisyhub.connections import (
     HttpClient,
     HttpResponse,
     RequestFailedError,
     RequestWithdrawnError,
-    ResponseStream,
     StreamedResponse,
 )
-from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus
 from daisyhub.filters import (
     AttemptCompleted,
-    AttemptFailed,
     AttemptOutcome,
     FailRequest,
     ForwardCore,
@@ -28,16 +35,23 @@
     StartAttempt,
     run_attempts,
 )
+from daisyhub.gateway._rooms import RoomView
+from daisyhub.gateway._send_outcomes import (
+    make_failed_outcome,
+    make_refusal,
+    make_response,
+)
+from daisyhub.gateway._send_task import SendState, SendTask
 from daisyhub.gateway._wire import (
     EndpointRequest,
     EndpointResponseHead,
     EndpointWire,
 )
 from daisyhub.logs import DecisionLog
-from daisyhub.messages import Header, Response
+from daisyhub.messages import Response
 from daisyhub.metrics import Metrics
 
-__all__ = ["SendTask", "Sender"]
+__all__ = ["Sender"]
 
 # A hedge is sent this many median latencies before the target latency, so that
 # its response can meet the target. For comparison: the 99th percentile of a
@@ -49,82 +63,8 @@
 # The endpoint's deadline is this much before the caller's, for the transfer of
 # the response and a margin for a busy daemon.
 _ENDPOINT_MARGIN_S = 0.03
-# Delay in `Retry-After`, in median latencies: the expected time until an
-# endpoint that refused has free capacity again.
-_RETRY_AFTER_FACTOR = 2.0
-_MIN_RETRY_AFTER_S = 0.05
 # Responses with this status or a higher one give no latency sample.
 _MIN_SERVER_ERROR_STATUS = 500
-_DETAILS = {
-    ErrorCode.DEADLINE_EXCEEDED: (
-        "the deadline passed before the request was sent"
-    ),
-    ErrorCode.NO_ENDPOINT: "no endpoint of the route accepts requests",
-    ErrorCode.OVERLOADED: "no endpoint of the route has free capacity",
-    ErrorCode.ENDPOINT_FAILED: "the endpoint failed",
-    ErrorCode.ENDPOINT_TIMEOUT: "the endpoint did not respond in time",
-    ErrorCode.ANSWER_INCOMPLETE: "the endpoint's response was incomplete",
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SendTask:
-    """A request to send to an endpoint of its route.
-
-    Attributes:
-        request_id: Id that the caller sent, or id of a reward call.
-        route: Route of the request.
-        method: HTTP method.
-        target: Path and query, sent unchanged.
-        host: Value of the `Host` header.
-        headers: The caller's headers.
-        body: The complete body.
-        account: Client account to send; empty for none.
-        deadline_s: Monotonic time by which the response must be complete.
-        is_streamed: Whether the response is streamed instead of buffered.
-        is_background: Whether no caller waits for this response itself. A
-            hedge is then sent only after the target latency.
-    """
-
-    request_id: str
-    route: Route
-    method: str
-    target: str
-    host: str
-    headers: tuple[Header, ...] = ()
-    body: bytes = b""
-    account: str = ""
-    deadline_s: float
-    is_streamed: bool = False
-    is_background: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _SendState:
-    """State of one request across its attempts.
-
-    Attributes:
-        task: The request.
-        trace: A description of each ended attempt, for the log.
-        tried: Ids of the endpoints that were tried.
-    """
-
-    task: SendTask
-    trace: list[str] = dataclasses.field(default_factory=list)
-    tried: set[str] = dataclasses.field(default_factory=set)
-
-    def record_attempt(self, endpoint_id: str) -> bool:
-        """Records an attempt; returns whether it must use a new connection.
-
-        A request that isn't idempotent can't be repeated if the endpoint has
-        closed an idle connection. A second attempt at an endpoint must not use
-        a connection that may be as unresponsive as the one of the first. A
-        first attempt at another endpoint may reuse a connection, although the
-        core's `StartAttempt.fresh` is set.
-        """
-        is_repeated = endpoint_id in self.tried
-        self.tried.add(endpoint_id)
-        return is_repeated or not self.task.route.idempotent
 
 
 class Sender:
@@ -136,6 +76,8 @@
         wire: Wire format of endpoints.
         metrics: Counts attempts.
         log: Receives a line about the attempts of each request.
+        permits: Permits for endpoints that limit their rate; by default of a
+            daemon without peers.
     """
 
     def __init__(
@@ -145,12 +87,15 @@
         wire: EndpointWire,
         metrics: Metrics,
         log: DecisionLog,
+        permits: PermitSource | None = None,
     ):
         self._directory = directory
         self._http = http
         self._wire = wire
         self._metrics = metrics
         self._log = log
+        self._permits = permits or LocalPermits()
+        self._rooms = RoomView(directory, self._permits)
         self._budget = RetryBudget()
 
     async def send(self, task: SendTask) -> Response:
@@ -169,15 +114,17 @@
             hedge_after_s=_hedge_after_s(task, usual_s),
             max_attempts=task.route.max_attempts,
         )
+        state = SendState(task)
 
         def choose(excluded: frozenset[str]) -> str | None:
-            return self._directory.choose(pools, excluded, time.monotonic())
+            passed_over = excluded | self._rooms.passed_over(
+                state.urgency, pools
+            )
+            return self._directory.choose(pools, passed_over, time.monotonic())
 
-        core = ForwardCore(plan, choose, self._budget)
-        state = _SendState(task)
-        outcome = await run_attempts(
-            core, lambda action: self._attempt(state, action)
-        )
+        outcome = await self._run(state, plan, choose)
+        if _found_no_endpoint(outcome):
+            outcome = await self._wait_for_room(state, plan, pools, outcome)
         is_refused = isinstance(outcome, FailRequest)
         self._log.record(
             "sent",
@@ -192,22 +139,81 @@
             took_s=round(time.monotonic() - started_s, 4),
         )
         if is_refused:
-            raise _make_refusal(outcome, usual_s)
-        return _make_response(outcome.response)
+            room_in_s = self._rooms.next_in_s(state.urgency, pools)
+            raise make_refusal(outcome, usual_s, room_in_s)
+        return make_response(outcome.response)
+
+    async def _run(
+        self,
+        state: SendState,
+        plan: ForwardPlan,
+        choose: Callable[[frozenset[str]], str | None],
+    ) -> AttemptOutcome | FailRequest:
+        """Makes the attempts that the core decides on."""
+        core = ForwardCore(plan, choose, self._budget)
+        return await run_attempts(
+            core, lambda action: self._attempt(state, action)
+        )
+
+    async def _wait_for_room(
+        self,
+        state: SendState,
+        plan: ForwardPlan,
+        pools: tuple[str, ...],
+        refusal: FailRequest,
+    ) -> AttemptOutcome | FailRequest:
+        """Sends the request to the endpoint that has room first.
+
+        Only if the response can be received by the deadline; else the request
+        is refused at once.
+
+        Args:
+            state: State of the request.
+            plan: How it may be forwarded.
+            pools: Names of the pools to choose from.
+            refusal: The outcome if no endpoint has room in time.
+        """
+        task = state.task
+        usual_s = self._directory.median_latency_s(task.route.name)
+        latest_s = task.deadline_s - _HEDGE_LEAD_FACTOR * usual_s
+        state.max_wait_s = latest_s - time.monotonic()
+        candidates = self._rooms.limited(state.urgency, pools)
+        if min(candidates.values(), default=math.inf) > latest_s:
+            return refusal
+
+        def choose_first(excluded: frozenset[str]) -> str | None:
+            open_ids = [e for e in candidates if e not in excluded]
+            return min(open_ids, key=candidates.__getitem__, default=None)
+
+        unhedged = dataclasses.replace(plan, hedge_after_s=0.0)
+        return await self._run(state, unhedged, choose_first)
 
     async def _attempt(
-        self, state: "_SendState", action: StartAttempt
+        self, state: SendState, action: StartAttempt
     ) -> AttemptOutcome:
         """Sends the request to one endpoint and records the result."""
         endpoint = self._directory.get(action.endpoint_id)
         if endpoint is None or endpoint.entry.is_leaving:
             # It was leaving only after it was chosen.
-            return _make_failed_outcome(
+            return make_failed_outcome(
+                action,
+                ExecutionStatus.NOT_RUN,
+                was_sent=False,
+                is_withdrawn=True,
+            )
+        permit = await self._permits.acquire(
+            endpoint.entry, state.urgency, state.max_wait_s
+        )
+        if isinstance(permit, Denial):
+            wait_s = permit.room_at_s - time.monotonic()
+            state.trace.append(f"{action.endpoint_id} room in {wait_s:.3f} s")
+            return make_failed_outcome(
                 action,
                 ExecutionStatus.NOT_RUN,
                 was_sent=False,
                 is_withdrawn=True,
             )
+        await anyio.sleep(max(0.0, permit.start_at_s - time.monotonic()))
         sent_s = time.monotonic()
         endpoint_id = action.endpoint_id
         load = endpoint.load(sent_s)
@@ -218,18 +224,20 @@
         result = "cancelled"
         try:
             fresh = state.record_attempt(endpoint_id)
-            response = await self._exchange(state.task, endpoint.entry, fresh)
+            response = await self._exchange(
+                state.task, endpoint.entry, permit, fresh
+            )
             result = f"status {response.status}"
         except RequestWithdrawnError as exc:
             result = str(exc)
             self._directory.record_closed(endpoint_id, token)
-            return _make_failed_outcome(
+            return make_failed_outcome(
                 action, exc.ran, was_sent=False, is_withdrawn=True
             )
         except RequestFailedError as exc:
             result = str(exc)
             self._directory.record_failed(endpoint_id, token, time.monotonic())
-            return _make_failed_outcome(
+            return make_failed_outcome(
                 action,
                 exc.ran,
                 timed_out=exc.timed_out,
@@ -246,17 +254,21 @@
                 f"{endpoint_id} load {load}: {result} after {took_s:.3f} s"
             )
         return await self._evaluate_response(
-            action, endpoint.entry, token, response
+            action, endpoint.entry, token, sent_s, response
         )
 
     async def _exchange(
-        self, task: SendTask, entry: EndpointEntry, fresh: bool
+        self,
+        task: SendTask,
+        entry: EndpointEntry,
+        permit: Permit,
+        fresh: bool,
     ) -> HttpResponse | StreamedResponse:
         """Returns the endpoint's response, streamed or buffered as required.
 
         Raises:
-            RequestWithdrawnError: The endpoint was leaving once a connection
-                was open.
+            RequestWithdrawnError: The endpoint was leaving, or the permit had
+                ended, once a connection was open.
             RequestFailedError: No complete response, or no response head of a
                 stream, was received.
         """
@@ -277,7 +289,10 @@
             "body": task.body,
             "timeout_s": remaining_s,
             "fresh": fresh,
-            "may_send": lambda: not self._directory.is_leaving(entry),
+            "may_send": lambda: (
+                not self._directory.is_leaving(entry)
+                and self._permits.may_send(permit)
+            ),
         }
         if task.is_streamed:
             return await self._http.open(*args, **kwargs)
@@ -288,6 +303,7 @@
         action: StartAttempt,
         entry: EndpointEntry,
         token: int,
+        sent_s: float,
         response: HttpResponse | StreamedResponse,
     ) -> AttemptOutcome:
         """Updates the directory; returns the outcome for the core.
@@ -301,6 +317,7 @@
             action: The attempt.
             entry: The endpoint's entry.
             token: The directory's token of the attempt.
+            sent_s: When the request was sent.
             response: The response, or the head of a streamed one.
         """
         now_s = time.monotonic()
@@ -308,6 +325,7 @@
         head = self._wire.read_response_head(response.status, response.headers)
         if head.is_leaving:
             self._directory.record_leaving(entry, "request", now_s)
+        self._permits.observe(entry, head.rate_limit, sent_s)
         self._update_load(endpoint_id, head, now_s)
         if not (head.is_not_run or head.is_promise):
             if response.status < _MIN_SERVER_ERROR_STATUS:
@@ -326,7 +344,7 @@
             if head.is_not_run
             else ExecutionStatus.UNKNOWN
         )
-        return _make_failed_outcome(action, ran)
+        return make_failed_outcome(action, ran)
 
     def _update_load(
         self, endpoint_id: str, head: EndpointResponseHead, now_s: float
@@ -335,6 +353,14 @@
             self._directory.record_load(endpoint_id, head.load, now_s)
 
 
+def _found_no_endpoint(outcome: AttemptOutcome | FailRequest) -> bool:
+    """Whether nothing was sent, as no endpoint could be chosen."""
+    return (
+        isinstance(outcome, FailRequest)
+        and outcome.error is ErrorCode.NO_ENDPOINT
+    )
+
+
 def _choose_pools(route: Route) -> tuple[str, ...]:
     """Returns a tuple of one pool of the route, chosen randomly by weight."""
     if len(route.shares) == 1:
@@ -366,54 +392,3 @@
     The margin is at most a quarter of the remaining time.
     """
     return remaining_s - min(_ENDPOINT_MARGIN_S, remaining_s / 4)
-
-
-def _make_failed_outcome(
-    action: StartAttempt,
-    ran: ExecutionStatus,
-    *,
-    timed_out: bool = False,
-    incomplete: bool = False,
-    was_sent: bool = True,
-    is_withdrawn: bool = False,
-) -> AttemptOutcome:
-    return AttemptOutcome(
-        AttemptFailed(
-            attempt=action.attempt,
-            ran=ran,
-            timed_out=timed_out,
-            incomplete=incomplete,
-            was_sent=was_sent,
-            is_withdrawn=is_withdrawn,
-        )
-    )
-
-
-def _make_refusal(action: FailRequest, median_s: float) -> Refusal:
-    """Returns the refusal of a request without a response to deliver.
-
-    If the request was certainly not run, the refusal invites a retry: it has
-    the code OVERLOADED (or NO_ENDPOINT) and states when to retry.
-    """
-    error = action.error
-    if action.ran is ExecutionStatus.NOT_RUN:
-        has_endpoint = error is not ErrorCode.NO_ENDPOINT
-        error = ErrorCode.OVERLOADED if has_endpoint else error
-    retry_after_s = None
-    if action.ran is ExecutionStatus.NOT_RUN:
-        retry_after_s = max(_MIN_RETRY_AFTER_S, _RETRY_AFTER_FACTOR * median_s)
-    return Refusal(
-        error, _DETAILS[error], ran=action.ran, retry_after_s=retry_after_s
-    )
-
-
-def _make_response(response: HttpResponse | StreamedResponse) -> Response:
-    if isinstance(response, StreamedResponse):
-        return Response(
-            status=response.status,
-            headers=response.headers,
-            stream=ResponseStream(response),
-        )
-    return Response(
-        status=response.status, headers=response.headers, body=response.body
-    )
--- a/daisyhub/gateway/_wire.py
+++ b/daisyhub/gateway/_wire.py
@@ -51,6 +51,9 @@
         weight_version: Version of the weights at the start of the response; 0
             if not stated.
         is_leaving: Whether the endpoint announces that it is leaving.
+        rate_limit: Requests a second that the endpoint accepts from all daemons
+            together; infinite if it states no limit, None if the response says
+            nothing about that.
     """
 
     is_not_run: bool = False
@@ -60,6 +63,7 @@
     proof: str = ""
     weight_version: int = 0
     is_leaving: bool = False
+    rate_limit: float | None = None
 
 
 class CallerWire(abc.ABC):
--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -448,7 +448,8 @@
             case RunFault.IMPOSSIBLE:
                 return self._give_up(lot, item)
             case RunFault.NOT_RUN:
-                _back_off(engine, now_s, _NO_SLOT_BACKOFF_S)
+                backoff_s = max(_NO_SLOT_BACKOFF_S, event.retry_after_s)
+                _back_off(engine, now_s, backoff_s)
             case RunFault.WORKER_LOST:
                 pass
             case RunFault.BROKEN if run.event_count:
--- a/daisyhub/lots/_run_types.py
+++ b/daisyhub/lots/_run_types.py
@@ -166,10 +166,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunFailed:
-    """A run failed before its text was complete."""
+    """A run failed before its text was complete.
+
+    Attributes:
+        run: The run.
+        fault: Why.
+        retry_after_s: Seconds after which the engine has room again; 0 if
+            unknown.
+    """
 
     run: int
     fault: RunFault
+    retry_after_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/daisyhub/lots/_runner.py
+++ b/daisyhub/lots/_runner.py
@@ -3,7 +3,15 @@
 import time
 from collections.abc import Callable
 
-from daisyhub.balancing import EndpointDirectory, EndpointEntry
+import anyio
+
+from daisyhub.balancing import (
+    Denial,
+    EndpointDirectory,
+    EndpointEntry,
+    PermitSource,
+    Urgency,
+)
 from daisyhub.cluster import RunEnd, RunOrder
 from daisyhub.connections import (
     HttpClient,
@@ -20,6 +28,9 @@
 _OK = 200
 _IMPOSSIBLE_STATUS = 422
 _FAILED_STATUS = 500
+# Seconds for which a run waits for room at an engine that limits its rate. It
+# occupies a slot of the engine meanwhile.
+_MAX_PERMIT_WAIT_S = 0.3
 
 EventSink = Callable[[StreamEvent], None]
 
@@ -32,6 +43,7 @@
         http: Client that sends the requests.
         endpoint_wire: Wire format of requests to engines.
         lot_wire: Wire format of their event streams.
+        permits: Permits for engines that limit their rate.
     """
 
     def __init__(
@@ -40,11 +52,13 @@
         http: HttpClient,
         endpoint_wire: EndpointWire,
         lot_wire: LotWire,
+        permits: PermitSource,
     ):
         self._directory = directory
         self._http = http
         self._endpoint_wire = endpoint_wire
         self._lot_wire = lot_wire
+        self._permits = permits
 
     async def run(self, order: RunOrder, emit: EventSink) -> RunEnd:
         """Streams an item and emits its events in order.
@@ -63,6 +77,16 @@
         entry = endpoint.entry
         if entry.is_leaving:
             return _end(order, RunFault.ELSEWHERE, 0, "leaving endpoint")
+        permit = await self._permits.acquire(
+            entry, Urgency.PATIENT, _MAX_PERMIT_WAIT_S
+        )
+        if isinstance(permit, Denial):
+            wait_s = max(0.0, permit.room_at_s - time.monotonic())
+            return _end(
+                order, RunFault.NOT_RUN, 0, "the engine has no room", wait_s
+            )
+        await anyio.sleep(max(0.0, permit.start_at_s - time.monotonic()))
+        sent_at_s = time.monotonic()
         headers = self._endpoint_wire.request_headers(
             EndpointRequest(
                 request_id=order.item_id,
@@ -87,14 +111,17 @@
                 timeout_s=max(
                     0.0, order.remaining_s + started_s - time.monotonic()
                 ),
-                may_send=lambda: not self._directory.is_leaving(entry),
+                may_send=lambda: (
+                    not self._directory.is_leaving(entry)
+                    and self._permits.may_send(permit)
+                ),
             )
         except RequestWithdrawnError as exc:
             return _end(order, RunFault.ELSEWHERE, 0, str(exc))
         except RequestFailedError as exc:
             return _end(order, RunFault.UNREACHABLE, 0, str(exc))
         try:
-            return await self._read(order, entry, response, emit)
+            return await self._read(order, entry, response, sent_at_s, emit)
         finally:
             await response.aclose()
 
@@ -103,6 +130,7 @@
         order: RunOrder,
         entry: EndpointEntry,
         response: StreamedResponse,
+        sent_at_s: float,
         emit: EventSink,
     ) -> RunEnd:
         decoded = self._endpoint_wire.read_response_head(
@@ -110,6 +138,7 @@
         )
         if decoded.is_leaving:
             self._directory.record_leaving(entry, "run", time.monotonic())
+        self._permits.observe(entry, decoded.rate_limit, sent_at_s)
         if decoded.is_not_run:
             fault = RunFault.NOT_RUN
             if decoded.is_misdirected:
@@ -144,11 +173,16 @@
 
 
 def _end(
-    order: RunOrder, fault: RunFault | None, events: int, detail: str
+    order: RunOrder,
+    fault: RunFault | None,
+    events: int,
+    detail: str,
+    retry_after_s: float = 0.0,
 ) -> RunEnd:
     return RunEnd(
         task_id=order.task_id,
         fault=fault.value if fault else "",
         events=events,
         detail=detail,
+        retry_after_s=retry_after_s,
     )
--- a/daisyhub/lots/_worker_pool.py
+++ b/daisyhub/lots/_worker_pool.py
@@ -256,7 +256,9 @@
             outcome=end.detail,
         )
         if end.fault:
-            self._sink(RunFailed(action.run, RunFault(end.fault)))
+            self._sink(
+                RunFailed(action.run, RunFault(end.fault), end.retry_after_s)
+            )
         else:
             self._sink(RunCompleted(action.run, end.events))
 
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -21,10 +21,13 @@
     LotItemBodyRequest,
     LotResultsRequest,
     ManifestRequest,
+    OwnerTable,
     PeerReaderProvider,
     PeerRelayProvider,
     PeerTable,
+    PermitRequest,
     Ping,
+    SharedPermits,
     StoreRequest,
     StoreRequestHandler,
     TaskOrders,
@@ -180,6 +183,12 @@
         self.leaving_news = LeavingNews(
             self.directory, self.network, self.peers, self.metrics, self.log
         )
+        self.owners = OwnerTable(
+            cfg.daemon_id, self.peers, lambda: self._is_draining
+        )
+        self.permits = SharedPermits(
+            self.owners, self.network, self.peers, self.metrics, self.log
+        )
         self.cluster = ClusterController(
             cfg.daemon_id,
             cfg.peer_address,
@@ -198,6 +207,10 @@
         # A response goes to the address that a ping told to `cluster`.
         self.network.add_receiver(self.cluster.receive)
         self.network.add_receiver(self.leaving_news.receive)
+        self.network.add_receiver(self.permits.receive)
+        self.network.add_request_handler(
+            PermitRequest, self.permits.handle_request
+        )
         self.network.add_receiver(self._record_usage)
         self.network.add_request_handler(
             ManifestRequest, self.cluster.handle_manifest_request
@@ -235,6 +248,7 @@
             self._endpoint_wire,
             self.metrics,
             self.log,
+            self.permits,
         )
         self._build_lots()
         self.verifier = WatchVerifier(self.accounts, self.watchers)
@@ -308,7 +322,11 @@
         self.lots = LotStore(self.store)
         self.worker = TaskWorker(
             ItemRunner(
-                self.directory, self.http, self._endpoint_wire, self._lot_wire
+                self.directory,
+                self.http,
+                self._endpoint_wire,
+                self._lot_wire,
+                self.permits,
             ),
             RewardCaller(
                 self.manifests, self.sender, self._endpoint_wire, self.log
@@ -352,6 +370,7 @@
             self.holder.open_run_count,
             self.holder.demand,
             self.cfg.loads_share,
+            self.permits,
             self.log,
         )
         self.reader = LotReader(
@@ -456,6 +475,7 @@
             "manifest": manifest.version if manifest else 0,
             "open_requests": self.app.open_requests,
             "leaving_endpoints": self.directory.announced_leaving(),
+            "limited_endpoints": self.permits.limited(),
             **{_status_key(c): c.status() for c in self.controllers},
         }
 
--- a/daisyhub/platform/_engines.py
+++ b/daisyhub/platform/_engines.py
@@ -142,13 +142,17 @@
                 if head.is_not_run
                 else OrderOutcome.UNKNOWN
             )
-        return OrderResponse(outcome=outcome, is_leaving=head.is_leaving)
+        return OrderResponse(
+            outcome=outcome,
+            is_leaving=head.is_leaving,
+            rate_limit=head.rate_limit,
+        )
 
     async def report(
         self, address: Address, may_send: Callable[[], bool]
     ) -> ReportResponse:
         """Fetches an engine's report; see `EngineClient.report`."""
-        is_leaving = False
+        head = EndpointResponseHead()
         try:
             response = await self._http.request(
                 "GET",
@@ -157,13 +161,15 @@
                 timeout_s=_CALL_TIMEOUT_S,
                 may_send=may_send,
             )
-            is_leaving = self._read_head(response).is_leaving
+            head = self._read_head(response)
             if response.status != _OK:
                 raise ValueError(f"status {response.status}")
             report = msgspec.json.decode(response.body, type=_Report)
         except (RequestFailedError, msgspec.DecodeError, ValueError) as exc:
             self._log_failure("report_failed", str(address), exc)
-            return ReportResponse(is_leaving=is_leaving)
+            return ReportResponse(
+                is_leaving=head.is_leaving, rate_limit=head.rate_limit
+            )
         return ReportResponse(
             report=EngineReport(
                 versions={m.name: m.version for m in report.models},
@@ -173,7 +179,8 @@
                 running=report.num_running,
                 incarnation=report.born,
             ),
-            is_leaving=is_leaving,
+            is_leaving=head.is_leaving,
+            rate_limit=head.rate_limit,
         )
 
     def _read_head(self, response: HttpResponse) -> EndpointResponseHead:
--- a/daisyhub/platform/_wire.py
+++ b/daisyhub/platform/_wire.py
@@ -6,6 +6,7 @@
 account.
 """
 
+import math
 import re
 import urllib.parse
 
@@ -41,6 +42,7 @@
 _LEAVING = b"server-leaving"
 # The only value that announces an endpoint's leaving.
 _IS_LEAVING = b"1"
+_RATE_LIMIT = b"server-limit"
 # Headers that apply to one connection only or are set again for each hop.
 _HOP_HEADERS = frozenset(
     {
@@ -73,6 +75,8 @@
 # interface.
 _MAX_RESULT_WAIT_S = 1.0
 _MILLISECONDS = re.compile(rb"\d{1,9}(\.\d{1,6})?")
+# Bounded in length, so that no value overflows.
+_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _VERSION = re.compile(rb"\d{1,9}")
 _LOTS_PATH = "/v1/lots/"
 _ITEMS_PATH = "/v1/items/"
@@ -154,6 +158,7 @@
             weight_version=int(weights) if _VERSION.fullmatch(weights) else 0,
             # Another endpoint's response says nothing about this one.
             is_leaving=not is_misdirected and _announces_leaving(headers),
+            rate_limit=None if is_misdirected else _read_rate_limit(headers),
         )
 
 
@@ -178,6 +183,18 @@
     )
 
 
+def _read_rate_limit(headers: tuple[Header, ...]) -> float | None:
+    """Returns the lowest valid limit of a response, in requests a second.
+
+    Infinite without that header, None if it has no valid value.
+    """
+    stated = [value.strip() for name, value in headers if name == _RATE_LIMIT]
+    if not stated:
+        return math.inf
+    valid = [float(value) for value in stated if _DECIMAL.fullmatch(value)]
+    return min(valid, default=None)
+
+
 def _read_load(value: bytes) -> int | None:
     """Returns running plus waiting requests of `running,waiting,slots`.
 
--- a/daisyhub/platform/tests/test_item_runs.py
+++ b/daisyhub/platform/tests/test_item_runs.py
@@ -2,7 +2,11 @@
 
 import unittest
 
-from daisyhub.balancing import EndpointDirectory, EndpointEntry
+from daisyhub.balancing import (
+    EndpointDirectory,
+    EndpointEntry,
+    LocalPermits,
+)
 from daisyhub.cluster import RunOrder
 from daisyhub.connections import HttpClient
 from daisyhub.lots import ItemRunner
@@ -46,7 +50,7 @@
         http = HttpClient(connect_timeout_s=1.0, idle_s=30.0)
         self.addAsyncCleanup(http.aclose)
         wires = (PlatformEndpointWire(), PlatformLotWire())
-        return ItemRunner(directory, http, *wires)
+        return ItemRunner(directory, http, *wires, LocalPermits())
 
     async def test_only_a_statement_of_the_engine_makes_a_run_not_run(self):
         rejection = make_response(503, fields=NOT_RUN)
--- a/daisyhub/platform/tests/test_leaving_engines.py
+++ b/daisyhub/platform/tests/test_leaving_engines.py
@@ -4,7 +4,11 @@
 import types
 import unittest
 
-from daisyhub.balancing import EndpointDirectory, EndpointEntry
+from daisyhub.balancing import (
+    EndpointDirectory,
+    EndpointEntry,
+    LocalPermits,
+)
 from daisyhub.connections import HttpClient
 from daisyhub.logs import DecisionLog
 from daisyhub.platform._engines import PlatformEngineClient
@@ -63,6 +67,7 @@
             lambda _: 0,
             dict,
             0.5,
+            LocalPermits(),
             LOG,
         )
 
--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -163,7 +163,10 @@
     executed requests: id, account, whether the client's API key was
     forwarded, whether a stream was resumed, and the monotonic time. After
     `POST /admin/leave`, every response announces that the server is leaving,
-    until `DELETE` of the same path; it serves on.
+    until `DELETE` of the same path; it serves on. `POST /admin/limit` with a
+    number makes every response state that limit, until `DELETE`.
+    `GET /admin/arrivals` returns the monotonic time of each request, reports
+    and orders included, that arrived while a limit was stated.
 
     Args:
         name: Instance id.
@@ -180,6 +183,8 @@
         self._highest_fencing = 0
         self._executed_requests: list[dict] = []
         self._is_leaving = False
+        self._limit = b""
+        self._arrivals: list[float] = []
 
     async def handle(self, request: Request) -> Response:
         """Handles one request."""
@@ -188,12 +193,20 @@
         if request.path == "/admin/leave":
             self._is_leaving = request.method == "POST"
             return Response(value={})
+        if request.path == "/admin/limit":
+            self._limit = request.body
+            return Response(value={})
+        if request.path == "/admin/arrivals":
+            return Response(value=self._arrivals)
+        if self._limit:
+            self._arrivals.append(time.monotonic())
         response = await self._serve_caller(request)
-        if not self._is_leaving:
-            return response
-        return dataclasses.replace(
-            response, headers=((b"server-leaving", b"1"), *response.headers)
-        )
+        headers = response.headers
+        if self._is_leaving:
+            headers = ((b"server-leaving", b"1"), *headers)
+        if self._limit:
+            headers = ((b"server-limit", self._limit), *headers)
+        return dataclasses.replace(response, headers=headers)
 
     async def _serve_caller(self, request: Request) -> Response:
         expected = request.headers.get("daisyhub-expect-instance", self.name)
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -247,6 +247,21 @@
             timeout_s=5.0,
         )
 
+    async def set_limit(self, name: str, per_s: float | None) -> None:
+        """Has a server state a limit in its responses; None for no limit."""
+        await self.http.request(
+            "DELETE" if per_s is None else "POST",
+            self.address(name),
+            "/admin/limit",
+            body=b"" if per_s is None else str(per_s).encode(),
+            timeout_s=5.0,
+        )
+
+    async def limited_arrivals(self, name: str) -> list[float]:
+        """Returns when requests arrived at a server while it had a limit."""
+        response = await self._get(self.ports[name], "/admin/arrivals")
+        return json.loads(response.body)
+
     async def remove_fault(self, name: str, fault_id: str) -> None:
         """Removes one fault of a fake."""
         await self.http.request(
--- a/daisyhub/weights/_controller.py
+++ b/daisyhub/weights/_controller.py
@@ -6,7 +6,15 @@
 
 import anyio
 
-from daisyhub.balancing import Endpoint, EndpointDirectory
+from daisyhub.balancing import (
+    Denial,
+    Endpoint,
+    EndpointDirectory,
+    EndpointEntry,
+    Permit,
+    PermitSource,
+    Urgency,
+)
 from daisyhub.catalog import ManifestController
 from daisyhub.duties import DutyController
 from daisyhub.duty_bound import DutyBoundController
@@ -40,6 +48,9 @@
 # Interval between list calls that verify the watch of the versions. A version
 # that is received late delays the trainer's next step.
 _VERIFY_INTERVAL_S = 1.5
+# Seconds for which an order waits for room at an engine that limits its rate.
+# A report doesn't: the next one is due soon.
+_MAX_ORDER_WAIT_S = 0.5
 
 
 class VersionReader(abc.ABC):
@@ -75,6 +86,7 @@
             endpoint id.
         demand: Returns the requested work by model, in any unit.
         loads_share: Fraction of a pool's engines that load concurrently.
+        permits: Permits for engines that limit their rate.
         log: Logs versions, orders and assignments.
     """
 
@@ -92,6 +104,7 @@
         open_run_count: Callable[[str], int],
         demand: Callable[[], dict[str, float]],
         loads_share: float,
+        permits: PermitSource,
         log: DecisionLog,
     ):
         super().__init__(duty)
@@ -104,6 +117,7 @@
         self._open_run_count = open_run_count
         self._get_demand = demand
         self._loads_share = loads_share
+        self._permits = permits
         self._log = log
         self._cores: dict[str, WeightLoadCore] = {}
         self._published: dict[str, VersionPublished] = {}
@@ -237,12 +251,14 @@
         self, core: WeightLoadCore, action: SendOrder
     ) -> None:
         """Sends an order with the fencing number read just before."""
-        endpoint = self._directory.get(action.endpoint_id)
+        entry, permit = await self._acquire(
+            action.endpoint_id, Urgency.URGENT, _MAX_ORDER_WAIT_S
+        )
         fencing = self._duty.fencing
-        if endpoint is None or endpoint.entry.is_leaving or not fencing:
+        if permit is None or not fencing:
             outcome = OrderOutcome.REFUSED
         else:
-            entry = endpoint.entry
+            sent_at_s = time.monotonic()
             order = VersionOrder(
                 endpoint_id=action.endpoint_id,
                 model=action.model,
@@ -255,8 +271,9 @@
             response = await self._client.order(
                 entry.address,
                 order,
-                lambda: not self._directory.is_leaving(entry),
+                lambda: self._may_send(entry, permit),
             )
+            self._permits.observe(entry, response.rate_limit, sent_at_s)
             outcome = response.outcome
             if response.is_leaving:
                 self._directory.record_leaving(entry, "order", time.monotonic())
@@ -279,13 +296,13 @@
         self, core: WeightLoadCore, action: FetchReport
     ) -> None:
         """Fetches a report; records its versions in the directory."""
-        endpoint = self._directory.get(action.endpoint_id)
-        if endpoint is None or endpoint.entry.is_leaving:
+        entry, permit = await self._acquire(action.endpoint_id, Urgency.PATIENT)
+        if permit is None:
             self._handle(core, ReportFailed(action.endpoint_id))
             return
-        entry = endpoint.entry
+        sent_at_s = time.monotonic()
         response = await self._client.report(
-            entry.address, lambda: not self._directory.is_leaving(entry)
+            entry.address, lambda: self._may_send(entry, permit)
         )
         report = response.report
         # The call names no endpoint, so that the response may be of another
@@ -298,8 +315,34 @@
         )
         if response.is_leaving and not is_other:
             self._directory.record_leaving(entry, "report", time.monotonic())
+        if not is_other:
+            self._permits.observe(entry, response.rate_limit, sent_at_s)
         if report is None or is_other:
             self._handle(core, ReportFailed(action.endpoint_id))
             return
         self._directory.record_versions(action.endpoint_id, report.versions)
         self._handle(core, ReportReceived(action.endpoint_id, report))
+
+    async def _acquire(
+        self, endpoint_id: str, urgency: Urgency, max_wait_s: float = 0.0
+    ) -> tuple[EndpointEntry | None, Permit | None]:
+        """Waits for a permit for one call.
+
+        Returns:
+            The entry of the engine and the permit; no permit if the engine is
+            leaving or unknown, or limits its rate and has no room.
+        """
+        endpoint = self._directory.get(endpoint_id)
+        if endpoint is None or endpoint.entry.is_leaving:
+            return None, None
+        entry = endpoint.entry
+        permit = await self._permits.acquire(entry, urgency, max_wait_s)
+        if isinstance(permit, Denial):
+            return entry, None
+        await anyio.sleep(max(0.0, permit.start_at_s - time.monotonic()))
+        return entry, permit
+
+    def _may_send(self, entry: EndpointEntry, permit: Permit) -> bool:
+        return not self._directory.is_leaving(entry) and self._permits.may_send(
+            permit
+        )
--- a/daisyhub/weights/_engine_client.py
+++ b/daisyhub/weights/_engine_client.py
@@ -106,10 +106,13 @@
     Attributes:
         outcome: The outcome.
         is_leaving: Whether the engine announced that it is leaving.
+        rate_limit: Requests a second that it accepts; see
+            `EndpointResponseHead`.
     """
 
     outcome: OrderOutcome
     is_leaving: bool = False
+    rate_limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -119,10 +122,13 @@
     Attributes:
         report: The report; None if the call failed.
         is_leaving: Whether the engine announced that it is leaving.
+        rate_limit: Requests a second that it accepts; see
+            `EndpointResponseHead`.
     """
 
     report: EngineReport | None = None
     is_leaving: bool = False
+    rate_limit: float | None = None
 
 
 class EngineClient(abc.ABC):
