Observability for BUDGET: repeats of a request share a digest in the log

The logs of the incident couldn't tell whether look-ups under which endpoints ended were repeats of one request: each client attempt has its own id. The line sent now has a digest of account, method, host, target and body.

--- a/daisyhub/gateway/_send_task.py
+++ b/daisyhub/gateway/_send_task.py
@@ -1,6 +1,7 @@
 """A request to send to an endpoint, and its state across attempts."""
 
 import dataclasses
+import hashlib
 
 from daisyhub.balancing import Urgency
 from daisyhub.catalog import Route
@@ -8,6 +9,10 @@
 
 __all__ = ["SendState", "SendTask"]
 
+# Long enough that nobody finds another request with the same digest.
+_DIGEST_BYTES = 16
+_DIGEST_PURPOSE = b"request-content"
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SendTask:
@@ -40,6 +45,20 @@
     is_streamed: bool = False
     is_background: bool = False
 
+    def content_digest(self) -> bytes:
+        """Returns a digest that is equal for repeats of the same request.
+
+        Repeats have ids of their own. The account is part of it, so that no
+        caller can make a request whose digest is that of another account's.
+        """
+        hashed = hashlib.blake2b(
+            digest_size=_DIGEST_BYTES, person=_DIGEST_PURPOSE
+        )
+        for part in (self.account, self.method, self.host, self.target):
+            hashed.update(f"{len(part)}:{part}".encode())
+        hashed.update(self.body)
+        return hashed.digest()
+
 
 @dataclasses.dataclass(slots=True)
 class SendState:
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -131,6 +131,7 @@
             id=task.request_id,
             route=task.route.name,
             account=task.account,
+            content=task.content_digest().hex(),
             pools=pools,
             usual_s=round(usual_s, 4),
             hedge_after_s=round(plan.hedge_after_s, 3),
