Requests under which three endpoints ended are sent no more, by any daemon

Cause: attempts were counted for one client attempt at one daemon. Repeats have ids of their own and come to any daemon, which began to count anew.

Evidence: all look-ups of the record under which a connection ended twice were of one account and route, none of them reached more endpoints than its route allows; connections to the same address were refused within 2 ms.

Change: repeats are recognized by a digest of account, method, host, target and body. An endpoint counts as ended under a request if its connection broke in mid-request and its address refuses a new one; a process that responds later, or stays listed, did not end. Evidence is told to all peers at once and repeated in pings. After two ends a request is sent to one endpoint without hedge or repeat, after three it is refused (502 without Retry-After), unless another request ran at all of the same processes: then each is tried alone, at most twice, granted by one daemon. A whole response clears a request, an operator can (DELETE /blocked/DIGEST). Items and reward calls are exempt.

Before: test_it_is_sent_no_more_once_three_servers_ended failed with 12 ends later than 3 s after the third (3 allowed), three such requests at once with 19; both pass now, with every look-up beside them answered at the first try once the request is blocked.

--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -84,7 +84,7 @@
         self._has_connection = has_connection
         self._on_leaving = on_leaving
         self._endpoints: dict[str, Endpoint] = {}
-        self._leaving = LeavingMarks(self._is_listed)
+        self._leaving = LeavingMarks(self.is_listed)
         self._latencies = RouteLatencies()
         self._last_token = 0
         self._unreachable_domains: frozenset[str] = frozenset()
@@ -111,14 +111,15 @@
         """
         if entry.process in self._leaving:
             entry = dataclasses.replace(entry, is_leaving=True)
-        if not self._is_listed(entry.process):
+        if not self.is_listed(entry.process):
             self._endpoints[entry.endpoint_id] = Endpoint(entry)
             return
         known = self._endpoints[entry.endpoint_id]
         known.entry = entry
         known.absent_since_s = None
 
-    def _is_listed(self, process: EndpointProcess) -> bool:
+    def is_listed(self, process: EndpointProcess) -> bool:
+        """Whether the entry of an endpoint describes this process."""
         known = self._endpoints.get(process.endpoint_id)
         return known is not None and known.entry.process == process
 
@@ -128,7 +129,7 @@
         if process in self._leaving:
             return True
         known = self._endpoints.get(entry.endpoint_id)
-        return self._is_listed(process) and known.entry.is_leaving
+        return self.is_listed(process) and known.entry.is_leaving
 
     def record_leaving(
         self, entry: EndpointEntry, call: str, now_s: float
@@ -148,7 +149,7 @@
     ) -> bool:
         """Excludes a process from new requests; returns whether it is new."""
         known = self._endpoints.get(process.endpoint_id)
-        is_listed = self._is_listed(process)
+        is_listed = self.is_listed(process)
         is_confirmed = is_listed and known.entry.is_leaving
         is_new = self._leaving.add(
             process, announced_at_s, is_confirmed=is_confirmed
--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -9,6 +9,7 @@
 from daisyhub.cluster._leaving_news import LeavingNews
 from daisyhub.cluster._messages import (
     CLUSTER_PROTOCOL,
+    EndedProcess,
     EndpointLeavingNotification,
     HolderNews,
     LotAcceptedNotification,
@@ -25,6 +26,9 @@
     RateLimitNotification,
     StoreRequest,
     StoreResponse,
+    SuspectNews,
+    TrialRequest,
+    TrialResponse,
     UsageReport,
 )
 from daisyhub.cluster._owners import OwnerTable
@@ -42,6 +46,7 @@
     PeerRelayProvider,
     StoreRequestHandler,
 )
+from daisyhub.cluster._suspects import SharedSuspects
 from daisyhub.cluster._task_messages import (
     RewardEnd,
     RewardOrder,
@@ -55,6 +60,7 @@
 
 __all__ = [
     "CLUSTER_PROTOCOL",
+    "EndedProcess",
     "EndpointLeavingNotification",
     "LeavingNews",
     "OwnerTable",
@@ -62,6 +68,10 @@
     "PermitResponse",
     "RateLimitNotification",
     "SharedPermits",
+    "SharedSuspects",
+    "SuspectNews",
+    "TrialRequest",
+    "TrialResponse",
     "ClusterController",
     "HolderNews",
     "HolderView",
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "CLUSTER_PROTOCOL",
+    "EndedProcess",
     "EndpointLeavingNotification",
     "HolderNews",
     "LeavingMarkNews",
@@ -26,6 +27,9 @@
     "PermitResponse",
     "Ping",
     "RateLimitNotification",
+    "SuspectNews",
+    "TrialRequest",
+    "TrialResponse",
     "StoreResponse",
     "StoreRequest",
     "UsageReport",
@@ -54,6 +58,56 @@
     age_s: float
 
 
+class EndedProcess(msgspec.Struct, frozen=True, array_like=True):
+    """A process that ended while a suspected request ran there.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: Start time of its process, milliseconds since 1970; 0 if
+            unknown.
+        address: Where it listened, `IP:PORT`.
+        age_s: Seconds since its end.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    address: str
+    age_s: float
+
+
+class SuspectNews(msgspec.Struct, frozen=True, kw_only=True, tag="sn"):
+    """What the sender knows of a suspected request.
+
+    Attributes:
+        digest: Digest of its content.
+        ended: The processes that ended while it ran there.
+        cleared_age_s: Seconds since the time up to which evidence was dropped;
+            None if it never was.
+        trials: Number of trials that were granted.
+    """
+
+    digest: bytes
+    ended: tuple[EndedProcess, ...]
+    cleared_age_s: float | None = None
+    trials: int = 0
+
+
+class TrialRequest(msgspec.Struct, frozen=True, kw_only=True, tag="tq"):
+    """Asks for a trial of a suspected request.
+
+    Attributes:
+        news: What the sender knows of it.
+    """
+
+    news: SuspectNews
+
+
+class TrialResponse(msgspec.Struct, frozen=True, kw_only=True, tag="ta"):
+    """Whether a trial was granted."""
+
+    is_granted: bool
+
+
 class Ping(msgspec.Struct, frozen=True, kw_only=True, tag="ping"):
     """The state of a daemon, sent to its peers several times a second.
 
@@ -73,6 +127,7 @@
         peers: Addresses of some daemons that it knows, by id.
         leaving_digest: Digest of its marks of leaving endpoints; 0 if it has
             none.
+        suspects: Some of the blocked requests that the sender knows, in turn.
     """
 
     domain: str
@@ -88,6 +143,7 @@
     holders: tuple[HolderNews, ...] = ()
     peers: dict[str, str] = {}
     leaving_digest: int = 0
+    suspects: tuple[SuspectNews, ...] = ()
 
 
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True, tag="us"):
@@ -342,6 +398,7 @@
         | LotResultsRequest
         | LotItemBodyRequest
         | PermitRequest
+        | TrialRequest
     )
 
 
@@ -350,7 +407,12 @@
 
     call_id: int
     content: (
-        StoreResponse | ManifestResponse | LotResponse | PermitResponse | None
+        StoreResponse
+        | ManifestResponse
+        | LotResponse
+        | PermitResponse
+        | TrialResponse
+        | None
     )
 
 
@@ -370,6 +432,7 @@
         | LeavingMarksRequest
         | LeavingMarksResponse
         | RateLimitNotification
+        | SuspectNews
         | _Call
         | _CallResponse,
         ...,
--- a/daisyhub/exceptions.py
+++ b/daisyhub/exceptions.py
@@ -52,6 +52,7 @@
     NO_CONFIGURATION = ("no_configuration", 503)
     NO_ENDPOINT = ("no_endpoint", 503)
     ENDPOINT_FAILED = ("endpoint_failed", 502)
+    REQUEST_BLOCKED = ("request_blocked", 502)
     ENDPOINT_TIMEOUT = ("endpoint_timeout", 504)
     ANSWER_INCOMPLETE = ("answer_incomplete", 502)
     DEADLINE_EXCEEDED = ("deadline_exceeded", 504)
--- a/daisyhub/gateway/_send_filter.py
+++ b/daisyhub/gateway/_send_filter.py
@@ -3,7 +3,7 @@
 from daisyhub.base import Filter, Handler
 from daisyhub.billing import UsageMeter
 from daisyhub.catalog import RouteKind
-from daisyhub.exceptions import ExecutionStatus, Refusal
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.gateway._send_task import SendTask
 from daisyhub.gateway._sender import Sender
 from daisyhub.messages import Request, Response
@@ -48,7 +48,10 @@
         try:
             return await self._sender.send(task)
         except Refusal as exc:
-            has_run = exc.ran is not ExecutionStatus.NOT_RUN
+            has_run = (
+                exc.ran is not ExecutionStatus.NOT_RUN
+                and exc.error is not ErrorCode.REQUEST_BLOCKED
+            )
             raise
         finally:
             self._meter.close(token, has_run=has_run)
--- a/daisyhub/gateway/_send_task.py
+++ b/daisyhub/gateway/_send_task.py
@@ -3,7 +3,7 @@
 import dataclasses
 import hashlib
 
-from daisyhub.balancing import Urgency
+from daisyhub.balancing import EndpointEntry, Urgency
 from daisyhub.catalog import Route
 from daisyhub.messages import Header
 
@@ -66,16 +66,23 @@
 
     Attributes:
         task: The request.
+        digest: Digest of its content.
         trace: A description of each ended attempt, for the log.
         tried: Ids of the endpoints that were tried.
+        sent: Number of attempts that run or may have run.
         max_wait_s: How long the request may wait for room at an endpoint that
             limits its rate.
+        responding: The endpoint whose response is streamed, and when the
+            request was sent to it.
     """
 
     task: SendTask
+    digest: bytes
     trace: list[str] = dataclasses.field(default_factory=list)
     tried: set[str] = dataclasses.field(default_factory=set)
+    sent: int = 0
     max_wait_s: float = 0.0
+    responding: tuple[EndpointEntry, float] | None = None
 
     @property
     def urgency(self) -> Urgency:
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import math
-import random
 import time
 from collections.abc import Callable
 
@@ -16,7 +15,6 @@
     Permit,
     PermitSource,
 )
-from daisyhub.catalog import Route
 from daisyhub.connections import (
     HttpClient,
     HttpResponse,
@@ -35,6 +33,7 @@
     StartAttempt,
     run_attempts,
 )
+from daisyhub.gateway._crash_watch import CrashWatch
 from daisyhub.gateway._rooms import RoomView
 from daisyhub.gateway._send_outcomes import (
     make_failed_outcome,
@@ -42,6 +41,12 @@
     make_response,
 )
 from daisyhub.gateway._send_task import SendState, SendTask
+from daisyhub.gateway._send_timing import (
+    HEDGE_LEAD_FACTOR,
+    choose_pools,
+    endpoint_timeout_s,
+    hedge_after_s,
+)
 from daisyhub.gateway._wire import (
     EndpointRequest,
     EndpointResponseHead,
@@ -50,19 +55,10 @@
 from daisyhub.logs import DecisionLog
 from daisyhub.messages import Response
 from daisyhub.metrics import Metrics
+from daisyhub.suspects import LocalSuspects, Suspects, Verdict
 
 __all__ = ["Sender"]
 
-# A hedge is sent this many median latencies before the target latency, so that
-# its response can meet the target. For comparison: the 99th percentile of a
-# log-normal distribution with a sigma of 0.5 is 3.2 medians.
-_HEDGE_LEAD_FACTOR = 2.5
-# No hedge is sent before this many median latencies. About one response in ten
-# takes longer; more hedges would add load where it is already high.
-_MIN_HEDGE_DELAY_FACTOR = 1.9
-# The endpoint's deadline is this much before the caller's, for the transfer of
-# the response and a margin for a busy daemon.
-_ENDPOINT_MARGIN_S = 0.03
 # Responses with this status or a higher one give no latency sample.
 _MIN_SERVER_ERROR_STATUS = 500
 
@@ -78,6 +74,8 @@
         log: Receives a line about the attempts of each request.
         permits: Permits for endpoints that limit their rate; by default of a
             daemon without peers.
+        suspects: Requests under which endpoints ended; by default those of a
+            daemon without peers.
     """
 
     def __init__(
@@ -88,6 +86,7 @@
         metrics: Metrics,
         log: DecisionLog,
         permits: PermitSource | None = None,
+        suspects: Suspects | None = None,
     ):
         self._directory = directory
         self._http = http
@@ -96,25 +95,31 @@
         self._log = log
         self._permits = permits or LocalPermits()
         self._rooms = RoomView(directory, self._permits)
+        self._crashes = CrashWatch(
+            suspects or LocalSuspects(directory.is_listed), metrics, log
+        )
         self._budget = RetryBudget()
 
     async def send(self, task: SendTask) -> Response:
         """Returns an endpoint's response; its body may still be streamed.
 
         Raises:
-            Refusal: No endpoint returned a response. Its `ran` says whether
-                the request was executed.
+            Refusal: No endpoint returned a response, or the request is
+                blocked. Its `ran` says whether the request was executed.
         """
         started_s = time.monotonic()
-        pools = _choose_pools(task.route)
+        pools = choose_pools(task.route)
         usual_s = self._directory.median_latency_s(task.route.name)
         plan = ForwardPlan(
             idempotent=task.route.idempotent,
             deadline_s=task.deadline_s,
-            hedge_after_s=_hedge_after_s(task, usual_s),
+            hedge_after_s=hedge_after_s(task, usual_s),
             max_attempts=task.route.max_attempts,
         )
-        state = SendState(task)
+        digest = task.content_digest()
+        if await self._crashes.judge(task, digest) is not Verdict.FREE:
+            plan = dataclasses.replace(plan, hedge_after_s=0.0, max_attempts=1)
+        state = SendState(task, digest)
 
         def choose(excluded: frozenset[str]) -> str | None:
             passed_over = excluded | self._rooms.passed_over(
@@ -131,7 +136,7 @@
             id=task.request_id,
             route=task.route.name,
             account=task.account,
-            content=task.content_digest().hex(),
+            content=digest.hex(),
             pools=pools,
             usual_s=round(usual_s, 4),
             hedge_after_s=round(plan.hedge_after_s, 3),
@@ -142,7 +147,13 @@
         if is_refused:
             room_in_s = self._rooms.next_in_s(state.urgency, pools)
             raise make_refusal(outcome, usual_s, room_in_s)
-        return make_response(outcome.response)
+        resp = make_response(outcome.response)
+        if resp.stream is None:
+            return resp
+        stream = self._crashes.watch(
+            resp.stream, task, digest, *state.responding
+        )
+        return dataclasses.replace(resp, stream=stream)
 
     async def _run(
         self,
@@ -176,7 +187,7 @@
         """
         task = state.task
         usual_s = self._directory.median_latency_s(task.route.name)
-        latest_s = task.deadline_s - _HEDGE_LEAD_FACTOR * usual_s
+        latest_s = task.deadline_s - HEDGE_LEAD_FACTOR * usual_s
         state.max_wait_s = latest_s - time.monotonic()
         candidates = self._rooms.limited(state.urgency, pools)
         if min(candidates.values(), default=math.inf) > latest_s:
@@ -193,9 +204,15 @@
         self, state: SendState, action: StartAttempt
     ) -> AttemptOutcome:
         """Sends the request to one endpoint and records the result."""
+        task, digest = state.task, state.digest
         endpoint = self._directory.get(action.endpoint_id)
-        if endpoint is None or endpoint.entry.is_leaving:
-            # It was leaving only after it was chosen.
+        if (
+            endpoint is None
+            or endpoint.entry.is_leaving
+            or (state.sent and not self._crashes.may_repeat(task, digest))
+        ):
+            # It was leaving only after it was chosen, or endpoints ended under
+            # the earlier attempts.
             return make_failed_outcome(
                 action,
                 ExecutionStatus.NOT_RUN,
@@ -223,6 +240,7 @@
         )
         self._metrics.count("attempts", pool=endpoint.entry.pool)
         result = "cancelled"
+        state.sent += 1
         try:
             fresh = state.record_attempt(endpoint_id)
             response = await self._exchange(
@@ -231,13 +249,18 @@
             result = f"status {response.status}"
         except RequestWithdrawnError as exc:
             result = str(exc)
+            state.sent -= 1
             self._directory.record_closed(endpoint_id, token)
             return make_failed_outcome(
                 action, exc.ran, was_sent=False, is_withdrawn=True
             )
         except RequestFailedError as exc:
             result = str(exc)
+            state.sent -= exc.ran is ExecutionStatus.NOT_RUN
             self._directory.record_failed(endpoint_id, token, time.monotonic())
+            await self._crashes.record_failure(
+                task, digest, endpoint.entry, exc
+            )
             return make_failed_outcome(
                 action,
                 exc.ran,
@@ -255,7 +278,7 @@
                 f"{endpoint_id} load {load}: {result} after {took_s:.3f} s"
             )
         return await self._evaluate_response(
-            action, endpoint.entry, token, sent_s, response
+            state, action, endpoint.entry, token, sent_s, response
         )
 
     async def _exchange(
@@ -280,7 +303,7 @@
                 host=task.host,
                 endpoint_id=entry.endpoint_id,
                 account=task.account,
-                remaining_s=_endpoint_timeout_s(remaining_s),
+                remaining_s=endpoint_timeout_s(remaining_s),
                 headers=task.headers,
             )
         )
@@ -301,6 +324,7 @@
 
     async def _evaluate_response(
         self,
+        state: SendState,
         action: StartAttempt,
         entry: EndpointEntry,
         token: int,
@@ -315,6 +339,7 @@
         is delivered.
 
         Args:
+            state: State of the request.
             action: The attempt.
             entry: The endpoint's entry.
             token: The directory's token of the attempt.
@@ -333,7 +358,12 @@
                 self._directory.record_answered(endpoint_id, token, now_s)
             else:
                 self._directory.record_closed(endpoint_id, token)
+            if isinstance(response, StreamedResponse):
+                state.responding = (entry, sent_s)
+            else:
+                self._crashes.record_response(state.digest, entry, sent_s)
             return AttemptOutcome(AttemptCompleted(action.attempt), response)
+        state.sent -= head.is_not_run
         if isinstance(response, StreamedResponse):
             await response.drain()
         if head.is_misdirected:
@@ -360,36 +390,3 @@
         isinstance(outcome, FailRequest)
         and outcome.error is ErrorCode.NO_ENDPOINT
     )
-
-
-def _choose_pools(route: Route) -> tuple[str, ...]:
-    """Returns a tuple of one pool of the route, chosen randomly by weight."""
-    if len(route.shares) == 1:
-        return (route.shares[0].pool,)
-    weights = [share.weight for share in route.shares]
-    chosen = random.choices(route.shares, weights)[0]
-    return (chosen.pool,)
-
-
-def _hedge_after_s(task: SendTask, median_s: float) -> float:
-    """Returns the hedging delay in seconds; 0 for no hedging.
-
-    The delay is chosen so that the second attempt can meet the route's target
-    latency. Only idempotent requests whose response is buffered are hedged.
-    """
-    if task.is_streamed or not task.route.idempotent:
-        return 0.0
-    if task.is_background:
-        return max(task.route.target_latency_s, _HEDGE_LEAD_FACTOR * median_s)
-    latest_s = task.route.target_latency_s - _HEDGE_LEAD_FACTOR * median_s
-    return max(latest_s, _MIN_HEDGE_DELAY_FACTOR * median_s)
-
-
-def _endpoint_timeout_s(remaining_s: float) -> float:
-    """Returns the timeout to send to the endpoint, in seconds.
-
-    An endpoint that reaches its deadline sends an error response. If that
-    response arrives before the caller's deadline, the connection is reusable.
-    The margin is at most a quarter of the remaining time.
-    """
-    return remaining_s - min(_ENDPOINT_MARGIN_S, remaining_s / 4)
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -8,7 +8,11 @@
 
 import anyio
 
-from daisyhub.balancing import EndpointDirectory, EndpointEntry
+from daisyhub.balancing import (
+    EndpointDirectory,
+    EndpointEntry,
+    EndpointProcess,
+)
 from daisyhub.base import Controller
 from daisyhub.billing import UsageAggregator, UsageMeter, UsageReporter
 from daisyhub.catalog import ManifestController
@@ -28,10 +32,12 @@
     PermitRequest,
     Ping,
     SharedPermits,
+    SharedSuspects,
     StoreRequest,
     StoreRequestHandler,
     TaskOrders,
     TaskReport,
+    TrialRequest,
     UsageReport,
     WatchVerifier,
 )
@@ -189,6 +195,13 @@
         self.permits = SharedPermits(
             self.owners, self.network, self.peers, self.metrics, self.log
         )
+        self.suspects = SharedSuspects(
+            self._is_currently_listed,
+            self.owners,
+            self.network,
+            self.peers,
+            self.log,
+        )
         self.cluster = ClusterController(
             cfg.daemon_id,
             cfg.peer_address,
@@ -211,6 +224,10 @@
         self.network.add_request_handler(
             PermitRequest, self.permits.handle_request
         )
+        self.network.add_receiver(self.suspects.receive)
+        self.network.add_request_handler(
+            TrialRequest, self.suspects.handle_request
+        )
         self.network.add_receiver(self._record_usage)
         self.network.add_request_handler(
             ManifestRequest, self.cluster.handle_manifest_request
@@ -249,6 +266,7 @@
             self.metrics,
             self.log,
             self.permits,
+            self.suspects,
         )
         self._build_lots()
         self.verifier = WatchVerifier(self.accounts, self.watchers)
@@ -282,6 +300,16 @@
         """Tells peers; `leaving_news` is built after the directory."""
         self.leaving_news.announce(entry, call)
 
+    def _is_currently_listed(self, process: EndpointProcess) -> bool:
+        """Whether the list, which is up to date, contains a process."""
+        known = self.directory.get(process.endpoint_id)
+        is_current = all(watcher.is_current for watcher in self.watchers)
+        return (
+            is_current
+            and self.directory.is_listed(process)
+            and known.absent_since_s is None
+        )
+
     def _rank_endpoint(self, endpoint_id: str) -> float:
         """Returns a number for an endpoint that differs by daemon."""
         text = f"{self.cfg.daemon_id}/{endpoint_id}".encode()
@@ -432,7 +460,11 @@
             self.app, parse_address(cfg.callers), cfg.grace_s
         )
         operators = OperatorsApp(
-            self.metrics, self.is_ready, self.status, "/v1/readiness"
+            self.metrics,
+            self.is_ready,
+            self.status,
+            "/v1/readiness",
+            self.suspects.lift,
         )
         self.readiness_server = HttpServer(
             operators, parse_address(cfg.readiness)
@@ -476,6 +508,7 @@
             "open_requests": self.app.open_requests,
             "leaving_endpoints": self.directory.announced_leaving(),
             "limited_endpoints": self.permits.limited(),
+            "blocked_requests": self.suspects.status(),
             **{_status_key(c): c.status() for c in self.controllers},
         }
 
@@ -492,6 +525,7 @@
             newest={w.kind: w.newest_revision for w in self.watchers},
             standbys=self._choose_standbys(),
             leaving_digest=self.leaving_news.digest(),
+            suspects=self.suspects.news_for_ping(),
         )
 
     def _make_usage_report(self) -> UsageReport:
--- a/daisyhub/serving/_operators_app.py
+++ b/daisyhub/serving/_operators_app.py
@@ -1,4 +1,8 @@
-"""The ASGI application for operators: health, readiness, metrics, status."""
+"""The ASGI application for operators: health, readiness, metrics, status.
+
+`DELETE /blocked/CONTENT` lets a request be sent again that was blocked because
+endpoints ended under it.
+"""
 
 from collections.abc import Awaitable, Callable
 
@@ -10,6 +14,7 @@
 
 _TEXT_TYPE = b"text/plain; charset=utf-8"
 _JSON_TYPE = b"application/json"
+_BLOCKED_PATH = "/blocked/"
 
 
 class OperatorsApp:
@@ -20,6 +25,8 @@
         is_ready: Returns whether the daemon accepts new requests.
         get_status: Returns the daemon's status as JSON values.
         ready_path: Path of the readiness check.
+        lift_block: Lets a blocked request be sent again, identified by the
+            digest of its content; returns whether it was blocked.
     """
 
     def __init__(
@@ -28,11 +35,13 @@
         is_ready: Callable[[], bool],
         get_status: Callable[[], dict[str, object]],
         ready_path: str = "/readyz",
+        lift_block: Callable[[str], bool] = lambda _: False,
     ):
         self._metrics = metrics
         self._is_ready = is_ready
         self._get_status = get_status
         self._ready_path = ready_path
+        self._lift_block = lift_block
 
     async def __call__(
         self,
@@ -43,7 +52,14 @@
         """Serves one request."""
         if scope["type"] != "http":
             return
-        status, content_type, body = self._respond(scope["path"])
+        path = scope["path"]
+        if scope["method"] == "DELETE" and path.startswith(_BLOCKED_PATH):
+            is_lifted = self._lift_block(path.removeprefix(_BLOCKED_PATH))
+            status = 200 if is_lifted else 404
+            body = b"lifted\n" if is_lifted else b"not blocked\n"
+            content_type = _TEXT_TYPE
+        else:
+            status, content_type, body = self._respond(path)
         headers = [
             (b"content-type", content_type),
             (b"content-length", str(len(body)).encode()),
--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -8,6 +8,7 @@
 
 import base64
 import dataclasses
+import os
 import random
 import time
 
@@ -24,7 +25,10 @@
 from daisyhub.testing.fake_app import FakeApp, Request, Response, serve_fake
 from daisyhub.testing.object_store import MemoryStore
 
-__all__ = ["FakePlatformStore", "FakeServer"]
+__all__ = ["CRASH_STATUS", "FakePlatformStore", "FakeServer"]
+
+# Exit status of a server that a request ended.
+CRASH_STATUS = 70
 
 _ROLE = flags.DEFINE_enum(
     "role", "platform", ["platform", "server"], "Which fake to run."
@@ -166,7 +170,8 @@
     until `DELETE` of the same path; it serves on. `POST /admin/limit` with a
     number makes every response state that limit, until `DELETE`.
     `GET /admin/arrivals` returns the monotonic time of each request, reports
-    and orders included, that arrived while a limit was stated.
+    and orders included, that arrived while a limit was stated. A look-up of
+    `/records/crash` ends the process with `CRASH_STATUS`.
 
     Args:
         name: Instance id.
@@ -231,6 +236,9 @@
                 "at_s": time.monotonic(),
             }
         )
+        if request.path == "/records/crash":
+            await anyio.sleep(self.event_s)
+            os._exit(CRASH_STATUS)
         if request.path.startswith("/gen/"):
             return self._generate(request)
         await anyio.sleep(self.event_s)
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 import anyio
 import msgspec
@@ -28,6 +29,7 @@
 KEY = "key-of-t"
 _LOOPBACK = "127.0.0.1"
 _WAIT_TIMEOUT_S = 20.0
+_MS_PER_S = 1000
 _DOMAINS = ("z1", "z2", "z3")
 
 
@@ -87,6 +89,26 @@
         self._start_server_process(name)
         await self._wait_until_listening(name)
 
+    async def restart_server(self, name: str) -> None:
+        """Starts a server that ended as another process with an own entry.
+
+        Returns without an entry if it ends again at once.
+        """
+        self._start_server_process(name)
+        process = self.processes[name]
+        entry = {
+            **self.build_server_entry(name),
+            "born": int(time.time() * _MS_PER_S),
+        }
+        while process.poll() is None:
+            try:
+                await self._get(self.ports[name], "/admin/ran")
+            except RequestFailedError:
+                await anyio.sleep(0.05)
+                continue
+            await self.put("servers", name, entry)
+            return
+
     def kill_server(self, name: str) -> None:
         """Kills a server and waits for the end of its process."""
         self.processes[name].kill()
