The connection that tells whether an endpoint ended is kept for requests

After a lost connection, a new one tells whether the endpoint's process ended. It was closed again, which costs a connection for each garbled or lost response; now the next request uses it. The tests of crashing requests pass.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -24,6 +24,7 @@
     RequestFailedError,
     connect,
     mapped_errors,
+    try_connect,
 )
 from daisyhub.connections._exchange import (
     check_may_send,
@@ -264,6 +265,20 @@
             self.drop_idle_connections(address)
         await self._close_dropped()
 
+    async def is_refused(self, address: Address, timeout_s: float) -> bool:
+        """Whether a new connection is refused, as nobody listens there.
+
+        An opened connection is kept for the next request. Without a response
+        in time, the result is False.
+        """
+        try:
+            conn = await try_connect(address, timeout_s)
+        except ConnectionRefusedError:
+            return True
+        if conn is not None:
+            self._idle.setdefault(address, []).append(conn)
+        return False
+
     def has_connection(self, address: Address) -> bool:
         """Whether a connection to an address is idle, or soon may be."""
         if self._in_use[address]:
--- a/daisyhub/connections/_connection.py
+++ b/daisyhub/connections/_connection.py
@@ -6,6 +6,7 @@
 import select
 import socket
 import struct
+import time
 
 import anyio
 import httpcore
@@ -20,6 +21,7 @@
     "RequestWithdrawnError",
     "connect",
     "mapped_errors",
+    "try_connect",
 ]
 
 _CLOSE_TIMEOUT_S = 0.5
@@ -215,6 +217,27 @@
     return Connection(address, stream)
 
 
+async def try_connect(address: Address, timeout_s: float) -> Connection | None:
+    """Opens a connection; returns None if that fails or takes too long.
+
+    Raises:
+        ConnectionRefusedError: Nobody listens at the address.
+    """
+    with anyio.move_on_after(timeout_s):
+        try:
+            conn = await connect(address, timeout_s)
+        except (httpcore.ConnectError, httpcore.TimeoutException) as exc:
+            cause = exc
+            while cause is not None:
+                if isinstance(cause, ConnectionRefusedError):
+                    raise cause from None
+                cause = cause.__cause__
+            return None
+        conn.idle_since_s = time.monotonic()
+        return conn
+    return None
+
+
 @contextlib.contextmanager
 def mapped_errors(address: Address, get_ran, deadline_s: float):
     """Cancels the block at the deadline; maps httpcore's errors to one error.
--- a/daisyhub/gateway/_crash_watch.py
+++ b/daisyhub/gateway/_crash_watch.py
@@ -1,18 +1,13 @@
 """Notices requests under which endpoints end, and keeps them from others."""
 
-import asyncio
-import contextlib
 from collections.abc import AsyncIterator
 
-import anyio
-
 from daisyhub.balancing import EndpointEntry
-from daisyhub.connections import RequestFailedError
+from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.gateway._send_task import SendTask
 from daisyhub.logs import DecisionLog
 from daisyhub.metrics import Metrics
-from daisyhub.settings import Address
 from daisyhub.suspects import Suspects, Verdict
 
 __all__ = ["CrashWatch"]
@@ -30,12 +25,20 @@
 
     Args:
         suspects: The suspected requests.
+        http: Tells whether an endpoint still listens.
         metrics: Counts evidence and blocked requests.
         log: Log of both.
     """
 
-    def __init__(self, suspects: Suspects, metrics: Metrics, log: DecisionLog):
+    def __init__(
+        self,
+        suspects: Suspects,
+        http: HttpClient,
+        metrics: Metrics,
+        log: DecisionLog,
+    ):
         self._suspects = suspects
+        self._http = http
         self._metrics = metrics
         self._log = log
 
@@ -86,7 +89,10 @@
         was_running = exc.ran is not ExecutionStatus.NOT_RUN
         if task.is_background or not was_running or exc.timed_out:
             return
-        if not await _is_refused(entry.address):
+        is_refused = await self._http.is_refused(
+            entry.address, _CONNECT_TIMEOUT_S
+        )
+        if not is_refused:
             return
         self._metrics.count("endpoints_ended_under_requests")
         self._log.record(
@@ -140,14 +146,3 @@
     async def aclose(self) -> None:
         """Closes the stream."""
         await self._stream.aclose()
-
-
-async def _is_refused(address: Address) -> bool:
-    """Whether nobody listens at an address."""
-    with contextlib.suppress(OSError), anyio.move_on_after(_CONNECT_TIMEOUT_S):
-        try:
-            _, writer = await asyncio.open_connection(address.ip, address.port)
-        except ConnectionRefusedError:
-            return True
-        writer.close()
-    return False
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -96,7 +96,7 @@
         self._permits = permits or LocalPermits()
         self._rooms = RoomView(directory, self._permits)
         self._crashes = CrashWatch(
-            suspects or LocalSuspects(directory.is_listed), metrics, log
+            suspects or LocalSuspects(directory.is_listed), http, metrics, log
         )
         self._budget = RetryBudget()
 
