Soak: servers state limits of their request rate

Drawn by a generator of its own, so that the other disturbances of a seed stay as they were. Whether the limits are kept isn't checked here, as the servers don't know which daemon was excused; test_permits and test_limit_processes check it.

--- a/daisyhub/testing/soak/_plan.py
+++ b/daisyhub/testing/soak/_plan.py
@@ -18,6 +18,10 @@
 _SERIES_PER_TEN_S = 1.5
 _NEXT_OF_SERIES_PROBABILITY = 0.5
 _MAX_SERIES_GAP_S = 2.0
+# Limits of servers per ten seconds, and their rates: from none to more than a
+# server gets.
+_LIMITS_PER_TEN_S = 1.5
+_LIMITS_PER_S = (0.0, 0.5, 2.0, 10.0, 50.0)
 # Maximum delay in seconds of a late response, within the timeout of a store
 # call (0.7 s), and of a deferred write; and from the first disturbed write to
 # the rejections, twice that timeout.
@@ -42,6 +46,7 @@
         STORE_FAULT: The store responds with faults.
         SERVER_LINK: A network fault between all daemons and one server.
         SERVER_FAULT: A server responds with faults.
+        SERVER_LIMIT: A server states a limit of its request rate.
         CONFIG: The manifest is written again with a new version.
         KEYS: The manifest contains a second account for a time.
         KILL_ALL: All daemons are killed and restarted.
@@ -58,6 +63,7 @@
     STORE_FAULT = "store_fault"
     SERVER_LINK = "server_link"
     SERVER_FAULT = "server_fault"
+    SERVER_LIMIT = "server_limit"
     CONFIG = "config"
     KEYS = "keys"
     KILL_ALL = "kill_all"
@@ -126,6 +132,7 @@
         kind: Its kind.
         target: Name of a daemon or a server, or `platform`; empty for all.
         mode: Mode of a link, or kind of a fault; empty for others.
+        rate_per_s: Stated limit; used by `Kind.SERVER_LIMIT` only.
         clock_jump_s: Offset of the wall clock; used by `Kind.CLOCK` only.
         write_fault: The fault; used by `Kind.SUBMISSION` only.
     """
@@ -135,6 +142,7 @@
     kind: Kind
     target: str = ""
     mode: str = ""
+    rate_per_s: float = 0.0
     clock_jump_s: float = 0.0
     write_fault: WriteFault | None = None
 
@@ -158,6 +166,7 @@
         if repeat.at_s < seconds:
             plan.append(repeat)
     plan += _draw_series(random.Random(f"{seed} submissions"), seconds)
+    plan += _draw_limits(random.Random(f"{seed} limits"), seconds, servers)
     return tuple(sorted(plan, key=lambda d: d.at_s))
 
 
@@ -188,6 +197,18 @@
             at_s += rng.uniform(0.0, _MAX_SERIES_GAP_S)
 
 
+def _draw_limits(rng, seconds, servers) -> Iterator[Disturbance]:
+    """Yields limits of servers, which overlap."""
+    for _ in range(max(1, round(seconds / 10 * _LIMITS_PER_TEN_S))):
+        yield Disturbance(
+            at_s=rng.uniform(0.0, seconds),
+            duration_s=rng.uniform(0.5, 2 * _MAX_DURATION_S),
+            kind=Kind.SERVER_LIMIT,
+            target=rng.choice(servers),
+            rate_per_s=rng.choice(_LIMITS_PER_S),
+        )
+
+
 def _draw(rng, seconds, daemons, servers) -> Disturbance:
     kind = rng.choices(list(_WEIGHTS), list(_WEIGHTS.values()))[0]
     at_s = rng.uniform(0.0, seconds)
--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -199,14 +199,9 @@
             case Kind.STORE_LINK | Kind.SERVER_LINK | Kind.ALL_STORE_LINKS:
                 await self._degrade_links(disturbance)
             case Kind.STORE_FAULT | Kind.SERVER_FAULT:
-                fault = {
-                    "id": f"at-{disturbance.at_s}",
-                    "kind": disturbance.mode,
-                    "delay_s": 0.5,
-                }
-                await fleet.inject_fault(disturbance.target, fault)
-                await anyio.sleep(disturbance.duration_s)
-                await fleet.remove_fault(disturbance.target, fault["id"])
+                await self._inject_fault(disturbance)
+            case Kind.SERVER_LIMIT:
+                await self._limit_server(disturbance)
             case Kind.SUBMISSION:
                 await self._submissions.apply(disturbance)
             case Kind.CONFIG:
@@ -217,6 +212,22 @@
                 await anyio.sleep(disturbance.duration_s)
                 await self._write_config({_ACCOUNT: [KEY]})
 
+    async def _inject_fault(self, disturbance: Disturbance) -> None:
+        fault = {
+            "id": f"at-{disturbance.at_s}",
+            "kind": disturbance.mode,
+            "delay_s": 0.5,
+        }
+        await self.fleet.inject_fault(disturbance.target, fault)
+        await anyio.sleep(disturbance.duration_s)
+        await self.fleet.remove_fault(disturbance.target, fault["id"])
+
+    async def _limit_server(self, disturbance: Disturbance) -> None:
+        target = disturbance.target
+        await self.fleet.set_limit(target, disturbance.rate_per_s)
+        await anyio.sleep(disturbance.duration_s)
+        await self.fleet.set_limit(target, None)
+
     async def _write_config(self, keys: dict[str, list[str]]) -> None:
         """Writes a manifest; retries until the store accepts it."""
         while True:
