--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -198,10 +198,8 @@
                 self._signal(disturbance.target, signal.SIGHUP)
             case Kind.STORE_LINK | Kind.SERVER_LINK | Kind.ALL_STORE_LINKS:
                 await self._degrade_links(disturbance)
-            case Kind.STORE_FAULT | Kind.SERVER_FAULT:
-                await self._inject_fault(disturbance)
-            case Kind.SERVER_LIMIT:
-                await self._limit_server(disturbance)
+            case Kind.STORE_FAULT | Kind.SERVER_FAULT | Kind.SERVER_LIMIT:
+                await self._disturb_fake(disturbance)
             case Kind.SUBMISSION:
                 await self._submissions.apply(disturbance)
             case Kind.CONFIG:
@@ -212,21 +210,19 @@
                 await anyio.sleep(disturbance.duration_s)
                 await self._write_config({_ACCOUNT: [KEY]})
 
-    async def _inject_fault(self, disturbance: Disturbance) -> None:
-        fault = {
-            "id": f"at-{disturbance.at_s}",
-            "kind": disturbance.mode,
-            "delay_s": 0.5,
-        }
-        await self.fleet.inject_fault(disturbance.target, fault)
-        await anyio.sleep(disturbance.duration_s)
-        await self.fleet.remove_fault(disturbance.target, fault["id"])
-
-    async def _limit_server(self, disturbance: Disturbance) -> None:
-        target = disturbance.target
-        await self.fleet.set_limit(target, disturbance.rate_per_s)
+    async def _disturb_fake(self, disturbance: Disturbance) -> None:
+        """Has a fake respond with faults, or state a limit, for a time."""
+        fleet, target = self.fleet, disturbance.target
+        if disturbance.kind is Kind.SERVER_LIMIT:
+            await fleet.set_limit(target, disturbance.rate_per_s)
+            await anyio.sleep(disturbance.duration_s)
+            await fleet.set_limit(target, None)
+            return
+        name, kind = f"at-{disturbance.at_s}", disturbance.mode
+        fault = {"id": name, "kind": kind, "delay_s": 0.5}
+        await fleet.inject_fault(target, fault)
         await anyio.sleep(disturbance.duration_s)
-        await self.fleet.set_limit(target, None)
+        await fleet.remove_fault(target, name)
 
     async def _write_config(self, keys: dict[str, list[str]]) -> None:
         """Writes a manifest; retries until the store accepts it."""
