--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -15,6 +15,7 @@
 from daisyhub.testing.soak._links import Link, LinkMode
 from daisyhub.testing.soak._load_generator import LoadGenerator
 from daisyhub.testing.soak._plan import Disturbance, Kind, make_plan
+from daisyhub.testing.soak._signals import is_signal_handled
 from daisyhub.testing.soak._submission_faults import (
     CLIENT_NETWORK,
     SubmissionDisturber,
@@ -240,7 +241,7 @@
         """
         if name in self._restarting:
             return
-        if number == signal.SIGHUP and not _is_signal_handled(
+        if number == signal.SIGHUP and not is_signal_handled(
             self.fleet.processes[name].pid, number
         ):
             return
@@ -390,14 +391,3 @@
             "\n".join(map(str, self.plan)), encoding="utf-8"
         )
         return str(folder)
-
-
-def _is_signal_handled(pid: int, number: int) -> bool:
-    """Returns whether a process ignores or catches a signal now."""
-    try:
-        status = pathlib.Path(f"/proc/{pid}/status").read_text("utf-8")
-    except OSError:
-        return False
-    fields = dict(line.split(":", 1) for line in status.splitlines())
-    masks = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
-    return bool(masks >> (number - 1) & 1)
