--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -170,8 +170,6 @@
         await fleet.open_links(tasks)
         await fleet.start_daemons()
 
-    # Disturbances.
-
     async def _disturb(self) -> None:
         started_s = time.monotonic()
         async with anyio.create_task_group() as tasks:
