--- a/daisyhub/cluster/_permits.py
+++ b/daisyhub/cluster/_permits.py
@@ -214,7 +214,7 @@
         self, process: EndpointProcess, limit: RateLimit, peer: str
     ) -> None:
         event = "endpoint_limited" if limit.is_finite else "endpoint_unlimited"
-        self._metrics.count(f"{event}_total")
+        self._metrics.count(event)
         self._log.record(
             event,
             endpoint=process.endpoint_id,
