Observability for ORDER: logs name software versions and resumed streams

Entries of servers are decoded with the version of their software, requests with the stream that they go on with; `endpoint`, `run_ordered` and `sent` log both. No decision uses them yet.

--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -31,6 +31,7 @@
 )
 from daisyhub.balancing._permits import LocalPermits, Permit, PermitSource
 from daisyhub.balancing._rate_limits import RateLimit, RateLimits
+from daisyhub.balancing._releases import Release
 
 __all__ = [
     "DRAIN_PREFIX",
@@ -52,6 +53,7 @@
     "PermitSource",
     "RateLimit",
     "RateLimits",
+    "Release",
     "RoundRobin",
     "Urgency",
     "digest_marks",
--- a/daisyhub/balancing/_endpoint.py
+++ b/daisyhub/balancing/_endpoint.py
@@ -4,6 +4,7 @@
 import math
 
 from daisyhub.balancing._leaving import EndpointProcess
+from daisyhub.balancing._releases import Release
 from daisyhub.settings import Address
 
 __all__ = [
@@ -42,6 +43,7 @@
         is_leaving: Whether it accepts no new requests.
         is_cheap: Whether the platform may reclaim it (spot capacity).
         versions: Version of the weights by model.
+        software: Version of its software; empty if unknown.
     """
 
     endpoint_id: str
@@ -53,6 +55,12 @@
     is_leaving: bool = False
     is_cheap: bool = False
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
+    software: str = ""
+
+    @property
+    def release(self) -> Release | None:
+        """Its release; None if the version of its software is unknown."""
+        return Release(self.pool, self.software) if self.software else None
 
     @property
     def process(self) -> EndpointProcess:
--- a/daisyhub/gateway/_send_filter.py
+++ b/daisyhub/gateway/_send_filter.py
@@ -42,6 +42,7 @@
             account=req.account,
             deadline_s=req.deadline_s,
             is_streamed=req.route.kind is RouteKind.STREAMING,
+            resumption=req.resumption,
         )
         token = self._meter.open(req.account)
         has_run = True
--- a/daisyhub/gateway/_send_task.py
+++ b/daisyhub/gateway/_send_task.py
@@ -5,7 +5,7 @@
 
 from daisyhub.balancing import EndpointEntry, Urgency
 from daisyhub.catalog import Route
-from daisyhub.messages import Header
+from daisyhub.messages import Header, Resumption
 
 __all__ = ["SendState", "SendTask"]
 
@@ -29,6 +29,8 @@
         account: Client account to send; empty for none.
         deadline_s: Monotonic time by which the response must be complete.
         is_streamed: Whether the response is streamed instead of buffered.
+        resumption: The stream that the request goes on with; None if it
+            begins anew.
         is_background: Whether no caller waits for this response itself. A
             hedge is then sent only after the target latency.
     """
@@ -43,6 +45,7 @@
     account: str = ""
     deadline_s: float
     is_streamed: bool = False
+    resumption: Resumption | None = None
     is_background: bool = False
 
     def content_digest(self) -> bytes:
@@ -75,6 +78,7 @@
         is_answered: Whether an attempt got a response that is delivered.
         responding: The endpoint whose response is streamed, and when the
             request was sent to it.
+        software: Version of that endpoint's software.
     """
 
     task: SendTask
@@ -85,6 +89,7 @@
     max_wait_s: float = 0.0
     is_answered: bool = False
     responding: tuple[EndpointEntry, float] | None = None
+    software: str = ""
 
     @property
     def urgency(self) -> Urgency:
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -138,6 +138,8 @@
             account=task.account,
             content=digest.hex(),
             pools=pools,
+            resumes=task.resumption.first_request_id if task.resumption else "",
+            software=state.software,
             usual_s=round(usual_s, 4),
             hedge_after_s=round(plan.hedge_after_s, 3),
             attempts=state.trace,
@@ -363,6 +365,7 @@
             state.is_answered = True
             if isinstance(response, StreamedResponse):
                 state.responding = (entry, sent_s)
+                state.software = entry.software
             else:
                 self._crashes.record_response(state.digest, entry, sent_s)
             return AttemptOutcome(AttemptCompleted(action.attempt), response)
--- a/daisyhub/lots/_worker_pool.py
+++ b/daisyhub/lots/_worker_pool.py
@@ -155,6 +155,7 @@
         item = action.item
         endpoint = self._directory.get(action.endpoint_id)
         domain = endpoint.entry.domain if endpoint else ""
+        software = endpoint.entry.software if endpoint else ""
         task_id, worker_id = self._open_task(action, action.endpoint_id, domain)
         self._task_by_run[action.run] = task_id
         self._pending_orders(worker_id).runs.append(
@@ -177,6 +178,7 @@
             id=item.item_id,
             lot=action.lot_id,
             endpoint=action.endpoint_id,
+            software=software,
             resume_after=action.resume_after,
             task=task_id,
             worker=worker_id,
--- a/daisyhub/messages.py
+++ b/daisyhub/messages.py
@@ -7,12 +7,26 @@
 if typing.TYPE_CHECKING:
     from daisyhub.config import Route
 
-__all__ = ["Header", "Request", "Response"]
+__all__ = ["Header", "Request", "Response", "Resumption"]
 
 Header = tuple[bytes, bytes]
 BodyReader = Callable[[int], Awaitable[bytes]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resumption:
+    """What a caller says of a stream that its request goes on with.
+
+    Attributes:
+        first_request_id: Id of the request that brought the stream's first
+            event; empty if the caller names none.
+        after: The last event that the caller has.
+    """
+
+    first_request_id: str
+    after: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Request:
     """A request of a caller.
@@ -37,6 +51,8 @@
             otherwise.
         lot_call: Call of the lot interface if the `CallerWire` decoded one;
             None otherwise.
+        resumption: The stream that the request goes on with; None if it
+            begins anew.
     """
 
     request_id: str
@@ -54,6 +70,7 @@
     body: bytes = dataclasses.field(default=b"", repr=False)
     key: str = dataclasses.field(default="", repr=False)
     lot_call: object | None = None
+    resumption: Resumption | None = None
 
     def header_values(self, name: bytes) -> list[bytes]:
         """Returns all values of a header, `name` in lower case."""
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -623,6 +623,7 @@
                 is_cheap=entry.is_cheap,
                 slots=entry.slots,
                 versions=entry.versions,
+                software=entry.software,
                 revision=found.revision,
             )
 
--- a/daisyhub/platform/_servers.py
+++ b/daisyhub/platform/_servers.py
@@ -30,6 +30,7 @@
     address: str
     zone: str
     state: str
+    version: str = ""
     slots: int = 1
     born: int = 0
     spot: bool = False
@@ -58,4 +59,5 @@
         is_leaving=_IS_LEAVING_BY_STATE[server.state],
         is_cheap=server.spot,
         versions={model.name: model.version for model in server.models},
+        software=server.version,
     )
--- a/daisyhub/platform/_wire.py
+++ b/daisyhub/platform/_wire.py
@@ -23,7 +23,13 @@
     EndpointWire,
 )
 from daisyhub.lots import EndLot, LotCall, ReadItemBody, ReadResults
-from daisyhub.messages import BodyReader, Header, Request, Response
+from daisyhub.messages import (
+    BodyReader,
+    Header,
+    Request,
+    Response,
+    Resumption,
+)
 
 __all__ = ["PlatformCallerWire", "PlatformEndpointWire"]
 
@@ -35,6 +41,8 @@
 _ACCOUNT = b"daisyhub-tenant"
 _ENDPOINT = b"daisyhub-expect-instance"
 _RESUME_AFTER = b"last-event-id"
+# Id of the request that brought the first event of a resumed stream.
+_RESUMES = b"resumes"
 _NOT_RUN = b"daisyhub-not-executed"
 _LOAD = b"daisyhub-server-load"
 _PROOF = b"daisyhub-server-stamp"
@@ -78,6 +86,8 @@
 # Bounded in length, so that no value overflows.
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 _VERSION = re.compile(rb"\d{1,9}")
+# Values of the header for the last event that name none.
+_NO_EVENT = (b"", b"0")
 _LOTS_PATH = "/v1/lots/"
 _ITEMS_PATH = "/v1/items/"
 
@@ -112,6 +122,7 @@
             deadline_s=now_s + remaining_s,
             key=by_name.get(_KEY, b"").decode("latin-1"),
             lot_call=_read_lot_call(scope["method"], path, query, by_name),
+            resumption=_read_resumption(by_name),
         )
 
     def response_headers(self, resp: Response) -> tuple[Header, ...]:
@@ -195,6 +206,18 @@
     return min(valid, default=None)
 
 
+def _read_resumption(by_name: dict[bytes, bytes]) -> Resumption | None:
+    """Returns the stream that a request goes on with; None for a new one.
+
+    Without an event, a caller has nothing to go on from.
+    """
+    after = by_name.get(_RESUME_AFTER, b"").strip()
+    first_id = by_name.get(_RESUMES, b"").strip()
+    if after in _NO_EVENT and not first_id:
+        return None
+    return Resumption(first_id.decode("latin-1"), after.decode("latin-1"))
+
+
 def _read_load(value: bytes) -> int | None:
     """Returns running plus waiting requests of `running,waiting,slots`.
 
--- a/daisyhub/platform/tests/test_wires.py
+++ b/daisyhub/platform/tests/test_wires.py
@@ -8,7 +8,7 @@
 from daisyhub.gateway import EndpointRequest
 from daisyhub.logs import DecisionLog
 from daisyhub.lots import EndLot, ReadItemBody, ReadResults
-from daisyhub.messages import Request
+from daisyhub.messages import Request, Resumption
 from daisyhub.objects import StoredObject
 from daisyhub.platform._lots_json import PlatformLotWire
 from daisyhub.platform._manifest import PlatformManifestReader
@@ -145,6 +145,7 @@
         self.assertTrue(entry.is_cheap)
         self.assertFalse(entry.is_leaving)
         self.assertEqual(entry.incarnation, 1700000000000)
+        self.assertEqual(entry.software, "v1")
 
     def test_invalid_entries_are_rejected(self):
         for invalid in (
@@ -176,6 +177,17 @@
         }
         return PlatformCallerWire().read_request(scope, None, 100.0)
 
+    def test_a_resumed_stream_is_named_by_its_first_request(self):
+        self.assertIsNone(self.read().resumption)
+        self.assertIsNone(self.read(last_event_id="0").resumption)
+        for headers, expected in (
+            ({"last_event_id": "7", "resumes": "q"}, Resumption("q", "7")),
+            ({"last_event_id": "7"}, Resumption("", "7")),
+            ({"resumes": "q"}, Resumption("q", "")),
+        ):
+            with self.subTest(headers):
+                self.assertEqual(self.read(**headers).resumption, expected)
+
     def test_deadline_header_is_a_duration(self):
         req = self.read(daisyhub_deadline_ms="800", api_key="k")
         self.assertAlmostEqual(req.deadline_s, 100.8)
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -457,6 +457,7 @@
             "slots": 4,
             "state": "ready",
             "models": [{"name": "m", "version": 1}],
+            "version": "v1",
             "born": 1,
         }
 
