--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -35,6 +35,11 @@
 )
 _NAME = flags.DEFINE_string("name", "i-1", "Instance id of a server.")
 _EVENT_S = flags.DEFINE_float("event_s", 0.02, "Seconds per event or look-up.")
+_SOFTWARE = flags.DEFINE_string(
+    "software", "v1", "Software version of a server."
+)
+# The version whose texts carry no mark.
+_UNMARKED_SOFTWARE = "v1"
 _EVENT_COUNT = 6
 _WEIGHT_LOAD_S = 0.2
 _OBJECTS_PATH = "/v1/objects/"
@@ -163,7 +168,9 @@
     """An engine and a plain service at one address.
 
     A generated text depends on the item id only, so that it can be checked
-    wherever and however often the item runs. `GET /admin/ran` returns the
+    wherever and however often the item runs; that of a caller's stream, below
+    `/chat/`, on the path. Software versions other than `v1` mark each event
+    with their version. `GET /admin/ran` returns the
     executed requests: id, account, whether the client's API key was
     forwarded, whether a stream was resumed, and the monotonic time. After
     `POST /admin/leave`, every response announces that the server is leaving,
@@ -176,12 +183,16 @@
     Args:
         name: Instance id.
         event_s: Seconds per event or look-up.
+        software: Version of its software.
     """
 
-    def __init__(self, name: str, event_s: float):
+    def __init__(
+        self, name: str, event_s: float, software: str = _UNMARKED_SOFTWARE
+    ):
         super().__init__()
         self.name = name
         self.event_s = event_s
+        self._mark = "" if software == _UNMARKED_SOFTWARE else f"@{software}"
         self._version = 1
         self._order_count = 0
         self._is_busy = False
@@ -240,7 +251,10 @@
             await anyio.sleep(self.event_s)
             os._exit(CRASH_STATUS)
         if request.path.startswith("/gen/"):
-            return self._generate(request)
+            item_id = request.headers["daisyhub-request-id"]
+            return self._generate(request, item_id)
+        if request.path.startswith("/chat/"):
+            return self._generate(request, request.path.rpartition("/")[2])
         await anyio.sleep(self.event_s)
         return self._respond(value={"path": request.path})
 
@@ -262,11 +276,10 @@
         self._is_busy = False
         return Response(status=202)
 
-    def _generate(self, request: Request) -> Response:
-        item_id = request.headers["daisyhub-request-id"]
+    def _generate(self, request: Request, text_id: str) -> Response:
         first = int(request.headers.get("last-event-id", 0)) + 1
         chunks = tuple(
-            f"id: {n}\ndata: {item_id}-{n}\n\n".encode()
+            f"id: {n}\ndata: {text_id}-{n}{self._mark}\n\n".encode()
             for n in range(first, _EVENT_COUNT + 1)
         )
         version = str(self._version).encode()
@@ -290,7 +303,7 @@
     if _ROLE.value == "platform":
         serve_fake(FakePlatformStore())
     else:
-        serve_fake(FakeServer(_NAME.value, _EVENT_S.value))
+        serve_fake(FakeServer(_NAME.value, _EVENT_S.value, _SOFTWARE.value))
 
 
 if __name__ == "__main__":
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -47,6 +47,7 @@
 
     Attributes:
         daemon_env: Additional environment variables by daemon.
+        software: Software version of servers whose version isn't `v1`.
         ports: Port of each fake by name, and of each daemon's listener by
             `name/listener`: front (client requests), ready, peer, metrics.
     """
@@ -62,6 +63,7 @@
         self._module = module
         self._settings = settings or {}
         self.daemon_env: dict[str, dict[str, str]] = {}
+        self.software: dict[str, str] = {}
         self.daemon_names = [f"edge-{n}" for n in range(daemons)]
         self.server_names = [f"i-{n}" for n in range(servers)]
         self.event_s = event_s
@@ -216,6 +218,15 @@
                     "target-latency-ms": 200,
                     "public": True,
                 },
+                {
+                    **common,
+                    "name": "chat",
+                    "path-prefix": "/chat/",
+                    "route-type": "streaming",
+                    "resumable": True,
+                    "timeout-ms": 10000,
+                    "target-latency-ms": 1000,
+                },
                 {
                     **common,
                     "name": "gen",
@@ -457,7 +468,7 @@
             "slots": 4,
             "state": "ready",
             "models": [{"name": "m", "version": 1}],
-            "version": "v1",
+            "version": self._software_of(name),
             "born": 1,
         }
 
@@ -493,8 +504,12 @@
             "--role=server",
             f"--name={name}",
             f"--event_s={self.event_s}",
+            f"--software={self._software_of(name)}",
         )
 
+    def _software_of(self, server: str) -> str:
+        return self.software.get(server, "v1")
+
     def _start_fake(self, name: str, *args: str) -> None:
         if name not in self.ports:
             self.ports[name] = _free_port()
