Items go on only at the release that began their text

Cause: an engine was chosen by pool, weights and load also for an item that had text. Class: what is joined from two processes was not bound to what began it.

Text carries its release (pool and software version) wherever it goes: open and backup runs, a later lot with the same item, the object in the store, the next holder. An engine of another or unknown release begins the item anew, with nothing of the old text. If engines of the release are listed but have no room, the item waits no longer than the text took. Workers check the version when they send, and discard what a process that restarted meanwhile returns.

--- a/daisyhub/cluster/_task_messages.py
+++ b/daisyhub/cluster/_task_messages.py
@@ -19,6 +19,7 @@
     Attributes:
         task_id: Id of the task, unique for a fencing number of the duty.
         endpoint_id: The engine.
+        software: Software version of the engine; empty if unknown.
         resume_after: Number of events after which the stream starts.
         remaining_s: Seconds after which the result is useless.
         item_id: The item.
@@ -39,6 +40,7 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    software: str = ""
 
 
 class RewardOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -7,7 +7,9 @@
 slows its other runs.
 
 A run without events for too long is cancelled and resumed on another engine
-after its last event. While fast engines have free slots, items that run on a
+after its last event. Only an engine of the same release may resume a text; if
+none has room for longer than the text took, the item begins anew elsewhere.
+While fast engines have free slots, items that run on a
 slow engine get a backup run on a fast one.
 
 Times are seconds on a monotonic clock.
@@ -284,7 +286,9 @@
         for item in list(lot.to_run.values()):
             if now_s < item.retry_at_s:
                 continue
-            engine = self._choose_engine(lot, now_s, median_interval_s)
+            engine = self._choose_engine(lot, item, now_s, median_interval_s)
+            if engine is None and item.waits_since_s is not None:
+                continue
             if engine is None:
                 exhausted.add(requirement)
                 break
@@ -414,7 +418,10 @@
             return []
         self._record_duration(lot.opened.spec.head.model, run, now_s)
         item.progress = Progress(
-            tuple(run.texts), tuple(run.versions), is_whole=True
+            tuple(run.texts),
+            tuple(run.versions),
+            is_whole=True,
+            release=run.release,
         )
         others = list(item.runs)
         for run_id in others:
@@ -521,6 +528,12 @@
     def _start_run(
         self, lot: _Lot, item: Item, engine: Engine, now_s: float
     ) -> StartRun:
+        """Starts a run, which resumes the item's text if the engine may."""
+        release = engine.view.release
+        kept = item.progress
+        if release is None or release != kept.release:
+            kept = Progress()
+        item.waits_since_s = None
         self._last_run_id += 1
         run_id = self._last_run_id
         lot_id = lot.opened.spec.head.lot_id
@@ -528,10 +541,11 @@
             lot_id=lot_id,
             item_id=item.spec.item_id,
             endpoint_id=engine.view.endpoint_id,
-            texts=list(item.progress.texts),
-            versions=list(item.progress.versions),
+            texts=list(kept.texts),
+            versions=list(kept.versions),
             started_at_s=now_s,
             last_event_at_s=now_s,
+            release=release,
         )
         item.runs.add(run_id)
         engine.runs.add(run_id)
@@ -541,16 +555,21 @@
             lot_id,
             item.spec,
             engine.view.endpoint_id,
-            len(item.progress.texts),
+            len(kept.texts),
+            release,
         )
 
     def _choose_engine(
-        self, lot: _Lot, now_s: float, median_interval_s: float
+        self,
+        lot: _Lot,
+        item: Item,
+        now_s: float,
+        median_interval_s: float,
     ) -> Engine | None:
         """Returns the best eligible engine with a free slot, or None.
 
-        Fast engines come first, the least loaded of them preferred; slow
-        engines follow by speed.
+        Engines that may resume the item's text come first. Fast engines are
+        preferred, the least loaded of them; slow engines follow by speed.
         """
         head = lot.opened.spec.head
         found = [
@@ -562,12 +581,34 @@
             and len(engine.runs) < engine.view.slots
             and engine.view.versions.get(head.model, 0) >= head.oldest_version
         ]
+        release = item.progress.release
+        if release is not None:
+            same = [e for e in found if e.view.release == release]
+            if not same and self._should_wait(item, now_s, median_interval_s):
+                return None
+            found = same or found
         return min(
             found,
             key=lambda e: _engine_rank(e, median_interval_s),
             default=None,
         )
 
+    def _should_wait(
+        self, item: Item, now_s: float, median_interval_s: float
+    ) -> bool:
+        """Whether an item waits for an engine of its text's release.
+
+        It waits no longer than it takes to generate the text again, so that
+        it loses at most twice that time.
+        """
+        release = item.progress.release
+        if all(e.view.release != release for e in self._engines.values()):
+            return False
+        if item.waits_since_s is None:
+            item.waits_since_s = now_s
+        repeated_s = len(item.progress.texts) * median_interval_s
+        return now_s - item.waits_since_s < repeated_s
+
     def _median_event_interval_s(self) -> float:
         """Returns the median of the known event intervals; 0 without any."""
         intervals_s = [
@@ -629,7 +670,7 @@
         if len(item.runs) > 1 or now_s - run.started_at_s < _BACKUP_RUN_DELAY_S:
             return []
         _update_progress(item, run)
-        engine = self._choose_engine(lot, now_s, median_interval_s)
+        engine = self._choose_engine(lot, item, now_s, median_interval_s)
         if (
             engine is None
             or engine.event_interval_s >= _SLOW_FACTOR * median_interval_s
@@ -642,7 +683,9 @@
     """Replaces an item's text by a run's if that is longer."""
     if item.progress.is_whole or len(run.texts) <= len(item.progress.texts):
         return
-    item.progress = Progress(tuple(run.texts), tuple(run.versions))
+    item.progress = Progress(
+        tuple(run.texts), tuple(run.versions), release=run.release
+    )
 
 
 def _reusable_progress(progress: Progress, head) -> Progress:
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -310,6 +310,7 @@
                 slots=endpoint.entry.slots,
                 versions=endpoint.entry.versions,
                 is_loading=deps.is_loading(endpoint.entry.endpoint_id),
+                release=endpoint.entry.release,
             )
             for endpoint in deps.directory.all()
             if endpoint.entry.versions and not endpoint.entry.is_leaving
--- a/daisyhub/lots/_run_types.py
+++ b/daisyhub/lots/_run_types.py
@@ -8,6 +8,7 @@
 import enum
 import math
 
+from daisyhub.balancing import Release
 from daisyhub.lots._types import ItemResult, ItemSpec, LotSpec
 
 __all__ = [
@@ -64,11 +65,13 @@
         texts: Data of all events received so far, in order.
         versions: Weight version that generated each event.
         is_whole: Whether the text is complete.
+        release: The release that generated it; None if unknown.
     """
 
     texts: tuple[str, ...] = ()
     versions: tuple[int, ...] = ()
     is_whole: bool = False
+    release: Release | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +84,7 @@
         slots: Number of requests that it serves concurrently.
         versions: Weight version by model.
         is_loading: Whether it is loading weights.
+        release: Its release; None if unknown.
     """
 
     endpoint_id: str
@@ -88,6 +92,7 @@
     slots: int
     versions: dict[str, int]
     is_loading: bool = False
+    release: Release | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -225,6 +230,8 @@
         endpoint_id: The engine.
         resume_after: Number of events that earlier runs received; the stream
             starts behind them.
+        release: The engine's release, for which the run is meant; None if
+            unknown.
     """
 
     run: int
@@ -232,6 +239,7 @@
     item: ItemSpec
     endpoint_id: str
     resume_after: int
+    release: Release | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -304,6 +312,8 @@
         reward_obstacles: Number of reward calls that no endpoint answered.
         is_reward_pending: Whether a reward call is in progress.
         retry_at_s: When the next run or reward call may start.
+        waits_since_s: Since when it waits for an engine of its text's release;
+            None if it doesn't.
         is_done: Whether it has its result.
     """
 
@@ -316,6 +326,7 @@
     reward_obstacles: int = 0
     is_reward_pending: bool = False
     retry_at_s: float = -math.inf
+    waits_since_s: float | None = None
     is_done: bool = False
 
 
@@ -331,6 +342,7 @@
         versions: Weight version of each of these events.
         started_at_s: When its request was sent.
         last_event_at_s: When its last event was received, or `started_at_s`.
+        release: The engine's release; None if unknown.
         event_count: Number of events that it received itself.
     """
 
@@ -341,4 +353,5 @@
     versions: list[int]
     started_at_s: float
     last_event_at_s: float
+    release: Release | None = None
     event_count: int = 0
--- a/daisyhub/lots/_runner.py
+++ b/daisyhub/lots/_runner.py
@@ -77,6 +77,9 @@
         entry = endpoint.entry
         if entry.is_leaving:
             return _end(order, RunFault.ELSEWHERE, 0, "leaving endpoint")
+        if entry.software != order.software:
+            detail = f"software {entry.software!r}, not {order.software!r}"
+            return _end(order, RunFault.ELSEWHERE, 0, detail)
         permit = await self._permits.acquire(
             entry, Urgency.PATIENT, _MAX_PERMIT_WAIT_S
         )
@@ -136,6 +139,9 @@
         decoded = self._endpoint_wire.read_response_head(
             response.status, response.headers
         )
+        if self._is_replaced(entry):
+            await response.drain()
+            return _end(order, RunFault.ELSEWHERE, 0, "the engine restarted")
         if decoded.is_leaving:
             self._directory.record_leaving(entry, "run", time.monotonic())
         self._permits.observe(entry, decoded.rate_limit, sent_at_s)
@@ -171,6 +177,11 @@
             return _end(order, RunFault.BROKEN, last, detail)
         return _end(order, None, last, f"complete after event {last}")
 
+    def _is_replaced(self, entry: EndpointEntry) -> bool:
+        """Whether another process, maybe of another release, has the id."""
+        known = self._directory.get(entry.endpoint_id)
+        return known is not None and known.entry.process != entry.process
+
 
 def _end(
     order: RunOrder,
--- a/daisyhub/lots/_worker_pool.py
+++ b/daisyhub/lots/_worker_pool.py
@@ -155,13 +155,14 @@
         item = action.item
         endpoint = self._directory.get(action.endpoint_id)
         domain = endpoint.entry.domain if endpoint else ""
-        software = endpoint.entry.software if endpoint else ""
+        software = action.release.version if action.release else ""
         task_id, worker_id = self._open_task(action, action.endpoint_id, domain)
         self._task_by_run[action.run] = task_id
         self._pending_orders(worker_id).runs.append(
             RunOrder(
                 task_id=task_id,
                 endpoint_id=action.endpoint_id,
+                software=software,
                 resume_after=action.resume_after,
                 remaining_s=remaining_s,
                 item_id=item.item_id,
--- a/daisyhub/lots/tests/test_dispatch_core.py
+++ b/daisyhub/lots/tests/test_dispatch_core.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from daisyhub.balancing import Release
 from daisyhub.lots import DispatchCore, ItemSpec, LotHead, LotSpec, RewardSpec
 from daisyhub.lots._run_types import (
     CancelRun,
@@ -23,6 +24,8 @@
     StreamEventsReceived,
 )
 
+V1, V2 = (Release("pool", version) for version in ("v1", "v2"))
+
 
 def item(item_id, group="g", hint=0, reward=True):
     return ItemSpec(
@@ -58,10 +61,19 @@
     return LotOpened(spec, "pool", due_at_s, give_up_at_s)
 
 
-def engines(*ids, slots=2, version=1, loading=()):
+def engines(*ids, slots=2, version=1, loading=(), releases=None):
+    """Returns engines of release V1, except those in `releases`."""
+    releases = releases or {}
     return EnginesListed(
         tuple(
-            EngineView(i, "pool", slots, {"m": version}, i in loading)
+            EngineView(
+                i,
+                "pool",
+                slots,
+                {"m": version},
+                i in loading,
+                releases.get(i, V1),
+            )
             for i in ids
         )
     )
@@ -410,7 +422,8 @@
         (run,) = self.feed(lot(item("a"), item("b")))
         self.driver.stream(run.run, "x")
         self.assertEqual(
-            self.driver.core.progress_of("L"), {"a": Progress(("x",), (1,))}
+            self.driver.core.progress_of("L"),
+            {"a": Progress(("x",), (1,), release=V1)},
         )
         (cancelled,) = self.feed(LotClosed("L"))
         self.assertEqual(cancelled.run, run.run)
@@ -419,11 +432,82 @@
     def test_earlier_text_is_resumed_if_its_versions_are_allowed(self):
         self.feed(engines("e1", version=3))
         opened = lot(item("a"), oldest_version=2)
-        earlier = {"a": Progress(("x", "y"), (2, 3))}
+        earlier = {"a": Progress(("x", "y"), (2, 3), release=V1)}
         opened = LotOpened(opened.spec, "pool", 1.0, 9.0, progress=earlier)
         (run,) = self.feed(opened)
         self.assertEqual(run.resume_after, 2)
 
+    def test_text_is_resumed_only_at_the_release_that_began_it(self):
+        self.feed(engines("e1"))
+        self.feed(lot(item("a"), item("b")))
+        self.driver.stream(1, "x")
+        self.feed(engines("e2", "e3", slots=1, releases={"e2": V2}))
+        (again,) = self.driver.runs(self.feed(RunFailed(1, RunFault.BROKEN)))
+        self.assertEqual((again.endpoint_id, again.resume_after), ("e3", 1))
+
+    def test_text_without_an_engine_of_its_release_begins_anew(self):
+        for unknown in (V2, None):
+            with self.subTest(unknown):
+                self.setUp()
+                self.feed(engines("e1"))
+                self.feed(lot(item("a")))
+                self.driver.stream(1, "x", "y")
+                self.feed(engines("e2", releases={"e2": unknown}))
+                (again,) = self.driver.runs(
+                    self.feed(RunFailed(1, RunFault.BROKEN))
+                )
+                self.assertEqual(again.resume_after, 0)
+                self.driver.stream(again.run, "u")
+                self.driver.complete(again.run)
+                (reward,) = [
+                    a
+                    for a in self.driver.actions
+                    if isinstance(a, StartRewardCall)
+                ]
+                self.feed(RewardCallSucceeded("L", reward.item.item_id, "s"))
+                (done,) = [
+                    a for a in self.driver.actions if isinstance(a, FinishItem)
+                ]
+                self.assertEqual(done.result.text, "u")
+
+    def test_text_of_unknown_release_begins_anew(self):
+        self.feed(engines("e1", releases={"e1": None}))
+        self.feed(lot(item("a")))
+        self.driver.stream(1, "x")
+        (again,) = self.driver.runs(
+            self.feed(RunFailed(1, RunFault.WORKER_LOST))
+        )
+        self.assertEqual(again.resume_after, 0)
+
+    def test_text_waits_for_its_release_no_longer_than_it_took(self):
+        ids, releases = ("e1", "e2"), {"e2": V2}
+        self.feed(engines(*ids, slots=1, releases=releases))
+        self.feed(lot(item("a", hint=2), item("b", hint=1)))
+        for text in ("x", "y", "z"):
+            self.driver.now_s += 0.2
+            self.driver.stream(1, text)
+            self.driver.stream(2, text)
+        self.driver.complete(2)
+        self.feed(engines(*ids, slots=1, releases=releases, loading=("e1",)))
+        # The text took 0.6 s.
+        self.assertEqual(self.feed(RunFailed(1, RunFault.BROKEN)), [])
+        self.assertEqual(self.driver.runs(self.driver.tick(0.3)), [])
+        (again,) = self.driver.runs(self.driver.tick(0.4))
+        self.assertEqual((again.endpoint_id, again.resume_after), ("e2", 0))
+
+    def test_item_that_waits_for_its_release_delays_no_other(self):
+        ids, releases = ("e1", "e2"), {"e2": V2}
+        self.feed(engines(*ids, slots=1, releases=releases))
+        self.feed(lot(item("a", hint=2), item("b", hint=1), item("c")))
+        for text in ("x", "y", "z"):
+            self.driver.now_s += 0.2
+            self.driver.stream(1, text)
+            self.driver.stream(2, text)
+        self.feed(engines(*ids, slots=1, releases=releases, loading=("e1",)))
+        self.feed(RunFailed(1, RunFault.BROKEN))
+        (other,) = self.driver.runs(self.driver.complete(2))
+        self.assertEqual((other.item.item_id, other.endpoint_id), ("c", "e2"))
+
     def test_every_item_completes_under_random_faults(self):
         for seed in range(25):
             with self.subTest(seed=seed):
--- a/daisyhub/lots/tests/test_lot_writes.py
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from daisyhub.balancing import Release
 from daisyhub.lots import (
     ItemResult,
     ItemSpec,
@@ -89,6 +90,11 @@
                 revision = await self.save("4", revision)
                 self.assertEqual(await self.saved_text(), ("4",))
 
+    async def test_saved_text_names_the_release_that_began_it(self):
+        progress = {"a": Progress(("x",), (1,), release=Release("p", "v1"))}
+        await self.lots.save_progress("L", progress, 0)
+        self.assertEqual(await self.lots.progress("L"), progress)
+
     async def test_progress_is_saved_again_after_a_cancelled_save(self):
         revision = await self.save("1", 0)
         await self.save("2", revision)
--- a/daisyhub/lots/tests/test_worker_pool.py
+++ b/daisyhub/lots/tests/test_worker_pool.py
@@ -136,7 +136,7 @@
         def entry(_):
             return types.SimpleNamespace(
                 entry=types.SimpleNamespace(
-                    domain="z", slots=SLOTS, versions={"m": 1}, software="v1"
+                    domain="z", slots=SLOTS, versions={"m": 1}
                 )
             )
 
--- a/daisyhub/platform/tests/test_item_runs.py
+++ b/daisyhub/platform/tests/test_item_runs.py
@@ -1,5 +1,6 @@
 """What the answers of engines say about runs of items."""
 
+import dataclasses
 import unittest
 
 from daisyhub.balancing import (
@@ -22,6 +23,7 @@
         **{
             "task_id": 1,
             "endpoint_id": "i-1",
+            "software": "v1",
             "resume_after": 0,
             "remaining_s": 5.0,
             "item_id": "a",
@@ -41,12 +43,16 @@
         server = self.server = ScriptedServer(*replies)
         await server.start()
         self.addAsyncCleanup(server.stop)
-        directory = EndpointDirectory(lambda _: 0.5)
-        directory.upsert(
-            EndpointEntry(
-                endpoint_id="i-1", pool="p", address=server.address, domain="d"
-            )
+        directory = self.directory = EndpointDirectory(lambda _: 0.5)
+        self.entry = EndpointEntry(
+            endpoint_id="i-1",
+            pool="p",
+            address=server.address,
+            domain="d",
+            incarnation=1,
+            software="v1",
         )
+        directory.upsert(self.entry)
         http = HttpClient(connect_timeout_s=1.0, idle_s=30.0)
         self.addAsyncCleanup(http.aclose)
         wires = (PlatformEndpointWire(), PlatformLotWire())
@@ -76,6 +82,28 @@
         end = await runner.run(make_order(endpoint_id="x"), lambda _: None)
         self.assertEqual(end.fault, "elsewhere")
 
+    async def test_a_run_for_another_software_version_is_not_sent(self):
+        runner = await self.serve(make_response(200))
+        end = await runner.run(make_order(software="v2"), lambda _: None)
+        self.assertEqual(end.fault, "elsewhere")
+        self.assertEqual(self.server.requests, [])
+
+    async def test_events_of_a_restarted_engine_are_discarded(self):
+        """Its software may be another one, under the same id and address."""
+        stream = (
+            b"HTTP/1.1 200 X\r\ncontent-length: 18\r\n"
+            b"daisyhub-weight-versions: 1\r\n\r\nid: 1\ndata: text\n\n"
+        )
+        runner = await self.serve(stream)
+        restarted = dataclasses.replace(
+            self.entry, incarnation=2, software="v2"
+        )
+        self.server.on_request = lambda: self.directory.upsert(restarted)
+        events = []
+        end = await runner.run(make_order(), events.append)
+        self.assertEqual(len(self.server.requests), 1)
+        self.assertEqual((end.fault, events), ("elsewhere", []))
+
     async def test_a_leaving_engine_gets_no_further_run(self):
         """A run was ordered from an engine that had announced its leaving."""
         stream = (
--- a/daisyhub/testing/scripted_server.py
+++ b/daisyhub/testing/scripted_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+from collections.abc import Callable
 
 from daisyhub.settings import Address
 
@@ -40,6 +41,7 @@
         address: Address of the listener, once started.
         requests: Heads of the requests read so far.
         connections: Number of connections accepted so far.
+        on_request: Called when a request was read.
     """
 
     def __init__(self, *replies: bytes | list[bytes] | None):
@@ -47,6 +49,7 @@
         self._tasks: set[asyncio.Task] = set()
         self.requests: list[bytes] = []
         self.connections = 0
+        self.on_request: Callable[[], None] = lambda: None
 
     async def start(self) -> None:
         """Starts listening."""
@@ -78,6 +81,7 @@
         if length is not None:
             await reader.readexactly(int(length[1]))
         self.requests.append(head)
+        self.on_request()
         number = min(len(self.requests), len(self._replies)) - 1
         reply = self._replies[number]
         if reply is None:
