An entry without a software version names no endpoint

An entry that lacked the version of its software was used, as endpoints of an unknown release. The new case of test_invalid_entries_are_rejected failed before. A version of another type was rejected already; the test says so now.

--- a/daisyhub/platform/_servers.py
+++ b/daisyhub/platform/_servers.py
@@ -30,7 +30,7 @@
     address: str
     zone: str
     state: str
-    version: str = ""
+    version: str
     slots: int = 1
     born: int = 0
     spot: bool = False
--- a/daisyhub/platform/tests/test_wires.py
+++ b/daisyhub/platform/tests/test_wires.py
@@ -158,6 +158,8 @@
             to_json({**SERVER, "address": "nowhere"}),
             to_json({**SERVER, "address": None}),
             to_json({k: v for k, v in SERVER.items() if k != "service"}),
+            to_json({k: v for k, v in SERVER.items() if k != "version"}),
+            to_json({**SERVER, "version": 1}),
         ):
             with self.subTest(invalid), self.assertRaises(ValueError):
                 read_server("i-1", invalid)
