Soak: servers of two software versions, and callers who resume streams

The stand-ins of the soak were of one version and it had no streams of callers, so it couldn't notice ORDER. An injected fault, by which all endpoints count as one release, is detected.

--- a/daisyhub/testing/soak/_ledger.py
+++ b/daisyhub/testing/soak/_ledger.py
@@ -30,7 +30,8 @@
     The codes of violations are:
 
     - MIXED: A response or a result belongs to another request or lot.
-    - ORDER: A lot's listing changed, or lists an item twice or a wrong text.
+    - ORDER: A lot's listing changed, or lists an item twice or a wrong text;
+      or a text or stream has events of two software versions, or none.
     - LOST: An accepted lot or one of its results is missing.
     - UNASKED: A run without a request, for another account or with an API key.
     - ROUTE: A run of a request without a valid key.
@@ -206,14 +207,24 @@
             self._add_violation(f"MIXED {lot_id}: lists {result['id']}")
         if result["state"] != "completed":
             return
-        expected_text = "\n".join(
-            f"{result['id']}-{n}" for n in range(1, events + 1)
-        )
-        if result["text"] != expected_text:
+        lines = result["text"].split("\n")
+        if len(lines) != events or not _is_one_text(result["id"], lines):
             self._add_violation(
                 f"ORDER {result['id']}: text {result['text']!r}"
             )
 
+    def record_stream(
+        self, name: str, events: Sequence[str], *, is_whole: bool
+    ) -> None:
+        """Records the events that a caller has of a stream, and checks them."""
+        self.counts["streams read" if is_whole else "streams given up"] += 1
+        if events and not _is_one_text(name, events):
+            self._add_violation(f"ORDER {name}: events {list(events)!r}")
+
+    def record_broken_stream(self, name: str, reason: str) -> None:
+        """Records that an event of a stream is missing or came twice."""
+        self._add_violation(f"ORDER {name}: {reason}")
+
     def check_submissions(
         self, runs: Iterable[dict], created_s: Mapping[str, float]
     ) -> None:
@@ -299,3 +310,15 @@
 
     def _add_violation(self, line: str) -> None:
         self.violations.append(line)
+
+
+def _is_one_text(name: str, lines: Sequence[str]) -> bool:
+    """Whether lines are the text of that name by one software version.
+
+    Versions other than `v1` mark each line, see `fake_fleet`.
+    """
+    parts = [line.partition("@") for line in lines]
+    is_in_order = [text for text, _, _ in parts] == [
+        f"{name}-{n}" for n in range(1, len(lines) + 1)
+    ]
+    return is_in_order and len({version for _, _, version in parts}) == 1
--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -17,6 +17,7 @@
 from daisyhub.testing.soak._load_generator import LoadGenerator
 from daisyhub.testing.soak._plan import Disturbance, Kind, make_plan
 from daisyhub.testing.soak._signals import is_signal_handled
+from daisyhub.testing.soak._streams import StreamLoad
 from daisyhub.testing.soak._submission_faults import (
     CLIENT_NETWORK,
     SubmissionDisturber,
@@ -66,6 +67,8 @@
 
     def __init__(self, **options):
         super().__init__(module=_MODULE, **options)
+        # Endpoints of two software versions serve side by side.
+        self.software = dict.fromkeys(self.server_names[1::2], "v2")
         self.links: dict[str, Link] = {}
         self.client_ips = {
             name: f"{CLIENT_NETWORK}{number}"
@@ -127,6 +130,9 @@
         )
         self.ledger = Ledger(_ACCOUNT)
         self.load_generator = LoadGenerator(seed, self.fleet, self.ledger)
+        self._streams = StreamLoad(
+            seed, self.fleet, self.ledger, _EVENTS_PER_ITEM
+        )
         self._submissions = SubmissionDisturber(
             self.fleet,
             self.fleet.links,
@@ -144,6 +150,7 @@
             async with anyio.create_task_group() as tasks:
                 await self._start(tasks)
                 tasks.start_soon(self.load_generator.run)
+                tasks.start_soon(self._streams.run)
                 tasks.start_soon(self._restart_exited_daemons)
                 await self._disturb()
                 await self._check_recovery()
@@ -340,6 +347,7 @@
         shows whether the listed results were stored.
         """
         self.load_generator.stop()
+        self._streams.stop()
         with anyio.move_on_after(_LOT_TIMEOUT_S):
             await self.load_generator.finished.wait()
         await self._read_all_lots()
--- a/daisyhub/testing/soak/tests/test_ledger.py
+++ b/daisyhub/testing/soak/tests/test_ledger.py
@@ -57,6 +57,28 @@
         self.ledger.record_response("w1", 200, body, is_stamped=False)
         self.assertEqual(self.violated_codes(), ["MIXED", "MIXED"])
 
+    def test_a_text_of_two_software_versions_is_reported(self):
+        for text in ("b-1\nb-2@v2", "b-1@v2\nb-2", "b-1@v3\nb-2@v2"):
+            mixed = {"id": "b", "state": "completed", "text": text}
+            with self.subTest(text):
+                self.setUp()
+                self.ledger.record_results("d0", "L", 0, [mixed, result("a")])
+                self.ledger.check_texts(events=2)
+                self.assertEqual(self.violated_codes(), ["ORDER"])
+
+    def test_a_stream_is_of_one_software_version_and_in_order(self):
+        for events, expected in (
+            (["s-1", "s-2"], []),
+            (["s-1@v2"], []),
+            (["s-1", "s-2@v2"], ["ORDER"]),
+            (["s-2"], ["ORDER"]),
+            (["t-1"], ["ORDER"]),
+        ):
+            with self.subTest(events):
+                self.setUp()
+                self.ledger.record_stream("s", events, is_whole=False)
+                self.assertEqual(self.violated_codes(), expected)
+
     def test_a_non_idempotent_request_that_ran_twice_is_reported(self):
         self.ledger.check_runs([make_run("w1"), make_run("w1")])
         self.assertEqual(self.violated_codes(), ["TWICE"])
--- a/daisyhub/testing/soak/tests/test_soak_processes.py
+++ b/daisyhub/testing/soak/tests/test_soak_processes.py
@@ -72,6 +72,13 @@
         kinds = {line.split()[0] for line in report.violations}
         self.assertEqual(kinds, {"REFUSED", "STORED"}, report.violations)
 
+    async def test_streams_of_two_software_versions_are_detected(self):
+        plan = (Disturbance(at_s=5.0, duration_s=0.1, kind=Kind.CONFIG),)
+        soak = Soak(3, daemons=2, servers=2, broken="mixes", plan=plan)
+        report = await soak.run()
+        kinds = {line.split()[0] for line in report.violations}
+        self.assertEqual(kinds, {"ORDER"}, report.violations)
+
     async def test_seeds_that_failed_once_keep_all_guarantees(self):
         for seed in REGRESSIONS:
             with self.subTest(seed=seed):
--- a/daisyhub/testing/soaked_daemon.py
+++ b/daisyhub/testing/soaked_daemon.py
@@ -11,11 +11,12 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 # ruff: noqa: E402
+import dataclasses
 import os
 import sys
 import time
 
-BROKEN = ("repeats", "lies", "forgets", "promises")
+BROKEN = ("repeats", "lies", "forgets", "promises", "mixes")
 
 
 def _shift_clock(offset_s: float) -> None:
@@ -76,6 +77,14 @@
                 ) from exc
 
         SubmittedLotsFilter.handle = handle
+    elif bug == "mixes":
+        # All endpoints of a pool count as one release.
+        from daisyhub.platform import _daemon
+
+        read_server = _daemon.read_server
+        _daemon.read_server = lambda *args: dataclasses.replace(
+            read_server(*args), software="any"
+        )
     else:
         raise ValueError(f"bug {bug!r} is not one of {BROKEN}")
 
--- a/daisyhub/testing/stream_caller.py
+++ b/daisyhub/testing/stream_caller.py
@@ -30,6 +30,10 @@
     statuses: list[int | None] = dataclasses.field(default_factory=list)
     first_request_id: str = ""
 
+    def next_request(self) -> tuple[str, str]:
+        """Returns the id and the path of the next request."""
+        return f"{self.name}/{len(self.statuses)}", f"/chat/{self.name}"
+
     @property
     def software(self) -> set[str]:
         """The software versions that the events received so far name."""
@@ -48,7 +52,7 @@
         Raises:
             AssertionError: An event is missing or came twice.
         """
-        request_id = f"{self.name}/{len(self.statuses)}"
+        request_id, path = self.next_request()
         headers = [
             (b"host", b"a.example"),
             (b"api-key", KEY.encode()),
@@ -65,7 +69,7 @@
             response = await self.fleet.http.open(
                 "POST",
                 self.fleet.address(f"{daemon}/front"),
-                f"/chat/{self.name}",
+                path,
                 headers=tuple(headers),
                 timeout_s=8.0,
                 fresh=True,
