--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -31,6 +31,13 @@
 )
 from daisyhub.balancing._permits import LocalPermits, Permit, PermitSource
 from daisyhub.balancing._rate_limits import RateLimit, RateLimits
+from daisyhub.balancing._reach_core import (
+    EndpointAnswered,
+    EndpointSilent,
+    ProbeEndpoints,
+    ReachCore,
+    ReachTick,
+)
 from daisyhub.balancing._releases import Release
 
 __all__ = [
@@ -38,9 +45,11 @@
     "Denial",
     "DrainOrder",
     "Endpoint",
+    "EndpointAnswered",
     "EndpointDirectory",
     "EndpointEntry",
     "EndpointProcess",
+    "EndpointSilent",
     "EndpointState",
     "EndpointTable",
     "EndpointUpdate",
@@ -51,8 +60,11 @@
     "Permit",
     "PermitCore",
     "PermitSource",
+    "ProbeEndpoints",
     "RateLimit",
     "RateLimits",
+    "ReachCore",
+    "ReachTick",
     "Release",
     "RoundRobin",
     "Urgency",
--- a/daisyhub/catalog/_types.py
+++ b/daisyhub/catalog/_types.py
@@ -131,12 +131,14 @@
             all instances together.
         models: Models that the engines serve; empty for plain services.
         scaling: Limits for ordering endpoints; None if they can't be ordered.
+        health_path: Path at which an endpoint tells its health.
     """
 
     name: str
     max_connections: int
     models: tuple[str, ...] = ()
     scaling: PoolScaling | None = None
+    health_path: str = "/health"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -44,6 +44,7 @@
     is_small_cluster,
     ping_timeout_s,
 )
+from daisyhub.cluster._reach import ReachMonitor
 from daisyhub.cluster._store_calls import (
     PeerReaderProvider,
     PeerRelayProvider,
@@ -71,6 +72,7 @@
     "PermitRequest",
     "PermitResponse",
     "RateLimitNotification",
+    "ReachMonitor",
     "SharedPermits",
     "SharedStreamOrigins",
     "SharedSuspects",
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -131,6 +131,8 @@
         leaving_digest: Digest of its marks of leaving endpoints; 0 if it has
             none.
         suspects: Some of the blocked requests that the sender knows, in turn.
+        answer_age_s: Seconds since an endpoint answered it; None for never.
+        is_cut_off: Whether it reaches no endpoint although peers do.
     """
 
     domain: str
@@ -147,6 +149,8 @@
     peers: dict[str, str] = {}
     leaving_digest: int = 0
     suspects: tuple[SuspectNews, ...] = ()
+    answer_age_s: float | None = None
+    is_cut_off: bool = False
 
 
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True, tag="us"):
--- a/daisyhub/cluster/_peers.py
+++ b/daisyhub/cluster/_peers.py
@@ -36,12 +36,14 @@
         ping: Its last ping.
         last_received_at_s: When its last message was received, on the
             monotonic clock.
+        last_ping_at_s: When its last ping was received.
     """
 
     daemon_id: str
     incarnation: int
     ping: Ping
     last_received_at_s: float
+    last_ping_at_s: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -132,12 +134,12 @@
         is_new = daemon_id not in self._live_ids
         if known is None:
             self._peers[daemon_id] = PeerState(
-                daemon_id, incarnation, ping, now_s
+                daemon_id, incarnation, ping, now_s, now_s
             )
         else:
             known.incarnation = incarnation
             known.ping = ping
-            known.last_received_at_s = now_s
+            known.last_received_at_s = known.last_ping_at_s = now_s
         if is_new:
             self._live_ids.add(daemon_id)
             self._live_until_s = -math.inf
--- /dev/null
+++ b/daisyhub/cluster/_reach.py
@@ -0,0 +1,193 @@
+"""Notices that this daemon is cut off from the endpoints, and its peers' reach.
+
+What each exchange with an endpoint shows is recorded here. Pings tell peers how
+long ago an endpoint answered, so that a daemon can tell its own cut from a
+failure of the endpoints, and finds peers that reach them.
+"""
+
+import random
+import time
+from collections.abc import Callable
+
+import anyio
+
+from daisyhub.balancing import (
+    EndpointAnswered,
+    EndpointDirectory,
+    EndpointEntry,
+    EndpointSilent,
+    ProbeEndpoints,
+    ReachCore,
+    ReachTick,
+)
+from daisyhub.base import Controller
+from daisyhub.cluster._peers import PeerState, PeerTable
+from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.logs import DecisionLog
+from daisyhub.metrics import Metrics
+from daisyhub.settings import Address
+
+__all__ = ["ReachMonitor"]
+
+_TICK_INTERVAL_S = 0.1
+# Timeout of a probe, in seconds: many round trips between failure domains. An
+# endpoint that is too busy to answer it isn't taken for silent unless all are.
+_PROBE_TIMEOUT_S = 0.3
+# Seconds since an answer within which a peer counts as answered: some pings.
+_MAX_ANSWER_AGE_S = 1.6
+
+
+class ReachMonitor(Controller):
+    """Tells whether endpoints, or peers that reach them, can be reached.
+
+    Args:
+        directory: Known endpoints.
+        peers: Live peers, and when endpoints answered them.
+        health_path: Returns the path for health checks of a pool.
+        metrics: Counts probes and cuts.
+        log: Log of cuts.
+    """
+
+    name = "reach"
+
+    def __init__(
+        self,
+        directory: EndpointDirectory,
+        peers: PeerTable,
+        health_path: Callable[[str], str],
+        metrics: Metrics,
+        log: DecisionLog,
+    ):
+        self._directory = directory
+        self._peers = peers
+        self._health_path = health_path
+        self._metrics = metrics
+        self._log = log
+        self._core = ReachCore()
+        self._http: HttpClient | None = None
+        self._was_cut_off = False
+        self._ids_by_address: dict[Address, str] = {}
+        self._tasks = None
+        # Set, and replaced, when `is_cut_off` changes.
+        self.changed = anyio.Event()
+
+    def set_client(self, http: HttpClient) -> None:
+        """Sets the client that probes endpoints, built after this object."""
+        self._http = http
+
+    def status(self) -> dict[str, object]:
+        """Returns whether this daemon is cut off, and the last answer."""
+        return {
+            "is_cut_off": self.is_cut_off,
+            "answer_age_s": self.answer_age_s(),
+            "peers_in_reach": [p.daemon_id for p in self.answered_peers()],
+        }
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this daemon reaches no endpoint although peers do."""
+        return self._core.is_cut_off
+
+    def answer_age_s(self) -> float | None:
+        """Returns the seconds since an endpoint answered; None for never."""
+        age_s = time.monotonic() - self._core.answered_at_s
+        return None if age_s == float("inf") else round(age_s, 2)
+
+    def has_answer_since(self, since_s: float) -> bool:
+        """Whether an endpoint answered after a monotonic time."""
+        return self._core.answered_at_s > since_s
+
+    def record_exchange(self, address: Address, is_answered: bool) -> None:
+        """Records what an exchange or a connection attempt showed.
+
+        Args:
+            address: Address of the endpoint.
+            is_answered: Whether the endpoint answered at all.
+        """
+        event = EndpointAnswered if is_answered else EndpointSilent
+        endpoint = self._ids_by_address.get(address, str(address))
+        self._feed(event(endpoint))
+
+    def answered_peers(self) -> list[PeerState]:
+        """Returns the live peers that endpoints answered just now."""
+        now_s = time.monotonic()
+        return [p for p in self._peers.live() if _is_answered(p, now_s)]
+
+    async def run(self) -> None:
+        """Looks for silent endpoints, and probes, until cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            while True:
+                await anyio.sleep(_TICK_INTERVAL_S)
+                self._tick()
+
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        entries = [
+            e.entry
+            for e in self._directory.all()
+            if not e.entry.is_leaving and e.absent_since_s is None
+        ]
+        self._ids_by_address = {e.address: e.endpoint_id for e in entries}
+        for endpoint in self._directory.all():
+            if endpoint.open_requests and endpoint.is_silent(now_s):
+                self._feed(EndpointSilent(endpoint.entry.endpoint_id))
+        ids = [e.endpoint_id for e in entries]
+        random.shuffle(ids)
+        self._feed(ReachTick(tuple(ids), bool(self.answered_peers())))
+
+    def _feed(self, event: object) -> None:
+        for action in self._core.handle(event, time.monotonic()):
+            if isinstance(action, ProbeEndpoints) and self._tasks is not None:
+                for endpoint_id in action.endpoints:
+                    self._tasks.start_soon(self._probe, endpoint_id)
+        if self._core.is_cut_off != self._was_cut_off:
+            self._was_cut_off = self._core.is_cut_off
+            self._log_change()
+
+    def _log_change(self) -> None:
+        event = "endpoints_lost" if self.is_cut_off else "endpoints_regained"
+        self._metrics.count(event)
+        self._log.record(
+            event,
+            answer_age_s=self.answer_age_s(),
+            silent=sorted(self._core.silent),
+            answered_peers=[
+                [p.daemon_id, p.ping.answer_age_s]
+                for p in self.answered_peers()
+            ],
+        )
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def _probe(self, endpoint_id: str) -> None:
+        """Asks an endpoint for its health; any answer counts.
+
+        The client records the outcome. An idle connection is used if there is
+        one: it may still work while new ones are refused.
+        """
+        endpoint = self._directory.get(endpoint_id)
+        if endpoint is None:
+            return
+        entry: EndpointEntry = endpoint.entry
+        self._metrics.count("reach_probes")
+        try:
+            await self._http.request(
+                "GET",
+                entry.address,
+                self._health_path(entry.pool),
+                timeout_s=_PROBE_TIMEOUT_S,
+                may_send=lambda: not self._directory.is_leaving(entry),
+            )
+        except RequestFailedError as exc:
+            self._log.record(
+                "probe_failed", endpoint=endpoint_id, reason=str(exc)
+            )
+
+
+def _is_answered(peer: PeerState, now_s: float) -> bool:
+    """Whether a peer says that an endpoint answered it just now."""
+    ping = peer.ping
+    if ping.is_cut_off or ping.answer_age_s is None:
+        return False
+    ping_age_s = now_s - peer.last_ping_at_s
+    return ping.answer_age_s + ping_age_s <= _MAX_ANSWER_AGE_S
--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -50,6 +50,13 @@
 _MAX_RELEASE_WAIT_S = 0.015
 
 
+# Seconds without a response head after which a cancelled request shows that its
+# server was silent: longer than the usual latency of a look-up.
+_MIN_SILENCE_S = 0.25
+
+ExchangeObserver = Callable[[Address, bool], None]
+
+
 def _always() -> bool:
     """The default of `may_send`."""
     return True
@@ -61,11 +68,21 @@
     Args:
         connect_timeout_s: Maximum time to open a connection.
         idle_s: Idle time after which a connection is closed, not reused.
+        on_exchange: Called with the address of a server and whether it
+            answered: at each response head, failure, and request that is
+            cancelled after a long silence.
     """
 
-    def __init__(self, *, connect_timeout_s: float, idle_s: float):
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float,
+        idle_s: float,
+        on_exchange: ExchangeObserver = lambda *_: None,
+    ):
         self._connect_timeout_s = connect_timeout_s
         self._idle_s = idle_s
+        self._on_exchange = on_exchange
         self._idle: dict[Address, list[Connection]] = {}
         # Buffered requests in progress by address, and those that wait for
         # the connection of one of them.
@@ -169,12 +186,15 @@
                 response = await exchange_heads(
                     conn, method, address, target, headers, body
                 )
+                self._on_exchange(address, True)
                 content = await read_body(conn, response, max_body_bytes)
         except RequestFailedError:
+            self._report_failure(address, conn)
             await self._discard(address, conn, started_s)
             raise
         except BaseException:
             # A cancellation doesn't make other connections suspect.
+            self._report_cancelled(address, conn, started_s)
             await conn.aclose()
             raise
         conn.update_keep_alive(response.headers)
@@ -220,11 +240,14 @@
                     conn, method, address, target, headers, body
                 )
         except RequestFailedError:
+            self._report_failure(address, conn)
             await self._discard(address, conn, started_s)
             raise
         except BaseException:
+            self._report_cancelled(address, conn, started_s)
             await conn.aclose()
             raise
+        self._on_exchange(address, True)
         conn.update_keep_alive(response.headers)
         return StreamedResponse(
             client=self,
@@ -234,6 +257,23 @@
             timing=timing,
         )
 
+    def _report_failure(self, address: Address, conn: Connection) -> None:
+        """Reports a failed exchange, unless its head was received."""
+        if not conn.has_response_head:
+            self._on_exchange(address, False)
+
+    def _report_cancelled(
+        self, address: Address, conn: Connection, started_s: float
+    ) -> None:
+        """Reports a cancelled exchange if its server was silent for long."""
+        is_long = time.monotonic() - started_s >= _MIN_SILENCE_S
+        if is_long and not conn.has_response_head:
+            self._on_exchange(address, False)
+
+    def report_answer(self, address: Address) -> None:
+        """Reports that a part of a streamed body was received."""
+        self._on_exchange(address, True)
+
     async def release(
         self, address: Address, conn: Connection, started_s: float
     ) -> None:
@@ -397,7 +437,16 @@
             if is_recent and not conn.is_readable():
                 return conn
             await conn.aclose()
-        with mapped_errors(
-            address, lambda: ExecutionStatus.NOT_RUN, deadline_s
-        ):
-            return await connect(address, self._connect_timeout_s)
+        started_s = time.monotonic()
+        try:
+            with mapped_errors(
+                address, lambda: ExecutionStatus.NOT_RUN, deadline_s
+            ):
+                return await connect(address, self._connect_timeout_s)
+        except RequestFailedError:
+            self._on_exchange(address, False)
+            raise
+        except anyio.get_cancelled_exc_class():
+            if time.monotonic() - started_s >= _MIN_SILENCE_S:
+                self._on_exchange(address, False)
+            raise
--- a/daisyhub/connections/_response.py
+++ b/daisyhub/connections/_response.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import dataclasses
+import time
 from collections.abc import AsyncIterator
 
 import anyio
@@ -20,6 +21,8 @@
 # a few bytes; more costs more than a new connection.
 _MAX_DRAINED_BYTES = 65_536
 _MAX_DRAIN_S = 0.5
+# Seconds between reports that a server still sends.
+_REPORT_INTERVAL_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -47,6 +50,7 @@
         self._address = address
         self._response = response
         self._timing = timing
+        self._reported_at_s = time.monotonic()
         self._has_failed = False
         self._is_closed = False
 
@@ -76,8 +80,15 @@
                 self._conn.end_exchange()
                 await self._response.aclose()
                 return
+            self._report_answer()
             yield chunk
 
+    def _report_answer(self) -> None:
+        now_s = time.monotonic()
+        if now_s - self._reported_at_s >= _REPORT_INTERVAL_S:
+            self._reported_at_s = now_s
+            self._client.report_answer(self._address)
+
     async def aclose(self) -> None:
         """Releases the connection after a complete body, else closes it.
 
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -31,6 +31,7 @@
     PeerTable,
     PermitRequest,
     Ping,
+    ReachMonitor,
     SharedPermits,
     SharedStreamOrigins,
     SharedSuspects,
@@ -98,6 +99,7 @@
 from daisyhub.platform._store import PlatformStore
 from daisyhub.platform._wire import PlatformCallerWire, PlatformEndpointWire
 from daisyhub.serving import HttpServer, OperatorsApp
+from daisyhub.settings import Address
 from daisyhub.weights import WeightLoadController
 
 __all__ = ["FleetDaemon"]
@@ -122,6 +124,8 @@
 # Seconds for which a leaving daemon still accepts requests: the platform stops
 # sending callers after two failed readiness checks, one per second.
 _DRAIN_NOTICE_S = 2.3
+# Path for health checks of endpoints whose pool no manifest names.
+_DEFAULT_HEALTH_PATH = "/health"
 # Fraction of the grace time within which open requests must have ended.
 _DRAIN_SHARE_OF_GRACE = 0.75
 # Seconds within which expired entries reappear after the store recovers.
@@ -164,6 +168,11 @@
             connect_timeout_s=cfg.connect_timeout_s,
             idle_s=cfg.connection_idle_s,
         )
+        self.endpoint_http = HttpClient(
+            connect_timeout_s=cfg.connect_timeout_s,
+            idle_s=cfg.connection_idle_s,
+            on_exchange=self._record_exchange,
+        )
         self.network = PeerNetwork(cfg, self.incarnation, CLUSTER_PROTOCOL)
         self.peers = PeerTable(cfg.daemon_id, self.log)
         direct = PlatformStore(
@@ -186,9 +195,17 @@
         self.manifests = ManifestController(PlatformManifestReader(), self.log)
         self.directory = EndpointDirectory(
             functools.lru_cache(self._rank_endpoint),
-            self.http.has_connection,
+            self.endpoint_http.has_connection,
             self._announce_leaving,
         )
+        self.reach = ReachMonitor(
+            self.directory,
+            self.peers,
+            self._health_path,
+            self.metrics,
+            self.log,
+        )
+        self.reach.set_client(self.endpoint_http)
         self.leaving_news = LeavingNews(
             self.directory, self.network, self.peers, self.metrics, self.log
         )
@@ -278,7 +295,7 @@
         self.accounts = self._build_duty(_ACCOUNTS_DUTY)
         self.sender = Sender(
             self.directory,
-            self.http,
+            self.endpoint_http,
             self._endpoint_wire,
             self.metrics,
             self.log,
@@ -314,6 +331,16 @@
         )
         return (reporter,)
 
+    def _record_exchange(self, address: Address, is_answered: bool) -> None:
+        """Tells `reach`, which is built after the client."""
+        self.reach.record_exchange(address, is_answered)
+
+    def _health_path(self, pool: str) -> str:
+        """Returns the path for health checks of a pool."""
+        manifest = self.manifests.manifest
+        known = manifest.pools.get(pool) if manifest else None
+        return known.health_path if known else _DEFAULT_HEALTH_PATH
+
     def _announce_leaving(self, entry: EndpointEntry, call: str) -> None:
         """Tells peers; `leaving_news` is built after the directory."""
         self.leaving_news.announce(entry, call)
@@ -369,7 +396,7 @@
         self.worker = TaskWorker(
             ItemRunner(
                 self.directory,
-                self.http,
+                self.endpoint_http,
                 self._endpoint_wire,
                 self._lot_wire,
                 self.permits,
@@ -410,7 +437,7 @@
             self.cfg.daemon_id,
             self.store,
             PlatformVersionReader(),
-            PlatformEngineClient(self.http, self.log),
+            PlatformEngineClient(self.endpoint_http, self.log),
             self.directory,
             self.manifests,
             self.holder.open_run_count,
@@ -494,6 +521,7 @@
         """The controllers that `run` starts and `status` reports."""
         return (
             self.cluster,
+            self.reach,
             *self.watchers,
             self.rollouts,
             self.accounts,
@@ -544,6 +572,8 @@
             standbys=self._choose_standbys(),
             leaving_digest=self.leaving_news.digest(),
             suspects=self.suspects.news_for_ping(),
+            answer_age_s=self.reach.answer_age_s(),
+            is_cut_off=self.reach.is_cut_off,
         )
 
     def _make_usage_report(self) -> UsageReport:
@@ -681,6 +711,7 @@
                 await self._shut_down()
                 tasks.cancel_scope.cancel()
         await self.http.aclose()
+        await self.endpoint_http.aclose()
         self.network.close()
 
     async def _wait_for_stop_signal(self, signals: AsyncIterator[int]) -> None:
--- a/daisyhub/platform/_manifest.py
+++ b/daisyhub/platform/_manifest.py
@@ -72,6 +72,7 @@
 class _Service(msgspec.Struct, frozen=True, rename="kebab"):
     name: str
     max_conns: int = 64
+    health_path: str = "/health"
     engine: _Engine | None = None
     scaling: _Scaling | None = None
 
@@ -160,6 +161,7 @@
     return Pool(
         name=service.name,
         max_connections=service.max_conns,
+        health_path=service.health_path,
         models=tuple(m.name for m in service.engine.models)
         if service.engine
         else (),
--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -228,6 +228,8 @@
         expected = request.headers.get("daisyhub-expect-instance", self.name)
         if expected != self.name:
             return Response(status=421)
+        if request.path == "/health":
+            return Response(value={})
         if request.path == "/v1/report":
             return Response(
                 value={
