--- a/daisyhub/balancing/_reach_core.py
+++ b/daisyhub/balancing/_reach_core.py
@@ -45,9 +45,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointSilent:
-    """An endpoint gave no answer, or no connection, in time."""
+    """An endpoint gave no answer, or no connection, in time.
+
+    Attributes:
+        endpoint: The endpoint.
+        is_probe: Whether it was probed. Other exchanges may have begun long
+            before, so that only probes show that a cut goes on.
+    """
 
     endpoint: str
+    is_probe: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,9 +114,10 @@
             case EndpointAnswered():
                 self._on_answered(now_s)
                 return []
-            case EndpointSilent(endpoint):
-                self._silent.add(endpoint)
-                self._recovering_since_s = None
+            case EndpointSilent():
+                self._silent.add(event.endpoint)
+                if event.is_probe:
+                    self._recovering_since_s = None
                 return []
             case ReachTick():
                 return self._on_tick(event, now_s)
--- a/daisyhub/cluster/_reach.py
+++ b/daisyhub/cluster/_reach.py
@@ -179,6 +179,7 @@
                 may_send=lambda: not self._directory.is_leaving(entry),
             )
         except RequestFailedError as exc:
+            self._feed(EndpointSilent(endpoint_id, is_probe=True))
             self._log.record(
                 "probe_failed", endpoint=endpoint_id, reason=str(exc)
             )
--- a/daisyhub/testing/soak/__init__.py
+++ b/daisyhub/testing/soak/__init__.py
@@ -1,6 +1,7 @@
 """A randomized soak test: real daemons, injected faults, checked guarantees."""
 
 from daisyhub.testing.soak._ledger import Ledger
+from daisyhub.testing.soak._linked_fleet import LinkedFleet
 from daisyhub.testing.soak._links import Link, LinkMode
 from daisyhub.testing.soak._plan import (
     Disturbance,
@@ -16,6 +17,7 @@
     "Ledger",
     "Link",
     "LinkMode",
+    "LinkedFleet",
     "Soak",
     "SoakReport",
     "WriteFault",
--- a/daisyhub/testing/soak/_links.py
+++ b/daisyhub/testing/soak/_links.py
@@ -29,6 +29,7 @@
         RESET: Resets open and new connections.
         ONE_WAY: Buffers responses until the link is restored.
         SILENT: Buffers bytes in both directions until the link is restored.
+        REFUSE: Resets new connections, and forwards on open ones.
     """
 
     PASS = "pass"
@@ -36,13 +37,15 @@
     RESET = "reset"
     ONE_WAY = "one_way"
     SILENT = "silent"
+    REFUSE = "refuse"
 
 
 class Link:
     """Forwards TCP connections to one address.
 
     A link is restored by the modes `PASS` and `SLOW`. It then forwards the
-    buffered bytes, so that a call may take effect late.
+    buffered bytes, so that a call may take effect late. A client may have a
+    mode of its own, by the address that it connects from.
 
     Args:
         target: Address to which connections are forwarded.
@@ -54,8 +57,10 @@
         self._target = target
         self._source_ip = source_ip
         self._mode = LinkMode.PASS
+        self._client_modes: dict[str, LinkMode] = {}
         self._restored = anyio.Event()
-        self._open_streams: set[anyio.abc.SocketStream] = set()
+        # The open streams, with the address of their client.
+        self._open_streams: dict[anyio.abc.SocketStream, str] = {}
         self._listener: anyio.abc.Listener | None = None
         self.address: Address | None = None
 
@@ -71,18 +76,36 @@
         async with self._listener:
             await self._listener.serve(self._serve)
 
-    def set_mode(self, mode: LinkMode) -> None:
-        """Sets the mode, also for open connections."""
-        self._mode = mode
-        if mode is LinkMode.RESET:
-            for stream in list(self._open_streams):
+    def set_mode(self, mode: LinkMode, client_ip: str = "") -> None:
+        """Sets the mode, also for open connections.
+
+        Args:
+            mode: The mode.
+            client_ip: The client for which it is set, until it is set to
+                `PASS`; empty for all that have no mode of their own.
+        """
+        if not client_ip:
+            self._mode = mode
+        elif mode is LinkMode.PASS:
+            self._client_modes.pop(client_ip, None)
+        else:
+            self._client_modes[client_ip] = mode
+        for stream, ip in list(self._open_streams.items()):
+            if self._mode_of(ip) is LinkMode.RESET:
                 _reset(stream)
         if mode in (LinkMode.PASS, LinkMode.SLOW):
             self._restored.set()
             self._restored = anyio.Event()
 
+    def _mode_of(self, client_ip: str) -> LinkMode:
+        return self._client_modes.get(client_ip, self._mode)
+
     async def _serve(self, client_stream: anyio.abc.SocketStream) -> None:
-        if self._mode is LinkMode.RESET:
+        # Without an address, the client has closed the connection.
+        client_ip = client_stream.extra(
+            anyio.abc.SocketAttribute.remote_address, ("", 0)
+        )[0]
+        if self._mode_of(client_ip) in (LinkMode.RESET, LinkMode.REFUSE):
             _reset(client_stream)
             return
         try:
@@ -94,26 +117,29 @@
         except OSError:
             _reset(client_stream)
             return
-        self._open_streams |= {client_stream, server_stream}
+        self._open_streams[client_stream] = client_ip
+        self._open_streams[server_stream] = client_ip
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(
-                    self._forward, client_stream, server_stream, False
+                    self._forward, client_stream, server_stream, client_ip
                 )
                 tasks.start_soon(
-                    self._forward, server_stream, client_stream, True
+                    self._forward, server_stream, client_stream, client_ip, True
                 )
         finally:
-            self._open_streams -= {client_stream, server_stream}
             for stream in (client_stream, server_stream):
+                self._open_streams.pop(stream, None)
                 with anyio.CancelScope(shield=True):
                     await anyio.aclose_forcefully(stream)
 
-    async def _forward(self, source, sink, is_response: bool) -> None:
+    async def _forward(
+        self, source, sink, client_ip: str, is_response: bool = False
+    ) -> None:
         try:
             while True:
                 data = await source.receive(_CHUNK_BYTES)
-                await self._delay(is_response)
+                await self._delay(client_ip, is_response)
                 await sink.send(data)
         except anyio.EndOfStream:
             try:
@@ -124,14 +150,17 @@
             _reset(source)
             _reset(sink)
 
-    async def _delay(self, is_response: bool) -> None:
-        if self._mode is LinkMode.SLOW:
+    async def _delay(self, client_ip: str, is_response: bool) -> None:
+        if self._mode_of(client_ip) is LinkMode.SLOW:
             await anyio.sleep(_SLOW_DELAY_S)
-        while self._mode is LinkMode.SILENT or (
-            self._mode is LinkMode.ONE_WAY and is_response
-        ):
+        while self._is_held(client_ip, is_response):
             await self._restored.wait()
 
+    def _is_held(self, client_ip: str, is_response: bool) -> bool:
+        mode = self._mode_of(client_ip)
+        is_one_way = mode is LinkMode.ONE_WAY and is_response
+        return mode is LinkMode.SILENT or is_one_way
+
 
 def _reset(stream: anyio.abc.SocketStream) -> None:
     """Shuts a connection down so that the peer receives a reset."""
--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -11,23 +11,20 @@
 import anyio
 
 from daisyhub.connections import RequestFailedError
-from daisyhub.testing.fleet import KEY, Fleet
+from daisyhub.testing.fleet import KEY
 from daisyhub.testing.soak._ledger import Ledger
-from daisyhub.testing.soak._links import Link, LinkMode
+from daisyhub.testing.soak._linked_fleet import LinkedFleet
+from daisyhub.testing.soak._links import LinkMode
 from daisyhub.testing.soak._load_generator import LoadGenerator
 from daisyhub.testing.soak._plan import Disturbance, Kind, make_plan
 from daisyhub.testing.soak._signals import is_signal_handled
 from daisyhub.testing.soak._streams import StreamLoad
-from daisyhub.testing.soak._submission_faults import (
-    CLIENT_NETWORK,
-    SubmissionDisturber,
-)
+from daisyhub.testing.soak._submission_faults import SubmissionDisturber
 
 __all__ = ["Soak", "SoakReport"]
 
 _ACCOUNT = "t"
 _EXTRA_KEY = "key-of-u"
-_MODULE = "daisyhub.testing.soaked_daemon"
 # Events that a fake server streams per item: `fake_fleet._EVENT_COUNT`.
 _EVENTS_PER_ITEM = 6
 # Seconds after the last disturbance within which every daemon must serve.
@@ -62,44 +59,6 @@
     logs: str = ""
 
 
-class _SoakFleet(Fleet):
-    """A fleet whose connections to the store and servers go through links."""
-
-    def __init__(self, **options):
-        super().__init__(module=_MODULE, **options)
-        # Endpoints of two software versions serve side by side.
-        self.software = dict.fromkeys(self.server_names[1::2], "v2")
-        self.links: dict[str, Link] = {}
-        self.client_ips = {
-            name: f"{CLIENT_NETWORK}{number}"
-            for number, name in enumerate(self.daemon_names, start=1)
-        }
-
-    async def open_links(self, tasks) -> None:
-        """Opens a link to each server, and from each daemon to the store."""
-        for name in self.server_names:
-            self.links[name] = Link(self.address(name))
-        for name in self.daemon_names:
-            self.links[f"store {name}"] = Link(
-                self.address("platform"), self.client_ips[name]
-            )
-        for link in self.links.values():
-            await link.listen()
-            tasks.start_soon(link.run)
-
-    def build_settings(self, name: str) -> dict:
-        """See `Fleet`; the store's address is that of the daemon's link."""
-        settings = super().build_settings(name)
-        settings["store"] = str(self.links[f"store {name}"].address)
-        return settings
-
-    def build_server_entry(self, name: str) -> dict:
-        """See `Fleet`; the address is that of the server's link."""
-        entry = super().build_server_entry(name)
-        entry["address"] = str(self.links[name].address)
-        return entry
-
-
 class Soak:
     """One soak test.
 
@@ -124,7 +83,7 @@
     ):
         self.seed = seed
         self.seconds = seconds
-        self.fleet = _SoakFleet(daemons=daemons, servers=servers)
+        self.fleet = LinkedFleet(daemons=daemons, servers=servers)
         self.plan = plan or make_plan(
             seed, seconds, self.fleet.daemon_names, self.fleet.server_names
         )
@@ -171,8 +130,8 @@
 
     async def _start(self, tasks) -> None:
         fleet = self.fleet
-        env = {"DAISYHUB_SOAK_BROKEN": self._bug}
-        fleet.daemon_env = {name: dict(env) for name in fleet.daemon_names}
+        for env in fleet.daemon_env.values():
+            env["DAISYHUB_SOAK_BROKEN"] = self._bug
         await fleet.start_fakes()
         await fleet.open_links(tasks)
         await fleet.start_daemons()
--- a/daisyhub/testing/soak/_submission_faults.py
+++ b/daisyhub/testing/soak/_submission_faults.py
@@ -9,16 +9,14 @@
 
 from daisyhub.connections import RequestFailedError
 from daisyhub.testing.fleet import Fleet
+from daisyhub.testing.soak._linked_fleet import CLIENT_NETWORK
 from daisyhub.testing.soak._links import Link, LinkMode
 from daisyhub.testing.soak._load_generator import LoadGenerator
 from daisyhub.testing.soak._plan import Disturbance, WriteFault
 
-__all__ = ["CLIENT_NETWORK", "SubmissionDisturber"]
+__all__ = ["SubmissionDisturber"]
 
 _STORE = "platform"
-# Prefix of the loopback addresses from which daemons call the store; the
-# operator and the soak have another.
-CLIENT_NETWORK = "127.0.1."
 # Lots that are submitted at once, so that the fault applies to several.
 _LOT_COUNT = 4
 # Maximum wait in seconds for a write to which the fault applies, and the
--- a/daisyhub/testing/soaked_daemon.py
+++ b/daisyhub/testing/soaked_daemon.py
@@ -1,7 +1,9 @@
 """Starts a daemon for the soak, with a shifted clock or an injected bug.
 
-`DAISYHUB_SOAK_CLOCK_S` shifts the wall clock by seconds;
-`DAISYHUB_SOAK_BROKEN` names a bug of `BROKEN`, which the soak must detect.
+`DAISYHUB_SOAK_CLOCK_S` shifts the wall clock by seconds; `DAISYHUB_SOAK_IP` is
+the loopback address that the daemon connects from, by which links tell daemons
+apart; `DAISYHUB_SOAK_BROKEN` names a bug of `BROKEN`, which the soak must
+detect.
 """
 
 import signal
@@ -25,6 +27,19 @@
     time.time_ns = lambda: real_time_ns() + int(offset_s * 1e9)
 
 
+def _connect_from(ip: str) -> None:
+    """Has all HTTP connections come from this address."""
+    from httpcore import AnyIOBackend
+
+    connect_tcp = AnyIOBackend.connect_tcp
+
+    async def connect_from(backend, host, port, timeout=None, **options):
+        options["local_address"] = ip
+        return await connect_tcp(backend, host, port, timeout, **options)
+
+    AnyIOBackend.connect_tcp = connect_from
+
+
 def _inject_bug(bug: str) -> None:
     """Injects a bug into the product that violates one of its guarantees."""
     # Imported here because the clock must be shifted first.
@@ -91,6 +106,9 @@
 
 def _run() -> int:
     _shift_clock(float(os.environ.get("DAISYHUB_SOAK_CLOCK_S", "0")))
+    ip = os.environ.get("DAISYHUB_SOAK_IP", "")
+    if ip:
+        _connect_from(ip)
     bug = os.environ.get("DAISYHUB_SOAK_BROKEN", "")
     if bug:
         _inject_bug(bug)
