A daemon that is cut off from the endpoints serves through its peers

Cause: a daemon had no other way than its own links; what its peers knew (endpoints answer) wasn't used. Class: a daemon that lost its way leaves its callers to their deadline although its neighbours could serve.

Requests go through a peer that endpoints answered just now if this daemon is cut off, or if a request is repeated and no endpoint answered since it arrived. Peers listen for them on a port of their own; responses stream through as they arrive, and a caller that leaves resets the hop. One hop; one attempt there, so that the route's attempts are kept; keys, accounts, routes, usage and origins of streams stay where the caller came in, limits and blocked requests are judged where the request is sent. "Not run" needs both: nothing was sent to the peer, or the peer states it. Attempts without a response head are cancelled once the cut is known, if they may be repeated; streams that may be resumed count as such.

--- a/daisyhub/catalog/_types.py
+++ b/daisyhub/catalog/_types.py
@@ -99,6 +99,15 @@
         """Whether a request may be executed more than once."""
         return self.kind in (RouteKind.SAFE, RouteKind.ROLLOUT)
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request without a response head may be sent again.
+
+        Besides idempotent ones also streams that may be resumed.
+        """
+        is_stream = self.kind is RouteKind.STREAMING
+        return self.idempotent or (is_stream and self.is_resumable)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PoolScaling:
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -133,6 +133,8 @@
         suspects: Some of the blocked requests that the sender knows, in turn.
         answer_age_s: Seconds since an endpoint answered it; None for never.
         is_cut_off: Whether it reaches no endpoint although peers do.
+        relay: Where it listens for requests that peers send through it,
+            `IP:PORT`; empty for none.
     """
 
     domain: str
@@ -151,6 +153,7 @@
     suspects: tuple[SuspectNews, ...] = ()
     answer_age_s: float | None = None
     is_cut_off: bool = False
+    relay: str = ""
 
 
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True, tag="us"):
--- a/daisyhub/cluster/_reach.py
+++ b/daisyhub/cluster/_reach.py
@@ -5,9 +5,11 @@
 failure of the endpoints, and finds peers that reach them.
 """
 
+import contextlib
+import dataclasses
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import anyio
 
@@ -33,10 +35,30 @@
 # Timeout of a probe, in seconds: many round trips between failure domains. An
 # endpoint that is too busy to answer it isn't taken for silent unless all are.
 _PROBE_TIMEOUT_S = 0.3
+# Seconds without a response head after which an open request is a reason to
+# probe, unless any endpoint answered meanwhile: several usual latencies of a
+# look-up, and less than those of a long prompt.
+_SILENCE_S = 0.3
 # Seconds since an answer within which a peer counts as answered: some pings.
 _MAX_ANSWER_AGE_S = 1.6
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _OpenAttempt:
+    """A request that was sent to an endpoint and has no response head yet.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        started_s: When it was sent.
+        scope: Cancels it once this daemon is cut off; None if it may run only
+            once.
+    """
+
+    endpoint_id: str
+    started_s: float
+    scope: anyio.CancelScope | None
+
+
 class ReachMonitor(Controller):
     """Tells whether endpoints, or peers that reach them, can be reached.
 
@@ -68,8 +90,7 @@
         self._was_cut_off = False
         self._ids_by_address: dict[Address, str] = {}
         self._tasks = None
-        # Set, and replaced, when `is_cut_off` changes.
-        self.changed = anyio.Event()
+        self._open_attempts: set[_OpenAttempt] = set()
 
     def set_client(self, http: HttpClient) -> None:
         """Sets the client that probes endpoints, built after this object."""
@@ -108,11 +129,41 @@
         endpoint = self._ids_by_address.get(address, str(address))
         self._feed(event(endpoint))
 
+    @contextlib.contextmanager
+    def watch_attempt(
+        self, endpoint_id: str, *, is_repeatable: bool
+    ) -> Iterator[None]:
+        """Watches an attempt until its response head is received.
+
+        If this daemon turns out to be cut off, a repeatable attempt is
+        cancelled, and the block is left early.
+
+        Args:
+            endpoint_id: The endpoint that it is sent to.
+            is_repeatable: Whether the request may be sent again.
+        """
+        with anyio.CancelScope() as scope:
+            attempt = _OpenAttempt(
+                endpoint_id,
+                time.monotonic(),
+                scope if is_repeatable else None,
+            )
+            self._open_attempts.add(attempt)
+            try:
+                yield
+            finally:
+                self._open_attempts.discard(attempt)
+
     def answered_peers(self) -> list[PeerState]:
         """Returns the live peers that endpoints answered just now."""
         now_s = time.monotonic()
         return [p for p in self._peers.live() if _is_answered(p, now_s)]
 
+    def relay_address(self, daemon_id: str) -> str | None:
+        """Returns where a peer listens for relayed requests, or None."""
+        peer = self._peers.get(daemon_id)
+        return peer.ping.relay or None if peer else None
+
     async def run(self) -> None:
         """Looks for silent endpoints, and probes, until cancelled."""
         async with anyio.create_task_group() as self._tasks:
@@ -128,9 +179,10 @@
             if not e.entry.is_leaving and e.absent_since_s is None
         ]
         self._ids_by_address = {e.address: e.endpoint_id for e in entries}
-        for endpoint in self._directory.all():
-            if endpoint.open_requests and endpoint.is_silent(now_s):
-                self._feed(EndpointSilent(endpoint.entry.endpoint_id))
+        for attempt in list(self._open_attempts):
+            is_old = now_s - attempt.started_s >= _SILENCE_S
+            if is_old and not self.has_answer_since(attempt.started_s):
+                self._feed(EndpointSilent(attempt.endpoint_id))
         ids = [e.endpoint_id for e in entries]
         random.shuffle(ids)
         self._feed(ReachTick(tuple(ids), bool(self.answered_peers())))
@@ -156,8 +208,15 @@
                 for p in self.answered_peers()
             ],
         )
-        self.changed.set()
-        self.changed = anyio.Event()
+        if self.is_cut_off:
+            self._interrupt_attempts()
+
+    def _interrupt_attempts(self) -> None:
+        """Cancels the attempts that another way may serve."""
+        for attempt in self._open_attempts:
+            is_silent = not self.has_answer_since(attempt.started_s)
+            if attempt.scope is not None and is_silent:
+                attempt.scope.cancel()
 
     async def _probe(self, endpoint_id: str) -> None:
         """Asks an endpoint for its health; any answer counts.
--- a/daisyhub/fleet_settings.py
+++ b/daisyhub/fleet_settings.py
@@ -25,6 +25,8 @@
         readiness: Address of the listener for the platform's readiness checks.
         peer: Address of the listener for other daemons.
         metrics_port: Port of the listener for metrics and status.
+        relay_port: Port of the listener for requests that other daemons, which
+            are cut off from the endpoints, send through this one; 0 for none.
         seeds: Peer addresses of some daemons, used to find the others; they may
             be down.
         store: Address of the platform's store.
@@ -60,6 +62,7 @@
     readiness: str
     peer: str
     metrics_port: Annotated[int, Range(1, 65535)]
+    relay_port: Annotated[int, Range(0, 65535)] = 0
     seeds: tuple[str, ...] = ()
     store: str
     order_desk: str = ""
@@ -100,6 +103,16 @@
         """
         return Address(ip=self.peer_address.ip, port=self.metrics_port)
 
+    @property
+    def relay_address(self) -> Address | None:
+        """Address of the listener for relayed requests; None for none.
+
+        It has the IP address of the peer listener.
+        """
+        if not self.relay_port:
+            return None
+        return Address(ip=self.peer_address.ip, port=self.relay_port)
+
 
 def parse_address(text: str) -> Address:
     """Parses an address of the form `IP:PORT`.
--- a/daisyhub/gateway/__init__.py
+++ b/daisyhub/gateway/__init__.py
@@ -3,6 +3,8 @@
 from daisyhub.gateway._app import GatewayApp
 from daisyhub.gateway._body_filter import BodyFilter
 from daisyhub.gateway._key_filter import KeyFilter
+from daisyhub.gateway._relay_server import RelayHandler, RelayWire
+from daisyhub.gateway._relays import PeerRelays
 from daisyhub.gateway._route_filter import FindRouteFilter
 from daisyhub.gateway._send_filter import SendFilter
 from daisyhub.gateway._send_task import SendTask
@@ -22,6 +24,9 @@
     "FindRouteFilter",
     "GatewayApp",
     "KeyFilter",
+    "PeerRelays",
+    "RelayHandler",
+    "RelayWire",
     "SendFilter",
     "SendTask",
     "Sender",
--- a/daisyhub/gateway/_endpoint_attempts.py
+++ b/daisyhub/gateway/_endpoint_attempts.py
@@ -240,6 +240,7 @@
             if isinstance(response, StreamedResponse):
                 state.responding = (entry, sent_s)
                 state.software = entry.software
+                state.answered_by = self._streams.release_of(entry)
             else:
                 self._crashes.record_response(state.digest, entry, sent_s)
             return AttemptOutcome(AttemptCompleted(action.attempt), response)
--- a/daisyhub/gateway/_send_task.py
+++ b/daisyhub/gateway/_send_task.py
@@ -33,6 +33,8 @@
             begins anew.
         is_background: Whether no caller waits for this response itself. A
             hedge is then sent only after the target latency.
+        is_relayed: Whether a peer accepted the request. It is then sent to an
+            endpoint by this daemon, never to another peer.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     is_streamed: bool = False
     resumption: Resumption | None = None
     is_background: bool = False
+    is_relayed: bool = False
 
     def content_digest(self) -> bytes:
         """Returns a digest that is equal for repeats of the same request.
@@ -80,6 +83,7 @@
         responding: The endpoint whose response is streamed, and when the
             request was sent to it.
         software: Version of that endpoint's software.
+        answered_by: Its release; None if unknown.
     """
 
     task: SendTask
@@ -92,6 +96,7 @@
     is_answered: bool = False
     responding: tuple[EndpointEntry, float] | None = None
     software: str = ""
+    answered_by: Release | None = None
 
     @property
     def urgency(self) -> Urgency:
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -11,21 +11,25 @@
     EndpointDirectory,
     LocalPermits,
     PermitSource,
+    Release,
 )
 from daisyhub.connections import HttpClient
-from daisyhub.exceptions import ErrorCode
+from daisyhub.exceptions import ErrorCode, ExecutionStatus
 from daisyhub.filters import (
     AttemptOutcome,
     FailRequest,
     ForwardCore,
     ForwardPlan,
     RetryBudget,
+    StartAttempt,
     run_attempts,
 )
 from daisyhub.gateway._crash_watch import CrashWatch
 from daisyhub.gateway._endpoint_attempts import EndpointAttempts
+from daisyhub.gateway._relays import NoRelays, Relays
 from daisyhub.gateway._rooms import RoomView
 from daisyhub.gateway._send_outcomes import (
+    make_failed_outcome,
     make_refusal,
     make_response,
 )
@@ -61,6 +65,8 @@
             daemon without peers.
         stream_origins: The releases that began streams; by default those of a
             daemon without peers.
+        relays: Peers that send requests while this daemon is cut off from the
+            endpoints.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         permits: PermitSource | None = None,
         suspects: Suspects | None = None,
         stream_origins: StreamOrigins | None = None,
+        relays: Relays | None = None,
     ):
         self._directory = directory
         self._log = log
@@ -93,6 +100,7 @@
             self._streams,
             metrics,
         )
+        self._relays = relays or NoRelays()
         self._budget = RetryBudget()
 
     async def send(self, task: SendTask) -> Response:
@@ -102,22 +110,48 @@
             Refusal: No endpoint returned a response, or the request is
                 blocked. Its `ran` says whether the request was executed.
         """
-        started_s = time.monotonic()
         release = await self._streams.find_release(task)
+        state = SendState(task, task.content_digest(), release)
+        return await self._send(state, task.route.max_attempts)
+
+    async def relay(
+        self, task: SendTask, release: Release | None
+    ) -> tuple[Response, Release | None]:
+        """Sends a request that a peer accepted, in one attempt.
+
+        Args:
+            task: The request.
+            release: The release that must serve it; None for any.
+
+        Returns:
+            The endpoint's response, and the endpoint's release if it is known.
+
+        Raises:
+            Refusal: See `send`.
+        """
+        state = SendState(task, task.content_digest(), release)
+        resp = await self._send(state, max_attempts=1)
+        return resp, state.answered_by
+
+    async def _send(self, state: SendState, max_attempts: int) -> Response:
+        """Sends a request; see `send`."""
+        started_s = time.monotonic()
+        task, release = state.task, state.release
         pools = (release.pool,) if release else choose_pools(task.route)
         usual_s = self._directory.median_latency_s(task.route.name)
         plan = ForwardPlan(
-            idempotent=task.route.idempotent,
+            idempotent=task.route.is_repeatable,
             deadline_s=task.deadline_s,
             hedge_after_s=hedge_after_s(task, usual_s),
-            max_attempts=task.route.max_attempts,
+            max_attempts=max_attempts,
         )
-        digest = task.content_digest()
-        if await self._crashes.judge(task, digest) is not Verdict.FREE:
+        if await self._crashes.judge(task, state.digest) is not Verdict.FREE:
             plan = dataclasses.replace(plan, hedge_after_s=0.0, max_attempts=1)
-        state = SendState(task, digest, release)
 
         def choose(excluded: frozenset[str]) -> str | None:
+            relay = self._relays.choose(state, excluded, started_s)
+            if relay is not None:
+                return relay
             passed_over = (
                 excluded
                 | self._rooms.passed_over(state.urgency, pools)
@@ -134,8 +168,9 @@
             id=task.request_id,
             route=task.route.name,
             account=task.account,
-            content=digest.hex(),
+            content=state.digest.hex(),
             pools=pools,
+            is_relayed=task.is_relayed,
             resumes=task.resumption.first_request_id if task.resumption else "",
             software=state.software,
             usual_s=round(usual_s, 4),
@@ -150,14 +185,23 @@
         resp = make_response(outcome.response)
         if resp.stream is None:
             return resp
-        entry, sent_s = state.responding
+        return await self._begin_stream(state, resp)
+
+    async def _begin_stream(self, state: SendState, resp: Response) -> Response:
+        """Records where a stream began; returns its response."""
         try:
-            await self._streams.record_begin(task, entry)
+            await self._streams.record_begin(state.task, state.answered_by)
         except BaseException:
             with anyio.CancelScope(shield=True):
                 await resp.stream.aclose()
             raise
-        stream = self._crashes.watch(resp.stream, task, digest, entry, sent_s)
+        if state.responding is None:
+            # The peer that sent it watches it.
+            return resp
+        entry, sent_s = state.responding
+        stream = self._crashes.watch(
+            resp.stream, state.task, state.digest, entry, sent_s
+        )
         return dataclasses.replace(resp, stream=stream)
 
     async def _run(
@@ -168,9 +212,19 @@
     ) -> AttemptOutcome | FailRequest:
         """Makes the attempts that the core decides on."""
         core = ForwardCore(plan, choose, self._budget)
-        return await run_attempts(
-            core, lambda action: self._attempts.send(state, action)
-        )
+
+        async def attempt(action: StartAttempt) -> AttemptOutcome:
+            if self._relays.is_relay(action.endpoint_id):
+                return await self._relays.send(state, action)
+            with self._relays.watch_attempt(
+                action.endpoint_id, is_repeatable=plan.idempotent
+            ):
+                return await self._attempts.send(state, action)
+            return make_failed_outcome(
+                action, ExecutionStatus.UNKNOWN, timed_out=True
+            )
+
+        return await run_attempts(core, attempt)
 
     async def _wait_for_room(
         self,
--- a/daisyhub/gateway/_stream_guard.py
+++ b/daisyhub/gateway/_stream_guard.py
@@ -75,16 +75,24 @@
         is_replaced = self._directory.is_replaced(entry)
         return entry.release == release and not is_replaced
 
-    async def record_begin(self, task: SendTask, entry: EndpointEntry) -> None:
+    def release_of(self, entry: EndpointEntry) -> Release | None:
+        """Returns the release of a process that has answered.
+
+        None if it isn't known, as another process has its id since.
+        """
+        return None if self._directory.is_replaced(entry) else entry.release
+
+    async def record_begin(
+        self, task: SendTask, release: Release | None
+    ) -> None:
         """Records the release of a stream before its first event is sent.
 
-        Without a record, the stream goes on but can't be resumed.
+        Without a record, the stream goes on but can't be resumed. The daemon
+        that accepted the request records it: only that one knows which
+        response its caller gets.
         """
-        release = entry.release
         is_resumable = task.is_streamed and task.route.is_resumable
-        if not is_resumable or release is None:
-            return
-        if self._directory.is_replaced(entry):
+        if not is_resumable or release is None or task.is_relayed:
             return
         remaining_s = max(0.0, task.deadline_s - time.monotonic())
         await self._origins.record(
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -59,6 +59,9 @@
     FindRouteFilter,
     GatewayApp,
     KeyFilter,
+    PeerRelays,
+    RelayHandler,
+    RelayWire,
     Sender,
     SendFilter,
 )
@@ -302,6 +305,13 @@
             self.permits,
             self.suspects,
             self.stream_origins,
+            PeerRelays(
+                cfg.daemon_id,
+                cfg.failure_domain,
+                self.reach,
+                self.http,
+                self.metrics,
+            ),
         )
         self._build_lots()
         self.verifier = WatchVerifier(self.accounts, self.watchers)
@@ -504,6 +514,7 @@
         self.callers_server = HttpServer(
             self.app, parse_address(cfg.callers), cfg.grace_s
         )
+        self.relay_servers = self._build_relay_servers()
         operators = OperatorsApp(
             self.metrics,
             self.is_ready,
@@ -516,6 +527,18 @@
         )
         self.metrics_server = HttpServer(operators, cfg.metrics_address)
 
+    def _build_relay_servers(self) -> tuple[HttpServer, ...]:
+        """Returns the server for relayed requests; nothing without a port."""
+        address = self.cfg.relay_address
+        if address is None:
+            return ()
+        handler = RelayHandler(self.sender, self.reach, self.metrics, self.log)
+        # Responses to callers are counted where their requests were accepted.
+        app = GatewayApp(
+            handler, RelayWire(PlatformCallerWire()), Metrics(), self.log
+        )
+        return (HttpServer(app, address, self.cfg.grace_s),)
+
     @property
     def controllers(self) -> tuple[Controller, ...]:
         """The controllers that `run` starts and `status` reports."""
@@ -574,6 +597,7 @@
             suspects=self.suspects.news_for_ping(),
             answer_age_s=self.reach.answer_age_s(),
             is_cut_off=self.reach.is_cut_off,
+            relay=str(self.cfg.relay_address or ""),
         )
 
     def _make_usage_report(self) -> UsageReport:
@@ -701,6 +725,7 @@
                 self.callers_server,
                 self.readiness_server,
                 self.metrics_server,
+                *self.relay_servers,
             ):
                 tasks.start_soon(server.run_until_stopped)
             handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -782,11 +807,13 @@
             await duty.release()
         self.cluster.announce_shutdown()
         await anyio.sleep(_DRAIN_NOTICE_S)
-        self.callers_server.stop()
+        for server in (self.callers_server, *self.relay_servers):
+            server.stop()
         drain_end_s = started_s + _DRAIN_SHARE_OF_GRACE * self.cfg.grace_s
         # The server itself waits for requests that were partly received.
         with anyio.move_on_after(max(0.0, drain_end_s - time.monotonic())):
-            await self.callers_server.stopped.wait()
+            for server in (self.callers_server, *self.relay_servers):
+                await server.stopped.wait()
         self.readiness_server.stop()
         self.metrics_server.stop()
         self.log.record("stopped", open_requests=self.app.open_requests)
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -49,7 +49,8 @@
         daemon_env: Additional environment variables by daemon.
         software: Software version of servers whose version isn't `v1`.
         ports: Port of each fake by name, and of each daemon's listener by
-            `name/listener`: front (client requests), ready, peer, metrics.
+            `name/listener`: front (client requests), ready, peer, metrics,
+            relay.
     """
 
     def __init__(
@@ -473,7 +474,7 @@
         }
 
     def _reserve_ports(self, name: str) -> None:
-        for use in ("front", "ready", "peer", "metrics"):
+        for use in ("front", "ready", "peer", "metrics", "relay"):
             self.ports[f"{name}/{use}"] = _free_port()
 
     def build_settings(self, name: str) -> dict:
@@ -490,6 +491,7 @@
             "readiness": address_text("ready"),
             "peer": address_text("peer"),
             "metrics_port": self.ports[f"{name}/metrics"],
+            "relay_port": self.ports[f"{name}/relay"],
             "seeds": [address_text("peer", d) for d in self.daemon_names[:3]],
             "store": str(self.address("platform")),
             "order_desk": str(self.address("platform")),
