Peers without traffic are asked whether endpoints answer them

A daemon that is cut off learned it only from peers that an endpoint had answered within 1.6 s. In a quiet cluster none had, so the daemon never considered itself cut off, and had no peer to send through. It asks three peers, which probe an endpoint if they haven't been answered for 0.8 s; their pings tell. Seen with test_a_lot_completes_whose_holder_is_cut_off, whose cluster has no other load (it still fails: the holder keeps its duty); test_reach_core checks the question.

--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -32,6 +32,7 @@
 from daisyhub.balancing._permits import LocalPermits, Permit, PermitSource
 from daisyhub.balancing._rate_limits import RateLimit, RateLimits
 from daisyhub.balancing._reach_core import (
+    AskPeers,
     EndpointAnswered,
     EndpointSilent,
     ProbeEndpoints,
@@ -41,6 +42,7 @@
 from daisyhub.balancing._releases import Release
 
 __all__ = [
+    "AskPeers",
     "DRAIN_PREFIX",
     "Denial",
     "DrainOrder",
--- a/daisyhub/balancing/_reach_core.py
+++ b/daisyhub/balancing/_reach_core.py
@@ -15,6 +15,7 @@
 from daisyhub.base import Core
 
 __all__ = [
+    "AskPeers",
     "EndpointAnswered",
     "EndpointSilent",
     "ProbeEndpoints",
@@ -77,6 +78,11 @@
     endpoints: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskPeers:
+    """Action: have some peers find out whether endpoints answer them."""
+
+
 class ReachCore(Core):
     """Decides whether the endpoints can be reached."""
 
@@ -109,7 +115,7 @@
         return frozenset(self._silent)
 
     def handle(self, event: object, now_s: float) -> list[object]:
-        """Handles one event; returns probes."""
+        """Handles one event; returns probes and questions to peers."""
         match event:
             case EndpointAnswered():
                 self._on_answered(now_s)
@@ -147,10 +153,13 @@
         if now_s < self._probe_at_s or not is_quiet:
             return []
         self._probe_at_s = now_s + self._interval_s
+        # Peers without traffic can't tell unless they are asked. While this
+        # daemon is cut off, they are its only way.
+        questions = [] if tick.is_peer_answered else [AskPeers()]
         if self._is_cut_off:
             self._interval_s = _PROBE_INTERVAL_S
-            return [ProbeEndpoints(tick.endpoints[:1])]
+            return [*questions, ProbeEndpoints(tick.endpoints[:1])]
         self._interval_s = min(2 * self._interval_s, _MAX_PROBE_INTERVAL_S)
         fresh = [e for e in tick.endpoints if e not in self._silent]
         chosen = (*fresh, *tick.endpoints)[: _MIN_SILENT - 1]
-        return [ProbeEndpoints(tuple(dict.fromkeys(chosen)))]
+        return [*questions, ProbeEndpoints(tuple(dict.fromkeys(chosen)))]
--- a/daisyhub/balancing/tests/test_reach_core.py
+++ b/daisyhub/balancing/tests/test_reach_core.py
@@ -3,6 +3,7 @@
 import unittest
 
 from daisyhub.balancing import (
+    AskPeers,
     EndpointAnswered,
     EndpointSilent,
     ReachCore,
@@ -17,12 +18,16 @@
         self.core = ReachCore()
         self.now_s = 100.0
         self.probed = []
+        self.asked = 0
         self.feed(EndpointAnswered("a"))
 
     def feed(self, event, after_s=0.0):
         self.now_s += after_s
         for action in self.core.handle(event, self.now_s):
-            self.probed += action.endpoints
+            if isinstance(action, AskPeers):
+                self.asked += 1
+            else:
+                self.probed += action.endpoints
 
     def tick(self, after_s=0.1, ids=IDS, is_peer_answered=True):
         self.feed(ReachTick(ids, is_peer_answered), after_s)
@@ -42,6 +47,7 @@
         for _ in range(50):
             self.tick(is_peer_answered=False)
         self.assertFalse(self.core.is_cut_off)
+        self.assertGreater(self.asked, 0)
 
     def test_one_answer_refutes_all_silence_before(self):
         for endpoint in IDS[:2]:
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -27,6 +27,7 @@
     "PermitResponse",
     "Ping",
     "RateLimitNotification",
+    "ReachQuestion",
     "SuspectNews",
     "TrialRequest",
     "TrialResponse",
@@ -156,6 +157,13 @@
     relay: str = ""
 
 
+class ReachQuestion(msgspec.Struct, frozen=True, tag="rc"):
+    """Asks a daemon to find out whether endpoints answer it.
+
+    Its next pings tell.
+    """
+
+
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True, tag="us"):
     """Usage counts of a daemon, sent to the holder that reports them.
 
@@ -484,6 +492,7 @@
         | LeavingMarksResponse
         | RateLimitNotification
         | SuspectNews
+        | ReachQuestion
         | _Call
         | _CallResponse,
         ...,
--- a/daisyhub/cluster/_reach.py
+++ b/daisyhub/cluster/_reach.py
@@ -14,6 +14,7 @@
 import anyio
 
 from daisyhub.balancing import (
+    AskPeers,
     EndpointAnswered,
     EndpointDirectory,
     EndpointEntry,
@@ -23,10 +24,12 @@
     ReachTick,
 )
 from daisyhub.base import Controller
+from daisyhub.cluster._messages import ReachQuestion
 from daisyhub.cluster._peers import PeerState, PeerTable
 from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.logs import DecisionLog
 from daisyhub.metrics import Metrics
+from daisyhub.peers import PeerNetwork
 from daisyhub.settings import Address
 
 __all__ = ["ReachMonitor"]
@@ -41,6 +44,10 @@
 _SILENCE_S = 0.3
 # Seconds since an answer within which a peer counts as answered: some pings.
 _MAX_ANSWER_AGE_S = 1.6
+# Peers that are asked at a time, and the age of an answer from which on a peer
+# that is asked probes an endpoint.
+_ASKED_PEERS = 3
+_STALE_ANSWER_S = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -65,6 +72,7 @@
     Args:
         directory: Known endpoints.
         peers: Live peers, and when endpoints answered them.
+        network: Asks peers.
         health_path: Returns the path for health checks of a pool.
         metrics: Counts probes and cuts.
         log: Log of cuts.
@@ -76,12 +84,14 @@
         self,
         directory: EndpointDirectory,
         peers: PeerTable,
+        network: PeerNetwork,
         health_path: Callable[[str], str],
         metrics: Metrics,
         log: DecisionLog,
     ):
         self._directory = directory
         self._peers = peers
+        self._network = network
         self._health_path = health_path
         self._metrics = metrics
         self._log = log
@@ -189,13 +199,35 @@
 
     def _feed(self, event: object) -> None:
         for action in self._core.handle(event, time.monotonic()):
-            if isinstance(action, ProbeEndpoints) and self._tasks is not None:
-                for endpoint_id in action.endpoints:
-                    self._tasks.start_soon(self._probe, endpoint_id)
+            if isinstance(action, AskPeers):
+                self._ask_peers()
+            elif isinstance(action, ProbeEndpoints):
+                self._probe_all(action.endpoints)
         if self._core.is_cut_off != self._was_cut_off:
             self._was_cut_off = self._core.is_cut_off
             self._log_change()
 
+    def receive(self, envelope, message: object) -> None:
+        """Handles a peer's question; ignores other messages."""
+        del envelope
+        if not isinstance(message, ReachQuestion):
+            return
+        is_fresh = self.has_answer_since(time.monotonic() - _STALE_ANSWER_S)
+        if not is_fresh and self._ids_by_address:
+            endpoint_ids = list(self._ids_by_address.values())
+            self._probe_all((random.choice(endpoint_ids),))
+
+    def _ask_peers(self) -> None:
+        live = [p.daemon_id for p in self._peers.live()]
+        chosen = random.sample(live, min(_ASKED_PEERS, len(live)))
+        self._network.send_datagrams(chosen, ReachQuestion())
+
+    def _probe_all(self, endpoint_ids: tuple[str, ...]) -> None:
+        if self._tasks is None:
+            return
+        for endpoint_id in endpoint_ids:
+            self._tasks.start_soon(self._probe, endpoint_id)
+
     def _log_change(self) -> None:
         event = "endpoints_lost" if self.is_cut_off else "endpoints_regained"
         self._metrics.count(event)
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -204,6 +204,7 @@
         self.reach = ReachMonitor(
             self.directory,
             self.peers,
+            self.network,
             self._health_path,
             self.metrics,
             self.log,
@@ -265,6 +266,7 @@
         self.network.add_request_handler(
             TrialRequest, self.suspects.handle_request
         )
+        self.network.add_receiver(self.reach.receive)
         self.network.add_receiver(self._record_usage)
         self.network.add_request_handler(
             ManifestRequest, self.cluster.handle_manifest_request
