The duty for lots passes to a daemon that reaches the engines

Cause: a holder was judged by its pings and the store only. A holder that is cut off while others aren't saves its texts, releases the duty and is no candidate until the cut has ended; cut-off daemons get no tasks as workers, and a run that fails at one isn't held against its engine.

--- a/daisyhub/duties/_controller.py
+++ b/daisyhub/duties/_controller.py
@@ -2,7 +2,7 @@
 
 import functools
 import time
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import anyio
 import msgspec
@@ -61,8 +61,12 @@
         peers: Live peers and the duties that they report.
         speed: Processor speed of this daemon's machine, in cores.
         log: Logs when this daemon gets or loses the duty, and failures.
+        needs_endpoints: Whether the duty can be done only where endpoints are
+            reached. Daemons that are cut off from them then pass it on.
+        is_cut_off: Whether this daemon is cut off from the endpoints.
 
     Attributes:
+        before_release: Called before the duty is passed on.
         changed: Set when `fencing` changes, and replaced by a new event.
     """
 
@@ -76,6 +80,9 @@
         peers: PeerTable,
         speed: float,
         log: DecisionLog,
+        *,
+        needs_endpoints: bool = False,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ):
         self.duty = duty
         self._core = core
@@ -86,6 +93,9 @@
         self._started_s = boot_time_s()
         self._logged_fencing = 0
         self._is_leaving = False
+        self._needs_endpoints = needs_endpoints
+        self._is_cut_off = is_cut_off
+        self.before_release: Callable[[], Awaitable[None]] | None = None
         self.changed = anyio.Event()
 
     @property
@@ -119,11 +129,30 @@
 
     async def step(self) -> None:
         """Sends one tick to the core and performs the returned actions."""
+        await self._pass_on_if_cut_off()
         for action in self._core.handle(self._tick(), boot_time_s()):
             event = await self._carry_out(action)
             self._core.handle(event, boot_time_s())
         self._log_change()
 
+    async def _pass_on_if_cut_off(self) -> None:
+        """Releases the duty while this daemon can't do it and others can."""
+        if self._is_leaving or not self._needs_endpoints:
+            return
+        if not self._is_cut_off():
+            self._core.allow()
+            return
+        is_held = bool(self._core.fencing_if_held(boot_time_s()))
+        if not is_held or not self._has_able_peer():
+            return
+        self._log.record("duty_passed_on", duty=self.duty)
+        if self.before_release is not None:
+            await self.before_release()
+        self._core.release()
+
+    def _has_able_peer(self) -> bool:
+        return len(self._live_speeds()) > 1
+
     async def release(self) -> None:
         """Releases the duty in the store if it is held, for a shutdown."""
         is_held = bool(self._core.fencing_if_held(boot_time_s()))
@@ -167,7 +196,7 @@
         included, is no candidate: the holder's pings may still reach the
         others.
         """
-        if self._is_leaving:
+        if self._is_leaving or (self._needs_endpoints and self._is_cut_off()):
             return False
         live = self._peers.live()
         if not live and boot_time_s() - self._started_s < _PEER_DISCOVERY_S:
@@ -215,11 +244,16 @@
         return boot_time_s() - started_s >= _PEER_DISCOVERY_S + delay_s
 
     def _live_speeds(self) -> dict[str, float]:
-        """Returns the speed of each live daemon that isn't shutting down."""
+        """Returns the speed of each live daemon that may have the duty.
+
+        Without those that are shutting down, or cut off from the endpoints if
+        the duty needs them; this daemon is always included.
+        """
         speeds = {
             p.daemon_id: p.ping.speed
             for p in self._peers.live()
             if not p.ping.is_leaving
+            and not (self._needs_endpoints and p.ping.is_cut_off)
         }
         speeds[self._peers.own_id] = self._speed
         return speeds
--- a/daisyhub/duties/_core.py
+++ b/daisyhub/duties/_core.py
@@ -173,6 +173,10 @@
         """Stops holding the duty; the next tick writes the release."""
         self._should_hold = False
 
+    def allow(self) -> None:
+        """Makes this daemon a candidate again after a release."""
+        self._should_hold = True
+
     def handle(self, event: object, now_s: float) -> list[object]:
         """Processes an event; returns at most one `ReadDuty` or `WriteDuty`."""
         match event:
--- a/daisyhub/lots/_runner.py
+++ b/daisyhub/lots/_runner.py
@@ -44,6 +44,8 @@
         endpoint_wire: Wire format of requests to engines.
         lot_wire: Wire format of their event streams.
         permits: Permits for engines that limit their rate.
+        is_cut_off: Whether this daemon is cut off from the endpoints, so that
+            a failure isn't the engine's.
     """
 
     def __init__(
@@ -53,12 +55,14 @@
         endpoint_wire: EndpointWire,
         lot_wire: LotWire,
         permits: PermitSource,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ):
         self._directory = directory
         self._http = http
         self._endpoint_wire = endpoint_wire
         self._lot_wire = lot_wire
         self._permits = permits
+        self._is_cut_off = is_cut_off
 
     async def run(self, order: RunOrder, emit: EventSink) -> RunEnd:
         """Streams an item and emits its events in order.
@@ -122,7 +126,8 @@
         except RequestWithdrawnError as exc:
             return _end(order, RunFault.ELSEWHERE, 0, str(exc))
         except RequestFailedError as exc:
-            return _end(order, RunFault.UNREACHABLE, 0, str(exc))
+            fault = self._own_fault_or(RunFault.UNREACHABLE)
+            return _end(order, fault, 0, str(exc))
         try:
             return await self._read(order, entry, response, sent_at_s, emit)
         finally:
@@ -174,9 +179,14 @@
                 raise ValueError("the stream ended in the middle of an event")
         except (RequestFailedError, ValueError) as exc:
             detail = f"after event {last}: {exc}"
-            return _end(order, RunFault.BROKEN, last, detail)
+            fault = self._own_fault_or(RunFault.BROKEN)
+            return _end(order, fault, last, detail)
         return _end(order, None, last, f"complete after event {last}")
 
+    def _own_fault_or(self, fault: RunFault) -> RunFault:
+        """Returns a fault of the engine, or this daemon's if it is cut off."""
+        return RunFault.WORKER_LOST if self._is_cut_off() else fault
+
 
 def _end(
     order: RunOrder,
--- a/daisyhub/lots/_worker_pool.py
+++ b/daisyhub/lots/_worker_pool.py
@@ -358,7 +358,8 @@
         """Returns the other daemons that execute tasks.
 
         None while this daemon's processor can receive the streams of all
-        engines. Daemons with a duty are left out, as theirs are busy.
+        engines. Daemons with a duty are left out, as theirs are busy, and those
+        that are cut off from the endpoints.
         """
         slots = sum(
             endpoint.entry.slots
@@ -370,5 +371,7 @@
         return tuple(
             WorkerView(p.daemon_id, p.ping.domain, p.ping.speed)
             for p in self._peers.live()
-            if not p.ping.is_leaving and not p.ping.duties
+            if not p.ping.is_leaving
+            and not p.ping.duties
+            and not p.ping.is_cut_off
         )
--- a/daisyhub/lots/tests/test_worker_pool.py
+++ b/daisyhub/lots/tests/test_worker_pool.py
@@ -124,7 +124,11 @@
             types.SimpleNamespace(
                 daemon_id=name,
                 ping=types.SimpleNamespace(
-                    domain="z", speed=self.speed, is_leaving=False, duties={}
+                    domain="z",
+                    speed=self.speed,
+                    is_leaving=False,
+                    is_cut_off=False,
+                    duties={},
                 ),
             )
             for name in self.names
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -400,7 +400,14 @@
             self.process, cfg.lease_ms / _MS_PER_S, cfg.fencing_checked
         )
         return DutyController(
-            duty, core, self.store, self.peers, cfg.processor_speed, self.log
+            duty,
+            core,
+            self.store,
+            self.peers,
+            cfg.processor_speed,
+            self.log,
+            needs_endpoints=duty == _ROLLOUTS_DUTY,
+            is_cut_off=lambda: self.reach.is_cut_off,
         )
 
     def _build_lots(self) -> None:
@@ -412,6 +419,7 @@
                 self._endpoint_wire,
                 self._lot_wire,
                 self.permits,
+                lambda: self.reach.is_cut_off,
             ),
             RewardCaller(
                 self.manifests, self.sender, self._endpoint_wire, self.log
@@ -444,6 +452,7 @@
             status_s=self.cfg.status_s,
         )
         self.holder = LotHolder(self.rollouts, dependencies)
+        self.rollouts.before_release = self.holder.save_unfinished_texts
         self.weights = WeightLoadController(
             self.rollouts,
             self.cfg.daemon_id,
