Refused connections of a daemon that is cut off are no crash evidence

A request whose connection broke counted as ending its endpoint if a new connection was refused. While a daemon's links refuse all new connections, each look-up that broke gave such evidence, and three of them block the request at all daemons (502), although every endpoint lives. Found by reading where a cut acts elsewhere.

test_refused_connections_of_a_cut_are_no_evidence failed before (1 end instead of none); its twin keeps the evidence of a lone endpoint that ends.

--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -85,8 +85,13 @@
         self._log = log
         permits = permits or LocalPermits()
         self._rooms = RoomView(directory, permits)
+        self._relays = relays or NoRelays()
         self._crashes = CrashWatch(
-            suspects or LocalSuspects(directory.is_listed), http, metrics, log
+            suspects or LocalSuspects(directory.is_listed),
+            http,
+            metrics,
+            log,
+            self._relays,
         )
         self._streams = StreamGuard(
             stream_origins or LocalStreamOrigins(), directory
@@ -100,7 +105,6 @@
             self._streams,
             metrics,
         )
-        self._relays = relays or NoRelays()
         self._budget = RetryBudget()
 
     async def send(self, task: SendTask) -> Response:
--- a/daisyhub/platform/tests/test_crash_watch.py
+++ b/daisyhub/platform/tests/test_crash_watch.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from daisyhub.balancing import EndpointDirectory, EndpointEntry
 from daisyhub.catalog import RouteKind
 from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
-from daisyhub.gateway import Sender
+from daisyhub.gateway import Sender, _crash_watch
+from daisyhub.gateway._relays import NoRelays
 from daisyhub.logs import DecisionLog
 from daisyhub.metrics import Metrics
 from daisyhub.platform._wire import PlatformEndpointWire
@@ -30,6 +32,20 @@
         return False
 
 
+class CutOff(NoRelays):
+    """No endpoint answers; the daemon may know that it is cut off."""
+
+    def __init__(self, is_known):
+        self._is_known = is_known
+
+    @property
+    def is_cut_off(self):
+        return self._is_known
+
+    def has_answer_since(self, since_s):
+        return False
+
+
 class CrashWatchTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.http = HttpClient(connect_timeout_s=2.0, idle_s=30.0)
@@ -136,6 +152,25 @@
         self.assertEqual(response.status, 500)
         self.assertEqual(self.ended_count(), 0)
 
+    async def send_while_silent(self, is_known):
+        """Sends a request under which connections break and are refused."""
+        self.sender._crashes._relays = CutOff(is_known)
+        await self.add(EndingServer())
+        patch = mock.patch.object(
+            _crash_watch, "_CUT_CHECK_DELAY_S", 0.01, create=True
+        )
+        with patch, self.assertRaises(Refusal):
+            await self.sender.send(self.make_task())
+        await asyncio.gather(*self.sender._crashes._checks)
+
+    async def test_refused_connections_of_a_cut_are_no_evidence(self):
+        await self.send_while_silent(is_known=True)
+        self.assertEqual(self.ended_count(), 0)
+
+    async def test_an_end_is_evidence_though_no_other_endpoint_answers(self):
+        await self.send_while_silent(is_known=False)
+        self.assertEqual(self.ended_count(), 1)
+
     async def test_reward_calls_are_exempt(self):
         servers = [await self.add(EndingServer()) for _ in range(3)]
         task = self.make_task(is_background=True)
