Looking for silent endpoints costs nothing at rest

The monitor listed all endpoints ten times a second, which grows with daemons times endpoints (11,000 at the target) while nothing is wrong. It waits until a request is open or something was silent, and lists endpoints only on a suspicion. test_cut_off_processes and test_reach_core pass.

--- a/daisyhub/balancing/_reach_core.py
+++ b/daisyhub/balancing/_reach_core.py
@@ -39,9 +39,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointAnswered:
-    """Bytes of an endpoint were received, or it opened a connection."""
-
-    endpoint: str
+    """Bytes of an endpoint were received."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +102,11 @@
         """Whether this daemon considers itself cut off."""
         return self._is_cut_off
 
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether an endpoint is silent, so that ticks must name them all."""
+        return self._is_cut_off or bool(self._silent)
+
     @property
     def answered_at_s(self) -> float:
         """When an endpoint last answered; minus infinity for never."""
--- a/daisyhub/balancing/tests/test_reach_core.py
+++ b/daisyhub/balancing/tests/test_reach_core.py
@@ -19,7 +19,7 @@
         self.now_s = 100.0
         self.probed = []
         self.asked = 0
-        self.feed(EndpointAnswered("a"))
+        self.feed(EndpointAnswered())
 
     def feed(self, event, after_s=0.0):
         self.now_s += after_s
@@ -52,7 +52,7 @@
     def test_one_answer_refutes_all_silence_before(self):
         for endpoint in IDS[:2]:
             self.feed(EndpointSilent(endpoint))
-        self.feed(EndpointAnswered("d"))
+        self.feed(EndpointAnswered())
         self.feed(EndpointSilent("c"))
         self.tick()
         self.assertFalse(self.core.is_cut_off)
@@ -72,7 +72,7 @@
             self.feed(EndpointSilent("a"))
             self.tick()
             if len(self.probed) > known:
-                self.feed(EndpointAnswered("b"))
+                self.feed(EndpointAnswered())
         # A minute, in pairs, at intervals of up to three seconds.
         self.assertLessEqual(len(self.probed), 2 * 25)
 
@@ -88,25 +88,25 @@
 
     def test_two_answers_some_time_apart_end_a_cut(self):
         self.cut_off()
-        self.feed(EndpointAnswered("a"))
-        self.feed(EndpointAnswered("b"), 0.1)
+        self.feed(EndpointAnswered())
+        self.feed(EndpointAnswered(), 0.1)
         self.assertTrue(self.core.is_cut_off)
-        self.feed(EndpointAnswered("b"), 0.3)
+        self.feed(EndpointAnswered(), 0.3)
         self.assertFalse(self.core.is_cut_off)
 
     def test_a_link_that_flaps_does_not_end_a_cut(self):
         self.cut_off()
         for _ in range(5):
-            self.feed(EndpointAnswered("a"))
+            self.feed(EndpointAnswered())
             self.feed(EndpointSilent("b", is_probe=True), 0.2)
-            self.feed(EndpointAnswered("c"), 0.2)
+            self.feed(EndpointAnswered(), 0.2)
             self.feed(EndpointSilent("b", is_probe=True))
         self.assertTrue(self.core.is_cut_off)
 
     def test_requests_that_hung_before_do_not_prolong_a_cut(self):
         self.cut_off()
         for _ in range(2):
-            self.feed(EndpointAnswered("a"))
+            self.feed(EndpointAnswered())
             self.feed(EndpointSilent("b"), 0.31)
         self.assertFalse(self.core.is_cut_off)
 
--- a/daisyhub/cluster/_reach.py
+++ b/daisyhub/cluster/_reach.py
@@ -55,13 +55,13 @@
     """A request that was sent to an endpoint and has no response head yet.
 
     Attributes:
-        endpoint_id: The endpoint.
+        address: Where the endpoint listens.
         started_s: When it was sent.
         scope: Cancels it once this daemon is cut off; None if it may run only
             once.
     """
 
-    endpoint_id: str
+    address: str
     started_s: float
     scope: anyio.CancelScope | None
 
@@ -98,9 +98,10 @@
         self._core = ReachCore()
         self._http: HttpClient | None = None
         self._was_cut_off = False
-        self._ids_by_address: dict[Address, str] = {}
         self._tasks = None
         self._open_attempts: set[_OpenAttempt] = set()
+        # Set while there is something to look at.
+        self._wakeup = anyio.Event()
 
     def set_client(self, http: HttpClient) -> None:
         """Sets the client that probes endpoints, built after this object."""
@@ -135,9 +136,11 @@
             address: Address of the endpoint.
             is_answered: Whether the endpoint answered at all.
         """
-        event = EndpointAnswered if is_answered else EndpointSilent
-        endpoint = self._ids_by_address.get(address, str(address))
-        self._feed(event(endpoint))
+        if is_answered:
+            self._feed(EndpointAnswered())
+        else:
+            self._feed(EndpointSilent(str(address)))
+            self._wakeup.set()
 
     @contextlib.contextmanager
     def watch_attempt(
@@ -152,13 +155,15 @@
             endpoint_id: The endpoint that it is sent to.
             is_repeatable: Whether the request may be sent again.
         """
+        endpoint = self._directory.get(endpoint_id)
         with anyio.CancelScope() as scope:
             attempt = _OpenAttempt(
-                endpoint_id,
+                str(endpoint.entry.address) if endpoint else endpoint_id,
                 time.monotonic(),
                 scope if is_repeatable else None,
             )
             self._open_attempts.add(attempt)
+            self._wakeup.set()
             try:
                 yield
             finally:
@@ -178,24 +183,31 @@
         """Looks for silent endpoints, and probes, until cancelled."""
         async with anyio.create_task_group() as self._tasks:
             while True:
+                await self._wakeup.wait()
                 await anyio.sleep(_TICK_INTERVAL_S)
                 self._tick()
+                if not (self._open_attempts or self._core.is_suspicious):
+                    self._wakeup = anyio.Event()
 
     def _tick(self) -> None:
         now_s = time.monotonic()
-        entries = [
-            e.entry
-            for e in self._directory.all()
-            if not e.entry.is_leaving and e.absent_since_s is None
-        ]
-        self._ids_by_address = {e.address: e.endpoint_id for e in entries}
         for attempt in list(self._open_attempts):
             is_old = now_s - attempt.started_s >= _SILENCE_S
             if is_old and not self.has_answer_since(attempt.started_s):
-                self._feed(EndpointSilent(attempt.endpoint_id))
-        ids = [e.endpoint_id for e in entries]
-        random.shuffle(ids)
-        self._feed(ReachTick(tuple(ids), bool(self.answered_peers())))
+                self._feed(EndpointSilent(attempt.address))
+        # The list of endpoints may be long, and only a suspicion needs it.
+        is_suspicious = self._core.is_suspicious
+        addresses = list(self._entries()) if is_suspicious else []
+        random.shuffle(addresses)
+        self._feed(ReachTick(tuple(addresses), bool(self.answered_peers())))
+
+    def _entries(self) -> dict[str, EndpointEntry]:
+        """Returns the entries of endpoints that should answer, by address."""
+        return {
+            str(e.entry.address): e.entry
+            for e in self._directory.all()
+            if not e.entry.is_leaving and e.absent_since_s is None
+        }
 
     def _feed(self, event: object) -> None:
         for action in self._core.handle(event, time.monotonic()):
@@ -213,20 +225,22 @@
         if not isinstance(message, ReachQuestion):
             return
         is_fresh = self.has_answer_since(time.monotonic() - _STALE_ANSWER_S)
-        if not is_fresh and self._ids_by_address:
-            endpoint_ids = list(self._ids_by_address.values())
-            self._probe_all((random.choice(endpoint_ids),))
+        addresses = list(self._entries())
+        if not is_fresh and addresses:
+            self._probe_all((random.choice(addresses),))
 
     def _ask_peers(self) -> None:
         live = [p.daemon_id for p in self._peers.live()]
         chosen = random.sample(live, min(_ASKED_PEERS, len(live)))
         self._network.send_datagrams(chosen, ReachQuestion())
 
-    def _probe_all(self, endpoint_ids: tuple[str, ...]) -> None:
+    def _probe_all(self, addresses: tuple[str, ...]) -> None:
         if self._tasks is None:
             return
-        for endpoint_id in endpoint_ids:
-            self._tasks.start_soon(self._probe, endpoint_id)
+        entries = self._entries()
+        for address in addresses:
+            if address in entries:
+                self._tasks.start_soon(self._probe, entries[address])
 
     def _log_change(self) -> None:
         event = "endpoints_lost" if self.is_cut_off else "endpoints_regained"
@@ -250,16 +264,12 @@
             if attempt.scope is not None and is_silent:
                 attempt.scope.cancel()
 
-    async def _probe(self, endpoint_id: str) -> None:
+    async def _probe(self, entry: EndpointEntry) -> None:
         """Asks an endpoint for its health; any answer counts.
 
         The client records the outcome. An idle connection is used if there is
         one: it may still work while new ones are refused.
         """
-        endpoint = self._directory.get(endpoint_id)
-        if endpoint is None:
-            return
-        entry: EndpointEntry = endpoint.entry
         self._metrics.count("reach_probes")
         try:
             await self._http.request(
@@ -270,9 +280,9 @@
                 may_send=lambda: not self._directory.is_leaving(entry),
             )
         except RequestFailedError as exc:
-            self._feed(EndpointSilent(endpoint_id, is_probe=True))
+            self._feed(EndpointSilent(str(entry.address), is_probe=True))
             self._log.record(
-                "probe_failed", endpoint=endpoint_id, reason=str(exc)
+                "probe_failed", endpoint=entry.endpoint_id, reason=str(exc)
             )
 
 
