--- a/daisyhub/testing/soak/_plan.py
+++ b/daisyhub/testing/soak/_plan.py
@@ -22,6 +22,11 @@
 # server gets.
 _LIMITS_PER_TEN_S = 1.5
 _LIMITS_PER_S = (0.0, 0.5, 2.0, 10.0, 50.0)
+# Cuts of daemons from all servers per ten seconds, their maximum duration, and
+# the probability that a cut has a further daemon.
+_CUTS_PER_TEN_S = 1.0
+_MAX_CUT_S = 6.0
+_FURTHER_CUT_PROBABILITY = 0.4
 # Maximum delay in seconds of a late response, within the timeout of a store
 # call (0.7 s), and of a deferred write; and from the first disturbed write to
 # the rejections, twice that timeout.
@@ -46,6 +51,7 @@
         STORE_FAULT: The store responds with faults.
         SERVER_LINK: A network fault between all daemons and one server.
         SERVER_FAULT: A server responds with faults.
+        CUT_OFF: A daemon is cut off from all servers.
         SERVER_LIMIT: A server states a limit of its request rate.
         CONFIG: The manifest is written again with a new version.
         KEYS: The manifest contains a second account for a time.
@@ -63,6 +69,7 @@
     STORE_FAULT = "store_fault"
     SERVER_LINK = "server_link"
     SERVER_FAULT = "server_fault"
+    CUT_OFF = "cut_off"
     SERVER_LIMIT = "server_limit"
     CONFIG = "config"
     KEYS = "keys"
@@ -87,6 +94,7 @@
     Kind.KILL_ALL: 1,
 }
 _LINK_MODES = ("slow", "reset", "one_way", "silent")
+_CUT_MODES = ("silent", "reset", "refuse", "one_way")
 _STORE_FAULTS = ("error", "lose", "late", "truncate")
 _SERVER_FAULTS = ("error", "lose", "late", "truncate", "hang")
 
@@ -167,6 +175,7 @@
             plan.append(repeat)
     plan += _draw_series(random.Random(f"{seed} submissions"), seconds)
     plan += _draw_limits(random.Random(f"{seed} limits"), seconds, servers)
+    plan += _draw_cuts(random.Random(f"{seed} cuts"), seconds, daemons)
     return tuple(sorted(plan, key=lambda d: d.at_s))
 
 
@@ -209,6 +218,23 @@
         )
 
 
+def _draw_cuts(rng, seconds, daemons) -> Iterator[Disturbance]:
+    """Yields cuts of some daemons, never of all, from all servers."""
+    for _ in range(max(1, round(seconds / 10 * _CUTS_PER_TEN_S))):
+        at_s = rng.uniform(0.0, seconds)
+        mode = rng.choice(_CUT_MODES)
+        for daemon in rng.sample(daemons, len(daemons) - 1):
+            yield Disturbance(
+                at_s=at_s,
+                duration_s=rng.uniform(1.0, _MAX_CUT_S),
+                kind=Kind.CUT_OFF,
+                target=daemon,
+                mode=mode,
+            )
+            if rng.random() >= _FURTHER_CUT_PROBABILITY:
+                break
+
+
 def _draw(rng, seconds, daemons, servers) -> Disturbance:
     kind = rng.choices(list(_WEIGHTS), list(_WEIGHTS.values()))[0]
     at_s = rng.uniform(0.0, seconds)
--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -164,6 +164,10 @@
                 self._signal(disturbance.target, signal.SIGHUP)
             case Kind.STORE_LINK | Kind.SERVER_LINK | Kind.ALL_STORE_LINKS:
                 await self._degrade_links(disturbance)
+            case Kind.CUT_OFF:
+                fleet.cut_off(disturbance.target, LinkMode(disturbance.mode))
+                await anyio.sleep(disturbance.duration_s)
+                fleet.cut_off(disturbance.target, LinkMode.PASS)
             case Kind.STORE_FAULT | Kind.SERVER_FAULT | Kind.SERVER_LIMIT:
                 await self._disturb_fake(disturbance)
             case Kind.SUBMISSION:
