--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -162,12 +162,13 @@
                 await self._pause(disturbance.target, disturbance.duration_s)
             case Kind.HANG_UP:
                 self._signal(disturbance.target, signal.SIGHUP)
-            case Kind.STORE_LINK | Kind.SERVER_LINK | Kind.ALL_STORE_LINKS:
-                await self._degrade_links(disturbance)
-            case Kind.CUT_OFF:
-                fleet.cut_off(disturbance.target, LinkMode(disturbance.mode))
-                await anyio.sleep(disturbance.duration_s)
-                fleet.cut_off(disturbance.target, LinkMode.PASS)
+            case (
+                Kind.STORE_LINK
+                | Kind.SERVER_LINK
+                | Kind.ALL_STORE_LINKS
+                | Kind.CUT_OFF
+            ):
+                await self._disturb_links(disturbance)
             case Kind.STORE_FAULT | Kind.SERVER_FAULT | Kind.SERVER_LIMIT:
                 await self._disturb_fake(disturbance)
             case Kind.SUBMISSION:
@@ -254,6 +255,18 @@
         await anyio.sleep(duration_s)
         self._signal(name, signal.SIGCONT)
 
+    async def _disturb_links(self, disturbance: Disturbance) -> None:
+        if disturbance.kind is Kind.CUT_OFF:
+            await self._cut_off(disturbance)
+        else:
+            await self._degrade_links(disturbance)
+
+    async def _cut_off(self, disturbance: Disturbance) -> None:
+        daemon, mode = disturbance.target, LinkMode(disturbance.mode)
+        self.fleet.cut_off(daemon, mode)
+        await anyio.sleep(disturbance.duration_s)
+        self.fleet.cut_off(daemon, LinkMode.PASS)
+
     async def _degrade_links(self, disturbance: Disturbance) -> None:
         names = [f"store {name}" for name in self.fleet.daemon_names]
         if disturbance.kind is Kind.STORE_LINK:
