A single slow request costs one probe, over an open connection

The first probe asks one endpoint, with an open connection if there is one; only further silence asks two, and peers.

--- a/daisyhub/balancing/_reach_core.py
+++ b/daisyhub/balancing/_reach_core.py
@@ -26,8 +26,11 @@
 # Endpoints that must be silent before a daemon considers itself cut off, unless
 # it knows fewer.
 _MIN_SILENT = 3
-# Seconds between rounds of probes. With the timeout of a probe and a ping of
-# the peers, a cut is known within a second of the first silence.
+# Endpoints that are probed at a time, after a first probe of one: a single slow
+# request is usual, and its endpoint's neighbour answers.
+_PROBED_AT_ONCE = 2
+# Seconds between rounds of probes. With the timeout of a probe, a cut is known
+# about a second after the first silence.
 _PROBE_INTERVAL_S = 0.4
 # Maximum interval, up to which it doubles while the suspicion is not confirmed.
 _MAX_PROBE_INTERVAL_S = 3.0
@@ -61,7 +64,8 @@
     """Time has passed.
 
     Attributes:
-        endpoints: The endpoints that should answer, in a random order.
+        endpoints: The endpoints that should answer, those that are cheap to
+            ask first.
         is_peer_answered: Whether endpoints answer a live peer.
     """
 
@@ -158,11 +162,15 @@
         self._probe_at_s = now_s + self._interval_s
         # Peers without traffic can't tell unless they are asked. While this
         # daemon is cut off, they are its only way.
-        questions = [] if tick.is_peer_answered else [AskPeers()]
+        must_ask = self._is_cut_off or len(self._silent) > 1
+        questions = (
+            [AskPeers()] if must_ask and not tick.is_peer_answered else []
+        )
         if self._is_cut_off:
             self._interval_s = _PROBE_INTERVAL_S
             return [*questions, ProbeEndpoints(tick.endpoints[:1])]
+        count = 1 if len(self._silent) == 1 else _PROBED_AT_ONCE
         self._interval_s = min(2 * self._interval_s, _MAX_PROBE_INTERVAL_S)
         fresh = [e for e in tick.endpoints if e not in self._silent]
-        chosen = (*fresh, *tick.endpoints)[: _MIN_SILENT - 1]
+        chosen = (*fresh, *tick.endpoints)[:count]
         return [*questions, ProbeEndpoints(tuple(dict.fromkeys(chosen)))]
--- a/daisyhub/balancing/tests/test_reach_core.py
+++ b/daisyhub/balancing/tests/test_reach_core.py
@@ -66,6 +66,15 @@
         self.assertTrue(self.core.is_cut_off)
         self.assertLessEqual({"b", "c"}, set(self.probed))
 
+    def test_a_single_slow_request_costs_one_probe(self):
+        self.feed(EndpointSilent("a"), 1.0)
+        self.tick()
+        self.feed(EndpointAnswered(), 0.01)
+        for _ in range(10):
+            self.tick()
+        self.assertEqual(self.probed, ["b"])
+        self.assertEqual(self.asked, 0)
+
     def test_an_endpoint_that_stays_silent_costs_few_probes(self):
         for _ in range(600):
             known = len(self.probed)
--- a/daisyhub/cluster/_reach.py
+++ b/daisyhub/cluster/_reach.py
@@ -197,9 +197,18 @@
                 self._feed(EndpointSilent(attempt.address))
         # The list of endpoints may be long, and only a suspicion needs it.
         is_suspicious = self._core.is_suspicious
-        addresses = list(self._entries()) if is_suspicious else []
-        random.shuffle(addresses)
-        self._feed(ReachTick(tuple(addresses), bool(self.answered_peers())))
+        endpoints = self._in_probe_order() if is_suspicious else ()
+        self._feed(ReachTick(endpoints, bool(self.answered_peers())))
+
+    def _in_probe_order(self) -> tuple[str, ...]:
+        """Returns the endpoints at random, those with open connections first.
+
+        New connections are priced, and take endpoints time.
+        """
+        entries = list(self._entries().values())
+        random.shuffle(entries)
+        entries.sort(key=lambda e: not self._http.has_connection(e.address))
+        return tuple(str(entry.address) for entry in entries)
 
     def _entries(self) -> dict[str, EndpointEntry]:
         """Returns the entries of endpoints that should answer, by address."""
@@ -225,9 +234,8 @@
         if not isinstance(message, ReachQuestion):
             return
         is_fresh = self.has_answer_since(time.monotonic() - _STALE_ANSWER_S)
-        addresses = list(self._entries())
-        if not is_fresh and addresses:
-            self._probe_all((random.choice(addresses),))
+        if not is_fresh:
+            self._probe_all(self._in_probe_order()[:1])
 
     def _ask_peers(self) -> None:
         live = [p.daemon_id for p in self._peers.live()]
