An item waits for its text's release for two seconds at most

A long text may take 15 s, and its item waited as long for an engine of its release that is listed but has no room, while others had some. The platform allows an item 5 s at no engine then.

--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -78,6 +78,10 @@
 # Weight of the latest run in the usual duration of a model's runs, which thus
 # covers about the items of one lot.
 _DURATION_WEIGHT = 0.02
+# Maximum seconds for which an item waits for an engine of its text's release:
+# less than half of the time that an item may be at no engine while others have
+# room (5 s, set by the platform).
+_MAX_RELEASE_WAIT_S = 2.0
 # Seconds between two searches for silent runs, which look at all of them: a
 # sixth of the shortest timeout.
 _SILENCE_CHECK_INTERVAL_S = 0.1
@@ -599,7 +603,7 @@
         """Whether an item waits for an engine of its text's release.
 
         It waits no longer than it takes to generate the text again, so that
-        it loses at most twice that time.
+        it loses at most twice that time, and only for a while.
         """
         release = item.progress.release
         if all(e.view.release != release for e in self._engines.values()):
@@ -607,7 +611,8 @@
         if item.waits_since_s is None:
             item.waits_since_s = now_s
         repeated_s = len(item.progress.texts) * median_interval_s
-        return now_s - item.waits_since_s < repeated_s
+        max_wait_s = min(repeated_s, _MAX_RELEASE_WAIT_S)
+        return now_s - item.waits_since_s < max_wait_s
 
     def _median_event_interval_s(self) -> float:
         """Returns the median of the known event intervals; 0 without any."""
--- a/daisyhub/lots/tests/test_dispatch_core.py
+++ b/daisyhub/lots/tests/test_dispatch_core.py
@@ -495,6 +495,19 @@
         (again,) = self.driver.runs(self.driver.tick(0.4))
         self.assertEqual((again.endpoint_id, again.resume_after), ("e2", 0))
 
+    def test_long_text_waits_for_its_release_for_two_seconds(self):
+        ids, releases = ("e1", "e2"), {"e2": V2}
+        self.feed(engines("e1", slots=1))
+        self.feed(lot(item("a")))
+        for number in range(100):
+            self.driver.now_s += 0.1
+            self.driver.stream(1, f"x{number}")
+        self.feed(engines(*ids, slots=1, releases=releases, loading=("e1",)))
+        self.assertEqual(self.feed(RunFailed(1, RunFault.BROKEN)), [])
+        self.assertEqual(self.driver.runs(self.driver.tick(1.9)), [])
+        (again,) = self.driver.runs(self.driver.tick(0.2))
+        self.assertEqual((again.endpoint_id, again.resume_after), ("e2", 0))
+
     def test_item_that_waits_for_its_release_delays_no_other(self):
         ids, releases = ("e1", "e2"), {"e2": V2}
         self.feed(engines(*ids, slots=1, releases=releases))
