A response's release is kept once

The state of a request had the software version of the endpoint that answers and its release; the log line tells the release. No other change of behaviour.

--- a/daisyhub/gateway/_endpoint_attempts.py
+++ b/daisyhub/gateway/_endpoint_attempts.py
@@ -239,7 +239,6 @@
             state.is_answered = True
             if isinstance(response, StreamedResponse):
                 state.responding = (entry, sent_s)
-                state.software = entry.software
                 state.answered_by = self._streams.release_of(entry)
             else:
                 self._crashes.record_response(state.digest, entry, sent_s)
--- a/daisyhub/gateway/_relays.py
+++ b/daisyhub/gateway/_relays.py
@@ -44,7 +44,10 @@
 
 
 class Relays(abc.ABC):
-    """Peers that can send a request to an endpoint for this daemon."""
+    """Peers that can send a request to an endpoint for this daemon.
+
+    Also tells what shows that they are needed: whether endpoints answer.
+    """
 
     @abc.abstractmethod
     def choose(
@@ -253,7 +256,6 @@
             )
             return outcome, stated.detail
         state.is_answered = True
-        state.software = stated.release.version if stated.release else ""
         state.answered_by = stated.release
         return (
             AttemptOutcome(AttemptCompleted(action.attempt), response),
--- a/daisyhub/gateway/_send_task.py
+++ b/daisyhub/gateway/_send_task.py
@@ -82,8 +82,8 @@
         is_answered: Whether an attempt got a response that is delivered.
         responding: The endpoint whose response is streamed, and when the
             request was sent to it.
-        software: Version of that endpoint's software.
-        answered_by: Its release; None if unknown.
+        answered_by: The release of the endpoint whose response is streamed,
+            also through a peer; None if unknown.
     """
 
     task: SendTask
@@ -95,7 +95,6 @@
     max_wait_s: float = 0.0
     is_answered: bool = False
     responding: tuple[EndpointEntry, float] | None = None
-    software: str = ""
     answered_by: Release | None = None
 
     @property
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -176,7 +176,7 @@
             pools=pools,
             is_relayed=task.is_relayed,
             resumes=task.resumption.first_request_id if task.resumption else "",
-            software=state.software,
+            answered_by=str(state.answered_by or ""),
             usual_s=round(usual_s, 4),
             hedge_after_s=round(plan.hedge_after_s, 3),
             attempts=state.trace,
