Probes of a daemon that suspects a cut keep to the limits of endpoints

Probes were sent to endpoints that limit their rate, beside their permits: all that reaches an endpoint counts against its limit. An endpoint without room isn't probed; that says nothing about a cut.

--- a/daisyhub/cluster/_reach.py
+++ b/daisyhub/cluster/_reach.py
@@ -15,18 +15,25 @@
 
 from daisyhub.balancing import (
     AskPeers,
+    Denial,
     EndpointAnswered,
     EndpointDirectory,
     EndpointEntry,
     EndpointSilent,
+    PermitSource,
     ProbeEndpoints,
     ReachCore,
     ReachTick,
+    Urgency,
 )
 from daisyhub.base import Controller
 from daisyhub.cluster._messages import ReachQuestion
 from daisyhub.cluster._peers import PeerState, PeerTable
-from daisyhub.connections import HttpClient, RequestFailedError
+from daisyhub.connections import (
+    HttpClient,
+    RequestFailedError,
+    RequestWithdrawnError,
+)
 from daisyhub.logs import DecisionLog
 from daisyhub.metrics import Metrics
 from daisyhub.peers import PeerNetwork
@@ -97,15 +104,22 @@
         self._log = log
         self._core = ReachCore()
         self._http: HttpClient | None = None
+        self._permits: PermitSource | None = None
         self._was_cut_off = False
         self._tasks = None
         self._open_attempts: set[_OpenAttempt] = set()
         # Set while there is something to look at.
         self._wakeup = anyio.Event()
 
-    def set_client(self, http: HttpClient) -> None:
-        """Sets the client that probes endpoints, built after this object."""
+    def set_client(self, http: HttpClient, permits: PermitSource) -> None:
+        """Sets what probes need and is built after this object.
+
+        Args:
+            http: Client that probes endpoints.
+            permits: Permits for endpoints that limit their rate.
+        """
         self._http = http
+        self._permits = permits
 
     def status(self) -> dict[str, object]:
         """Returns whether this daemon is cut off, and the last answer."""
@@ -276,8 +290,12 @@
         """Asks an endpoint for its health; any answer counts.
 
         The client records the outcome. An idle connection is used if there is
-        one: it may still work while new ones are refused.
+        one: it may still work while new ones are refused. An endpoint that
+        limits its rate and has no room isn't asked.
         """
+        permit = await self._permits.acquire(entry, Urgency.PATIENT, 0.0)
+        if isinstance(permit, Denial):
+            return
         self._metrics.count("reach_probes")
         try:
             await self._http.request(
@@ -285,8 +303,13 @@
                 entry.address,
                 self._health_path(entry.pool),
                 timeout_s=_PROBE_TIMEOUT_S,
-                may_send=lambda: not self._directory.is_leaving(entry),
+                may_send=lambda: (
+                    not self._directory.is_leaving(entry)
+                    and self._permits.may_send(permit)
+                ),
             )
+        except RequestWithdrawnError:
+            return
         except RequestFailedError as exc:
             self._feed(EndpointSilent(str(entry.address), is_probe=True))
             self._log.record(
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -209,7 +209,6 @@
             self.metrics,
             self.log,
         )
-        self.reach.set_client(self.endpoint_http)
         self.leaving_news = LeavingNews(
             self.directory, self.network, self.peers, self.metrics, self.log
         )
@@ -219,6 +218,7 @@
         self.permits = SharedPermits(
             self.owners, self.network, self.peers, self.metrics, self.log
         )
+        self.reach.set_client(self.endpoint_http, self.permits)
         self.suspects = SharedSuspects(
             self._is_currently_listed,
             self.owners,
