Waiting for room at an endpoint is no sign of a cut

A request that waits for a permit was watched as if it had been sent, so that two endpoints that limit their rate looked silent: daemons considered themselves cut off and gave such requests up (504), or repeated them through peers although no endpoint had been contacted (502 instead of 503 with the time of the next room). Attempts are watched from the moment at which they are sent, and a repeat goes through a peer only after an endpoint was contacted.

--- a/daisyhub/gateway/_endpoint_attempts.py
+++ b/daisyhub/gateway/_endpoint_attempts.py
@@ -21,6 +21,7 @@
 from daisyhub.exceptions import ExecutionStatus
 from daisyhub.filters import AttemptCompleted, AttemptOutcome, StartAttempt
 from daisyhub.gateway._crash_watch import CrashWatch
+from daisyhub.gateway._relays import Relays
 from daisyhub.gateway._send_outcomes import make_failed_outcome
 from daisyhub.gateway._send_task import SendState, SendTask
 from daisyhub.gateway._send_timing import endpoint_timeout_s
@@ -48,6 +49,7 @@
         permits: Permits for endpoints that limit their rate.
         crashes: Notices requests under which endpoints end.
         streams: Keeps streams at the release that began them.
+        relays: Ends attempts without an answer once this daemon is cut off.
         metrics: Counts attempts.
     """
 
@@ -59,6 +61,7 @@
         permits: PermitSource,
         crashes: CrashWatch,
         streams: StreamGuard,
+        relays: Relays,
         metrics: Metrics,
     ):
         self._directory = directory
@@ -67,6 +70,7 @@
         self._permits = permits
         self._crashes = crashes
         self._streams = streams
+        self._relays = relays
         self._metrics = metrics
 
     async def send(
@@ -111,11 +115,24 @@
         self._metrics.count("attempts", pool=endpoint.entry.pool)
         result = "cancelled"
         state.sent += 1
+        state.exchanges += 1
         try:
             fresh = state.record_attempt(endpoint_id)
-            response = await self._exchange(
-                state.task, endpoint.entry, permit, fresh
-            )
+            response = None
+            with self._relays.watch_attempt(
+                endpoint_id, is_repeatable=task.route.is_repeatable
+            ):
+                response = await self._exchange(
+                    state.task, endpoint.entry, permit, fresh
+                )
+            if response is None:
+                result = "given up, as this daemon is cut off"
+                self._directory.record_failed(
+                    endpoint_id, token, time.monotonic()
+                )
+                return make_failed_outcome(
+                    action, ExecutionStatus.UNKNOWN, timed_out=True
+                )
             result = f"status {response.status}"
         except RequestWithdrawnError as exc:
             result = str(exc)
--- a/daisyhub/gateway/_relays.py
+++ b/daisyhub/gateway/_relays.py
@@ -159,11 +159,11 @@
     ) -> str | None:
         """Returns a peer if this daemon seems to be cut off.
 
-        A repeat goes through a peer, too, if no endpoint answered since the
-        request arrived; see `Relays.choose`.
+        A repeat goes through a peer, too, if an endpoint was contacted and
+        none answered since the request arrived; see `Relays.choose`.
         """
-        is_unanswered = bool(excluded) and not self._reach.has_answer_since(
-            since_s
+        is_unanswered = state.exchanges > 0 and not (
+            self._reach.has_answer_since(since_s)
         )
         if state.task.is_relayed or not (
             self._reach.is_cut_off or is_unanswered
--- a/daisyhub/gateway/_send_task.py
+++ b/daisyhub/gateway/_send_task.py
@@ -77,6 +77,7 @@
         trace: A description of each ended attempt, for the log.
         tried: Ids of the endpoints that were tried.
         sent: Number of attempts that run or may have run.
+        exchanges: Number of attempts for which an endpoint was contacted.
         max_wait_s: How long the request may wait for room at an endpoint that
             limits its rate.
         is_answered: Whether an attempt got a response that is delivered.
@@ -92,6 +93,7 @@
     trace: list[str] = dataclasses.field(default_factory=list)
     tried: set[str] = dataclasses.field(default_factory=set)
     sent: int = 0
+    exchanges: int = 0
     max_wait_s: float = 0.0
     is_answered: bool = False
     responding: tuple[EndpointEntry, float] | None = None
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -14,7 +14,7 @@
     Release,
 )
 from daisyhub.connections import HttpClient
-from daisyhub.exceptions import ErrorCode, ExecutionStatus
+from daisyhub.exceptions import ErrorCode
 from daisyhub.filters import (
     AttemptOutcome,
     FailRequest,
@@ -29,7 +29,6 @@
 from daisyhub.gateway._relays import NoRelays, Relays
 from daisyhub.gateway._rooms import RoomView
 from daisyhub.gateway._send_outcomes import (
-    make_failed_outcome,
     make_refusal,
     make_response,
 )
@@ -103,6 +102,7 @@
             permits,
             self._crashes,
             self._streams,
+            self._relays,
             metrics,
         )
         self._budget = RetryBudget()
@@ -220,13 +220,7 @@
         async def attempt(action: StartAttempt) -> AttemptOutcome:
             if self._relays.is_relay(action.endpoint_id):
                 return await self._relays.send(state, action)
-            with self._relays.watch_attempt(
-                action.endpoint_id, is_repeatable=plan.idempotent
-            ):
-                return await self._attempts.send(state, action)
-            return make_failed_outcome(
-                action, ExecutionStatus.UNKNOWN, timed_out=True
-            )
+            return await self._attempts.send(state, action)
 
         return await run_attempts(core, attempt)
 
--- a/daisyhub/gateway/tests/test_relays.py
+++ b/daisyhub/gateway/tests/test_relays.py
@@ -142,7 +142,7 @@
             self.reach.add(name, "127.0.0.1:1", domain=domain, speed=speed)
         relays = self.sender._relays
         counts = dict.fromkeys(self.reach.peers, 0)
-        state = types.SimpleNamespace(task=make_send_task())
+        state = types.SimpleNamespace(task=make_send_task(), exchanges=0)
         for _ in range(130):
             name = relays.choose(state, frozenset(), 0.0).split()[1]
             relays._open[name] += 1
@@ -153,16 +153,20 @@
     async def test_first_attempts_are_direct_unless_cut_off(self):
         self.reach.add("a", "127.0.0.1:1")
         self.reach.is_cut_off = False
-        state = types.SimpleNamespace(task=make_send_task())
+        state = types.SimpleNamespace(task=make_send_task(), exchanges=0)
         choose = self.sender._relays.choose
         self.assertIsNone(choose(state, frozenset(), 0.0))
+        # No endpoint was contacted, as the one chosen limits its rate.
+        self.assertIsNone(choose(state, frozenset({"i-0"}), 0.0))
+        state.exchanges = 1
         self.assertEqual(choose(state, frozenset({"i-0"}), 0.0), "peer a")
         self.reach.is_answered = True
         self.assertIsNone(choose(state, frozenset({"i-0"}), 0.0))
 
     async def test_a_relayed_request_takes_no_second_hop(self):
         self.reach.add("a", "127.0.0.1:1")
-        state = types.SimpleNamespace(task=make_send_task(is_relayed=True))
+        task = make_send_task(is_relayed=True)
+        state = types.SimpleNamespace(task=task, exchanges=1)
         choose = self.sender._relays.choose
         self.assertIsNone(choose(state, frozenset({"i-0"}), 0.0))
 
