A caller that leaves in a test does so once its request runs

test_an_end_after_the_caller_left_is_evidence cancelled its request after 50 ms, also if the server hadn't read it; the reset then reached the server first, so that it never ended.

--- a/daisyhub/platform/tests/test_crash_watch.py
+++ b/daisyhub/platform/tests/test_crash_watch.py
@@ -104,16 +104,20 @@
 
     async def test_an_end_after_the_caller_left_is_evidence(self):
         """The exchange is cancelled before the endpoint ends."""
-        release = asyncio.Event()
+        is_running, release = asyncio.Event(), asyncio.Event()
 
         class LateEndingServer(EndingServer):
             async def _answer(self, reader, writer):
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                await reader.readexactly(1)
+                is_running.set()
                 await release.wait()
-                return await super()._answer(reader, writer)
+                self._server.close()
+                return False
 
         await self.add(LateEndingServer())
         send = asyncio.create_task(self.sender.send(self.make_task()))
-        await asyncio.sleep(0.05)
+        await is_running.wait()
         send.cancel()
         release.set()
         await asyncio.wait([send])
