Logs tell which process an entry is of, and attempts at missing endpoints

Change: `endpoint` and `endpoint_removed` name the process and the revision, `watch_silent` tells `behind_s`, attempts at absent endpoints are counted and marked in `sent`. No decision changes. Result: tests of watches and of announced leaving pass.

--- a/daisyhub/gateway/_endpoint_attempts.py
+++ b/daisyhub/gateway/_endpoint_attempts.py
@@ -112,10 +112,13 @@
         sent_s = time.monotonic()
         endpoint_id = action.endpoint_id
         load = endpoint.load(sent_s)
+        is_absent = endpoint.absent_since_s is not None
         token = self._directory.record_sent(
             endpoint_id, state.task.route.name, sent_s
         )
         self._metrics.count("attempts", pool=endpoint.entry.pool)
+        if is_absent:
+            self._metrics.count("absent_attempts", pool=endpoint.entry.pool)
         result = "cancelled"
         state.sent += 1
         state.exchanges += 1
@@ -166,8 +169,10 @@
             raise
         finally:
             took_s = time.monotonic() - sent_s
+            absent = " absent" if is_absent else ""
             state.trace.append(
-                f"{endpoint_id} load {load}: {result} after {took_s:.3f} s"
+                f"{endpoint_id}{absent} load {load}: {result} "
+                f"after {took_s:.3f} s"
             )
         return await self._evaluate_response(
             state, action, endpoint.entry, token, sent_s, response
--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -153,8 +153,9 @@
             self._behind_since_s = now_s
             return
         if now_s - self._behind_since_s >= self._max_lag_s():
+            behind_s = round(now_s - self._behind_since_s, 3)
             self._behind_since_s = None
-            self._restart_with_list(revision)
+            self._restart_with_list(revision, behind_s)
 
     async def verify(self) -> None:
         """Lists the kind while a watch waits; applies what the watch missed.
@@ -178,13 +179,16 @@
             # The list that follows also updates the followers.
             self._restart_with_list(self._newest_revision)
 
-    def _restart_with_list(self, revision: int) -> None:
+    def _restart_with_list(
+        self, revision: int, behind_s: float | None = None
+    ) -> None:
         """Cancels the watch that missed a change; the kind is then listed."""
         self._log.record(
             "watch_silent",
             kind=self._kind,
             revision=self._newest_revision,
             known_elsewhere=revision,
+            behind_s=behind_s,
         )
         self._revision = None
         if self._watch_scope is not None:
--- a/daisyhub/platform/_server_list.py
+++ b/daisyhub/platform/_server_list.py
@@ -41,7 +41,7 @@
     def on_change(self, found: StoredObject) -> None:
         """Applies a server's entry; an invalid one removes the endpoint."""
         if found.is_deleted:
-            self._remove(found.name)
+            self._remove(found.name, found.revision)
             return
         try:
             entry = read_server(found.name, found.spec)
@@ -71,6 +71,7 @@
             self._log.record(
                 "endpoint",
                 name=found.name,
+                incarnation=entry.incarnation,
                 pool=entry.pool,
                 domain=entry.domain,
                 address=str(entry.address),
@@ -82,14 +83,19 @@
                 revision=found.revision,
             )
 
-    def _remove(self, name: str) -> None:
+    def _remove(self, name: str, revision: int) -> None:
         """Removes an endpoint whose entry was deleted or has expired."""
         now_s = time.monotonic()
         is_stable = self._is_store_stable()
+        known = self._directory.get(name)
         self._log.record(
-            "endpoint_removed", name=name, is_store_stable=is_stable
+            "endpoint_removed",
+            name=name,
+            incarnation=known.entry.incarnation if known else None,
+            revision=revision,
+            is_leaving=known.entry.is_leaving if known else None,
+            is_store_stable=is_stable,
         )
-        known = self._directory.get(name)
         if known is not None and is_stable:
             self._leaving_news.confirm(known.entry.process, is_removed=True)
         self._directory.remove(name, now_s, is_store_stable=is_stable)
