A process that the list showed as leaving stays out of use

Cause: only announcements in responses left a mark. A later, older fact about the same process, as of a write that the store carried out late or of a copy that is behind, made a draining endpoint a candidate again. Change: a draining entry leaves the same mark as an announcement, so that peers whose lists are late learn of it by their digests, too. The status still names announced ones only. test_proof_leaving demanded that a later entry without `draining` brings the process back; it now demands that it stays, which is stricter, and one more broken directory is caught.

--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -16,6 +16,7 @@
 
 import dataclasses
 import math
+import time
 from collections.abc import Callable, Iterable
 
 from daisyhub.balancing._choice import AdaptiveChoice, StandardChoice
@@ -61,6 +62,7 @@
         on_leaving: Called with the entry, as it was before, and the kind of
             call at the first response in which an endpoint announces that it
             is leaving.
+        clock: Monotonic clock.
     """
 
     def __init__(
@@ -68,10 +70,12 @@
         tie_break: Callable[[str], float],
         has_connection: Callable[[Address], bool] = lambda _: False,
         on_leaving: Callable[[EndpointEntry, str], None] = lambda *_: None,
+        clock: Callable[[], float] = time.monotonic,
     ):
         self._choice = StandardChoice(tie_break, has_connection)
         self._adaptive: AdaptiveChoice | None = None
         self._on_leaving = on_leaving
+        self._clock = clock
         self._endpoints: dict[str, Endpoint] = {}
         self._leaving = LeavingMarks(self.is_listed)
         self._latencies = RouteLatencies()
@@ -124,8 +128,11 @@
     def upsert(self, entry: EndpointEntry) -> None:
         """Inserts or updates an entry; a restart resets the statistics.
 
-        An endpoint that announced its leaving stays so until it restarts.
+        A process that was leaving, by a response or by an earlier entry, stays
+        so until it restarts.
         """
+        if entry.is_leaving:
+            self._leaving.add_listed(entry.process, self._clock())
         if entry.process in self._leaving:
             entry = dataclasses.replace(entry, is_leaving=True)
         if not self.is_listed(entry.process):
@@ -200,7 +207,7 @@
         return sorted(
             endpoint_id
             for endpoint_id, endpoint in self._endpoints.items()
-            if endpoint.entry.process in self._leaving
+            if self._leaving.is_announced(endpoint.entry.process)
         )
 
     def remove(
--- a/daisyhub/balancing/_leaving.py
+++ b/daisyhub/balancing/_leaving.py
@@ -1,9 +1,10 @@
-"""Endpoints that announced in a response that they are leaving.
+"""Endpoints that are leaving, by a response or by the list.
 
-The announcement precedes the list of endpoints, which may lag behind it by
-seconds or, while the store is unavailable, by minutes. A mark therefore
-outlives the entry: neither an older list nor a removal and re-insertion of the
-entry brings the process back.
+An announcement in a response precedes the list of endpoints, which may lag
+behind it by seconds or, while the store is unavailable, by minutes. A process
+that once was leaving stays so. A mark therefore outlives the entry: neither an
+older list, nor a write that the store carried out late, nor a removal and
+re-insertion of the entry brings the process back.
 """
 
 import dataclasses
@@ -44,16 +45,18 @@
 
 @dataclasses.dataclass(slots=True)
 class _Mark:
-    """An announcement.
+    """What is known of a process that is leaving.
 
     Attributes:
-        announced_at_s: When it was received, perhaps by a peer.
+        announced_at_s: When that was first received, perhaps by a peer.
         is_confirmed: Whether the list has shown the endpoint as leaving or
             gone.
+        is_announced: Whether a response announced it, perhaps to a peer.
     """
 
     announced_at_s: float
     is_confirmed: bool
+    is_announced: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,7 +73,7 @@
 
 
 class LeavingMarks:
-    """The processes of endpoints that announced that they are leaving.
+    """The processes of endpoints that are known to be leaving.
 
     Args:
         is_listed: Whether a process is among the listed endpoints.
@@ -94,7 +97,7 @@
         *,
         is_confirmed: bool,
     ) -> bool:
-        """Marks a process as leaving.
+        """Marks a process that announced its leaving.
 
         Args:
             process: The process.
@@ -102,14 +105,35 @@
             is_confirmed: Whether the list shows it as leaving already.
 
         Returns:
-            Whether it had no mark before.
+            Whether no announcement was known before.
         """
-        if process in self._marks:
-            return False
-        self._marks[process] = _Mark(announced_at_s, is_confirmed)
+        mark = self._marks.get(process)
+        if mark is None:
+            self._insert(process, _Mark(announced_at_s, is_confirmed, True))
+            return True
+        is_new = not mark.is_announced
+        mark.is_announced = True
+        return is_new
+
+    def add_listed(self, process: EndpointProcess, listed_at_s: float) -> None:
+        """Marks a process that the list shows as leaving.
+
+        Args:
+            process: The process.
+            listed_at_s: When the list was received.
+        """
+        if process not in self._marks:
+            self._insert(process, _Mark(listed_at_s, True, False))
+
+    def is_announced(self, process: EndpointProcess) -> bool:
+        """Whether a response announced the leaving of a process."""
+        mark = self._marks.get(process)
+        return mark is not None and mark.is_announced
+
+    def _insert(self, process: EndpointProcess, mark: _Mark) -> None:
+        self._marks[process] = mark
         if len(self._marks) > MAX_MARKS:
             self._drop_oldest_unlisted()
-        return True
 
     def in_force(self, now_s: float, limit: int) -> list[LeavingMark]:
         """Returns the marks of processes that some list may still contain.
--- a/daisyhub/balancing/tests/test_proof_leaving.py
+++ b/daisyhub/balancing/tests/test_proof_leaving.py
@@ -6,6 +6,7 @@
 address, and addresses reused under another id.
 """
 
+import dataclasses
 import unittest
 
 from hypothesis import strategies as st
@@ -53,6 +54,8 @@
         self.now_s = 0.0
         self.last_incarnation = 0
         self.announced = [set(), set()]
+        # Processes that each daemon's list has shown as leaving.
+        self.listed = [set(), set()]
         self.news = []
         self.told = []
         self.directories = [self.make_directory(n) for n in (0, 1)]
@@ -96,8 +99,11 @@
         directory = self.directories[number]
         directory.upsert(entry)
         seen = directory.get(endpoint_id).entry
+        if entry.is_leaving:
+            self.listed[number].add(entry.process)
         is_announced = entry.process in self.announced[number]
-        assert seen.is_leaving == (entry.is_leaving or is_announced), (
+        is_listed = entry.process in self.listed[number]
+        assert seen.is_leaving == (is_listed or is_announced), (
             "the entry of another process was marked, or a mark was lost"
         )
 
@@ -155,13 +161,20 @@
                 assert endpoint.entry.process not in self.announced[number], (
                     "request for an endpoint that announced its leaving"
                 )
+                assert endpoint.entry.process not in self.listed[number], (
+                    "request for an endpoint that was listed as leaving"
+                )
 
     @invariant()
     def entries_of_announced_processes_are_leaving(self):
         """Also those that a request holds while it waits to be sent."""
         for number, directory in enumerate(getattr(self, "directories", ())):
-            for process in self.announced[number]:
-                assert directory.is_leaving(make_entry(process, False)), (
+            for process in self.announced[number] | self.listed[number]:
+                entry = make_entry(process, False)
+                assert directory.is_leaving(entry), (
+                    "a leaving process was forgotten"
+                )
+                assert not directory.accepts(entry), (
                     "a held entry of a leaving process may be used"
                 )
 
@@ -180,7 +193,7 @@
                 for endpoint_id in IDS
                 if not self.history[endpoint_id][-1].is_leaving
                 and self.history[endpoint_id][-1].process
-                not in self.announced[number]
+                not in self.announced[number] | self.listed[number]
             }
             found = {e.entry.endpoint_id for e in directory.in_pools(("p",))}
             assert found == live, "candidates differ from the live endpoints"
@@ -194,6 +207,16 @@
         self._endpoints[entry.endpoint_id].entry = entry
 
 
+class ForgetsList(EndpointDirectory):
+    """Broken: what the list said of a process isn't kept."""
+
+    def upsert(self, entry):
+        super().upsert(dataclasses.replace(entry, is_leaving=False))
+        known = self._endpoints[entry.endpoint_id]
+        if entry.is_leaving:
+            known.entry = entry
+
+
 class ForgetsWithEntry(EndpointDirectory):
     """Broken: a mark ends with the entry."""
 
@@ -229,7 +252,13 @@
         run_proof(LeavingMachine, examples=150)
 
     def test_broken_directories_are_detected(self):
-        for broken in (TrustsList, ForgetsWithEntry, MarksById, PassesNewsOn):
+        for broken in (
+            TrustsList,
+            ForgetsList,
+            ForgetsWithEntry,
+            MarksById,
+            PassesNewsOn,
+        ):
             with self.subTest(broken.__name__):
                 machine = type(
                     "Machine", (LeavingMachine,), {"directory_class": broken}
