Endpoints whose entry is gone are sent nothing that waited for them

Callers saw: a request that had chosen a server before its entry was removed, and waited since for a permit, a connection or its turn, reached it later than 2,000 ms after the removal (DRAIN). Cause: the check right before the bytes leave asked whether the process is known to leave; of a process that is listed nowhere it said yes. Change: the check asks whether the list has the process. All senders pass it: look-ups, streams, reward calls, relayed requests, items, orders and reports of weights, probes. A directory without the check is caught by the proof.

--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -91,10 +91,15 @@
         """Whether anything may be sent to the process of an entry now.
 
         Everything that sends to endpoints asks this, also right before the
-        bytes leave. The entry may be old.
+        bytes leave. The entry may be old: a process that is no longer listed
+        is gone.
         """
         is_evacuated = entry.domain in self._evacuated_domains
-        return not is_evacuated and not self.is_leaving(entry)
+        return (
+            not is_evacuated
+            and self.is_listed(entry.process)
+            and not self.is_leaving(entry)
+        )
 
     def are_evacuated(self, pools: Iterable[str]) -> bool:
         """Whether evacuations exclude all remaining endpoints of some pools."""
--- a/daisyhub/balancing/tests/test_proof_leaving.py
+++ b/daisyhub/balancing/tests/test_proof_leaving.py
@@ -178,6 +178,16 @@
                     "a held entry of a leaving process may be used"
                 )
 
+    @invariant()
+    def processes_that_are_not_listed_get_no_requests(self):
+        for directory in getattr(self, "directories", ()):
+            for entry in (e for id_ in IDS for e in self.history[id_]):
+                known = directory.get(entry.endpoint_id)
+                is_listed = known and known.entry.process == entry.process
+                assert is_listed or not directory.accepts(entry), (
+                    "a held entry of a removed process may be used"
+                )
+
     @invariant()
     def each_process_is_told_once(self):
         told = getattr(self, "told", [])
@@ -217,6 +227,13 @@
             known.entry = entry
 
 
+class AcceptsUnlisted(EndpointDirectory):
+    """Broken: an endpoint that isn't known to leave may be used."""
+
+    def accepts(self, entry):
+        return not self.is_leaving(entry)
+
+
 class ForgetsWithEntry(EndpointDirectory):
     """Broken: a mark ends with the entry."""
 
@@ -255,6 +272,7 @@
         for broken in (
             TrustsList,
             ForgetsList,
+            AcceptsUnlisted,
             ForgetsWithEntry,
             MarksById,
             PassesNewsOn,
