Removed endpoints are kept only where their entries may have lapsed

Callers saw: requests and, above all, items at servers more than 2,000 ms after the store had confirmed the removal of their entries (DRAIN). Cause: two waits added up. A removal seen within 3 s of a failure of any watch was taken for a lapse, and the endpoint kept for 2.0 s from then on, plus the interval of the check: up to 2.25 s after the daemon saw it, and 5 s after the failure. A watch that the store cut off, and a 429, counted as failures, although both happen while the store is stable. Change: LapseWindow counts both ends from the start of the last call that found the store unavailable on every way, directly and through peers; such a call can't start after the store's return. Watches that are cut off and calls beyond the rate don't count. The check right before sending asks it, too, so that the interval of the check adds nothing. Entries that lapse in an outage are used as before.

--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -44,6 +44,7 @@
     EndpointTable,
     EndpointUpdate,
 )
+from daisyhub.balancing._lapses import LapseWindow
 from daisyhub.balancing._leaving import (
     EndpointProcess,
     LeavingMark,
@@ -108,6 +109,7 @@
     "EndpointUpdate",
     "EntryListed",
     "Grant",
+    "LapseWindow",
     "LeastLoaded",
     "LeavingMark",
     "LocalPermits",
--- a/daisyhub/balancing/_directory.py
+++ b/daisyhub/balancing/_directory.py
@@ -26,6 +26,7 @@
     OpenRequest,
     is_suspect,
 )
+from daisyhub.balancing._lapses import LapseWindow
 from daisyhub.balancing._latencies import RouteLatencies
 from daisyhub.balancing._leaving import (
     EndpointProcess,
@@ -44,10 +45,6 @@
 # Added to latencies before they are compared, in seconds: differences of some
 # milliseconds between short requests tell nothing about an endpoint.
 _LATENCY_FLOOR_S = 0.02
-# Time for which an entry that expired while the store was unavailable is kept:
-# the platform states that live servers are listed again within about two
-# seconds.
-_ABSENCE_GRACE_S = 2.0
 
 
 class EndpointDirectory:
@@ -63,6 +60,8 @@
             call at the first response in which an endpoint announces that it
             is leaving.
         clock: Monotonic clock.
+        lapses: Tells for how long endpoints are kept whose entries may have
+            lapsed.
     """
 
     def __init__(
@@ -71,11 +70,13 @@
         has_connection: Callable[[Address], bool] = lambda _: False,
         on_leaving: Callable[[EndpointEntry, str], None] = lambda *_: None,
         clock: Callable[[], float] = time.monotonic,
+        lapses: LapseWindow | None = None,
     ):
         self._choice = StandardChoice(tie_break, has_connection)
         self._adaptive: AdaptiveChoice | None = None
         self._on_leaving = on_leaving
         self._clock = clock
+        self._lapses = lapses or LapseWindow()
         self._endpoints: dict[str, Endpoint] = {}
         self._leaving = LeavingMarks(self.is_listed)
         self._latencies = RouteLatencies()
@@ -94,11 +95,19 @@
         bytes leave. The entry may be old: a process that is no longer listed
         is gone.
         """
-        is_evacuated = entry.domain in self._evacuated_domains
-        return (
-            not is_evacuated
-            and self.is_listed(entry.process)
-            and not self.is_leaving(entry)
+        known = self._endpoints.get(entry.endpoint_id)
+        if known is None or known.entry.process != entry.process:
+            return False
+        return self._is_usable(known)
+
+    def _is_usable(self, endpoint: Endpoint) -> bool:
+        """Whether a listed endpoint may be sent anything now."""
+        entry = endpoint.entry
+        if entry.is_leaving or entry.domain in self._evacuated_domains:
+            return False
+        absent_since_s = endpoint.absent_since_s
+        return absent_since_s is None or self._lapses.keeps(
+            absent_since_s, self._clock()
         )
 
     def are_evacuated(self, pools: Iterable[str]) -> bool:
@@ -221,8 +230,8 @@
         """Removes an endpoint whose entry was deleted.
 
         While the store is unavailable, entries of live endpoints expire too.
-        Without a stable store the endpoint is therefore kept until `expire`
-        removes it.
+        Without a stable store the endpoint is therefore kept for a while; see
+        `LapseWindow`.
 
         Args:
             endpoint_id: The endpoint.
@@ -239,7 +248,7 @@
             endpoint.absent_since_s = now_s
 
     def expire(self, now_s: float) -> list[str]:
-        """Removes endpoints that stayed absent beyond the grace time.
+        """Removes absent endpoints that are no longer kept.
 
         Returns:
             Their ids.
@@ -248,7 +257,7 @@
             endpoint_id
             for endpoint_id, endpoint in self._endpoints.items()
             if endpoint.absent_since_s is not None
-            and now_s - endpoint.absent_since_s > _ABSENCE_GRACE_S
+            and not self._lapses.keeps(endpoint.absent_since_s, now_s)
         ]
         for endpoint_id in expired:
             del self._endpoints[endpoint_id]
@@ -260,9 +269,7 @@
         return [
             endpoint
             for endpoint in self._endpoints.values()
-            if endpoint.entry.pool in names
-            and not endpoint.entry.is_leaving
-            and endpoint.entry.domain not in self._evacuated_domains
+            if endpoint.entry.pool in names and self._is_usable(endpoint)
         ]
 
     def choose(
--- a/daisyhub/objects/_base.py
+++ b/daisyhub/objects/_base.py
@@ -75,13 +75,17 @@
 
     Attributes:
         may_be_done: Whether the call may have taken effect or may still do so.
+        is_throttled: Whether the store rejected the call because of its rate.
     """
 
     code = "store_unavailable"
 
-    def __init__(self, detail: str, *, may_be_done: bool):
+    def __init__(
+        self, detail: str, *, may_be_done: bool, is_throttled: bool = False
+    ):
         super().__init__(detail)
         self.may_be_done = may_be_done
+        self.is_throttled = is_throttled
 
 
 class ObjectConflictError(DaisyhubError):
--- a/daisyhub/objects/_relayed.py
+++ b/daisyhub/objects/_relayed.py
@@ -9,6 +9,7 @@
 
 import abc
 import dataclasses
+import math
 import time
 from collections.abc import Awaitable, Callable
 
@@ -81,6 +82,12 @@
         direct: Calls the store directly.
         relay_provider: Returns the relays that are available now.
         log: Logs when the direct connection is lost and regained.
+
+    Attributes:
+        failed_call_at_s: Start of the last call that found the store
+            unavailable, directly and through peers; minus infinity for none.
+            A waiting watch that is cut off and a call beyond the store's rate
+            don't show that.
     """
 
     def __init__(
@@ -92,6 +99,7 @@
         self._direct = direct
         self._relay_provider = relay_provider
         self._log = log
+        self.failed_call_at_s = -math.inf
         self._direct_failed_at_s: float | None = None
         self._direct_watches: set[anyio.CancelScope] = set()
 
@@ -255,7 +263,9 @@
             ObjectStoreError: Every attempt failed. `may_be_done` is set if it
                 was set for any of them.
         """
+        started_s = time.monotonic()
         may_be_done = False
+        is_throttled = False
         failure: ObjectStoreError | None = None
         for store in self._candidate_stores():
             way = "direct" if store is self._direct else store.name
@@ -263,6 +273,7 @@
                 result = await call.run(store)
             except ObjectStoreError as exc:
                 may_be_done = may_be_done or exc.may_be_done
+                is_throttled = is_throttled or exc.is_throttled
                 failure = exc
                 outcome = (
                     TryOutcome.UNKNOWN
@@ -289,7 +300,11 @@
                 "the store is unreachable, directly and through peers",
                 may_be_done=False,
             )
-        raise ObjectStoreError(str(failure), may_be_done=may_be_done)
+        elif should_record_failure and not is_throttled:
+            self.failed_call_at_s = max(self.failed_call_at_s, started_s)
+        raise ObjectStoreError(
+            str(failure), may_be_done=may_be_done, is_throttled=is_throttled
+        )
 
     def _candidate_stores(self) -> list[ObjectStore]:
         peers = self._relay_provider.stores()[:_MAX_RELAYS]
--- a/daisyhub/objects/tests/test_relayed_store.py
+++ b/daisyhub/objects/tests/test_relayed_store.py
@@ -52,6 +52,41 @@
         self.assertEqual((await store.read("k", "n")).spec, b"1")
         self.assertFalse(store.is_directly_reachable)
 
+    async def test_the_store_is_unavailable_only_if_all_ways_fail(self):
+        peer = MemoryStore()
+        store = RelayedStore(
+            UnreachableStore(), FixedRelayProvider(peer), silent_log()
+        )
+        await store.list_all("k")
+        self.assertEqual(store.failed_call_at_s, -math.inf)
+        peer.fail_next("list_all", Fault.REFUSED)
+        with self.assertRaises(ObjectStoreError):
+            await store.list_all("k")
+        self.assertGreater(store.failed_call_at_s, 0.0)
+
+    async def test_watches_and_the_rate_limit_say_nothing_of_the_store(self):
+        direct = MemoryStore()
+        store = RelayedStore(direct, FixedRelayProvider(), silent_log())
+        direct.fail_next("watch", Fault.REFUSED)
+        with self.assertRaises(ObjectStoreError):
+            await store.watch("k", after_revision=0, wait_s=1.0)
+        direct.fail_next("list_all", Fault.THROTTLED)
+        with self.assertRaises(ObjectStoreError):
+            await store.list_all("k")
+        self.assertEqual(store.failed_call_at_s, -math.inf)
+
+    async def test_a_call_that_contacts_nobody_says_nothing_of_the_store(self):
+        store = RelayedStore(
+            UnreachableStore(), FixedRelayProvider(), silent_log()
+        )
+        with mock.patch.object(relayed_module, "_DIRECT_RETRY_S", math.inf):
+            with self.assertRaises(ObjectStoreError):
+                await store.list_all("k")
+            failed_at_s = store.failed_call_at_s
+            with self.assertRaises(ObjectStoreError):
+                await store.list_all("k")
+        self.assertEqual(store.failed_call_at_s, failed_at_s)
+
     async def test_a_create_whose_response_was_lost_succeeds(self):
         shared = MemoryStore()
         store = RelayedStore(shared, FixedRelayProvider(shared), silent_log())
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -10,6 +10,7 @@
     EndpointDirectory,
     EndpointEntry,
     EndpointProcess,
+    LapseWindow,
     rank_by_daemon,
 )
 from daisyhub.base import Controller
@@ -134,8 +135,6 @@
 _DEFAULT_HEALTH_PATH = "/health"
 # Fraction of the grace time within which open requests must have ended.
 _DRAIN_SHARE_OF_GRACE = 0.75
-# Seconds within which expired entries reappear after the store recovers.
-_STORE_RECOVERY_S = 3.0
 
 
 class FleetDaemon:
@@ -158,7 +157,6 @@
         self._endpoint_wire = PlatformEndpointWire()
         self._lot_wire = PlatformLotWire()
         self._is_draining = False
-        self._last_store_failure_s = float("-inf")
         self._build_store()
         self._build_state()
         self._build_servers()
@@ -199,10 +197,12 @@
         self.clock = ClusterClock()
         self.meter = UsageMeter(cfg.usage_window_s, self.clock.now_s)
         self.manifests = ManifestController(PlatformManifestReader(), self.log)
+        lapses = LapseWindow(lambda: self.store.failed_call_at_s)
         self.directory = EndpointDirectory(
             lambda name: rank_by_daemon(cfg.daemon_id, name),
             self.endpoint_http.has_connection,
             self._announce_leaving,
+            lapses=lapses,
         )
         self.reach = ReachMonitor(
             self.directory,
@@ -320,7 +320,7 @@
             self.directory,
             self.permits,
             self.leaving_news,
-            self._is_store_stable,
+            lapses,
             self.log,
         )
         self.watchers = (
@@ -733,11 +733,6 @@
             not self._held_duties() and self.peers.has_live_holder_with_store()
         )
 
-    def _is_store_stable(self) -> bool:
-        """Whether entries of live endpoints are listed again by now."""
-        failed_s = time.monotonic() - self._last_store_failure_s
-        return failed_s > _STORE_RECOVERY_S
-
     def _on_config(self, found: StoredObject) -> None:
         if found.name == CONFIG_NAME:
             self.manifests.adopt(found, "store")
@@ -811,12 +806,8 @@
         """Removes endpoints whose entries stay absent while the store works."""
         while True:
             await anyio.sleep(_EXPIRY_CHECK_INTERVAL_S)
-            now_s = time.monotonic()
             self._update_unreachable_domains()
-            if not all(watcher.is_current for watcher in self.watchers):
-                self._last_store_failure_s = now_s
-                continue
-            for name in self.directory.expire(now_s):
+            for name in self.directory.expire(time.monotonic()):
                 self.log.record("endpoint_lapsed", name=name)
 
     def _update_unreachable_domains(self) -> None:
--- a/daisyhub/platform/_server_list.py
+++ b/daisyhub/platform/_server_list.py
@@ -1,9 +1,8 @@
 """Applies the entries of servers in the store to the endpoint directory."""
 
 import time
-from collections.abc import Callable
 
-from daisyhub.balancing import EndpointDirectory
+from daisyhub.balancing import EndpointDirectory, LapseWindow
 from daisyhub.cluster import LeavingNews, SharedPermits
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import StoredObject
@@ -19,8 +18,7 @@
         directory: The endpoints.
         permits: Learns which of them are cold.
         leaving_news: Learns which announcements of leaving are confirmed.
-        is_store_stable: Whether the store has been available for long enough
-            that the entries of live endpoints are listed again.
+        lapses: Tells which removed entries may be those of live endpoints.
         log: Log of changes.
     """
 
@@ -29,13 +27,13 @@
         directory: EndpointDirectory,
         permits: SharedPermits,
         leaving_news: LeavingNews,
-        is_store_stable: Callable[[], bool],
+        lapses: LapseWindow,
         log: DecisionLog,
     ):
         self._directory = directory
         self._permits = permits
         self._leaving_news = leaving_news
-        self._is_store_stable = is_store_stable
+        self._lapses = lapses
         self._log = log
 
     def on_change(self, found: StoredObject) -> None:
@@ -86,7 +84,7 @@
     def _remove(self, name: str, revision: int) -> None:
         """Removes an endpoint whose entry was deleted or has expired."""
         now_s = time.monotonic()
-        is_stable = self._is_store_stable()
+        is_stable = not self._lapses.is_open(now_s)
         known = self._directory.get(name)
         self._log.record(
             "endpoint_removed",
--- a/daisyhub/platform/_store.py
+++ b/daisyhub/platform/_store.py
@@ -28,6 +28,7 @@
 # The only status of which the platform states that nothing was done. It says
 # no such thing of 429.
 _NOT_DONE = 503
+_THROTTLED = 429
 # Lets a single store member serve the read, whose data may be stale.
 _STALE_READ_PARAM = "serializable=1"
 _NULL = msgspec.Raw(b"null")
@@ -254,6 +255,7 @@
             raise ObjectStoreError(
                 f"{method} {target}: status {response.status}",
                 may_be_done=is_write and response.status != _NOT_DONE,
+                is_throttled=response.status == _THROTTLED,
             )
         return response
 
--- a/daisyhub/platform/tests/test_store.py
+++ b/daisyhub/platform/tests/test_store.py
@@ -54,6 +54,14 @@
                     failure.may_be_done, status != 503, (verb, status)
                 )
 
+    async def test_only_status_429_says_that_a_call_was_throttled(self):
+        for verb, call in WRITES.items():
+            for status in (429, 503, 400, 408, 410, 500, 502, 504):
+                failure = await self.get_failure(call, status)
+                self.assertEqual(
+                    failure.is_throttled, status == 429, (verb, status)
+                )
+
     async def test_a_write_without_response_may_be_done_once_it_was_sent(self):
         for verb, call in WRITES.items():
             for ran in ExecutionStatus:
--- a/daisyhub/testing/object_store.py
+++ b/daisyhub/testing/object_store.py
@@ -25,6 +25,7 @@
 
     Attributes:
         REFUSED: The call fails without effect.
+        THROTTLED: The call is rejected because of its rate.
         RESPONSE_LOST: The call takes effect and fails.
         DELAYED: The call fails; a write takes effect in `run_delayed_writes`.
         HISTORY_GONE: A watch fails because its revision is too old.
@@ -32,6 +33,7 @@
     """
 
     REFUSED = "refused"
+    THROTTLED = "throttled"
     RESPONSE_LOST = "lost"
     DELAYED = "late"
     HISTORY_GONE = "gone"
@@ -182,7 +184,11 @@
         may_be_done = (
             fault in (Fault.RESPONSE_LOST, Fault.DELAYED) and verb not in _READS
         )
-        raise ObjectStoreError(f"{verb}: {fault}", may_be_done=may_be_done)
+        raise ObjectStoreError(
+            f"{verb}: {fault}",
+            may_be_done=may_be_done,
+            is_throttled=fault is Fault.THROTTLED,
+        )
 
     def _next_fault(self, verb: str) -> Fault | None:
         pending_faults = self.faults.get(verb)
