Watches that deliver only older changes count as behind

Callers saw: requests at a server whose removal one daemon learned seconds after the others (DRAIN), while servers came and went all the time. Cause: each change that arrived, and each end of a batch delay, cleared the time since which peers were known to be ahead, also a change that is older than what the peers had. A watch that is seconds behind but alive was never given up. Change: the daemon remembers which revision it waits for; only that clears the time. The batch delay is added to the limit instead.

--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -80,7 +80,9 @@
         self._failed_since_s: float | None = None
         self._newest_revision = 0
         self._complete_to = 0
+        # Since when peers have a revision that this copy lacks, and which.
         self._behind_since_s: float | None = None
+        self._awaited_revision = 0
         self._is_batching = False
         self._watch_scope: anyio.CancelScope | None = None
         self._max_lag_s = max_lag_s
@@ -149,10 +151,13 @@
         if revision <= self._newest_revision or self._is_batching:
             # During the batch delay, the next watch will return the change.
             return
-        if self._behind_since_s is None:
+        is_caught_up = self._newest_revision >= self._awaited_revision
+        if self._behind_since_s is None or is_caught_up:
             self._behind_since_s = now_s
+            self._awaited_revision = revision
             return
-        if now_s - self._behind_since_s >= self._max_lag_s():
+        max_lag_s = self._max_lag_s() + self._batch_delay_s()
+        if now_s - self._behind_since_s >= max_lag_s:
             behind_s = round(now_s - self._behind_since_s, 3)
             self._behind_since_s = None
             self._restart_with_list(revision, behind_s)
@@ -266,7 +271,6 @@
             await anyio.sleep(self._batch_delay_s())
         finally:
             self._is_batching = False
-            self._behind_since_s = None
 
     def _apply_list(self, listed: ObjectList) -> None:
         """Applies a complete list; objects that it lacks were deleted.
@@ -303,7 +307,6 @@
         if known is not None and change.revision <= known.revision:
             return
         self._newest_revision = max(self._newest_revision, change.revision)
-        self._behind_since_s = None
         if change.is_deleted:
             if self._objects.pop(change.name, None) is None:
                 return
