Peers learn of a removal that only the holder's list showed

Callers saw: as before, requests at a server whose removal one daemon missed. Cause: the holder compares its watches with the store each second, and its pings tell the newest revision, so that others notice what their watches missed. A removal that it found by the list raised no revision. Change: a list that shows removals raises the revision to that of the list, unless the next watch is about to return them.

--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -179,7 +179,11 @@
         if listed.revision < self._newest_revision:
             # The list is older than the changes from the watch.
             return
-        self._apply_list(listed)
+        if self._apply_list(listed) and not self._is_batching:
+            # A list doesn't tell the revision of a removal. This one is later,
+            # so that peers whose watches missed it notice that they are behind.
+            # During the batch delay, the next watch will return the removal.
+            self._newest_revision = max(self._newest_revision, listed.revision)
         if self._newest_revision > before:
             # The list that follows also updates the followers.
             self._restart_with_list(self._newest_revision)
@@ -272,11 +276,14 @@
         finally:
             self._is_batching = False
 
-    def _apply_list(self, listed: ObjectList) -> None:
+    def _apply_list(self, listed: ObjectList) -> bool:
         """Applies a complete list; objects that it lacks were deleted.
 
         Of objects that are newer than the list, as after `verify`, it says
         nothing; the watch from its revision on does.
+
+        Returns:
+            Whether objects were deleted.
         """
         for item in listed.items:
             self._apply_change(item)
@@ -301,6 +308,7 @@
                     is_deleted=True,
                 )
             )
+        return bool(absent)
 
     def _apply_change(self, change: StoredObject) -> None:
         known = self._objects.get(change.name)
