A list that is older than the copy brings no removed object back

Callers saw: a server that had left was used again for the time by which a reader was behind. Cause: a daemon that lists or watches through another reader may get an earlier state. Removed objects leave nothing behind in the copy, so that an older state of a removed object was taken for a new object. Change: the copy knows up to which revision it had all changes. An object of an older list or watch that it lacks is ignored; the newest list decides. Pages of one list that are newer than its revision are not held for that.

--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -90,6 +90,9 @@
         self._kept: collections.deque[StoredObject] = collections.deque()
         self._kept_after = 0
         self._copied_revision = 0
+        # The highest `_copied_revision` so far. A list of a reader that is
+        # behind lowers that one.
+        self._covered_revision = 0
         self.synced = anyio.Event()
         self.changed = anyio.Event()
 
@@ -254,6 +257,7 @@
             self._apply_change(change)
         self._revision = max(self._revision, batch.revision)
         self._copied_revision = self._revision
+        self._covered_revision = max(self._covered_revision, self._revision)
         self._keep(batch.changes)
         if batch.changes:
             self._wake_followers()
@@ -280,13 +284,17 @@
         """Applies a complete list; objects that it lacks were deleted.
 
         Of objects that are newer than the list, as after `verify`, it says
-        nothing; the watch from its revision on does.
+        nothing; the watch from its revision on does. A list that is older than
+        this copy, as of a reader that is behind, brings no object back that
+        the copy lacks.
 
         Returns:
             Whether objects were deleted.
         """
+        is_older = listed.revision < self._covered_revision
         for item in listed.items:
-            self._apply_change(item)
+            self._apply_change(item, can_be_older=is_older)
+        self._covered_revision = max(self._covered_revision, listed.revision)
         complete_to = listed.complete_to
         self._complete_to = max(
             self._complete_to,
@@ -310,10 +318,22 @@
             )
         return bool(absent)
 
-    def _apply_change(self, change: StoredObject) -> None:
+    def _apply_change(
+        self, change: StoredObject, *, can_be_older: bool = True
+    ) -> None:
+        """Applies a change unless the copy is newer.
+
+        Args:
+            change: The object, or its deletion.
+            can_be_older: Whether the change may be older than this copy, so
+                that an object that the copy lacks may have been deleted since.
+        """
         known = self._objects.get(change.name)
         if known is not None and change.revision <= known.revision:
             return
+        is_covered = change.revision <= self._covered_revision
+        if known is None and can_be_older and is_covered:
+            return
         self._newest_revision = max(self._newest_revision, change.revision)
         if change.is_deleted:
             if self._objects.pop(change.name, None) is None:
