Watches that may be stale end with the peer that guards them

Cause: a watch may return stale data only while a holder's pings tell of newer revisions. That was asked when the watch began, and the watch then waited for up to 10 s, also after the holder had ended. Change: waiting watches of that kind are repeated once no holder guards them.

--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -84,6 +84,7 @@
         self._behind_since_s: float | None = None
         self._awaited_revision = 0
         self._is_batching = False
+        self._is_stale_watch = False
         self._watch_scope: anyio.CancelScope | None = None
         self._max_lag_s = max_lag_s
         # The changes after `_kept_after`, in the order of their revisions.
@@ -165,6 +166,18 @@
             self._behind_since_s = None
             self._restart_with_list(revision, behind_s)
 
+    def end_unguarded_watch(self) -> None:
+        """Repeats a waiting watch that may be stale but no longer should be.
+
+        Call this at an interval: the peer whose pings told of missed changes
+        may end while the watch waits.
+        """
+        if not self._is_stale_watch or self._can_be_stale():
+            return
+        self._is_stale_watch = False
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+
     async def verify(self) -> None:
         """Lists the kind while a watch waits; applies what the watch missed.
 
@@ -243,12 +256,13 @@
             self.synced.set()
             self._wake_followers()
             return
+        self._is_stale_watch = self._can_be_stale()
         with anyio.CancelScope() as self._watch_scope:
             batch = await self._store.watch(
                 self._kind,
                 after_revision=self._revision,
                 wait_s=_WATCH_WAIT_S,
-                can_be_stale=self._can_be_stale(),
+                can_be_stale=self._is_stale_watch,
             )
         if self._watch_scope.cancelled_caught or self._revision is None:
             return
--- a/daisyhub/objects/tests/test_late_watches.py
+++ b/daisyhub/objects/tests/test_late_watches.py
@@ -132,6 +132,25 @@
 
         await self.run_with(store, test)
 
+    async def test_a_watch_may_not_stay_stale_once_nobody_tells_of_changes(
+        self,
+    ):
+        store = MemoryStore()
+        has_holder = True
+
+        async def test(watcher):
+            nonlocal has_holder
+            await self.wait_until(lambda: store.calls["stale watch"] == 1)
+            watcher.end_unguarded_watch()
+            await anyio.sleep(0.01)
+            self.assertEqual(store.calls["watch"], 0)
+            has_holder = False
+            watcher.end_unguarded_watch()
+            await self.wait_until(lambda: store.calls["watch"] == 1)
+            self.assertEqual(store.calls["list_all"], 1)
+
+        await self.run_with(store, test, can_be_stale=lambda: has_holder)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -803,10 +803,12 @@
             await anyio.sleep(_CONTROLLER_RESTART_DELAY_S)
 
     async def _expire_entries(self) -> None:
-        """Removes endpoints whose entries stay absent while the store works."""
+        """Removes absent endpoints; ends watches that nobody guards."""
         while True:
             await anyio.sleep(_EXPIRY_CHECK_INTERVAL_S)
             self._update_unreachable_domains()
+            for watcher in self.watchers:
+                watcher.end_unguarded_watch()
             for name in self.directory.expire(time.monotonic()):
                 self.log.record("endpoint_lapsed", name=name)
 
