A daemon that is stopped answers all requests before it ends

Cause: the daemon ended after three quarters of the grace time (6 of 8 s) whatever was open. It took requests without regard to their length. The time for which it listened began only after texts were saved and duties released, which a slow store could stretch by seconds. Change: open requests get 504 0.6 s before SIGKILL instead of a cut, and the daemon ends 0.3 s before. A request whose deadline is later, and whose route usually takes longer than what is left, or that is a stream, is refused at once as not run, with a Retry-After of 0.05 s. Duties are handed over while the servers drain. Requests of peers pass the same filter. The shutdown has a module of its own.

--- a/daisyhub/gateway/__init__.py
+++ b/daisyhub/gateway/__init__.py
@@ -11,6 +11,7 @@
 from daisyhub.gateway._send_filter import SendFilter
 from daisyhub.gateway._send_task import SendTask
 from daisyhub.gateway._sender import Sender
+from daisyhub.gateway._shutdown_filter import ShutdownFilter
 from daisyhub.gateway._wire import (
     CallerWire,
     EndpointRequest,
@@ -34,5 +35,6 @@
     "SendFilter",
     "SendTask",
     "Sender",
+    "ShutdownFilter",
     "EndpointRequest",
 ]
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -1,5 +1,6 @@
 """Assembles a daemon from the product's components and platform adapters."""
 
+import functools
 import signal
 import time
 from collections.abc import AsyncIterator
@@ -61,6 +62,7 @@
     RelayWire,
     Sender,
     SendFilter,
+    ShutdownFilter,
 )
 from daisyhub.logs import DecisionLog
 from daisyhub.lots import (
@@ -102,6 +104,7 @@
 from daisyhub.platform._retirements import RetirementController
 from daisyhub.platform._server_list import ServerList
 from daisyhub.platform._servers import SERVERS_KIND
+from daisyhub.platform._shutdown import GracefulShutdown
 from daisyhub.platform._store import PlatformStore
 from daisyhub.platform._stream_origins import build_stream_origins
 from daisyhub.platform._wire import PlatformCallerWire, PlatformEndpointWire
@@ -128,13 +131,8 @@
 # Seconds between checks for endpoints whose entries expired while the store was
 # unavailable and did not reappear.
 _EXPIRY_CHECK_INTERVAL_S = 0.25
-# Seconds for which a leaving daemon still accepts requests: the platform stops
-# sending callers after two failed readiness checks, one per second.
-_DRAIN_NOTICE_S = 2.3
 # Path for health checks of endpoints whose pool no manifest names.
 _DEFAULT_HEALTH_PATH = "/health"
-# Fraction of the grace time within which open requests must have ended.
-_DRAIN_SHARE_OF_GRACE = 0.75
 
 
 class FleetDaemon:
@@ -563,11 +561,13 @@
 
     def _build_servers(self) -> None:
         cfg = self.cfg
+        self.shutdown_filter = ShutdownFilter(self.directory.median_latency_s)
         handler = build_chain(
             (
                 FindRouteFilter(self.manifests, may_be_lot),
                 KeyFilter(self.manifests),
                 BodyFilter(self.manifests),
+                self.shutdown_filter,
                 SubmittedLotsFilter(
                     self.lots,
                     self.reader,
@@ -603,7 +603,10 @@
         address = self.cfg.relay_address
         if address is None:
             return ()
-        handler = RelayHandler(self.sender, self.reach, self.metrics, self.log)
+        relay = RelayHandler(self.sender, self.reach, self.metrics, self.log)
+        handler = functools.partial(
+            self.shutdown_filter.handle, call_next=relay
+        )
         # Responses to callers are counted where their requests were accepted.
         app = GatewayApp(
             handler, RelayWire(PlatformCallerWire()), Metrics(), self.log
@@ -821,26 +824,25 @@
 
     async def _shut_down(self) -> None:
         """Releases the duties, drains open requests and stops the servers."""
-        started_s = time.monotonic()
-        self.log.record("stop", open_requests=self.app.open_requests)
         self._is_draining = True
-        self.app.is_draining = True
+        await GracefulShutdown(
+            self.cfg.grace_s,
+            self.app,
+            self.shutdown_filter,
+            (self.callers_server, *self.relay_servers),
+            self._hand_over,
+            self.log,
+        ).run()
+        self.readiness_server.stop()
+        self.metrics_server.stop()
+
+    async def _hand_over(self) -> None:
+        """Lets other daemons go on with what this one has a duty for."""
         await self.holder.save_unfinished_texts()
         for duty in (self.rollouts, self.accounts):
             duty.set_leaving()
             await duty.release()
         self.cluster.announce_shutdown()
-        await anyio.sleep(_DRAIN_NOTICE_S)
-        for server in (self.callers_server, *self.relay_servers):
-            server.stop()
-        drain_end_s = started_s + _DRAIN_SHARE_OF_GRACE * self.cfg.grace_s
-        # The server itself waits for requests that were partly received.
-        with anyio.move_on_after(max(0.0, drain_end_s - time.monotonic())):
-            for server in (self.callers_server, *self.relay_servers):
-                await server.stopped.wait()
-        self.readiness_server.stop()
-        self.metrics_server.stop()
-        self.log.record("stopped", open_requests=self.app.open_requests)
 
 
 def _status_key(controller: Controller) -> str:
