An entry that lacks the start of its process is invalid

Cause: entries may come from another writer, with fields missing. An entry without `born` was taken for another process of the same server, to which the mark of a leaving process doesn't apply. Change: once an entry has stated a start, one that states none is invalid and names no server. Result: the test failed before (the draining server was a candidate again) and passes.

--- a/daisyhub/platform/_server_list.py
+++ b/daisyhub/platform/_server_list.py
@@ -2,7 +2,11 @@
 
 import time
 
-from daisyhub.balancing import EndpointDirectory, LapseWindow
+from daisyhub.balancing import (
+    EndpointDirectory,
+    EndpointEntry,
+    LapseWindow,
+)
 from daisyhub.cluster import LeavingNews, SharedPermits
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import StoredObject
@@ -35,6 +39,7 @@
         self._leaving_news = leaving_news
         self._lapses = lapses
         self._log = log
+        self._has_incarnations = False
 
     def on_change(self, found: StoredObject) -> None:
         """Applies a server's entry; an invalid one removes the endpoint."""
@@ -42,7 +47,7 @@
             self._remove(found.name, found.revision)
             return
         try:
-            entry = read_server(found.name, found.spec)
+            entry = self._read(found)
         except ValueError as exc:
             self._log.record(
                 "endpoint_unreadable",
@@ -81,6 +86,21 @@
                 revision=found.revision,
             )
 
+    def _read(self, found: StoredObject) -> EndpointEntry:
+        """Decodes an entry.
+
+        Raises:
+            ValueError: It is invalid, or lacks the start of the process, which
+                servers of this platform state. It would pass for another
+                process of the same server, of which nothing is known.
+        """
+        entry = read_server(found.name, found.spec)
+        if entry.incarnation:
+            self._has_incarnations = True
+        elif self._has_incarnations:
+            raise ValueError("the entry lacks the start of its process")
+        return entry
+
     def _remove(self, name: str, revision: int) -> None:
         """Removes an endpoint whose entry was deleted or has expired."""
         now_s = time.monotonic()
--- a/daisyhub/platform/tests/test_store_gaps.py
+++ b/daisyhub/platform/tests/test_store_gaps.py
@@ -77,6 +77,23 @@
 
         await self.run_daemon(test)
 
+    async def test_an_entry_without_a_start_brings_no_leaving_server_back(
+        self,
+    ):
+        foreign = {k: v for k, v in SERVER.items() if k != "born"}
+
+        async def test():
+            watcher = self.watchers[SERVERS_KIND]
+            for entry in ({**SERVER, "state": "draining"}, foreign):
+                spec = json.dumps(entry).encode()
+                revision = self.store.put(SERVERS_KIND, "i-1", spec).revision
+                await self.wait_until(
+                    lambda r=revision: watcher.newest_revision >= r
+                )
+            self.assertEqual(self.daemon.directory.in_pools(("s",)), [])
+
+        await self.run_daemon(test)
+
     async def test_a_server_that_lapsed_while_the_store_was_away_is_kept(self):
         # A slow machine doesn't end the time for which it is kept.
         for name in ("_WINDOW_S", "_MAX_ABSENCE_S"):
