Soak: servers leave in calm, draining or removed

Cause: no soak let servers leave by the list, so that no run with real processes could show the DRAIN report. Change: after the disturbances and 3 s of calm, half of the servers leave. No request but health checks may reach a server later than 2.0 s after the store confirmed its departure. An injected bug, `lingers`, is caught.

--- a/daisyhub/testing/soak/_ledger.py
+++ b/daisyhub/testing/soak/_ledger.py
@@ -45,7 +45,8 @@
       number.
     - RECOVER: A daemon doesn't serve after the disturbances have ended.
     - FAULT: A daemon exited by itself.
-    - DRAIN: A daemon didn't exit within the shutdown timeout.
+    - DRAIN: A daemon didn't exit within the shutdown timeout, or a server got
+      a request long after it had left.
 
     Args:
         account: The client account whose requests may run.
@@ -308,6 +309,22 @@
         """Records that a daemon still runs after its shutdown timeout."""
         self._add_violation(f"DRAIN {daemon}: still runs")
 
+    def record_late_arrival(
+        self, server: str, path: str, late_s: float, is_removed: bool
+    ) -> None:
+        """Records that a server got a request long after it had left.
+
+        Args:
+            server: Name of the server.
+            path: Path of the request.
+            late_s: Seconds from the departure to the request.
+            is_removed: Whether the server's entry was removed, else draining.
+        """
+        state = "removed" if is_removed else "draining"
+        self._add_violation(
+            f"DRAIN {server}: {path} came {late_s:.3f} s after it was {state}"
+        )
+
     def _add_violation(self, line: str) -> None:
         self.violations.append(line)
 
--- a/daisyhub/testing/soak/_soak.py
+++ b/daisyhub/testing/soak/_soak.py
@@ -12,6 +12,7 @@
 
 from daisyhub.connections import RequestFailedError
 from daisyhub.testing.fleet import KEY
+from daisyhub.testing.soak._departures import Departures
 from daisyhub.testing.soak._ledger import Ledger
 from daisyhub.testing.soak._linked_fleet import LinkedFleet
 from daisyhub.testing.soak._links import LinkMode
@@ -99,6 +100,7 @@
             self.load_generator,
             self._signal_and_resume,
         )
+        self._departures = Departures(seed, self.fleet, self.ledger)
         self._bug = broken
         self._restarting: set[str] = set()
 
@@ -113,6 +115,7 @@
                 tasks.start_soon(self._restart_exited_daemons)
                 await self._disturb()
                 await self._check_recovery()
+                await self._departures.run()
                 await self._check_guarantees()
                 tasks.cancel_scope.cancel()
             if self.ledger.violations:
--- a/daisyhub/testing/soak/tests/test_soak_processes.py
+++ b/daisyhub/testing/soak/tests/test_soak_processes.py
@@ -85,6 +85,19 @@
         kinds = {line.split()[0] for line in report.violations}
         self.assertEqual(kinds, {"ORDER"}, report.violations)
 
+    async def test_requests_at_servers_that_left_are_detected(self):
+        plan = (Disturbance(at_s=5.0, duration_s=0.1, kind=Kind.CONFIG),)
+        soak = Soak(5, daemons=2, servers=4, broken="lingers", plan=plan)
+        report = await soak.run()
+        kinds = {line.split()[0] for line in report.violations}
+        self.assertEqual(kinds, {"DRAIN"}, report.violations)
+
+    async def test_servers_that_left_get_no_requests(self):
+        plan = (Disturbance(at_s=5.0, duration_s=0.1, kind=Kind.CONFIG),)
+        report = await Soak(5, daemons=3, servers=4, plan=plan).run()
+        self.assertEqual(report.violations, (), report.logs)
+        self.assertEqual(report.counts["departures"], 2)
+
     async def test_seeds_that_failed_once_keep_all_guarantees(self):
         for seed in REGRESSIONS:
             with self.subTest(seed=seed):
--- a/daisyhub/testing/soaked_daemon.py
+++ b/daisyhub/testing/soaked_daemon.py
@@ -18,7 +18,7 @@
 import sys
 import time
 
-BROKEN = ("repeats", "lies", "forgets", "promises", "mixes")
+BROKEN = ("repeats", "lies", "forgets", "promises", "mixes", "lingers")
 
 
 def _shift_clock(offset_s: float) -> None:
@@ -42,6 +42,9 @@
 
 def _inject_bug(bug: str) -> None:
     """Injects a bug into the product that violates one of its guarantees."""
+    if bug in _ENDPOINT_BUGS:
+        _ENDPOINT_BUGS[bug]()
+        return
     # Imported here because the clock must be shifted first.
     from daisyhub.catalog import RouteKind
     from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
@@ -92,18 +95,34 @@
                 ) from exc
 
         SubmittedLotsFilter.handle = handle
-    elif bug == "mixes":
-        # All endpoints of a pool count as one release.
-        from daisyhub.platform import _server_list
-
-        read_server = _server_list.read_server
-        _server_list.read_server = lambda *args: dataclasses.replace(
-            read_server(*args), software="any"
-        )
     else:
         raise ValueError(f"bug {bug!r} is not one of {BROKEN}")
 
 
+def _mix_releases() -> None:
+    """All endpoints of a pool count as one release."""
+    from daisyhub.platform import _server_list
+
+    read_server = _server_list.read_server
+    _server_list.read_server = lambda *args: dataclasses.replace(
+        read_server(*args), software="any"
+    )
+
+
+def _keep_endpoints() -> None:
+    """Endpoints stay in use when they leave."""
+    from daisyhub.balancing import EndpointDirectory
+
+    original_upsert = EndpointDirectory.upsert
+    EndpointDirectory.upsert = lambda directory, entry: original_upsert(
+        directory, dataclasses.replace(entry, is_leaving=False)
+    )
+    EndpointDirectory.remove = lambda *args, **kwargs: None
+
+
+_ENDPOINT_BUGS = {"mixes": _mix_releases, "lingers": _keep_endpoints}
+
+
 def _run() -> int:
     _shift_clock(float(os.environ.get("DAISYHUB_SOAK_CLOCK_S", "0")))
     ip = os.environ.get("DAISYHUB_SOAK_IP", "")
