A relayed 429 and a silent peer don't show that the store is away

Cause: after a 429 a daemon asks only its peers for a second. Their answers didn't pass on that the store limits the rate, so that the failure opened the window in which removed endpoints are kept. A peer that doesn't respond did the same. Change: the answer of a peer says so; a lost peer is told apart. Builds without the field are read as before. Result: the tests of relayed calls fail without the change, as the field and the attribute don't exist there.

--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -232,6 +232,7 @@
         detail: One sentence that describes the failure.
         may_be_done: Whether a failed call may have taken effect; true unless
             the peer states otherwise.
+        is_throttled: Whether the store rejected the call because of its rate.
         found: The object that was read, written or in conflict; None if there
             is none, and unset if the peer doesn't say.
         revision: The revision of a list or a watch.
@@ -243,6 +244,7 @@
     failure: str = ""
     detail: str = ""
     may_be_done: bool = True
+    is_throttled: bool = False
     found: StoredObject | None | msgspec.UnsetType = msgspec.UNSET
     revision: int = 0
     items: tuple[StoredObject, ...] = ()
--- a/daisyhub/cluster/_store_calls.py
+++ b/daisyhub/cluster/_store_calls.py
@@ -56,6 +56,7 @@
                 failure="unavailable",
                 detail=str(exc),
                 may_be_done=exc.may_be_done,
+                is_throttled=exc.is_throttled,
             )
 
     async def _execute(self, request: StoreRequest) -> StoreResponse:
@@ -213,7 +214,9 @@
         try:
             response = await call
         except PeerUnreachableError as exc:
-            raise ObjectStoreError(str(exc), may_be_done=is_write) from exc
+            raise ObjectStoreError(
+                str(exc), may_be_done=is_write, is_from_store=False
+            ) from exc
         detail = f"relayed by {self._peer_id}: {response.detail}"
         match response.failure:
             case "":
@@ -224,7 +227,11 @@
                 raise HistoryGoneError(detail)
             case "unavailable":
                 may_be_done = is_write and response.may_be_done
-                raise ObjectStoreError(detail, may_be_done=may_be_done)
+                raise ObjectStoreError(
+                    detail,
+                    may_be_done=may_be_done,
+                    is_throttled=response.is_throttled,
+                )
         raise ObjectStoreError(
             f"unknown failure {response.failure!r}, {detail}",
             may_be_done=is_write,
--- a/daisyhub/cluster/tests/test_store_calls.py
+++ b/daisyhub/cluster/tests/test_store_calls.py
@@ -93,6 +93,26 @@
                     failure.may_be_done, may_be_done, (fault, verb)
                 )
 
+    async def test_a_peer_passes_on_that_the_store_limits_its_rate(self):
+        for fault, is_throttled in (
+            (Fault.THROTTLED, True),
+            (Fault.REFUSED, False),
+        ):
+            store = MemoryStore()
+            store.fail_next("list_all", fault)
+            with self.assertRaises(ObjectStoreError) as caught:
+                await relay_to(store).list_all("k")
+            self.assertIs(caught.exception.is_throttled, is_throttled)
+            self.assertTrue(caught.exception.is_from_store)
+
+    async def test_a_peer_that_is_lost_says_nothing_of_the_store(self):
+        async def lose(_):
+            raise PeerUnreachableError("no response")
+
+        with self.assertRaises(ObjectStoreError) as caught:
+            await relay_through(lose).list_all("k")
+        self.assertFalse(caught.exception.is_from_store)
+
     async def test_a_write_through_a_lost_peer_may_be_done(self):
         async def lose(_):
             raise PeerUnreachableError("no response")
--- a/daisyhub/objects/_base.py
+++ b/daisyhub/objects/_base.py
@@ -76,16 +76,24 @@
     Attributes:
         may_be_done: Whether the call may have taken effect or may still do so.
         is_throttled: Whether the store rejected the call because of its rate.
+        is_from_store: Whether the failure tells something of the store, not
+            only of a peer that didn't respond.
     """
 
     code = "store_unavailable"
 
     def __init__(
-        self, detail: str, *, may_be_done: bool, is_throttled: bool = False
+        self,
+        detail: str,
+        *,
+        may_be_done: bool,
+        is_throttled: bool = False,
+        is_from_store: bool = True,
     ):
         super().__init__(detail)
         self.may_be_done = may_be_done
         self.is_throttled = is_throttled
+        self.is_from_store = is_from_store
 
 
 class ObjectConflictError(DaisyhubError):
--- a/daisyhub/objects/_relayed.py
+++ b/daisyhub/objects/_relayed.py
@@ -266,6 +266,7 @@
         started_s = time.monotonic()
         may_be_done = False
         is_throttled = False
+        is_from_store = False
         failure: ObjectStoreError | None = None
         for store in self._candidate_stores():
             way = "direct" if store is self._direct else store.name
@@ -274,6 +275,7 @@
             except ObjectStoreError as exc:
                 may_be_done = may_be_done or exc.may_be_done
                 is_throttled = is_throttled or exc.is_throttled
+                is_from_store = is_from_store or exc.is_from_store
                 failure = exc
                 outcome = (
                     TryOutcome.UNKNOWN
@@ -300,7 +302,7 @@
                 "the store is unreachable, directly and through peers",
                 may_be_done=False,
             )
-        elif should_record_failure and not is_throttled:
+        elif should_record_failure and is_from_store and not is_throttled:
             self.failed_call_at_s = max(self.failed_call_at_s, started_s)
         raise ObjectStoreError(
             str(failure), may_be_done=may_be_done, is_throttled=is_throttled
--- a/daisyhub/objects/tests/test_relayed_store.py
+++ b/daisyhub/objects/tests/test_relayed_store.py
@@ -75,6 +75,24 @@
             await store.list_all("k")
         self.assertEqual(store.failed_call_at_s, -math.inf)
 
+    async def test_a_peer_that_does_not_respond_says_nothing_of_the_store(self):
+        class SilentPeer(UnreachableStore):
+            def _call_with_fault(self, verb, call):
+                raise ObjectStoreError(
+                    "no response", may_be_done=False, is_from_store=False
+                )
+
+        store = RelayedStore(
+            UnreachableStore(), FixedRelayProvider(SilentPeer()), silent_log()
+        )
+        with mock.patch.object(relayed_module, "_DIRECT_RETRY_S", math.inf):
+            with self.assertRaises(ObjectStoreError):
+                await store.list_all("k")
+            failed_at_s = store.failed_call_at_s
+            with self.assertRaises(ObjectStoreError):
+                await store.list_all("k")
+        self.assertEqual(store.failed_call_at_s, failed_at_s)
+
     async def test_a_call_that_contacts_nobody_says_nothing_of_the_store(self):
         store = RelayedStore(
             UnreachableStore(), FixedRelayProvider(), silent_log()
