--- a/review/3/run.py
+++ b/review/3/run.py
@@ -11,7 +11,12 @@
 import time
 
 from review.lib.case import ZONES, Case, CouldNotRunError, run_case
-from review.lib.lots import Trainer, build_lot
+from review.lib.lots import (
+    TRAINER_DEADLINE_S,
+    Trainer,
+    build_lot,
+    judge_step,
+)
 from review.lib.manifests import manifest, plain_route, rollout_route
 from review.lib.server import Server
 
@@ -20,8 +25,6 @@
 BETWEEN_S = 3.0
 EVENTS = 20
 EVENT_S = 0.04
-TRAINER_DEADLINE_S = 12.0
-AT_NO_SERVER_S = 5.0
 # Time for which the duty's record is watched after the judgement, by default
 # not at all.
 WATCH_S = float(os.environ.get("WATCH_S", "0"))
@@ -35,29 +38,6 @@
     case.note(f"{', '.join(case.daemons)} are left")
 
 
-def _judge(case: Case, trainer: Trainer, servers: list[Server]) -> None:
-    """Checks each item of the step that has run out of time."""
-    now_s = time.monotonic()
-    ids = set(trainer.item_ids)
-    runs = [r for s in servers for r in s.ran if r["id"] in ids]
-    begun = {r["id"] for r in runs}
-    finished = {i for s in servers for i in s.finished}
-    running = sum(server.running for server in servers)
-    open_ids = ids - finished - {r["id"] for r in trainer.results}
-    last_s = max((r["at"] for r in runs), default=trainer.accepted_s)
-    case.note(
-        f"{len(begun)} of {len(ids)} items began at a server, the last "
-        f"{now_s - last_s:.1f} s ago; {len(open_ids)} aren't finished; "
-        f"{running} run now"
-    )
-    idle_s = now_s - max(s.idle_since_s for s in servers)
-    if open_ids and begun and not running and idle_s >= AT_NO_SERVER_S:
-        case.break_rule(
-            f"LOST: the step ran out of time with {len(open_ids)} items that "
-            f"no server has finished; all servers were empty for {idle_s:.1f} s"
-        )
-
-
 async def _watch_duty(case: Case, holder: str) -> None:
     """Notes when another daemon takes the duty; decides nothing."""
     until_s = time.monotonic() + (WATCH_S if case.trouble else 0.0)
@@ -106,11 +86,13 @@
     if not await trainer.submit():
         raise CouldNotRunError("the lot was not accepted")
     await asyncio.sleep(1.2)
+    disturbed_s = trainer.accepted_s
     if case.trouble:
         _lose(case, [holder])
+        disturbed_s = time.monotonic()
     until_s = trainer.accepted_s + TRAINER_DEADLINE_S
     if not await trainer.read_until(until_s):
-        _judge(case, trainer, servers)
+        judge_step(case, trainer, servers, disturbed_s)
     await trainer.end()
     await _watch_duty(case, holder)
 
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -9,7 +9,12 @@
 import time
 
 from review.lib.case import ZONES, Case, CouldNotRunError, run_case
-from review.lib.lots import Trainer, build_lot
+from review.lib.lots import (
+    TRAINER_DEADLINE_S,
+    Trainer,
+    build_lot,
+    judge_step,
+)
 from review.lib.manifests import manifest, plain_route, rollout_route
 from review.lib.server import Server
 
@@ -17,9 +22,10 @@
 EVENTS = 20
 EVENT_S = 0.04
 DRAIN_S = 2.0
-CONFIG_APPLY_S = 2.0
-TRAINER_DEADLINE_S = 12.0
-AT_NO_SERVER_S = 5.0
+# Time from the manifest to the reports of `draining`, and for which a server
+# serves on after `drain-ms`.
+BETWEEN_S = 1.0
+LINGER_S = 0.2
 
 
 def _manifest(version: int, service: str) -> dict:
@@ -43,39 +49,18 @@
     )
 
 
-async def _migrate(case: Case, old: list[Server]) -> None:
-    """Moves the route, then takes the old servers away."""
-    await asyncio.sleep(0.5)
+async def _migrate(case: Case, old: list[Server]) -> float:
+    """Moves the route, takes the old servers away; returns when they left."""
+    await asyncio.sleep(0.2)
     case.store.put("config", "main", _manifest(12, "new-lm"))
     case.note("manifest 12 confirmed: /gen/ is served by new-lm")
-    await asyncio.sleep(CONFIG_APPLY_S)
+    await asyncio.sleep(BETWEEN_S)
     case.note("the servers of old-lm report draining")
     async with asyncio.TaskGroup() as tasks:
         for server in old:
-            tasks.create_task(server.leave(DRAIN_S, 1.0))
+            tasks.create_task(server.leave(DRAIN_S, LINGER_S))
     case.note("the servers of old-lm have left")
-
-
-def _judge(case: Case, trainer: Trainer, servers: list[Server]) -> None:
-    """Checks each item of the step that has run out of time."""
-    now_s = time.monotonic()
-    begun = {r["id"] for s in servers for r in s.ran}
-    listed = {result["id"] for result in trainer.results}
-    never = [i for i in trainer.item_ids if i not in begun and i not in listed]
-    case.note(
-        f"{len(listed)} items listed, {len(begun & set(trainer.item_ids))} "
-        f"began at a server, {len(never)} never reached one"
-    )
-    for server in servers:
-        items = sum(r["id"] in trainer.item_ids for r in server.ran)
-        case.note(f"{server.name}: {items} items, {server.running} running now")
-    waited_s = now_s - trainer.accepted_s
-    if never and waited_s >= AT_NO_SERVER_S:
-        case.break_rule(
-            f"LOST: the step ran out of time after {waited_s:.1f} s with "
-            f"{len(never)} items that never reached a server, while new-lm "
-            "was empty"
-        )
+    return time.monotonic()
 
 
 async def play(case: Case) -> None:
@@ -98,12 +83,12 @@
         migration = asyncio.create_task(_migrate(case, old))
     until_s = trainer.accepted_s + TRAINER_DEADLINE_S
     is_whole = await trainer.read_until(until_s)
+    disturbed_s = await migration if migration else trainer.accepted_s
     if not is_whole:
-        _judge(case, trainer, [*old, *new])
+        judge_step(case, trainer, [*old, *new], disturbed_s)
     await trainer.end()
     if migration is None:
         return
-    await migration
     # The next step shows that new-lm serves the route.
     following = Trainer(case, "2ad0c7155e", build_lot("2ad0c7155e", "m0", 4, 4))
     await following.submit()
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
-import random
 import re
 import signal
 import socket
@@ -35,11 +35,19 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    """Returns free ports below the range of outgoing connections."""
+    """Returns free ports below the range of outgoing connections.
+
+    Scripts that run at the same time take theirs from different blocks, by the
+    id of their process.
+    """
+    first = 12_000 + os.getpid() % 200 * 100
+    candidates = itertools.chain(
+        range(first, first + 100), range(12_000, 32_000)
+    )
     with contextlib.ExitStack() as stack:
         ports: list[int] = []
         while len(ports) < count:
-            port = random.randrange(12_000, 32_000)
+            port = next(candidates)
             tcp = stack.enter_context(socket.socket())
             udp = stack.enter_context(
                 socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -242,7 +250,7 @@
             target,
             {
                 "Host": HOST,
-                "Daisyhub-Request-Id": request_id,
+                **({"Daisyhub-Request-Id": request_id} if request_id else {}),
                 "Daisyhub-Deadline-Ms": str(int(timeout_s * 1000)),
                 "Api-Key": KEY,
                 **(headers or {}),
@@ -277,6 +285,10 @@
     case = Case(pathlib.Path(folder))
 
     async def main() -> None:
+        # A script that is told to stop ends its processes, too.
+        stop = asyncio.current_task().cancel
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, stop)
         try:
             async with asyncio.timeout(case.deadline_s - time.monotonic()):
                 await case.start_store()
@@ -289,7 +301,12 @@
         asyncio.run(main())
         code = _BROKEN if case.broken else _HELD
         case.note("the rule was broken" if case.broken else "the rule held")
-    except (CouldNotRunError, TimeoutError, OSError) as exc:
+    except (
+        CouldNotRunError,
+        TimeoutError,
+        OSError,
+        asyncio.CancelledError,
+    ) as exc:
         case.note(f"could not run: {exc!r}")
         print(f"could not run: {exc!r}", file=sys.stderr)
     except Exception:
--- a/review/lib/lots.py
+++ b/review/lib/lots.py
@@ -6,10 +6,17 @@
 import time
 
 from review.lib.case import HOST, Case
+from review.lib.server import Server
 
-__all__ = ["Trainer", "build_lot"]
+__all__ = ["TRAINER_DEADLINE_S", "Trainer", "build_lot", "judge_step"]
 
 _READ_INTERVAL_S = 0.5
+# Time after the 202 at which a trainer ends a step: the sheet's deadline.
+TRAINER_DEADLINE_S = 12.0
+# `contact-ms`: time without disturbance after which the state is steady.
+_CONTACT_S = 3.0
+# Time at no server that breaks LOST.
+_AT_NO_SERVER_S = 5.0
 
 
 def build_lot(lot_id: str, model: str, groups: int, size: int) -> dict:
@@ -120,3 +127,42 @@
         )
         self._case.note(f"lot {self.lot_id} ended at {daemon}: {answer.status}")
         return answer.status
+
+
+def judge_step(
+    case: Case, trainer: Trainer, servers: list[Server], disturbed_s: float
+) -> None:
+    """Checks LOST for a step that has run out of time.
+
+    It is broken by an item that no server has finished and that was at no
+    server for five seconds of steady state, if other items had begun and all
+    servers were empty (the rule asks for less than half full).
+
+    Args:
+        case: The case.
+        trainer: The trainer of the step; its deadline has passed.
+        servers: All model servers, also those that have left.
+        disturbed_s: When the last disturbance ended, planned work included.
+    """
+    ids = set(trainer.item_ids)
+    ends_s = trainer.accepted_s + TRAINER_DEADLINE_S
+    begun = {r["id"] for s in servers for r in s.ran} & ids
+    finished = {i for s in servers for i in s.finished}
+    listed = {result["id"] for result in trainer.results}
+    open_ids = ids - finished - listed
+    running = sum(server.running for server in servers)
+    at_server_s = max(server.idle_since_s for server in servers)
+    steady_s = ends_s - max(at_server_s, disturbed_s + _CONTACT_S)
+    for server in servers:
+        items = sum(r["id"] in ids for r in server.ran)
+        case.note(f"{server.name}: {items} runs of items, {server.running} now")
+    case.note(
+        f"{len(begun)} of {len(ids)} items began at a server, "
+        f"{len(open_ids)} are neither finished nor listed; all servers were "
+        f"empty for the last {steady_s:.1f} s of steady state"
+    )
+    if open_ids and begun and not running and steady_s >= _AT_NO_SERVER_S:
+        case.break_rule(
+            f"LOST: the step ran out of time with {len(open_ids)} items that "
+            f"were at no server for {steady_s:.1f} s of steady state"
+        )
--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -179,8 +179,6 @@
         expected = req.headers.get("daisyhub-expect-instance", self.name)
         if expected != self.name:
             await write_answer(writer, 421, {**head, **_UNTOLD}, b"")
-        elif req.path == "/health":
-            await self.write_health(writer, head)
         elif req.path == "/v1/report":
             await self.write_report(writer, head)
         elif req.path == "/v1/order":
@@ -240,8 +238,11 @@
             self.waiting -= 1
         self.running += 1
         try:
-            await self._run(writer, req, head)
-            self.finished.add(req.headers.get("daisyhub-request-id", ""))
+            if req.path == "/health":
+                await self.write_health(writer, head)
+            else:
+                await self._run(writer, req, head)
+                self.finished.add(req.headers.get("daisyhub-request-id", ""))
         finally:
             self.running -= 1
             self.idle_since_s = time.monotonic()
@@ -265,7 +266,12 @@
         if "daisyhub-model" in req.headers:
             await self._stream(writer, req, head)
             return
-        await asyncio.sleep(self.work_of(req.path))
+        work_s = self.work_of(req.path)
+        left_s = int(req.headers.get("daisyhub-deadline-ms", 600_000)) / 1000
+        await asyncio.sleep(min(work_s, left_s))
+        if work_s > left_s:
+            await write_answer(writer, 504, head, b"")
+            return
         body = f"answer to {req.headers.get('daisyhub-request-id')}".encode()
         await write_answer(writer, 200, head, body)
 
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -177,7 +177,9 @@
             found = self.put(kind, name, known["spec"], body["status"])
             return 200, found
         spec = body["spec"]
-        size = len(json.dumps(spec, ensure_ascii=False).encode())
+        compact = (",", ":")
+        text = json.dumps(spec, ensure_ascii=False, separators=compact)
+        size = len(text.encode())
         if size > _VALUE_BYTES:
             self.too_large.append((kind, name, size))
             return 413, {"error": "too large"}
