Duties: a daemon that hears few others asks the holder through the store

Cause: a daemon that hears less than half of those that it knows was no candidate for a duty, and lost daemons stay known for 60 s. The condition protects a live holder from daemons that are cut off. It also had a gap: a daemon restarted during its cut knows nobody and took the duty at once.

Change: such a daemon writes a challenge into the duty's record and takes the duty if the record is unchanged for two thirds of a term. A live holder reads its record while it has lost peers, or while a peer says that it challenges, and removes the challenge. Why it works: the takeover is a conditional write at the revision of the challenge, so an answer excludes it; and a dead holder writes no answer.

--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -156,6 +156,8 @@
         backlog: Newest figures of the work of open lots; None without any.
         loads: Endpoints of adaptive pools that stated to the sender that they
             have no free slot.
+        challenges: Duties of whose holder the sender gets no pings and which
+            it has asked through the store whether it is alive.
     """
 
     domain: str
@@ -180,6 +182,7 @@
     capacity: CapacityDigest | None = None
     backlog: BacklogNews | None = None
     loads: tuple[LoadNews, ...] = ()
+    challenges: tuple[str, ...] = ()
 
 
 class ReachQuestion(msgspec.Struct, frozen=True, tag="rc"):
--- a/daisyhub/cluster/_peers.py
+++ b/daisyhub/cluster/_peers.py
@@ -241,6 +241,10 @@
             and self.is_live(daemon_id)
         )
 
+    def is_challenged(self, duty: str) -> bool:
+        """Whether a live daemon challenges the holder of a duty."""
+        return any(duty in peer.ping.challenges for peer in self.live())
+
     def has_live_holder_with_store(self) -> bool:
         """Whether a live daemon with a duty reaches the store."""
         now_s = self._now_s()
--- a/daisyhub/duties/__init__.py
+++ b/daisyhub/duties/__init__.py
@@ -4,7 +4,11 @@
 leases of `daisyhub.hosting` for this.
 """
 
-from daisyhub.duties._controller import DutyController, choose_candidate
+from daisyhub.duties._controller import (
+    DutyController,
+    choose_candidate,
+    list_challenges,
+)
 from daisyhub.duties._core import (
     DutyCallFailed,
     DutyCore,
@@ -27,4 +31,5 @@
     "ReadDuty",
     "WriteDuty",
     "choose_candidate",
+    "list_challenges",
 ]
--- a/daisyhub/duties/_controller.py
+++ b/daisyhub/duties/_controller.py
@@ -33,7 +33,12 @@
     StoredObject,
 )
 
-__all__ = ["DutyController", "choose_candidate", "rank_daemons"]
+__all__ = [
+    "DutyController",
+    "choose_candidate",
+    "list_challenges",
+    "rank_daemons",
+]
 
 _DUTIES_KIND = "duties"
 # Interval between checks of the peers: half of a ping's interval.
@@ -120,6 +125,15 @@
             return self.fencing
         return self._core.tenure(boot_time_s())
 
+    @property
+    def is_challenging(self) -> bool:
+        """Whether this daemon asked through the store if the holder is alive.
+
+        Peers that hear this daemon should know, since the holder may hear it
+        without being heard.
+        """
+        return self._core.is_challenging
+
     def status(self) -> dict[str, object]:
         """Returns the last known holder and this daemon's fencing number."""
         record = self._core.record
@@ -127,6 +141,7 @@
             "holder": record.holder if record else "",
             "fencing": self.fencing,
             "tenure": self.tenure,
+            "challenger": record.challenger if record else "",
         }
 
     def step_down(self, reason: str) -> None:
@@ -205,25 +220,37 @@
             is_holder_live=is_holder_live,
             has_lost_peers=self._peers.has_lost_peers(),
             max_peer_fencing=view.fencing if view else 0,
+            is_silence_conclusive=self._is_silence_conclusive(holder_id),
+            is_challenged=self._peers.is_challenged(self.duty),
         )
 
-    def _is_preferred_candidate(self) -> bool:
-        """Whether this daemon ranks first among those not shutting down.
+    def _is_silence_conclusive(self, holder_id: str) -> bool:
+        """Whether a holder of which no pings arrive is lost.
+
+        Not if this daemon hears less than half of those that it knows, itself
+        included, or doesn't know the holder, as after its own start or a long
+        cut: the holder's pings may reach the others.
 
-        A daemon for which less than half of the known daemons are live, itself
-        included, is no candidate: the holder's pings may still reach the
-        others.
+        Args:
+            holder_id: The holder's daemon; empty if the duty is free.
         """
+        if holder_id in ("", self._peers.own_id):
+            return True
+        if self._peers.get(holder_id) is None:
+            return False
+        known_count = len(self._peers.all()) + 1
+        live_count = len(self._peers.live()) + 1
+        return 2 * live_count >= known_count
+
+    def _is_preferred_candidate(self) -> bool:
+        """Whether this daemon ranks first among those not shutting down."""
         if self._is_leaving or (self._needs_endpoints and self._is_cut_off()):
             return False
         live = self._peers.live()
         if not live and boot_time_s() - self._started_s < _PEER_DISCOVERY_S:
             return False
-        known_count = len(self._peers.all()) + 1
-        if 2 * (len(live) + 1) < known_count:
-            return False
         speeds = self._live_speeds()
-        if is_small_cluster(known_count - 1):
+        if is_small_cluster(len(self._peers.all())):
             return choose_candidate(self.duty, speeds) == self._peers.own_id
         return self._is_candidate_of_many(speeds)
 
@@ -292,8 +319,24 @@
                 "duty_call_failed", duty=self.duty, reason=str(exc)
             )
             return DutyCallFailed()
+        if isinstance(action, WriteDuty):
+            self._log_challenge(action.record)
         return self._parse_record(found)
 
+    def _log_challenge(self, written: DutyRecord) -> None:
+        """Logs a challenge that was written, or the answer to one."""
+        record = self._core.record
+        if record is None or written.holder != record.holder:
+            return
+        self._log.record(
+            "duty_challenged" if written.challenger else "duty_confirmed",
+            duty=self.duty,
+            holder=record.holder,
+            challenger=written.challenger or record.challenger,
+            live=len(self._peers.live()),
+            known=len(self._peers.all()),
+        )
+
     async def _write(self, action: WriteDuty) -> StoredObject:
         spec = msgspec.json.encode(action.record)
         if not action.revision:
@@ -336,6 +379,11 @@
         self.changed = anyio.Event()
 
 
+def list_challenges(*duties: DutyController) -> tuple[str, ...]:
+    """Returns the names of the duties of which this daemon asks the holder."""
+    return tuple(duty.duty for duty in duties if duty.is_challenging)
+
+
 def choose_candidate(duty: str, speeds: Mapping[str, float]) -> str:
     """Returns the id of the daemon that should take a duty.
 
--- a/daisyhub/duties/_core.py
+++ b/daisyhub/duties/_core.py
@@ -9,6 +9,10 @@
 wrote its own record, and a daemon that takes over without a release waits for
 one term before it acts.
 
+A daemon that hears only few others can't tell whether the holder is lost or
+whether it is cut off itself. It writes a challenge into the record first, and
+takes the duty only if the holder doesn't remove it in time.
+
 Times are seconds on CLOCK_BOOTTIME, which counts suspended time.
 """
 
@@ -41,19 +45,31 @@
 # needs no fencing: longer than most outages of the store, and about the time
 # within which work that waits for new orders of the duty is late anyway.
 _MAX_UNCONFIRMED_S = 10.0
-
-
-class DutyRecord(msgspec.Struct, frozen=True, kw_only=True):
+# Share of a term within which a live holder answers a challenge: it reads its
+# record `_CHECKS_PER_TERM` times in a term, and one read may fail.
+_ANSWER_TERM_SHARE = 2 / 3
+# Seconds after an answered challenge before this daemon writes another one.
+_CHALLENGE_INTERVAL_S = 5.0
+# Seconds for which a daemon verifies its duty after another one challenged or
+# deposed it, even while it hears all peers: the two may have forgotten each
+# other during a long cut.
+_CONTESTED_S = 300.0
+
+
+class DutyRecord(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The stored record of a duty.
 
     Attributes:
         holder: Process that holds the duty, `daemon id/incarnation`; empty
             after a release.
         fencing: Fencing number; increases with every change of holder.
+        challenger: Process that asks whether the holder is alive; empty once
+            the holder has answered.
     """
 
     holder: str
     fencing: int
+    challenger: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,12 +82,17 @@
         has_lost_peers: Whether a known peer no longer sends pings.
         max_peer_fencing: Highest fencing number that peers report for this
             duty; 0 if none does.
+        is_silence_conclusive: Whether the holder is lost if no pings of it
+            arrive. Otherwise this daemon may be cut off.
+        is_challenged: Whether a peer reports that it challenges the holder.
     """
 
     is_candidate: bool
     is_holder_live: bool
     has_lost_peers: bool = False
     max_peer_fencing: int = 0
+    is_silence_conclusive: bool = True
+    is_challenged: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,6 +171,11 @@
         self._unresolved_at: int | None = None
         # Highest fencing number that peers report.
         self._max_peer_fencing = 0
+        # Revision of a record with a challenge that this daemon relies on, and
+        # when it was first seen; None without.
+        self._challenge: tuple[int, float] | None = None
+        self._challenge_from_s = -math.inf
+        self._contested_until_s = -math.inf
 
     @property
     def next_wakeup_s(self) -> float | None:
@@ -161,6 +187,11 @@
         """The last record received; None if there is none or it is unknown."""
         return self._record
 
+    @property
+    def is_challenging(self) -> bool:
+        """Whether this daemon waits for the holder to answer a challenge."""
+        return self._challenge is not None
+
     def fencing_if_held(self, now_s: float) -> int:
         """Returns the fencing number, or 0 if this process may not act."""
         if not self._is_own() or not self._should_hold:
@@ -231,22 +262,71 @@
         if self._is_own():
             return self._on_own_tick(tick, now_s)
         if not tick.is_candidate or not self._should_hold:
+            self._challenge = None
             return self._resolve_write(now_s)
         if self._revision is None:
             return self._read(now_s)
-        if tick.is_holder_live and self._record and self._record.holder:
+        return self._on_candidate_tick(tick, now_s)
+
+    def _on_candidate_tick(self, tick: DutyTick, now_s: float) -> list[object]:
+        is_held = self._record is not None and bool(self._record.holder)
+        if tick.is_holder_live and is_held:
+            self._challenge = None
             return self._resolve_write(now_s) or self._check_holder(now_s)
         if now_s < self._cooldown_until_s:
             return []
+        if is_held and not tick.is_silence_conclusive:
+            return self._acquire_if_unanswered(now_s)
+        self._challenge = None
         return self._acquire(now_s)
 
+    def _acquire_if_unanswered(self, now_s: float) -> list[object]:
+        """Challenges the holder; acquires the duty if it doesn't answer.
+
+        A challenge of another daemon serves as well. Any change of the record
+        since the challenge shows that a holder is alive.
+        """
+        if self._challenge is None:
+            if now_s < self._challenge_from_s:
+                return []
+            if not self._record.challenger:
+                return self._write_challenge(now_s)
+            self._challenge = (self._revision, now_s)
+        revision, seen_at_s = self._challenge
+        if self._revision != revision:
+            self._challenge = None
+            self._challenge_from_s = now_s + _CHALLENGE_INTERVAL_S
+            return []
+        if now_s - seen_at_s < _ANSWER_TERM_SHARE * self.term_s:
+            return []
+        return self._acquire(now_s)
+
+    def _write_challenge(self, now_s: float) -> list[object]:
+        """Writes a challenge if the last read is recent; otherwise reads."""
+        if not self._is_read_recent(now_s):
+            return self._read(now_s)
+        challenge = msgspec.structs.replace(
+            self._record, challenger=self.process
+        )
+        return self._write(challenge, now_s)
+
     def _on_own_tick(self, tick: DutyTick, now_s: float) -> list[object]:
+        self._challenge = None
         if self._revision is None:
             return self._read(now_s)
         if not self._should_hold:
             released = DutyRecord(holder="", fencing=self._record.fencing)
             return self._write(released, now_s)
-        must_verify = tick.has_lost_peers or not self.is_fencing_checked
+        if self._record.challenger:
+            self._contested_until_s = now_s + _CONTESTED_S
+            answer = msgspec.structs.replace(self._record, challenger="")
+            return self._write(answer, now_s)
+        must_verify = (
+            tick.has_lost_peers
+            or tick.is_challenged
+            or now_s < self._contested_until_s
+            or not self.is_fencing_checked
+        )
         check_interval_s = self.term_s / _CHECKS_PER_TERM
         if must_verify and now_s - self._last_read_at_s >= check_interval_s:
             return self._read(now_s)
@@ -277,13 +357,17 @@
 
     def _acquire(self, now_s: float) -> list[object]:
         """Writes a new holder if the last read is recent; otherwise reads."""
-        if now_s - self._last_read_at_s > self.term_s / _CHECKS_PER_TERM:
+        if not self._is_read_recent(now_s):
             return self._read(now_s)
         fencing = self._record.fencing + 1 if self._record else 1
         return self._write(
             DutyRecord(holder=self.process, fencing=fencing), now_s
         )
 
+    def _is_read_recent(self, now_s: float) -> bool:
+        age_s = now_s - self._last_read_at_s
+        return age_s <= self.term_s / _CHECKS_PER_TERM
+
     def _write(self, record: DutyRecord, now_s: float) -> list[object]:
         self._is_call_pending = True
         self._sent_at_s = now_s
@@ -316,5 +400,6 @@
         """
         self._revision = None
         self._cooldown_until_s = now_s + self.term_s
+        self._contested_until_s = now_s + _CONTESTED_S
         if self._is_own():
             self._record = None
--- a/daisyhub/duties/tests/test_proof_duties.py
+++ b/daisyhub/duties/tests/test_proof_duties.py
@@ -1,6 +1,8 @@
 """Property tests of duties under faults.
 
-Each fencing number belongs to one holder, and holders don't alternate. Faults:
+Each fencing number belongs to one holder, and holders don't alternate. A daemon
+that may be cut off takes the duty only after a challenge that nobody answered.
+Faults:
 lost and delayed responses, writes that take effect though the writer got no
 response, processes that are frozen, killed and restarted, pings that don't
 arrive, and rejections by a receiver at any moment.
@@ -51,6 +53,9 @@
         # A daemon that was restarted or released its duty may alternate with
         # others for one term; its calls aren't recorded during that time.
         self.restarted_at_s = dict.fromkeys(DAEMONS, 0.0)
+        self.changed_at_s = self.now_s
+        # Takeovers by daemons that may be cut off.
+        self.doubtful_writes = set()
 
     def new_core(self, number):
         self.starts += 1
@@ -66,18 +71,34 @@
         is_candidate=st.booleans(),
         is_holder_live=st.booleans(),
         has_lost_peers=st.booleans(),
+        is_silence_conclusive=st.booleans(),
     )
-    def tick(self, number, is_candidate, is_holder_live, has_lost_peers):
+    def tick(
+        self,
+        number,
+        is_candidate,
+        is_holder_live,
+        has_lost_peers,
+        is_silence_conclusive,
+    ):
         if self.pending_actions[number] is not None:
             return
         tick = DutyTick(
             is_candidate=is_candidate,
             is_holder_live=is_holder_live,
             has_lost_peers=has_lost_peers,
+            is_silence_conclusive=is_silence_conclusive,
         )
         actions = self.cores[number].handle(tick, self.now_s)
-        if actions:
-            self.pending_actions[number] = actions[0]
+        if not actions:
+            return
+        self.pending_actions[number] = action = actions[0]
+        if isinstance(action, WriteDuty):
+            key = (action.record, action.revision)
+            if is_silence_conclusive:
+                self.doubtful_writes.discard(key)
+            else:
+                self.doubtful_writes.add(key)
 
     @rule(
         number=st.sampled_from(DAEMONS),
@@ -109,10 +130,19 @@
     def acquire_and_act(self, number, is_holder_live):
         """A daemon acquires the duty if it can, then acts."""
         for _ in range(3):
-            self.tick(number, True, is_holder_live, False)
+            self.tick(number, True, is_holder_live, False, True)
             self.reach_store(number, "good")
         self.act(number)
 
+    @rule(number=st.sampled_from(DAEMONS))
+    def challenge_and_acquire(self, number):
+        """A daemon that hears nobody takes the duty if it can, then acts."""
+        for _ in range(8):
+            self.tick(number, True, False, True, False)
+            self.reach_store(number, "good")
+            self.now_s += 0.4
+        self.act(number)
+
     @rule()
     def apply_delayed_write(self):
         if self.delayed_writes:
@@ -123,11 +153,25 @@
             action.revision == self.revision
         )
         if is_fresh:
+            self.check_takeover(action)
             self.record = action.record
             self.revision += 1
+            self.changed_at_s = self.now_s
         assert isinstance(action, ReadDuty | WriteDuty)
         return DutyRecordReceived(self.record, self.revision)
 
+    def check_takeover(self, write):
+        """A holder has most of a term to answer a daemon that is in doubt."""
+        is_doubtful = (write.record, write.revision) in self.doubtful_writes
+        is_held = self.record is not None and self.record.holder
+        if not is_doubtful or not is_held or not write.record.holder:
+            return
+        if write.record.holder == self.record.holder:
+            return
+        assert self.record.challenger, "taken without a challenge"
+        waited_s = self.now_s - self.changed_at_s
+        assert waited_s >= 0.6 * TERM_S, f"taken after {waited_s} s"
+
     @rule(number=st.sampled_from(DAEMONS))
     def restart(self, number):
         self.cores[number] = self.new_core(number)
@@ -208,6 +252,22 @@
         self._may_act_from_s = now_s
 
 
+class TakesWithoutChallenge(DutyCore):
+    """Broken: takes silence for a lost holder, though it may be cut off."""
+
+    def _acquire_if_unanswered(self, now_s):
+        return self._acquire(now_s)
+
+
+class IgnoresAnswer(DutyCore):
+    """Broken: doesn't notice that the challenge was answered meanwhile."""
+
+    def _acquire_if_unanswered(self, now_s):
+        if self._challenge is not None:
+            self._challenge = (self._revision, self._challenge[1])
+        return super()._acquire_if_unanswered(now_s)
+
+
 def machine_for(core, base=DutyMachine):
     return type(core.__name__, (base,), {"core_class": core})
 
@@ -220,7 +280,12 @@
         run_proof(UncheckedMachine, examples=200)
 
     def test_broken_cores_are_detected(self):
-        for core in (ReusesFencingNumber, ReacquiresImmediately):
+        for core in (
+            ReusesFencingNumber,
+            ReacquiresImmediately,
+            TakesWithoutChallenge,
+            IgnoresAnswer,
+        ):
             with self.subTest(core.__name__):
                 self.assertIsNotNone(find_failure(machine_for(core)))
         self.assertIsNotNone(
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -44,7 +44,7 @@
     WatchVerifier,
 )
 from daisyhub.connections import HttpClient
-from daisyhub.duties import DutyController, DutyCore
+from daisyhub.duties import DutyController, DutyCore, list_challenges
 from daisyhub.exceptions import DocumentError
 from daisyhub.filters import build_chain
 from daisyhub.fleet_settings import (
@@ -682,6 +682,7 @@
             capacity=self.capacity.digest(),
             backlog=self.admission.news_for_ping(self.holder),
             loads=self.admission.requests.loads_for_ping(),
+            challenges=list_challenges(self.rollouts, self.accounts),
         )
 
     def _make_usage_report(self) -> UsageReport:
