Lots: open lots follow their route to another pool

Cause: the pool of a lot's route was looked up once, when the lot was opened, and only the first share of a split route counted. A holder without a manifest raised an AttributeError there.

Change: the holder compares each open lot's pool with its route before it starts runs. choose_pool keeps a lot in its pool while the route leads there and an engine of the model is left; otherwise weighted rendezvous hashing over the shares decides. Runs at the old service go on, but none starts or moves there; a text that breaks begins anew at the new pool without waiting for a release that it may not get. Why it works: every start of a run reads the pool that the route has now.

--- a/daisyhub/lots/_admission.py
+++ b/daisyhub/lots/_admission.py
@@ -8,6 +8,7 @@
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.logs import DecisionLog
 from daisyhub.lots._admission_core import LotAdmissionCore
+from daisyhub.lots._lot_routes import choose_pool
 from daisyhub.lots._lot_store import LotStore
 from daisyhub.lots._types import LotSpec
 from daisyhub.messages import Request
@@ -64,7 +65,7 @@
         """
         now_s = self._clock()
         head = spec.head
-        pool = req.route.shares[0].pool if req.route.shares else ""
+        pool = choose_pool(head.lot_id, req.route.shares)
         backlog = self._find_backlog(pool, now_s)
         stated_s = req.stated_deadline_s
         remaining_s = None if stated_s is None else stated_s - now_s
--- a/daisyhub/lots/_dispatch_core.py
+++ b/daisyhub/lots/_dispatch_core.py
@@ -46,6 +46,7 @@
     Item,
     LotClosed,
     LotOpened,
+    LotRouted,
     Progress,
     RewardCallFailed,
     RewardCallSucceeded,
@@ -114,7 +115,7 @@
     """An open lot.
 
     Attributes:
-        opened: The event that opened it.
+        opened: The event that opened it, with the pool that serves it now.
         items: Items that weren't listed when it was opened, by id, in the
             order in which they are to start.
         unfinished_in_group: Number of items without a result, by group.
@@ -186,6 +187,11 @@
         """Ids of the open lots."""
         return tuple(self._lots)
 
+    def pool_of(self, lot_id: str) -> str:
+        """Returns the pool that serves an open lot; empty for none."""
+        lot = self._lots.get(lot_id)
+        return lot.opened.pool if lot else ""
+
     @property
     def waiting_items(self) -> int:
         """Number of items that wait for a run."""
@@ -274,6 +280,8 @@
                 self._on_engines(event)
             case LotOpened():
                 self._on_opened(event)
+            case LotRouted():
+                self._on_routed(event)
             case LotClosed():
                 actions += self._on_closed(event)
             case RunCompleted():
@@ -458,6 +466,15 @@
         lot.is_sorted = True
         self._lots[opened.spec.head.lot_id] = lot
 
+    def _on_routed(self, event: LotRouted) -> None:
+        lot = self._lots.get(event.lot_id)
+        if lot is None:
+            return
+        lot.opened = dataclasses.replace(lot.opened, pool=event.pool)
+        lot.is_in_order = False
+        for item in lot.items.values():
+            item.waits_since_s = None
+
     def _on_closed(self, event: LotClosed) -> list[object]:
         lot = self._lots.pop(event.lot_id, None)
         if lot is None:
@@ -764,7 +781,9 @@
         release = item.progress.release
         if release is not None:
             same = [e for e in found if e.view.release == release]
-            if not same and self._should_wait(item, now_s, median_interval_s):
+            if not same and self._should_wait(
+                lot, item, now_s, median_interval_s
+            ):
                 return None
             found = same or found
         if found and found[0].view.is_adaptive:
@@ -777,7 +796,7 @@
         )
 
     def _should_wait(
-        self, item: Item, now_s: float, median_interval_s: float
+        self, lot: _Lot, item: Item, now_s: float, median_interval_s: float
     ) -> bool:
         """Whether an item waits for an engine of its text's release.
 
@@ -785,6 +804,8 @@
         it loses at most twice that time, and only for a while.
         """
         release = item.progress.release
+        if release.pool != lot.opened.pool:
+            return False
         if all(e.view.release != release for e in self._engines.values()):
             return False
         if item.waits_since_s is None:
@@ -864,10 +885,19 @@
             return []
         return [self._start_run(lot, item, engine, now_s)]
 
+    def _is_routed(self, run_id: int) -> bool:
+        """Whether a run is at an engine of the pool that serves its lot now."""
+        run = self._runs[run_id]
+        engine = self._engines.get(run.endpoint_id)
+        pool = self._lots[run.lot_id].opened.pool
+        return engine is not None and engine.view.pool == pool
+
     def _move_runs(self, now_s: float) -> list[object]:
         """Starts the second runs of items that move to another engine."""
         moves = self._placement.plan_moves(
-            self._engines, map(self._context, self._runs), now_s
+            self._engines,
+            [self._context(r) for r in self._runs if self._is_routed(r)],
+            now_s,
         )
         actions: list[object] = []
         for move in moves:
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 import msgspec
@@ -35,6 +35,7 @@
 )
 from daisyhub.lots._load_queue import LoadQueue
 from daisyhub.lots._lot_order import trainer_lag_s
+from daisyhub.lots._lot_routes import choose_pool
 from daisyhub.lots._lot_store import LOTS_KIND, LotStore, decode_head
 from daisyhub.lots._run_types import (
     CancelRun,
@@ -43,6 +44,7 @@
     FinishItem,
     LotClosed,
     LotOpened,
+    LotRouted,
     Progress,
     StartRewardCall,
     StartRun,
@@ -202,6 +204,8 @@
         # Number of items of the latest lot by model.
         self._items_by_model: dict[str, int] = {}
         self._demand: dict[str, float] = {}
+        # Pools with an engine that may get runs of a model, by model.
+        self._pools_by_model: dict[str, set[str]] = {}
         self._tasks = None
         self._duty_since_s = 0.0
         self._open_loads = anyio.CapacityLimiter(_MAX_OPEN_LOADS)
@@ -387,10 +391,28 @@
             if endpoint.entry.versions
             and deps.directory.accepts(endpoint.entry)
         )
+        self._pools_by_model = _find_pools_by_model(engines)
+        self._follow_routes()
         self._feed_dispatch(EnginesListed(engines))
         for lot in list(self._lots.values()):
             self._feed_listing(lot, ListingTick())
 
+    def _follow_routes(self) -> None:
+        """Has each open lot served where its route leads now.
+
+        It comes before new runs are started, since a manifest is in force for
+        all items that are sent after it.
+        """
+        for lot_id in self._core.open_lots:
+            before = self._core.pool_of(lot_id)
+            pool = self._choose_pool(self._lots[lot_id].head)
+            if pool == before:
+                continue
+            self._deps.log.record(
+                "lot_rerouted", lot=lot_id, before=before, pool=pool
+            )
+            self._feed_dispatch(LotRouted(lot_id, pool))
+
     def _on_lot_changed(self, found) -> None:
         """Handles a change of a lot's object: accepted, ended or deleted."""
         if found.is_deleted:
@@ -533,7 +555,7 @@
         self._feed_dispatch(
             LotOpened(
                 lot.spec,
-                self._find_pool(head),
+                self._choose_pool(head),
                 now_s + head.due_s - age_s,
                 now_s + max(0.0, head.max_wait_s - age_s),
                 frozenset(r.item_id for r in lot.listing.listed),
@@ -547,12 +569,18 @@
         )
 
     def _is_adaptive(self, head: LotHead) -> bool:
-        return self._deps.is_adaptive(self._find_pool(head))
-
-    def _find_pool(self, head: LotHead) -> str:
-        """Returns the first pool of a lot's route, empty if there is none."""
-        route = self._deps.manifests.manifest.find_route(head.host, head.path)
-        return route.shares[0].pool if route and route.shares else ""
+        return self._deps.is_adaptive(self._choose_pool(head))
+
+    def _choose_pool(self, head: LotHead) -> str:
+        """Returns the pool that is to serve a lot; see `choose_pool`."""
+        manifest = self._deps.manifests.manifest
+        route = manifest.find_route(head.host, head.path) if manifest else None
+        return choose_pool(
+            head.lot_id,
+            route.shares if route else (),
+            current=self._core.pool_of(head.lot_id),
+            served=self._pools_by_model.get(head.model, ()),
+        )
 
     async def _load_listed_chunks(self, lot: _LotState) -> None:
         """Reads the stored chunks that the listing lacks."""
@@ -818,3 +846,14 @@
             )
             return
         self._deps.log.record("lot_deleted", lot=lot_id)
+
+
+def _find_pools_by_model(
+    engines: Iterable[EngineView],
+) -> dict[str, set[str]]:
+    """Returns the pools of the engines of each model."""
+    found: dict[str, set[str]] = {}
+    for engine in engines:
+        for model in engine.versions:
+            found.setdefault(model, set()).add(engine.pool)
+    return found
--- a/daisyhub/lots/_run_types.py
+++ b/daisyhub/lots/_run_types.py
@@ -20,6 +20,7 @@
     "Item",
     "LotClosed",
     "LotOpened",
+    "LotRouted",
     "Progress",
     "RewardCallFailed",
     "RewardCallSucceeded",
@@ -121,7 +122,8 @@
 
     Attributes:
         spec: The lot.
-        pool: The pool that serves its items.
+        pool: The pool that serves its items, until `LotRouted`; empty if its
+            route has none.
         due_at_s: When its results are due, on the core's clock.
         give_up_at_s: Time from which items that still need a run are given up,
             on the core's clock.
@@ -139,6 +141,21 @@
     lag_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LotRouted:
+    """Another pool serves an open lot from now on.
+
+    Runs at engines of the pool before continue.
+
+    Attributes:
+        lot_id: The lot.
+        pool: The pool; empty if the lot's route has none.
+    """
+
+    lot_id: str
+    pool: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LotClosed:
     """A lot was ended or deleted, or all of its items are listed."""
--- a/daisyhub/lots/tests/test_backlog.py
+++ b/daisyhub/lots/tests/test_backlog.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from daisyhub.balancing import Release
+from daisyhub.catalog import PoolShare
 from daisyhub.logs import DecisionLog
 from daisyhub.lots import ItemSpec, LotHead, LotHolder, LotSpec, LotStore
 from daisyhub.lots._holder import LotHolderDependencies, _LotState
@@ -159,9 +160,7 @@
         self.store = MemoryStore()
         self.lots = LotStore(self.store)
         self.adaptive_pools = {"pool"}
-        route = types.SimpleNamespace(
-            shares=[types.SimpleNamespace(pool="pool")]
-        )
+        route = types.SimpleNamespace(shares=[PoolShare("pool", 1.0)])
         self.holder = LotHolder(
             types.SimpleNamespace(fencing=1, tenure=1),
             LotHolderDependencies(
--- a/daisyhub/lots/tests/test_holder.py
+++ b/daisyhub/lots/tests/test_holder.py
@@ -169,7 +169,7 @@
         )
         holder = LotHolder(types.SimpleNamespace(fencing=1, tenure=1), deps)
         holder._lots["L"] = self.lot
-        holder._core = mock.Mock()
+        holder._core = mock.Mock(open_lots=())
         holder._core.handle.return_value = []
         holder._core.find_run.return_value = types.SimpleNamespace(
             endpoint_id="e", lot_id="L"
