Store: one odd object costs that object alone

Cause: a page was decoded at once, and RecursionError is no DecodeError; a lone surrogate made the whole page invalid; an exception of a listener ended the watcher; ports, starts, slots and versions had no bounds.

Change: if a page can't be decoded at once, it is split without recursion, and each object's metadata is decoded on its own. decode_json reports nesting as a DecodeError, for all objects, reports, lots and messages. The watcher logs a change that fails and goes on. read_server and parse_address are bounded. An invalid entry is counted, and logged once with its revision. Why it works: what stands between two commas of a page's outermost array belongs to one object, whatever it holds, and a page with other brackets is refused.

--- a/daisyhub/billing/_controller.py
+++ b/daisyhub/billing/_controller.py
@@ -18,6 +18,7 @@
     WindowTick,
 )
 from daisyhub.duty_bound import DutyBoundController
+from daisyhub.json_texts import decode_json
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import (
     ObjectConflictError,
@@ -151,14 +152,14 @@
                 raise ObjectStoreError(
                     f"seal {name} was deleted", may_be_done=True
                 ) from exc
-            return msgspec.json.decode(found.spec, type=_Seal).counts
+            return decode_json(found.spec, type=_Seal).counts
         except ObjectStoreError as exc:
             if not exc.may_be_done:
                 raise
             found = await self._store.read(_SEAL_KIND, name)
             if found is None:
                 raise
-            return msgspec.json.decode(found.spec, type=_Seal).counts
+            return decode_json(found.spec, type=_Seal).counts
         return counts
 
     async def _report(self, action: ReportWindow) -> None:
--- a/daisyhub/cluster/_controller.py
+++ b/daisyhub/cluster/_controller.py
@@ -24,6 +24,8 @@
 )
 from daisyhub.cluster._ping_size import fit_into_datagram
 from daisyhub.exceptions import DaisyhubError
+from daisyhub.fleet_settings import parse_address
+from daisyhub.json_texts import decode_json
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import (
     KindWatcher,
@@ -240,15 +242,16 @@
             return
         if self._addresses.get(daemon_id) == address:
             return
-        ip, _, port = address.rpartition(":")
-        if not port.isdigit():
+        try:
+            parsed = parse_address(address)
+        except ValueError as exc:
             self._log.record(
-                "peer_address_invalid", peer=daemon_id, text=address
+                "peer_address_invalid", peer=daemon_id, reason=str(exc)
             )
             return
         self._addresses[daemon_id] = address
         self._new_address_at_s = time.monotonic()
-        self._network.set_address(daemon_id, Address(ip=ip, port=int(port)))
+        self._network.set_address(daemon_id, parsed)
         self._log.record("peer_learned", peer=daemon_id, address=address)
 
     def receive(self, envelope, message: object) -> None:
@@ -299,7 +302,7 @@
     def _add_listed_daemon(self, found: StoredObject) -> None:
         """Sets a daemon's address from its object unless the daemon is live."""
         try:
-            record = msgspec.json.decode(found.spec, type=_DaemonRecord)
+            record = decode_json(found.spec, type=_DaemonRecord)
         except msgspec.DecodeError as exc:
             self._log.record(
                 "daemon_unreadable", name=found.name, reason=str(exc)
--- a/daisyhub/duties/_controller.py
+++ b/daisyhub/duties/_controller.py
@@ -25,6 +25,7 @@
     WriteDuty,
 )
 from daisyhub.hosting import rank_candidates
+from daisyhub.json_texts import decode_json
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import (
     ObjectConflictError,
@@ -351,7 +352,7 @@
         if found is None:
             return DutyRecordReceived(None, 0)
         try:
-            record = msgspec.json.decode(found.spec, type=DutyRecord)
+            record = decode_json(found.spec, type=DutyRecord)
         except msgspec.DecodeError as exc:
             self._log.record("duty_unreadable", duty=self.duty, reason=str(exc))
             return DutyCallFailed()
--- a/daisyhub/fleet_settings.py
+++ b/daisyhub/fleet_settings.py
@@ -1,11 +1,13 @@
 """Settings of a daemon that runs on the users' platform."""
 
 import dataclasses
+import ipaddress
 import pathlib
 from typing import Annotated, Literal
 
 from daisyhub.checks import Range, check_document
-from daisyhub.settings import Address, PeerSettings
+from daisyhub.json_texts import parse_count
+from daisyhub.settings import MAX_PORT, Address, PeerSettings
 
 __all__ = ["FleetSettings", "parse_address", "load_fleet_settings"]
 
@@ -130,12 +132,15 @@
     """Parses an address of the form `IP:PORT`.
 
     Raises:
-        ValueError: The text has a different form.
+        ValueError: The text has a different form, or the port is out of range.
     """
-    ip, _, port = text.rpartition(":")
-    if not ip or not port.isdigit():
-        raise ValueError(f"address {text!r} is not IP:PORT")
-    return Address(ip=ip, port=int(port))
+    ip, _, port_text = text.rpartition(":")
+    port = parse_count(port_text)
+    if port is None or not 1 <= port <= MAX_PORT:
+        raise ValueError(f"address {text[:80]!r} is not IP:PORT")
+    # Raises ValueError for names, which would be resolved with each use.
+    ipaddress.ip_address(ip)
+    return Address(ip=ip, port=port)
 
 
 def load_fleet_settings(path: str) -> FleetSettings:
--- a/daisyhub/gateway/_relay_messages.py
+++ b/daisyhub/gateway/_relay_messages.py
@@ -10,6 +10,7 @@
 from daisyhub.balancing import Release
 from daisyhub.catalog import Route
 from daisyhub.exceptions import ExecutionStatus
+from daisyhub.json_texts import decode_json
 from daisyhub.messages import Header, Response
 
 __all__ = [
@@ -121,6 +122,6 @@
     if len(stated) != 1:
         raise ValueError("the response of the peer states no result")
     try:
-        return msgspec.json.decode(stated[0], type=RelayResult), rest
+        return decode_json(stated[0], type=RelayResult), rest
     except msgspec.DecodeError as exc:
         raise ValueError(str(exc)) from exc
--- a/daisyhub/gateway/_relays.py
+++ b/daisyhub/gateway/_relays.py
@@ -194,18 +194,19 @@
         self, state: SendState, action: StartAttempt, peer_id: str
     ) -> tuple[AttemptOutcome, str]:
         """Returns the outcome of an attempt, and its description."""
-        address = self._reach.relay_address(peer_id)
-        if address is None:
+        try:
+            address = parse_address(self._reach.relay_address(peer_id) or "")
+        except ValueError as exc:
             outcome = make_failed_outcome(
                 action,
                 ExecutionStatus.NOT_RUN,
                 was_sent=False,
                 is_withdrawn=True,
             )
-            return outcome, "the peer is gone"
+            return outcome, f"the peer is gone, or: {exc}"
         state.sent += 1
         try:
-            response = await self._call(state, parse_address(address))
+            response = await self._call(state, address)
         except RequestFailedError as exc:
             state.sent -= exc.ran is ExecutionStatus.NOT_RUN
             return _make_lost_outcome(action, exc.ran, exc.timed_out), str(exc)
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -22,6 +22,7 @@
 )
 from daisyhub.duties import DutyController
 from daisyhub.duty_bound import DutyBoundController
+from daisyhub.json_texts import decode_json
 from daisyhub.logs import DecisionLog
 from daisyhub.lots._dispatch_core import DispatchCore
 from daisyhub.lots._engine_capacity import EngineCapacity
@@ -811,7 +812,7 @@
         """Handles a peer's notification that it accepted or ended a lot."""
         match message:
             case LotAcceptedNotification(head):
-                self.add_accepted(msgspec.json.decode(head, type=LotHead))
+                self.add_accepted(decode_json(head, type=LotHead))
             case LotEndedNotification(lot_id):
                 self.end(lot_id)
 
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -16,6 +16,7 @@
 import anyio
 import msgspec
 
+from daisyhub.json_texts import decode_json
 from daisyhub.lots._parts import (
     Part,
     encode_parts,
@@ -69,7 +70,7 @@
 
 
 def _decode_chunk(found: StoredObject) -> tuple[ItemResult, ...]:
-    return msgspec.json.decode(found.spec, type=_Chunk).results
+    return decode_json(found.spec, type=_Chunk).results
 
 
 def decode_head(found: StoredObject) -> tuple[LotHead, LotStatus]:
@@ -78,8 +79,8 @@
     Raises:
         msgspec.DecodeError: The object has another schema.
     """
-    head = msgspec.json.decode(found.spec, type=LotHead)
-    status = msgspec.json.decode(found.status, type=LotStatus | None)
+    head = decode_json(found.spec, type=LotHead)
+    status = decode_json(found.status, type=LotStatus | None)
     return head, status or LotStatus()
 
 
@@ -240,7 +241,7 @@
                 raise ObjectStoreError(
                     f"lot part {name} does not exist", may_be_done=False
                 )
-            items += msgspec.json.decode(found.spec, type=Part).items
+            items += decode_json(found.spec, type=Part).items
         spec = LotSpec(head=head, items=tuple(items))
         self._cache_lot(spec)
         return spec
@@ -299,7 +300,7 @@
             await self._store.create(_RESULTS_KIND, name, content)
         except ObjectConflictError as exc:
             if exc.found is not None:
-                return msgspec.json.decode(exc.found.spec, type=_Chunk).results
+                return decode_json(exc.found.spec, type=_Chunk).results
             existing = await self.chunk(lot_id, first)
             if existing is None:
                 raise ObjectStoreError(
@@ -352,7 +353,7 @@
         found = await self._store.read(_PROGRESS_KIND, lot_id)
         if found is None:
             return {}
-        return msgspec.json.decode(found.spec, type=dict[str, Progress])
+        return decode_json(found.spec, type=dict[str, Progress])
 
     async def end(self, lot_id: str) -> bool:
         """Marks a lot as ended; returns False if it doesn't exist."""
--- a/daisyhub/lots/_reader.py
+++ b/daisyhub/lots/_reader.py
@@ -27,6 +27,7 @@
     ExecutionStatus,
     Refusal,
 )
+from daisyhub.json_texts import decode_json
 from daisyhub.logs import DecisionLog
 from daisyhub.lots._holder import LotHolder
 from daisyhub.lots._lot_store import LotStore
@@ -203,7 +204,7 @@
             )
             if response is None or not response.is_held:
                 return None
-            head = msgspec.json.decode(response.content, type=LotHead)
+            head = decode_json(response.content, type=LotHead)
         self._cache_lot(_CachedLot(head, is_ended=False))
         return self._cache[lot_id]
 
@@ -282,7 +283,7 @@
         lot.is_ended = lot.is_ended or response.is_ended
         if not response.is_held:
             return None
-        return msgspec.json.decode(response.content, type=list[ItemResult])
+        return decode_json(response.content, type=list[ItemResult])
 
     async def _read_store(self, lot: _CachedLot) -> None:
         """Appends the results that the store has beyond those known here.
--- a/daisyhub/objects/_base.py
+++ b/daisyhub/objects/_base.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from daisyhub.exceptions import DaisyhubError
+from daisyhub.json_texts import decode_json
 
 __all__ = [
     "HistoryGoneError",
@@ -221,7 +222,7 @@
 def is_same_json(one: bytes, other: bytes) -> bool:
     """Whether two JSON texts encode equal values; False if one is invalid."""
     try:
-        return msgspec.json.decode(one) == msgspec.json.decode(other)
+        return decode_json(one) == decode_json(other)
     except msgspec.DecodeError:
         # Another writer's object, which has no value of ours.
         return False
--- a/daisyhub/objects/_watcher.py
+++ b/daisyhub/objects/_watcher.py
@@ -32,6 +32,8 @@
 # maximum, which is far below the time in which a change must be active (2 s).
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.5
+# Maximum length of the reason for which a change failed, in the log.
+_MAX_REASON_CHARS = 300
 
 Listener = Callable[[StoredObject], None]
 
@@ -322,7 +324,7 @@
         ]
         for gone in absent:
             del self._objects[gone.name]
-            self._on_change(
+            self._tell(
                 StoredObject(
                     kind=gone.kind,
                     name=gone.name,
@@ -354,7 +356,20 @@
                 return
         else:
             self._objects[change.name] = change
-        self._on_change(change)
+        self._tell(change)
+
+    def _tell(self, change: StoredObject) -> None:
+        """Reports a change; one that can't be handled costs no other."""
+        try:
+            self._on_change(change)
+        except Exception as exc:
+            self._log.record(
+                "change_failed",
+                kind=change.kind,
+                name=change.name,
+                revision=change.revision,
+                reason=repr(exc)[:_MAX_REASON_CHARS],
+            )
 
     def _record_failure(self, exc: ObjectStoreError) -> None:
         if self._failed_since_s is None:
--- a/daisyhub/peers/_messages.py
+++ b/daisyhub/peers/_messages.py
@@ -222,4 +222,7 @@
     Raises:
         msgspec.DecodeError: The bytes are not a valid envelope.
     """
-    return _decoder.decode(data)
+    try:
+        return _decoder.decode(data)
+    except RecursionError as exc:
+        raise msgspec.DecodeError("message is nested too deeply") from exc
--- a/daisyhub/peers/_network.py
+++ b/daisyhub/peers/_network.py
@@ -60,7 +60,10 @@
         Raises:
             msgspec.DecodeError: The bytes are not a valid envelope.
         """
-        return self._decoder.decode(data)
+        try:
+            return self._decoder.decode(data)
+        except RecursionError as exc:
+            raise msgspec.DecodeError("nested too deeply") from exc
 
 
 _DEFAULT_PROTOCOL = PeerProtocol(Envelope, Call, CallResponse)
@@ -257,8 +260,17 @@
             elif isinstance(message, self._protocol.response):
                 self._record_response(message)
             else:
-                for receiver in self._receivers:
-                    receiver(envelope, message)
+                self._deliver(envelope, message)
+
+    def _deliver(self, envelope, message: object) -> None:
+        """Passes a message to all receivers; a fault in one stays there."""
+        for receiver in self._receivers:
+            try:
+                receiver(envelope, message)
+            except Exception:
+                log.exception(
+                    "message {} from {}", type(message), envelope.sender
+                )
 
     async def _respond(self, sender: str, message) -> None:
         handler = self._request_handlers.get(type(message.content))
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -106,6 +106,7 @@
 from daisyhub.platform._servers import SERVERS_KIND
 from daisyhub.platform._shutdown import GracefulShutdown
 from daisyhub.platform._store import PlatformStore
+from daisyhub.platform._store_pages import UnreadableObjects
 from daisyhub.platform._stream_origins import build_stream_origins
 from daisyhub.platform._wire import PlatformCallerWire, PlatformEndpointWire
 from daisyhub.serving import HttpServer, OperatorsApp
@@ -178,7 +179,10 @@
         self.network = PeerNetwork(cfg, self.incarnation, CLUSTER_PROTOCOL)
         self.peers = PeerTable(cfg.daemon_id, self.log)
         direct = PlatformStore(
-            parse_address(cfg.store), self.http, cfg.call_timeout_s
+            parse_address(cfg.store),
+            self.http,
+            cfg.call_timeout_s,
+            UnreadableObjects(self.metrics, self.log).record,
         )
         relay_provider = PeerRelayProvider(
             self.network, self.peers, cfg.failure_domain, cfg.call_timeout_s
@@ -319,6 +323,7 @@
             self.permits,
             self.leaving_news,
             lapses,
+            self.metrics,
             self.log,
         )
         self.watchers = (
--- a/daisyhub/platform/_engines.py
+++ b/daisyhub/platform/_engines.py
@@ -17,6 +17,7 @@
     RequestWithdrawnError,
 )
 from daisyhub.gateway import EndpointResponseHead
+from daisyhub.json_texts import decode_json
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import StoredObject
 from daisyhub.platform._wire import PlatformEndpointWire
@@ -77,7 +78,7 @@
     def read(self, found: StoredObject) -> VersionPublished:
         """Returns the published version; see `VersionReader.read`."""
         try:
-            published = msgspec.json.decode(found.spec, type=_PublishedVersion)
+            published = decode_json(found.spec, type=_PublishedVersion)
         except msgspec.DecodeError as exc:
             raise ValueError(str(exc)) from exc
         return VersionPublished(published.model, published.version)
@@ -164,7 +165,7 @@
             head = self._read_head(response)
             if response.status != _OK:
                 raise ValueError(f"status {response.status}")
-            report = msgspec.json.decode(response.body, type=_Report)
+            report = decode_json(response.body, type=_Report)
         except (RequestFailedError, msgspec.DecodeError, ValueError) as exc:
             self._log_failure("report_failed", str(address), exc)
             return ReportResponse(
--- a/daisyhub/platform/_evacuations.py
+++ b/daisyhub/platform/_evacuations.py
@@ -9,6 +9,7 @@
 from daisyhub.balancing import EndpointDirectory
 from daisyhub.evacuations import EvacuationController, Revisions
 from daisyhub.fleet_settings import FleetSettings
+from daisyhub.json_texts import decode_json
 from daisyhub.logs import DecisionLog
 from daisyhub.metrics import Metrics
 from daisyhub.objects import ObjectSource
@@ -47,7 +48,7 @@
 def _find_fault(spec: bytes) -> str:
     """Returns why a spec is no JSON object; empty if it is one."""
     try:
-        msgspec.json.decode(spec, type=dict)
+        decode_json(spec, type=dict)
     except msgspec.DecodeError as exc:
         return str(exc)
     return ""
--- a/daisyhub/platform/_lots_json.py
+++ b/daisyhub/platform/_lots_json.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
+from daisyhub.json_texts import decode_json, parse_count
 from daisyhub.lots import (
     EventReader,
     ItemResult,
@@ -82,7 +83,7 @@
     def read_lot(self, req: Request, accepted_s: float) -> LotSpec:
         """Returns the lot; see `LotWire.read_lot`."""
         try:
-            lot = msgspec.json.decode(req.body, type=_Lot)
+            lot = decode_json(req.body, type=_Lot)
         except msgspec.DecodeError as exc:
             raise Refusal(
                 ErrorCode.BODY_INVALID,
@@ -148,7 +149,7 @@
 def may_be_lot(body: bytes) -> bool:
     """Whether a request body is a lot that a daemon may have stored."""
     try:
-        return bool(msgspec.json.decode(body, type=_Lot).items)
+        return bool(decode_json(body, type=_Lot).items)
     except msgspec.DecodeError:
         return False
 
@@ -164,7 +165,7 @@
         body=item.body,
         group=item.group or item.id,
         tokens=item.tokens,
-        length_hint=int(hint) if hint.isdigit() else 0,
+        length_hint=parse_count(hint) or 0,
         reward=None
         if scorer is None
         else RewardSpec(
--- a/daisyhub/platform/_manifest.py
+++ b/daisyhub/platform/_manifest.py
@@ -20,6 +20,7 @@
     Route,
     RouteKind,
 )
+from daisyhub.json_texts import decode_json
 
 __all__ = ["CONFIG_KIND", "CONFIG_NAME", "PlatformManifestReader"]
 
@@ -105,7 +106,7 @@
     def read(self, spec: bytes) -> Manifest:
         """Returns the manifest; see `ManifestReader.read`."""
         try:
-            config = msgspec.json.decode(spec, type=_Config)
+            config = decode_json(spec, type=_Config)
             return _to_manifest(config)
         except (msgspec.DecodeError, ValueError) as exc:
             raise ManifestError(str(exc)) from exc
--- a/daisyhub/platform/_retirements.py
+++ b/daisyhub/platform/_retirements.py
@@ -9,6 +9,7 @@
 
 from daisyhub.duties import DutyController
 from daisyhub.duty_bound import DutyBoundController
+from daisyhub.json_texts import decode_json
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import (
     KindWatcher,
@@ -66,7 +67,7 @@
 
     def _on_request(self, found: StoredObject) -> None:
         try:
-            status = msgspec.json.decode(found.status, type=_Status | None)
+            status = decode_json(found.status, type=_Status | None)
         except msgspec.DecodeError as exc:
             self._log.record(
                 "retirement_unreadable", name=found.name, reason=str(exc)
--- a/daisyhub/platform/_server_list.py
+++ b/daisyhub/platform/_server_list.py
@@ -9,6 +9,7 @@
 )
 from daisyhub.cluster import LeavingNews, SharedPermits
 from daisyhub.logs import DecisionLog
+from daisyhub.metrics import Metrics
 from daisyhub.objects import StoredObject
 from daisyhub.platform._servers import read_server
 
@@ -23,6 +24,7 @@
         permits: Learns which of them are cold.
         leaving_news: Learns which announcements of leaving are confirmed.
         lapses: Tells which removed entries may be those of live endpoints.
+        metrics: Counts entries that can't be read.
         log: Log of changes.
     """
 
@@ -32,35 +34,36 @@
         permits: SharedPermits,
         leaving_news: LeavingNews,
         lapses: LapseWindow,
+        metrics: Metrics,
         log: DecisionLog,
     ):
         self._directory = directory
         self._permits = permits
         self._leaving_news = leaving_news
         self._lapses = lapses
+        self._metrics = metrics
         self._log = log
         self._has_incarnations = False
+        # Why the entries that can't be read are invalid, by name.
+        self._unreadable: dict[str, str] = {}
 
     def on_change(self, found: StoredObject) -> None:
         """Applies a server's entry; an invalid one removes the endpoint."""
         if found.is_deleted:
+            self._unreadable.pop(found.name, None)
             self._remove(found.name, found.revision)
             return
         try:
             entry = self._read(found)
         except ValueError as exc:
-            self._log.record(
-                "endpoint_unreadable",
-                name=found.name,
-                revision=found.revision,
-                reason=str(exc),
-            )
+            self._record_unreadable(found, str(exc))
             # The entry exists, so it did not expire during a store failure:
             # the endpoint is removed at once.
             self._directory.remove(
                 found.name, time.monotonic(), is_store_stable=True
             )
             return
+        self._unreadable.pop(found.name, None)
         known = self._directory.get(found.name)
         was_leaving = known is not None and known.entry.is_leaving
         if known is not None and known.entry.process != entry.process:
@@ -86,6 +89,19 @@
                 revision=found.revision,
             )
 
+    def _record_unreadable(self, found: StoredObject, reason: str) -> None:
+        """Counts an invalid entry; logs it unless only its revision is new."""
+        self._metrics.count("entries_unreadable", kind=found.kind)
+        if self._unreadable.get(found.name) == reason:
+            return
+        self._unreadable[found.name] = reason
+        self._log.record(
+            "endpoint_unreadable",
+            name=found.name,
+            revision=found.revision,
+            reason=reason,
+        )
+
     def _read(self, found: StoredObject) -> EndpointEntry:
         """Decodes an entry.
 
--- a/daisyhub/platform/_servers.py
+++ b/daisyhub/platform/_servers.py
@@ -10,21 +10,33 @@
 used.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from daisyhub.balancing import EndpointEntry
 from daisyhub.fleet_settings import parse_address
+from daisyhub.json_texts import decode_json
 
 __all__ = ["SERVERS_KIND", "read_server"]
 
 SERVERS_KIND = "servers"
 _MS_PER_S = 1000.0
+# Largest number of a field: messages to peers carry integers of 64 bits, and
+# times in floating point are exact up to this.
+_MAX_NUMBER = 2**53
+# Far more than an endpoint serves at once.
+_MAX_SLOTS = 1_000_000
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+
+
 class _Model(msgspec.Struct, frozen=True):
     name: str
-    version: int = 0
+    version: _Number = 0
 
 
 class _Server(msgspec.Struct, frozen=True, rename="kebab"):
@@ -33,8 +45,8 @@
     zone: str
     state: str
     version: str
-    slots: int = 1
-    born: int = 0
+    slots: _Slots = 1
+    born: _Number = 0
     spot: bool = False
     cold_left_ms: float = 0.0
     models: tuple[_Model, ...] = ()
@@ -47,7 +59,7 @@
         ValueError: The entry is invalid or its state is unknown.
     """
     try:
-        server = msgspec.json.decode(spec, type=_Server)
+        server = decode_json(spec, type=_Server)
     except msgspec.DecodeError as exc:
         raise ValueError(str(exc)) from exc
     if server.state not in _IS_LEAVING_BY_STATE:
--- a/daisyhub/platform/_store.py
+++ b/daisyhub/platform/_store.py
@@ -1,7 +1,7 @@
 """HTTP client for the platform's object store; a daemon has one."""
 
 import urllib.parse
-from typing import Any
+from collections.abc import Callable
 
 import msgspec
 
@@ -16,6 +16,7 @@
     StoredObject,
     WatchBatch,
 )
+from daisyhub.platform._store_pages import read_batch, read_object, read_page
 from daisyhub.settings import Address
 
 __all__ = ["PlatformStore"]
@@ -31,48 +32,10 @@
 _THROTTLED = 429
 # Lets a single store member serve the read, whose data may be stale.
 _STALE_READ_PARAM = "serializable=1"
-_NULL = msgspec.Raw(b"null")
 _MAX_RESPONSE_BYTES = 16 << 20
 _MS_PER_S = 1000
 
 
-class _Metadata(msgspec.Struct, frozen=True):
-    """The fields of an object's `metadata` that are used.
-
-    `deleting` means that the object is marked for deletion.
-    """
-
-    name: str
-    revision: int
-    deleting: bool = False
-
-
-class _Object(msgspec.Struct, frozen=True):
-    metadata: _Metadata
-    spec: msgspec.Raw = _NULL
-    status: msgspec.Raw = _NULL
-
-
-class _ListPage(msgspec.Struct, frozen=True, rename="kebab"):
-    """A page; `at` is the store's revision when the page was read."""
-
-    items: tuple[_Object, ...]
-    at: int
-    has_more: bool = False
-
-
-class _WatchEvent(msgspec.Struct, frozen=True):
-    object: _Object
-    deleted: bool = False
-
-
-class _WatchResponse(msgspec.Struct, frozen=True):
-    """Result of a watch; the next watch continues from revision `at`."""
-
-    events: tuple[_WatchEvent, ...]
-    at: int
-
-
 class PlatformStore(ObjectStore):
     """Sends requests to the store at one address.
 
@@ -80,12 +43,21 @@
         address: Address of the store.
         http: HTTP client.
         timeout_s: Response timeout in seconds; a watch's own wait is added.
+        on_unreadable: Called with the kind and the reason if an object of a
+            list or a watch is left out, as its name or revision can't be read.
     """
 
-    def __init__(self, address: Address, http: HttpClient, timeout_s: float):
+    def __init__(
+        self,
+        address: Address,
+        http: HttpClient,
+        timeout_s: float,
+        on_unreadable: Callable[[str, str], None] = lambda *_: None,
+    ):
         self._address = address
         self._http = http
         self._timeout_s = timeout_s
+        self._on_unreadable = on_unreadable
 
     async def read(
         self, kind: str, name: str, *, can_be_stale: bool = False
@@ -99,7 +71,7 @@
         )
         if response.status == _NOT_FOUND:
             return None
-        return _to_stored_object(kind, _decode(response, _Object))
+        return _read_object(kind, response)
 
     async def list_all(self, kind: str) -> ObjectList:
         """Returns all objects of a kind, with the first page's revision.
@@ -119,12 +91,15 @@
             )
             if response.status == _NOT_FOUND:
                 return ObjectList(revision=0, items=())
-            page = _decode(response, _ListPage)
-            revision = page.at if revision is None else revision
-            items += [_to_stored_object(kind, item) for item in page.items]
+            try:
+                page = read_page(kind, response.body, self._report(kind))
+            except ValueError as exc:
+                raise _invalid_response(exc) from exc
+            revision = page.revision if revision is None else revision
+            items += page.items
             if not page.has_more or not page.items:
                 return ObjectList(revision=revision, items=tuple(items))
-            after = page.items[-1].metadata.name
+            after = page.items[-1].name
 
     async def watch(
         self,
@@ -148,14 +123,13 @@
             raise HistoryGoneError(
                 f"no history of {kind} since revision {after_revision}"
             )
-        batch = _decode(response, _WatchResponse)
-        return WatchBatch(
-            revision=batch.at,
-            changes=tuple(
-                _to_stored_object(kind, event.object, event.deleted)
-                for event in batch.events
-            ),
-        )
+        try:
+            return read_batch(kind, response.body, self._report(kind))
+        except ValueError as exc:
+            raise _invalid_response(exc) from exc
+
+    def _report(self, kind: str) -> Callable[[str], None]:
+        return lambda reason: self._on_unreadable(kind, reason)
 
     async def create(self, kind: str, name: str, spec: bytes) -> StoredObject:
         """Creates an object; see `ObjectStore.create`."""
@@ -265,20 +239,6 @@
     return f"{path}/{urllib.parse.quote(name, safe='')}" if name else path
 
 
-def _to_stored_object(
-    kind: str, encoded: _Object, is_deleted=False
-) -> StoredObject:
-    meta = encoded.metadata
-    return StoredObject(
-        kind=kind,
-        name=meta.name,
-        revision=meta.revision,
-        is_deleted=is_deleted or meta.deleting,
-        spec=bytes(encoded.spec),
-        status=bytes(encoded.status),
-    )
-
-
 def _decode_write_response(
     kind: str, name: str, response: HttpResponse
 ) -> StoredObject:
@@ -295,28 +255,32 @@
             f"{kind}/{name} has another revision",
             _decode_conflicting_object(kind, response),
         )
-    return _to_stored_object(kind, _decode(response, _Object, is_write=True))
+    return _read_object(kind, response, is_write=True)
 
 
 def _decode_conflicting_object(
     kind: str, response: HttpResponse
 ) -> StoredObject | None:
     try:
-        return _to_stored_object(
-            kind, msgspec.json.decode(response.body, type=_Object)
-        )
-    except msgspec.DecodeError:
+        return read_object(kind, response.body)
+    except ValueError:
         # The response need not contain the object; a caller that needs it
         # reads it from the store.
         return None
 
 
-def _decode(
-    response: HttpResponse, response_type: Any, *, is_write: bool = False
-) -> Any:
+def _read_object(
+    kind: str, response: HttpResponse, *, is_write: bool = False
+) -> StoredObject:
     try:
-        return msgspec.json.decode(response.body, type=response_type)
-    except msgspec.DecodeError as exc:
-        raise ObjectStoreError(
-            f"invalid response from the store: {exc}", may_be_done=is_write
-        ) from exc
+        return read_object(kind, response.body)
+    except ValueError as exc:
+        raise _invalid_response(exc, is_write=is_write) from exc
+
+
+def _invalid_response(
+    exc: ValueError, *, is_write: bool = False
+) -> ObjectStoreError:
+    return ObjectStoreError(
+        f"invalid response from the store: {exc}", may_be_done=is_write
+    )
--- a/daisyhub/platform/_wire.py
+++ b/daisyhub/platform/_wire.py
@@ -23,6 +23,7 @@
     EndpointResponseHead,
     EndpointWire,
 )
+from daisyhub.json_texts import parse_count
 from daisyhub.lots import EndLot, LotCall, ReadItemBody, ReadResults
 from daisyhub.messages import (
     BodyReader,
@@ -286,7 +287,7 @@
         wait_s = _read_seconds(by_name, _WAIT_MS, 0.0)
         return ReadResults(
             lot_id,
-            int(after) if after.isdigit() else 0,
+            parse_count(after) or 0,
             min(wait_s, _MAX_RESULT_WAIT_S),
         )
     if path.startswith(_ITEMS_PATH):
--- a/daisyhub/settings.py
+++ b/daisyhub/settings.py
@@ -10,6 +10,7 @@
 from daisyhub.checks import Range, check_document
 
 __all__ = [
+    "MAX_PORT",
     "Address",
     "DaemonSettings",
     "LimitSettings",
@@ -19,7 +20,8 @@
 ]
 
 Name = Annotated[str, Range(1, 128, "characters")]
-Port = Annotated[int, Range(1, 65535)]
+MAX_PORT = 65535
+Port = Annotated[int, Range(1, MAX_PORT)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/daisyhub/streams/_stored_origins.py
+++ b/daisyhub/streams/_stored_origins.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from daisyhub.balancing import Release
+from daisyhub.json_texts import decode_json
 
 __all__ = [
     "MAX_STORED_ORIGINS",
@@ -129,7 +130,7 @@
     Raises:
         msgspec.DecodeError: The object has another schema.
     """
-    content = msgspec.json.decode(spec, type=_Spec)
+    content = decode_json(spec, type=_Spec)
     origins = {}
     for digest, (number, until_s) in content.origins.items():
         if not _NO_RELEASE <= number < len(content.releases):
