Streams: text goes on only at a process that is confirmed

Callers saw (played with our processes): a stream with events 1 and 2 of one software version and 3 to 6 of another (ORDER), as reported for machines that were out of step during a release.

Cause: a server that restarts under its id with another version keeps its address and its instance header. A daemon that hasn't received the new entry takes the process for that of the old one and sends the rest of a stream, or of an item's text, there.

Change: before text goes on, the process is confirmed by `born` in its report, or by its entry as the store has it now. Without a confirmation nothing is sent. Why it works: the start of a process names it, and a version belongs to one start.

The fake servers report their start.

--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -62,6 +62,12 @@
     Permit,
     PermitSource,
 )
+from daisyhub.balancing._process_check import (
+    UNLIMITED,
+    Confirmation,
+    ProcessCheck,
+    TrustedProcesses,
+)
 from daisyhub.balancing._rate_limits import RateLimit, RateLimits
 from daisyhub.balancing._reach_core import (
     AskPeers,
@@ -93,6 +99,7 @@
     "CapacityDigest",
     "CapacityEntry",
     "CapacitySample",
+    "Confirmation",
     "DRAIN_PREFIX",
     "Denial",
     "DrainOrder",
@@ -118,6 +125,7 @@
     "PermitCore",
     "PermitSource",
     "ProbeEndpoints",
+    "ProcessCheck",
     "RateLimit",
     "RateLimits",
     "ReachCore",
@@ -133,4 +141,6 @@
     "is_suspect",
     "order_endpoints",
     "rank_by_daemon",
+    "TrustedProcesses",
+    "UNLIMITED",
 ]
--- a/daisyhub/gateway/_endpoint_attempts.py
+++ b/daisyhub/gateway/_endpoint_attempts.py
@@ -5,6 +5,7 @@
 import anyio
 
 from daisyhub.balancing import (
+    Confirmation,
     Denial,
     EndpointDirectory,
     EndpointEntry,
@@ -90,25 +91,11 @@
         ):
             # It was leaving, evacuated or restarted only after it was chosen,
             # or endpoints ended under the earlier attempts.
-            return make_failed_outcome(
-                action,
-                ExecutionStatus.NOT_RUN,
-                was_sent=False,
-                is_withdrawn=True,
-            )
-        permit = await self._permits.acquire(
-            endpoint.entry, state.urgency, state.max_wait_s
-        )
-        if isinstance(permit, Denial):
-            wait_s = permit.room_at_s - time.monotonic()
-            state.trace.append(f"{action.endpoint_id} room in {wait_s:.3f} s")
-            return make_failed_outcome(
-                action,
-                ExecutionStatus.NOT_RUN,
-                was_sent=False,
-                is_withdrawn=True,
-            )
-        await anyio.sleep(max(0.0, permit.start_at_s - time.monotonic()))
+            return _withdrawn(action)
+        allowed = await self._allow(state, action, endpoint.entry)
+        if allowed is None:
+            return _withdrawn(action)
+        permit, confirmation = allowed
         sent_s = time.monotonic()
         endpoint_id = action.endpoint_id
         load = endpoint.load(sent_s)
@@ -129,7 +116,7 @@
                 endpoint_id, is_repeatable=task.route.is_repeatable
             ):
                 response = await self._exchange(
-                    state.task, endpoint.entry, permit, fresh
+                    state.task, endpoint.entry, permit, confirmation, fresh
                 )
             if response is None:
                 result = "given up, as this daemon is cut off"
@@ -178,18 +165,37 @@
             state, action, endpoint.entry, token, sent_s, response
         )
 
+    async def _allow(
+        self, state: SendState, action: StartAttempt, entry: EndpointEntry
+    ) -> tuple[Permit, Confirmation] | None:
+        """Waits for a permit and has the process confirmed; None if denied."""
+        permit = await self._permits.acquire(
+            entry, state.urgency, state.max_wait_s
+        )
+        if isinstance(permit, Denial):
+            wait_s = permit.room_at_s - time.monotonic()
+            state.trace.append(f"{action.endpoint_id} room in {wait_s:.3f} s")
+            return None
+        await anyio.sleep(max(0.0, permit.start_at_s - time.monotonic()))
+        confirmation = await self._streams.confirm(state.release, entry)
+        if confirmation is None:
+            state.trace.append(f"{action.endpoint_id} not confirmed")
+            return None
+        return permit, confirmation
+
     async def _exchange(
         self,
         task: SendTask,
         entry: EndpointEntry,
         permit: Permit,
+        confirmation: Confirmation,
         fresh: bool,
     ) -> HttpResponse | StreamedResponse:
         """Returns the endpoint's response, streamed or buffered as required.
 
         Raises:
-            RequestWithdrawnError: The endpoint was leaving, or the permit had
-                ended, once a connection was open.
+            RequestWithdrawnError: The endpoint was leaving, or the permit or
+                the confirmation had ended, once a connection was open.
             RequestFailedError: No complete response, or no response head of a
                 stream, was received.
         """
@@ -213,6 +219,7 @@
             "may_send": lambda: (
                 self._directory.accepts(entry)
                 and self._permits.may_send(permit)
+                and confirmation.is_valid()
             ),
         }
         if task.is_streamed:
@@ -278,3 +285,10 @@
             else ExecutionStatus.UNKNOWN
         )
         return make_failed_outcome(action, ran)
+
+
+def _withdrawn(action: StartAttempt) -> AttemptOutcome:
+    """Returns the outcome of an attempt that was not sent."""
+    return make_failed_outcome(
+        action, ExecutionStatus.NOT_RUN, was_sent=False, is_withdrawn=True
+    )
--- a/daisyhub/gateway/_sender.py
+++ b/daisyhub/gateway/_sender.py
@@ -11,6 +11,7 @@
     EndpointDirectory,
     LocalPermits,
     PermitSource,
+    ProcessCheck,
     Release,
 )
 from daisyhub.connections import HttpClient
@@ -71,6 +72,8 @@
         heads: Records what response heads state.
         admission: Refuses requests that can't be served in time; by default
             none is.
+        processes: Confirms processes before they go on with a stream; by
+            default each is taken for current.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         relays: Relays | None = None,
         heads: HeadRecorder | None = None,
         admission: RequestAdmission | None = None,
+        processes: ProcessCheck | None = None,
     ):
         self._directory = directory
         self._log = log
@@ -96,7 +100,7 @@
             suspects or LocalSuspects(directory.is_listed), http, metrics, log
         )
         self._streams = StreamGuard(
-            stream_origins or LocalStreamOrigins(), directory
+            stream_origins or LocalStreamOrigins(), directory, processes
         )
         self._attempts = EndpointAttempts(
             directory,
--- a/daisyhub/gateway/_stream_guard.py
+++ b/daisyhub/gateway/_stream_guard.py
@@ -2,7 +2,15 @@
 
 import time
 
-from daisyhub.balancing import EndpointDirectory, EndpointEntry, Release
+from daisyhub.balancing import (
+    UNLIMITED,
+    Confirmation,
+    EndpointDirectory,
+    EndpointEntry,
+    ProcessCheck,
+    Release,
+    TrustedProcesses,
+)
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.gateway._send_task import SendTask
 from daisyhub.streams import StreamOrigins
@@ -23,11 +31,18 @@
     Args:
         origins: The releases that began streams.
         directory: Known endpoints and their releases.
+        processes: Confirms processes before they go on with a stream.
     """
 
-    def __init__(self, origins: StreamOrigins, directory: EndpointDirectory):
+    def __init__(
+        self,
+        origins: StreamOrigins,
+        directory: EndpointDirectory,
+        processes: ProcessCheck | None = None,
+    ):
         self._origins = origins
         self._directory = directory
+        self._processes = processes or TrustedProcesses()
 
     async def find_release(self, task: SendTask) -> Release | None:
         """Returns the release that must serve a request; None for any.
@@ -75,6 +90,19 @@
         is_replaced = self._directory.is_replaced(entry)
         return entry.release == release and not is_replaced
 
+    async def confirm(
+        self, release: Release | None, entry: EndpointEntry
+    ) -> Confirmation | None:
+        """Confirms that an endpoint's process is of the release of its entry.
+
+        Returns:
+            A confirmation; None if it isn't of the release, or can't be
+            confirmed. Without a release there is nothing to confirm.
+        """
+        if release is None:
+            return UNLIMITED
+        return await self._processes.confirm(entry)
+
     def release_of(self, entry: EndpointEntry) -> Release | None:
         """Returns the release of a process that has answered.
 
--- a/daisyhub/lots/_runner.py
+++ b/daisyhub/lots/_runner.py
@@ -6,10 +6,14 @@
 import anyio
 
 from daisyhub.balancing import (
+    UNLIMITED,
+    Confirmation,
     Denial,
     EndpointDirectory,
     EndpointEntry,
     PermitSource,
+    ProcessCheck,
+    TrustedProcesses,
     Urgency,
 )
 from daisyhub.cluster import RunEnd, RunOrder
@@ -47,6 +51,8 @@
         is_cut_off: Whether this daemon is cut off from the endpoints, so that
             a failure isn't the engine's.
         heads: Records what response heads state.
+        processes: Confirms processes before they go on with a text; by default
+            each is taken for current.
     """
 
     def __init__(
@@ -58,6 +64,7 @@
         permits: PermitSource,
         is_cut_off: Callable[[], bool] = lambda: False,
         heads: HeadRecorder | None = None,
+        processes: ProcessCheck | None = None,
     ):
         self._directory = directory
         self._http = http
@@ -66,6 +73,7 @@
         self._permits = permits
         self._is_cut_off = is_cut_off
         self._heads = heads or HeadRecorder(directory, permits)
+        self._processes = processes or TrustedProcesses()
 
     async def run(self, order: RunOrder, emit: EventSink) -> RunEnd:
         """Streams an item and emits its events in order.
@@ -97,6 +105,10 @@
                 order, RunFault.NOT_RUN, 0, "the engine has no room", wait_s
             )
         await anyio.sleep(max(0.0, permit.start_at_s - time.monotonic()))
+        confirmation = await self._confirm(order, entry)
+        if confirmation is None:
+            detail = "its process could not be confirmed"
+            return _end(order, RunFault.ELSEWHERE, 0, detail)
         sent_at_s = time.monotonic()
         headers = self._endpoint_wire.request_headers(
             EndpointRequest(
@@ -125,6 +137,7 @@
                 may_send=lambda: (
                     self._directory.accepts(entry)
                     and self._permits.may_send(permit)
+                    and confirmation.is_valid()
                 ),
             )
         except RequestWithdrawnError as exc:
@@ -137,6 +150,14 @@
         finally:
             await response.aclose()
 
+    async def _confirm(
+        self, order: RunOrder, entry: EndpointEntry
+    ) -> Confirmation | None:
+        """Confirms the process that goes on with a text, if there is one."""
+        if not order.resume_after:
+            return UNLIMITED
+        return await self._processes.confirm(entry)
+
     async def _read(
         self,
         order: RunOrder,
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -101,6 +101,7 @@
     CONFIG_NAME,
     PlatformManifestReader,
 )
+from daisyhub.platform._process_check import PlatformProcessCheck
 from daisyhub.platform._retirements import RetirementController
 from daisyhub.platform._server_list import ServerList
 from daisyhub.platform._servers import SERVERS_KIND
@@ -354,6 +355,10 @@
         # the second reports usage, completes retirements and verifies watches.
         self.rollouts = self._build_duty(_ROLLOUTS_DUTY)
         self.accounts = self._build_duty(_ACCOUNTS_DUTY)
+        self.engine_client = PlatformEngineClient(self.endpoint_http, self.log)
+        self.processes = PlatformProcessCheck(
+            self.engine_client, self.store, self.metrics, self.log
+        )
         self.sender = Sender(
             self.directory,
             self.endpoint_http,
@@ -372,6 +377,7 @@
             ),
             self.adaptive.heads,
             self.admission.requests,
+            self.processes,
         )
         self._build_lots()
         self.verifier = WatchVerifier(self.accounts, self.watchers)
@@ -479,6 +485,7 @@
                 self.permits,
                 lambda: self.reach.is_cut_off,
                 self.adaptive.heads,
+                self.processes,
             ),
             RewardCaller(
                 self.manifests, self.sender, self._endpoint_wire, self.log
@@ -520,7 +527,7 @@
             self.cfg.daemon_id,
             self.store,
             PlatformVersionReader(),
-            PlatformEngineClient(self.endpoint_http, self.log),
+            self.engine_client,
             self.directory,
             self.manifests,
             self.holder.open_run_count,
--- a/daisyhub/platform/tests/test_release_processes.py
+++ b/daisyhub/platform/tests/test_release_processes.py
@@ -70,6 +70,27 @@
         for caller in finished:
             self.check_text(caller.events, caller.name, caller.statuses)
 
+    async def test_no_stream_joins_versions_at_a_process_not_listed_yet(self):
+        """All daemons took the new process for that of its last entry."""
+        async with running_fleet(0.1) as fleet:
+            fleet.software = {}
+            fleet.kill_server("i-2")
+            fleet.kill_server("i-3")
+            await fleet.restart_server("i-2")
+            await fleet.restart_server("i-3")
+            await anyio.sleep(1.0)
+            callers = [StreamCaller(fleet, f"s{n}") for n in range(STREAMS)]
+            await read_all(callers, fleet.daemon_names, max_events=2)
+            fleet.software = {"i-0": "v2", "i-1": "v2"}
+            for server in ("i-0", "i-1"):
+                fleet.kill_server(server)
+                await fleet.restart_server(server, is_listed=False)
+            await read_all(callers, fleet.daemon_names[::-1])
+        finished = [c for c in callers if len(c.events) == 6]
+        self.assertGreaterEqual(len(finished), STREAMS // 2)
+        for caller in finished:
+            self.check_text(caller.events, caller.name, caller.statuses)
+
     async def test_a_stream_whose_first_request_is_unknown_is_refused(self):
         async with running_fleet(0.05) as fleet:
             for headers in (
--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -44,6 +44,7 @@
 _WEIGHT_LOAD_S = 0.2
 _OBJECTS_PATH = "/v1/objects/"
 _MS_PER_S = 1000.0
+_BORN = flags.DEFINE_integer("born", 1, "Start of the process.")
 
 
 class FakePlatformStore(FakeApp):
@@ -185,13 +186,19 @@
         name: Instance id.
         event_s: Seconds per event or look-up.
         software: Version of its software.
+        born: Start of its process, as it reports it.
     """
 
     def __init__(
-        self, name: str, event_s: float, software: str = _UNMARKED_SOFTWARE
+        self,
+        name: str,
+        event_s: float,
+        software: str = _UNMARKED_SOFTWARE,
+        born: int = 1,
     ):
         super().__init__()
         self.name = name
+        self._born = born
         self.event_s = event_s
         self._mark = "" if software == _UNMARKED_SOFTWARE else f"@{software}"
         self._version = 1
@@ -241,6 +248,7 @@
                     "models": [{"name": "m", "version": self._version}],
                     "busy": self._is_busy,
                     "sequence": self._order_count,
+                    "born": self._born,
                 }
             )
         if request.path == "/v1/order":
@@ -310,7 +318,10 @@
     if _ROLE.value == "platform":
         serve_fake(FakePlatformStore())
     else:
-        serve_fake(FakeServer(_NAME.value, _EVENT_S.value, _SOFTWARE.value))
+        server = FakeServer(
+            _NAME.value, _EVENT_S.value, _SOFTWARE.value, _BORN.value
+        )
+        serve_fake(server)
 
 
 if __name__ == "__main__":
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -96,17 +96,23 @@
         self._start_server_process(name)
         await self._wait_until_listening(name)
 
-    async def restart_server(self, name: str) -> None:
+    async def restart_server(self, name: str, *, is_listed=True) -> None:
         """Starts a server that ended as another process with an own entry.
 
         Returns without an entry if it ends again at once.
+
+        Args:
+            name: The server.
+            is_listed: Whether its entry is written; else that of the process
+                before stays, as for daemons that are cut off.
         """
-        self._start_server_process(name)
+        born = int(time.time() * _MS_PER_S)
+        self._start_server_process(name, born)
+        if not is_listed:
+            await self._wait_until_listening(name)
+            return
         process = self.processes[name]
-        entry = {
-            **self.build_server_entry(name),
-            "born": int(time.time() * _MS_PER_S),
-        }
+        entry = {**self.build_server_entry(name), "born": born}
         while process.poll() is None:
             try:
                 await self._get(self.ports[name], "/admin/ran")
@@ -524,13 +530,14 @@
             **self._settings,
         }
 
-    def _start_server_process(self, name: str) -> None:
+    def _start_server_process(self, name: str, born: int = 1) -> None:
         self._start_fake(
             name,
             "--role=server",
             f"--name={name}",
             f"--event_s={self.event_s}",
             f"--software={self._software_of(name)}",
+            f"--born={born}",
         )
 
     def _software_of(self, server: str) -> str:
--- a/daisyhub/testing/scripted_server.py
+++ b/daisyhub/testing/scripted_server.py
@@ -64,6 +64,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def next_reply(self, head: bytes) -> bytes | list[bytes] | None:
+        """Returns the reply to the request with this head, the latest one."""
+        number = min(len(self.requests), len(self._replies)) - 1
+        return self._replies[number]
+
     async def _serve(self, reader, writer) -> None:
         self._tasks.add(asyncio.current_task())
         self.connections += 1
@@ -82,8 +87,7 @@
             await reader.readexactly(int(length[1]))
         self.requests.append(head)
         self.on_request()
-        number = min(len(self.requests), len(self._replies)) - 1
-        reply = self._replies[number]
+        reply = self.next_reply(head)
         if reply is None:
             return False
         is_last = isinstance(reply, list)
