Streams: a daemon that hears nobody tells callers when to come back

Callers saw: a daemon without a live peer refused to go on with a stream as unknown for good, without Retry-After, though other daemons knew it.

Cause: a search that asks nobody counted as complete.

Change: it doesn't if this daemon knows others and hears none of them.

Evidence: the new test of test_stream_origins fails on the code before and passes now, with the 23 tests of both modules of origins.

--- a/daisyhub/cluster/_stream_origins.py
+++ b/daisyhub/cluster/_stream_origins.py
@@ -152,7 +152,9 @@
             silent=silent,
             release=str(origin.release) if origin else "",
         )
-        return StreamSearch(origin, is_conclusive=not silent)
+        # A daemon that hears none of those that it knows is cut off.
+        is_cut_off = not asked and bool(self._peers.all())
+        return StreamSearch(origin, is_conclusive=not silent and not is_cut_off)
 
     async def handle_record(
         self, message: StreamOriginRecord
--- a/daisyhub/cluster/tests/test_durable_origins.py
+++ b/daisyhub/cluster/tests/test_durable_origins.py
@@ -70,7 +70,12 @@
 
     def make(self, name):
         network = types.SimpleNamespace(call=self.call)
-        peers = types.SimpleNamespace(own_id=name, live=lambda: self.live(name))
+        peers = types.SimpleNamespace(
+            own_id=name,
+            live=lambda: self.live(name),
+            # None of the known daemons counts as lost.
+            all=lambda: self.live(name),
+        )
         log = mock.create_autospec(DecisionLog, instance=True)
         log.record = lambda event, **details: self.logs.append(event)
         shared = SharedStreamOrigins(
--- a/daisyhub/cluster/tests/test_stream_origins.py
+++ b/daisyhub/cluster/tests/test_stream_origins.py
@@ -45,11 +45,16 @@
             types.SimpleNamespace(
                 call=lambda *args: self.call(name, *args),
             ),
-            types.SimpleNamespace(live=lambda: self.live(name)),
+            types.SimpleNamespace(
+                live=lambda: self.live(name), all=lambda: self.all(name)
+            ),
             Metrics(),
             mock.create_autospec(DecisionLog, instance=True),
         )
 
+    def all(self, own):
+        return [name for name in self.names if name != own]
+
     def live(self, own):
         return [
             types.SimpleNamespace(
@@ -116,6 +121,13 @@
         cluster.down = set(cluster.names) - {"d001"}
         self.assertFalse(cluster.find("d001", "t|a").is_conclusive)
 
+    def test_a_daemon_that_hears_nobody_cannot_know_that_nobody_knows(self):
+        """It told the caller for good that the stream is unknown."""
+        cluster = Cluster(6)
+        cluster.unknown = set(cluster.names) - {"d001"}
+        self.assertFalse(cluster.find("d001", "t|a").is_conclusive)
+        self.assertTrue(Cluster(1).find("d000", "t|a").is_conclusive)
+
     def test_origins_survive_a_third_of_the_daemons_killed_at_once(self):
         rng = random.Random(7)
         for size in (6, 8, 28, 195):
