Daemon: wiring of the duties in a module of its own

Cause: the wiring of the daemon grew with the challenges of duties and the confirmation of processes.

Change: platform/_duties.py builds both duties; a challenge is a frozen data class. No change of behaviour.

Evidence: tests of duties and test_release_processes pass.

--- a/daisyhub/duties/_core.py
+++ b/daisyhub/duties/_core.py
@@ -131,6 +131,19 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Challenge:
+    """A challenge that this daemon relies on.
+
+    Attributes:
+        revision: Revision of the record that has it.
+        seen_at_s: When this daemon received that record.
+    """
+
+    revision: int
+    seen_at_s: float
+
+
 class DutyCore(Core):
     """Decides whether this process holds one duty.
 
@@ -171,9 +184,7 @@
         self._unresolved_at: int | None = None
         # Highest fencing number that peers report.
         self._max_peer_fencing = 0
-        # Revision of a record with a challenge that this daemon relies on, and
-        # when it was first seen; None without.
-        self._challenge: tuple[int, float] | None = None
+        self._challenge: _Challenge | None = None
         self._challenge_from_s = -math.inf
         self._contested_until_s = -math.inf
 
@@ -291,13 +302,13 @@
                 return []
             if not self._record.challenger:
                 return self._write_challenge(now_s)
-            self._challenge = (self._revision, now_s)
-        revision, seen_at_s = self._challenge
-        if self._revision != revision:
+            self._challenge = _Challenge(self._revision, now_s)
+        if self._revision != self._challenge.revision:
             self._challenge = None
             self._challenge_from_s = now_s + _CHALLENGE_INTERVAL_S
             return []
-        if now_s - seen_at_s < _ANSWER_TERM_SHARE * self.term_s:
+        waited_s = now_s - self._challenge.seen_at_s
+        if waited_s < _ANSWER_TERM_SHARE * self.term_s:
             return []
         return self._acquire(now_s)
 
--- a/daisyhub/duties/tests/test_proof_duties.py
+++ b/daisyhub/duties/tests/test_proof_duties.py
@@ -8,6 +8,7 @@
 arrive, and rejections by a receiver at any moment.
 """
 
+import dataclasses
 import unittest
 
 from hypothesis import strategies as st
@@ -264,7 +265,9 @@
 
     def _acquire_if_unanswered(self, now_s):
         if self._challenge is not None:
-            self._challenge = (self._revision, self._challenge[1])
+            self._challenge = dataclasses.replace(
+                self._challenge, revision=self._revision
+            )
         return super()._acquire_if_unanswered(now_s)
 
 
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -44,7 +44,7 @@
     WatchVerifier,
 )
 from daisyhub.connections import HttpClient
-from daisyhub.duties import DutyController, DutyCore, list_challenges
+from daisyhub.duties import DutyController, list_challenges
 from daisyhub.exceptions import DocumentError
 from daisyhub.filters import build_chain
 from daisyhub.fleet_settings import (
@@ -90,6 +90,11 @@
 from daisyhub.platform._capacity import CapacityController
 from daisyhub.platform._coldness import build_coldness, make_health_recorder
 from daisyhub.platform._desk import PlatformOrderDeskClient
+from daisyhub.platform._duties import (
+    ACCOUNTS_DUTY,
+    ROLLOUTS_DUTY,
+    build_duties,
+)
 from daisyhub.platform._engines import (
     PlatformEngineClient,
     PlatformVersionReader,
@@ -118,8 +123,6 @@
 
 _NS_PER_US = 1000
 # Names of the duties, and of their records in the store.
-_ROLLOUTS_DUTY = "rollouts"
-_ACCOUNTS_DUTY = "accounts"
 _MS_PER_S = 1000.0
 # Seconds until a failed controller is restarted.
 _CONTROLLER_RESTART_DELAY_S = 0.5
@@ -254,7 +257,7 @@
             make_health_recorder(self._endpoint_wire, self.adaptive.heads),
         )
         self.admission = AdmissionParts(
-            _ROLLOUTS_DUTY,
+            ROLLOUTS_DUTY,
             self.directory,
             self.adaptive.pools,
             self.metrics,
@@ -289,7 +292,7 @@
             self.store,
             self._ping,
             self._make_usage_report,
-            _ACCOUNTS_DUTY,
+            ACCOUNTS_DUTY,
             self.log,
         )
         self.usage_aggregator = UsageAggregator()
@@ -351,10 +354,15 @@
         )
         self.network.add_request_handler(StoreRequest, request_handler.handle)
         self.cluster.set_watchers(self.watchers)
-        # The holder of the first duty runs lots and weight loads; the holder of
-        # the second reports usage, completes retirements and verifies watches.
-        self.rollouts = self._build_duty(_ROLLOUTS_DUTY)
-        self.accounts = self._build_duty(_ACCOUNTS_DUTY)
+        self.rollouts, self.accounts = build_duties(
+            cfg,
+            self.process,
+            self.store,
+            self.peers,
+            self.log,
+            is_cut_off=lambda: self.reach.is_cut_off,
+            has_adaptive_pool=self.adaptive.pools.has_any,
+        )
         self.engine_client = PlatformEngineClient(self.endpoint_http, self.log)
         self.processes = PlatformProcessCheck(
             self.engine_client, self.store, self.metrics, self.log
@@ -452,28 +460,6 @@
                 message.closed_before,
             )
 
-    def _build_duty(self, duty: str) -> DutyController:
-        cfg = self.cfg
-        core = DutyCore(
-            self.process, cfg.lease_ms / _MS_PER_S, cfg.fencing_checked
-        )
-        return DutyController(
-            duty,
-            core,
-            self.store,
-            self.peers,
-            cfg.processor_speed,
-            self.log,
-            needs_endpoints=duty == _ROLLOUTS_DUTY,
-            is_cut_off=lambda: self.reach.is_cut_off,
-            # The other duty has no work that may be done twice.
-            keeps_tenure=(
-                self.adaptive.pools.has_any
-                if duty == _ROLLOUTS_DUTY
-                else lambda: False
-            ),
-        )
-
     def _build_lots(self) -> None:
         self.lots = LotStore(self.store)
         self.worker = TaskWorker(
