--- a/daisyhub/balancing/__init__.py
+++ b/daisyhub/balancing/__init__.py
@@ -63,7 +63,7 @@
     PermitSource,
 )
 from daisyhub.balancing._process_check import (
-    UNLIMITED,
+    UNCONDITIONAL,
     Confirmation,
     ProcessCheck,
     TrustedProcesses,
@@ -142,5 +142,5 @@
     "order_endpoints",
     "rank_by_daemon",
     "TrustedProcesses",
-    "UNLIMITED",
+    "UNCONDITIONAL",
 ]
--- a/daisyhub/balancing/_process_check.py
+++ b/daisyhub/balancing/_process_check.py
@@ -12,7 +12,7 @@
 from daisyhub.balancing._endpoint import EndpointEntry
 from daisyhub.clocks import boot_time_s
 
-__all__ = ["UNLIMITED", "Confirmation", "ProcessCheck", "TrustedProcesses"]
+__all__ = ["UNCONDITIONAL", "Confirmation", "ProcessCheck", "TrustedProcesses"]
 
 # Seconds for which a confirmation is valid: a connection is opened meanwhile.
 # Far below the time in which a process ends and starts again.
@@ -36,7 +36,7 @@
 
 
 # For requests that any process may serve.
-UNLIMITED = Confirmation(math.inf)
+UNCONDITIONAL = Confirmation(math.inf)
 
 
 class ProcessCheck(abc.ABC):
--- a/daisyhub/gateway/_stream_guard.py
+++ b/daisyhub/gateway/_stream_guard.py
@@ -3,7 +3,7 @@
 import time
 
 from daisyhub.balancing import (
-    UNLIMITED,
+    UNCONDITIONAL,
     Confirmation,
     EndpointDirectory,
     EndpointEntry,
@@ -100,7 +100,7 @@
             confirmed. Without a release there is nothing to confirm.
         """
         if release is None:
-            return UNLIMITED
+            return UNCONDITIONAL
         return await self._processes.confirm(entry)
 
     def release_of(self, entry: EndpointEntry) -> Release | None:
--- a/daisyhub/lots/_runner.py
+++ b/daisyhub/lots/_runner.py
@@ -6,7 +6,7 @@
 import anyio
 
 from daisyhub.balancing import (
-    UNLIMITED,
+    UNCONDITIONAL,
     Confirmation,
     Denial,
     EndpointDirectory,
@@ -155,7 +155,7 @@
     ) -> Confirmation | None:
         """Confirms the process that goes on with a text, if there is one."""
         if not order.resume_after:
-            return UNLIMITED
+            return UNCONDITIONAL
         return await self._processes.confirm(entry)
 
     async def _read(
