Duties and peers: types and ranking in modules of their own

Change: moved without a change of behaviour: duties/_types.py, duties/_ranking.py, cluster/_peer_types.py.

Evidence: 96 tests of the cluster and 54 of duties pass.

--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -43,7 +43,8 @@
     UsageReport,
 )
 from daisyhub.cluster._owners import OwnerTable
-from daisyhub.cluster._peers import HolderView, PeerState, PeerTable
+from daisyhub.cluster._peer_types import HolderView, PeerState
+from daisyhub.cluster._peers import PeerTable
 from daisyhub.cluster._permits import SharedPermits
 from daisyhub.cluster._ping_plan import (
     PING_INTERVAL_S,
--- a/daisyhub/cluster/_owners.py
+++ b/daisyhub/cluster/_owners.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from daisyhub.cluster._peers import PeerState, PeerTable
+from daisyhub.cluster._peer_types import PeerState
+from daisyhub.cluster._peers import PeerTable
 from daisyhub.hosting import rank_candidates
 
 __all__ = ["OwnerTable"]
--- a/daisyhub/cluster/_peers.py
+++ b/daisyhub/cluster/_peers.py
@@ -1,14 +1,14 @@
 """The state of the other daemons, from their pings."""
 
-import dataclasses
 import math
 import time
 
 from daisyhub.cluster._messages import HolderNews, Ping
+from daisyhub.cluster._peer_types import HolderView, PeerState
 from daisyhub.cluster._ping_plan import is_small_cluster, ping_timeout_s
 from daisyhub.logs import DecisionLog
 
-__all__ = ["HolderView", "PeerState", "PeerTable"]
+__all__ = ["PeerTable"]
 
 # Minimum number of seconds without a ping after which a lost daemon is removed
 # from the table: it may have been taken out of the cluster.
@@ -26,52 +26,6 @@
 _DOMAIN_TIMEOUT_S = 2.4
 
 
-@dataclasses.dataclass(slots=True)
-class PeerState:
-    """One other daemon.
-
-    Attributes:
-        daemon_id: Its id.
-        incarnation: Start of its process, microseconds since 1970.
-        ping: Its last ping.
-        last_received_at_s: When its last message was received, on the
-            monotonic clock.
-        last_ping_at_s: When its last ping was received.
-    """
-
-    daemon_id: str
-    incarnation: int
-    ping: Ping
-    last_received_at_s: float
-    last_ping_at_s: float = -math.inf
-
-
-@dataclasses.dataclass(slots=True)
-class HolderView:
-    """What is known of the holder of a duty.
-
-    Attributes:
-        daemon_id: The holder.
-        incarnation: Start of its process.
-        fencing: Its fencing number.
-        address: Where its peer socket listens, `IP:PORT`.
-        reaches_store: Whether it reaches the store.
-        heard_at_s: When a daemon last received a ping of it, on this daemon's
-            monotonic clock.
-        standbys: The daemons that it pings in each round; empty if unknown.
-        is_released: Whether it gave the duty up.
-    """
-
-    daemon_id: str
-    incarnation: int
-    fencing: int
-    address: str
-    reaches_store: bool
-    heard_at_s: float
-    standbys: frozenset[str] = frozenset()
-    is_released: bool = False
-
-
 class PeerTable:
     """The other daemons that have pinged this one.
 
--- a/daisyhub/cluster/_reach.py
+++ b/daisyhub/cluster/_reach.py
@@ -28,7 +28,8 @@
 )
 from daisyhub.base import Controller
 from daisyhub.cluster._messages import ReachQuestion
-from daisyhub.cluster._peers import PeerState, PeerTable
+from daisyhub.cluster._peer_types import PeerState
+from daisyhub.cluster._peers import PeerTable
 from daisyhub.connections import (
     HttpClient,
     HttpResponse,
--- a/daisyhub/cluster/_stream_origins.py
+++ b/daisyhub/cluster/_stream_origins.py
@@ -18,7 +18,8 @@
     StreamOriginRecord,
     StreamOriginResponse,
 )
-from daisyhub.cluster._peers import PeerState, PeerTable
+from daisyhub.cluster._peer_types import PeerState
+from daisyhub.cluster._peers import PeerTable
 from daisyhub.hosting import rank_candidates
 from daisyhub.logs import DecisionLog
 from daisyhub.metrics import Metrics
--- a/daisyhub/duties/__init__.py
+++ b/daisyhub/duties/__init__.py
@@ -4,14 +4,11 @@
 leases of `daisyhub.hosting` for this.
 """
 
-from daisyhub.duties._controller import (
-    DutyController,
-    choose_candidate,
-    list_challenges,
-)
-from daisyhub.duties._core import (
+from daisyhub.duties._controller import DutyController, list_challenges
+from daisyhub.duties._core import DutyCore
+from daisyhub.duties._ranking import choose_candidate
+from daisyhub.duties._types import (
     DutyCallFailed,
-    DutyCore,
     DutyRecord,
     DutyRecordReceived,
     DutyTick,
--- a/daisyhub/duties/_controller.py
+++ b/daisyhub/duties/_controller.py
@@ -1,8 +1,7 @@
 """Runs a duty core against the object store and the peer table."""
 
-import functools
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 
 import anyio
 import msgspec
@@ -14,9 +13,10 @@
     PeerTable,
     is_small_cluster,
 )
-from daisyhub.duties._core import (
+from daisyhub.duties._core import DutyCore
+from daisyhub.duties._ranking import choose_candidate, rank_daemons
+from daisyhub.duties._types import (
     DutyCallFailed,
-    DutyCore,
     DutyRecord,
     DutyRecordReceived,
     DutyTick,
@@ -24,7 +24,6 @@
     ReadDuty,
     WriteDuty,
 )
-from daisyhub.hosting import rank_candidates
 from daisyhub.json_texts import decode_json
 from daisyhub.logs import DecisionLog
 from daisyhub.objects import (
@@ -36,9 +35,7 @@
 
 __all__ = [
     "DutyController",
-    "choose_candidate",
     "list_challenges",
-    "rank_daemons",
 ]
 
 _DUTIES_KIND = "duties"
@@ -47,9 +44,6 @@
 # Time after the start during which a daemon that has received no ping takes no
 # duty: pings of peers that start at the same time arrive within it.
 _PEER_DISCOVERY_S = 1.5
-# Minimum processor speed of a candidate, relative to the fastest live one,
-# since the holder does the work of all lots.
-_MIN_SPEED_RATIO = 0.75
 # Seconds without news of a holder after which daemons other than its standbys
 # are candidates. A standby takes over within two.
 _STANDBYS_FIRST_S = 5.0
@@ -383,38 +377,3 @@
 def list_challenges(*duties: DutyController) -> tuple[str, ...]:
     """Returns the names of the duties of which this daemon asks the holder."""
     return tuple(duty.duty for duty in duties if duty.is_challenging)
-
-
-def choose_candidate(duty: str, speeds: Mapping[str, float]) -> str:
-    """Returns the id of the daemon that should take a duty.
-
-    Args:
-        duty: Name of the duty.
-        speeds: Processor speed of each candidate by daemon id, in cores; not
-            empty.
-    """
-    return rank_daemons(duty, speeds)[0]
-
-
-def rank_daemons(duty: str, speeds: Mapping[str, float]) -> list[str]:
-    """Returns the daemons that may have a duty, the preferred one first.
-
-    The holder carries the load of all lots, and a slow machine would serve
-    them late. Duties are therefore spread over the fast machines only.
-
-    Args:
-        duty: Name of the duty.
-        speeds: Processor speed of each candidate by daemon id, in cores; not
-            empty.
-    """
-    min_speed = _MIN_SPEED_RATIO * max(speeds.values())
-    eligible = frozenset(
-        name for name, speed in speeds.items() if speed >= min_speed
-    )
-    return list(_rank(duty, eligible))
-
-
-@functools.lru_cache(maxsize=16)
-def _rank(duty: str, eligible: frozenset[str]) -> tuple[str, ...]:
-    """Returns the ranking; cached, as the live daemons rarely change."""
-    return tuple(rank_candidates(duty, sorted(eligible)))
--- a/daisyhub/duties/tests/test_tenure.py
+++ b/daisyhub/duties/tests/test_tenure.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from daisyhub.duties import DutyCore
-from daisyhub.duties._core import (
+from daisyhub.duties import (
     DutyCallFailed,
+    DutyCore,
     DutyRecord,
     DutyRecordReceived,
     DutyTick,
