Streams: a server that left while a request waited isn't asked

Cause: a request may wait for a permit. The confirmation of the process that follows was the one sender that didn't ask whether the endpoint accepts anything. Inferred: the logs have no line of a confirmation that succeeds; all daemons had removed the entry 2.7 s before, and all other senders ask.

Change: the check asks EndpointDirectory.accepts first, and again once the connection is open.

--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -365,7 +365,11 @@
         )
         self.engine_client = PlatformEngineClient(self.endpoint_http, self.log)
         self.processes = PlatformProcessCheck(
-            self.engine_client, self.store, self.metrics, self.log
+            self.engine_client,
+            self.store,
+            self.directory.accepts,
+            self.metrics,
+            self.log,
         )
         self.sender = Sender(
             self.directory,
--- a/daisyhub/platform/_process_check.py
+++ b/daisyhub/platform/_process_check.py
@@ -3,6 +3,8 @@
 A server states its start (`born`) in its report and in its entry.
 """
 
+from collections.abc import Callable
+
 import anyio
 
 from daisyhub.balancing import EndpointEntry, ProcessCheck
@@ -24,6 +26,8 @@
     Args:
         engines: Fetches reports.
         store: Has the entries of servers.
+        accepts: Whether an endpoint may still be sent anything; it may leave
+            while its request waits.
         metrics: Counts the results.
         log: Logs processes that aren't confirmed.
     """
@@ -32,11 +36,13 @@
         self,
         engines: EngineClient,
         store: ObjectStore,
+        accepts: Callable[[EndpointEntry], bool],
         metrics: Metrics,
         log: DecisionLog,
     ):
         self._engines = engines
         self._store = store
+        self._accepts = accepts
         self._metrics = metrics
         self._log = log
 
@@ -47,6 +53,8 @@
         """
         if not entry.incarnation:
             return True
+        if not self._accepts(entry):
+            return False
         found = None
         if entry.versions:
             found = await self._ask_engine(entry)
@@ -69,7 +77,9 @@
     async def _ask_engine(self, entry: EndpointEntry) -> int | None:
         """Returns the start that an engine reports; None without any."""
         with anyio.move_on_after(_TIMEOUT_S):
-            response = await self._engines.report(entry.address, lambda: True)
+            response = await self._engines.report(
+                entry.address, lambda: self._accepts(entry)
+            )
             if response.report is not None:
                 return response.report.incarnation or None
         return None
--- a/daisyhub/platform/tests/test_restarted_releases.py
+++ b/daisyhub/platform/tests/test_restarted_releases.py
@@ -86,7 +86,11 @@
         self.store = MemoryStore()
         self.directory = EndpointDirectory(lambda name: float(name[-1]))
         self.check = PlatformProcessCheck(
-            PlatformEngineClient(self.http, LOG), self.store, Metrics(), LOG
+            PlatformEngineClient(self.http, LOG),
+            self.store,
+            self.directory.accepts,
+            Metrics(),
+            LOG,
         )
         self.sender = Sender(
             self.directory,
@@ -200,6 +204,14 @@
         self.store.fail_next("read", *[Fault.REFUSED] * 20)
         await self.assert_refused(server)
 
+    async def test_a_server_that_left_meanwhile_is_not_asked(self):
+        """Its report was fetched seconds after its entry was removed."""
+        server = await self.add("i-0")
+        entry = self.directory.get("i-0").entry
+        self.directory.remove("i-0", time.monotonic(), is_store_stable=True)
+        self.assertIsNone(await self.check.confirm(entry))
+        self.assertEqual(server.requests, [])
+
     async def test_endpoints_that_state_no_start_are_trusted(self):
         server = await self.add("i-0", listed=0, born=None)
         await self.send("first")
--- a/daisyhub/testing/soak/tests/test_soak_processes.py
+++ b/daisyhub/testing/soak/tests/test_soak_processes.py
@@ -15,6 +15,9 @@
     922,
     # A daemon whose write of a duty was lost never learned that it held it.
     1007,
+    # A server whose entry was removed while a request to it waited for a permit
+    # was asked for a report.
+    9121,
 )
 
 # The store creates lots, loses its responses, and then rejects all calls.
