Tests: crowds of clients that ignore the limits

Crowds on loopback connections send heads, empty lines, trailers, chunk framing, large bodies, pipelined requests, parts, or nothing, and stay connected. Each case checks that the daemon lives, that its peak memory stays within the memory it is told, that it closes what never ends, and that it answers an ordinary request; it checks no times.

`memory_mb`, `max_fds` (`sockets`) and two timeouts are read but not used yet. They are optional in the settings template.

--- a/daisyhub/fleet_settings.py
+++ b/daisyhub/fleet_settings.py
@@ -65,6 +65,9 @@
             steps of all trainers fit into the slots together.
         evacuate_ms: Time after which nothing reaches the endpoints of a failure
             domain that operators evacuate; 0 if they don't.
+        memory_mb: Memory of the process, in units of 10^6 bytes.
+        max_fds: Number of descriptors that the process may open; 0 if only its
+            resource limit is known.
     """
 
     daemon_id: Name
@@ -93,6 +96,8 @@
     adaptive_scheduling: Literal["off", "auto", "on"] = "off"
     adaptive_models: Annotated[int, Range(0, 1000)] = 0
     evacuate_ms: Annotated[float, Range(0, 600_000, "ms")] = 0.0
+    memory_mb: Annotated[float, Range(64, 1_000_000, "MB")] = 256.0
+    max_fds: Annotated[int, Range(0, 10_000_000)] = 0
 
     @property
     def peer_address(self) -> Address:
--- /dev/null
+++ b/daisyhub/platform/tests/test_crowd_processes.py
@@ -0,0 +1,106 @@
+"""Crowds of clients that ignore the limits, at the platform's daemon."""
+
+import itertools
+import struct
+
+from daisyhub.serving.tests.crowd_cases import (
+    BODY_BYTES,
+    CHUNK_BYTES,
+    CONNECTION_IDLE_S,
+    HEAD_TIMEOUT_S,
+    HEADER_BYTES,
+    IDLE_TIMEOUT_S,
+    MEMORY_MB,
+    SOCKETS,
+    CrowdTests,
+    split,
+)
+from daisyhub.testing.fleet import KEY, Fleet
+
+DAEMON = "edge-0"
+# Descriptors that the platform keeps for files; the others are for sockets.
+_FILE_DESCRIPTORS = 200
+
+
+class FleetCrowdTest(CrowdTests):
+    """One daemon in front of one server."""
+
+    async def start(self):
+        self.fleet = Fleet(
+            daemons=1,
+            servers=1,
+            settings={
+                "memory_mb": MEMORY_MB,
+                "connection_idle_s": CONNECTION_IDLE_S,
+                "max_fds": SOCKETS + _FILE_DESCRIPTORS,
+            },
+        )
+        self.fleet.limits = {
+            "max-header-bytes": HEADER_BYTES,
+            "max-body-bytes": BODY_BYTES,
+            "header-timeout-ms": int(HEAD_TIMEOUT_S * 1000),
+            "idle-timeout-ms": int(IDLE_TIMEOUT_S * 1000),
+        }
+        self.addCleanup(self.fleet.stop)
+        await self.fleet.start()
+        self.process = self.fleet.processes[DAEMON]
+        self.pid = self.process.pid
+        self.listener = self.fleet.address(f"{DAEMON}/front")
+
+    def is_alive(self):
+        return self.process.poll() is None
+
+    async def ask(self, body=b""):
+        resp = await self.fleet.call(DAEMON, "POST", "/records/1", body=body)
+        return resp.status
+
+    def head(self, *, has_body=True, path=b"/records/1"):
+        lines = [
+            b"%s %s HTTP/1.1" % (b"POST" if has_body else b"GET", path),
+            b"Host: a.example",
+            b"Api-Key: " + KEY.encode(),
+            b"Daisyhub-Request-Id: crowd",
+            b"Daisyhub-Deadline-Ms: 4000",
+        ]
+        return b"\r\n".join(lines) + b"\r\n"
+
+    async def test_large_lots_that_stop_short_of_their_end(self):
+        head = self.head(path=b"/gen/lot")
+        head += b"Content-Length: %d\r\n\r\n" % BODY_BYTES
+        piece = b"a" * (BODY_BYTES // 64 - 1)
+        await self.check_bodies(
+            lambda _: itertools.chain([head], itertools.repeat(piece, 64))
+        )
+
+    async def test_headers_without_end_at_the_readiness_check(self):
+        await self.check_endless(
+            b"GET /v1/readiness HTTP/1.1\r\n",
+            b"X-A: b\r\n",
+            listener=self.fleet.address(f"{DAEMON}/ready"),
+        )
+
+    async def test_headers_without_end_at_the_metrics(self):
+        await self.check_endless(
+            b"GET /metrics HTTP/1.1\r\n",
+            b"X-A: b\r\n",
+            listener=self.fleet.address(f"{DAEMON}/metrics"),
+        )
+
+    async def test_large_bodies_at_the_relay(self):
+        head = b"POST /relay HTTP/1.1\r\nHost: a\r\n"
+        short = head + b"Content-Length: %d\r\n\r\n" % BODY_BYTES
+        short += b"a" * (BODY_BYTES - 1)
+        await self.check_bodies(
+            lambda _: split(short, CHUNK_BYTES),
+            listener=self.fleet.address(f"{DAEMON}/relay"),
+        )
+
+    async def test_frames_of_peers_that_stop_short_of_their_end(self):
+        short = struct.pack(">I", BODY_BYTES) + b"a" * (BODY_BYTES - 1)
+        await self.check_bodies(
+            lambda _: split(short, CHUNK_BYTES),
+            listener=self.fleet.address(f"{DAEMON}/peer"),
+        )
+
+
+del CrowdTests
--- a/daisyhub/settings.py
+++ b/daisyhub/settings.py
@@ -105,12 +105,22 @@
         body_bytes: Maximum size of a request body on any route.
         answer_bytes: Maximum size of a buffered response body.
         concurrent_requests: Maximum number of concurrent requests in service.
+        head_timeout_s: Maximum time from the first byte of a request to the end
+            of its head.
+        idle_timeout_s: Time after which a caller's idle connection is closed.
+        memory_mb: Memory of the process, in units of 10^6 bytes.
+        sockets: Number of sockets that the process may open; 0 for its resource
+            limit.
     """
 
     header_bytes: Annotated[int, Range(1024, 1 << 20, "bytes")] = 16384
     body_bytes: Annotated[int, Range(1024, 1 << 30, "bytes")] = 1 << 20
     answer_bytes: Annotated[int, Range(1024, 1 << 30, "bytes")] = 1 << 23
     concurrent_requests: Annotated[int, Range(1, 100_000)] = 512
+    head_timeout_s: Annotated[float, Range(0.1, 600, "s")] = 10.0
+    idle_timeout_s: Annotated[float, Range(0.1, 3600, "s")] = 75.0
+    memory_mb: Annotated[float, Range(64, 1_000_000, "MB")] = 512.0
+    sockets: Annotated[int, Range(0, 10_000_000)] = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -49,6 +49,7 @@
         daemon_env: Additional environment variables by daemon.
         software: Software version of servers whose version isn't `v1`.
         pool_fields: Further fields of the servers' pool in the manifest.
+        limits: The manifest's limits; by default those of a reader without.
         zones: Failure domain of servers whose domain isn't `z1`.
         ports: Port of each fake by name, and of each daemon's listener by
             `name/listener`: front (client requests), ready, peer, metrics,
@@ -69,6 +70,7 @@
         self.software: dict[str, str] = {}
         self.zones: dict[str, str] = {}
         self.pool_fields: dict[str, object] = {}
+        self.limits: dict[str, int] = {}
         self.daemon_names = [f"edge-{n}" for n in range(daemons)]
         self.server_names = [f"i-{n}" for n in range(servers)]
         self.event_s = event_s
@@ -255,6 +257,7 @@
                     **self.pool_fields,
                 }
             ],
+            "limits": self.limits,
             "tenants": [
                 {"name": name, "api-keys": account_keys}
                 for name, account_keys in keys.items()
--- a/daisyhub/testing/processes.py
+++ b/daisyhub/testing/processes.py
@@ -72,6 +72,7 @@
         services_per_domain: Number of fake services per failure domain.
         timing: Fields of `TimingSettings` to override.
         folder: Folder for settings and logs; empty for a temporary one.
+        limits: Fields of `LimitSettings` to override.
     """
 
     def __init__(
@@ -82,12 +83,14 @@
         services_per_domain: int = 1,
         timing: dict[str, float] | None = None,
         folder: str = "",
+        limits: dict[str, float] | None = None,
     ):
         self.domains = domains
         self.daemons_per_domain = daemons_per_domain
         self.engines_per_domain = engines_per_domain
         self.services_per_domain = services_per_domain
         self.timing = {**_FAST_TIMING, **(timing or {})}
+        self.limits = limits or {}
         self.processes: dict[str, Process] = {}
         self._temporary_folder = None
         if not folder:
@@ -286,6 +289,7 @@
             "platform_address": {"ip": platform.ip, "port": platform.port},
             "key_hash_secret": HASH_KEY,
             "timing": self.timing,
+            "limits": self.limits,
         }
 
     async def _wait_for_listeners(self) -> None:
