Memory: a budget for what all clients together make a process hold

A core without a network. A claim that grows beyond the budget evicts those that hold the most for the longest time without progress; complete requests stay, a single claim always fits, and small ones have room beside large ones. Nothing uses it yet.

--- /dev/null
+++ b/daisyhub/memory.py
@@ -0,0 +1,185 @@
+"""Bounds the memory that all clients of a process together can make it hold.
+
+The load: many bodies of legal size that arrive at the same time, most of which
+never end. Each alone is allowed, together they exceed the memory of the
+machine. Waiting for room would let those that never end hold up all others, so
+that one of them is ended instead.
+"""
+
+import enum
+import time
+from collections.abc import Callable
+
+__all__ = ["MemoryBudget", "MemoryClaim"]
+
+
+class _State(enum.Enum):
+    """What may happen to a claim.
+
+    `RECEIVING` claims grow and may be evicted, `PINNED` ones stay until they
+    are released, `EVICTED` ones are released soon.
+    """
+
+    RECEIVING = enum.auto()
+    PINNED = enum.auto()
+    EVICTED = enum.auto()
+
+
+# What each request holds without being counted, in bytes, so that ordinary
+# requests don't depend on what large ones leave.
+_FREE_BYTES = 1 << 14
+# Size from which on a claim counts as large, in bytes, and the fraction of the
+# budget that large claims leave to the others.
+_LARGE_BYTES = 1 << 20
+_SMALL_SHARE = 0.25
+# A client that sends this much has made progress, in bytes. Less doesn't count,
+# or a client that sends single bytes would pass for a fast one.
+_PROGRESS_BYTES = 1 << 16
+# Memory of the process without clients, in bytes, and the fraction of the rest
+# that the budget has. The other part is for connections, responses and what
+# the allocator can't return.
+_BASE_BYTES = 64_000_000
+_BUDGET_SHARE = 0.5
+_DEFAULT_MEMORY_MB = 256.0
+_MIN_LIMIT_BYTES = 1 << 22
+_BYTES_PER_MB = 1_000_000
+
+
+class MemoryClaim:
+    """The memory that one request holds.
+
+    Attributes:
+        held: Bytes that count.
+        state: What may happen to it.
+        moved_at_s: When its client last made progress.
+    """
+
+    def __init__(self, budget: "MemoryBudget", evict: Callable[[], None]):
+        self._budget = budget
+        self._evict = evict
+        self._total = 0
+        self._since_progress = 0
+        self.held = 0
+        self.state = _State.RECEIVING
+        self.moved_at_s = budget.now_s()
+
+    def add(self, size: int, weight: int = 1) -> None:
+        """Adds received bytes; may evict this claim or others.
+
+        Args:
+            size: Number of bytes.
+            weight: Number of copies that the process makes of each.
+        """
+        if self.is_evicted:
+            return
+        self._since_progress += size
+        if self._since_progress >= _PROGRESS_BYTES:
+            self._since_progress = 0
+            self.moved_at_s = self._budget.now_s()
+        self._total += size * weight
+        if self._total > _FREE_BYTES:
+            self._budget.resize(self, self._total - _FREE_BYTES)
+
+    @property
+    def is_evicted(self) -> bool:
+        """Whether the request must end."""
+        return self.state is _State.EVICTED
+
+    def pin(self) -> None:
+        """Keeps what was received until `release`; nothing evicts it."""
+        if self.state is _State.RECEIVING:
+            self.state = _State.PINNED
+
+    def release(self) -> None:
+        """Gives everything back, so that the claim may be used again."""
+        self._total = 0
+        self._since_progress = 0
+        self.state = _State.RECEIVING
+        self._budget.resize(self, 0)
+
+    def evict(self) -> None:
+        """Ends the request; its owner still has to release the claim."""
+        self.state = _State.EVICTED
+        self._evict()
+
+
+class MemoryBudget:
+    """Decides which requests may hold how much memory.
+
+    A claim that grows beyond the budget evicts the claims that hold the most
+    for the longest time without progress, perhaps itself. A claim that is the
+    only one always fits, whatever its size.
+
+    Args:
+        memory_mb: Memory of the process, in units of 10^6 bytes; by default
+            that of a process that states none.
+        now_s: Clock, in seconds.
+
+    Attributes:
+        limit: Bytes that all claims may hold together.
+        held: Bytes that they hold.
+        evicted: Number of claims that were evicted.
+    """
+
+    def __init__(
+        self,
+        memory_mb: float = _DEFAULT_MEMORY_MB,
+        now_s: Callable[[], float] = time.monotonic,
+    ):
+        spare = memory_mb * _BYTES_PER_MB - _BASE_BYTES
+        self.limit = max(_MIN_LIMIT_BYTES, int(spare * _BUDGET_SHARE))
+        self.now_s = now_s
+        self.held = 0
+        self.evicted = 0
+        self._claims: set[MemoryClaim] = set()
+
+    def open(self, evict: Callable[[], None]) -> MemoryClaim:
+        """Returns an empty claim.
+
+        Args:
+            evict: Ends the request. Must not call back; the claim counts until
+                it is released.
+        """
+        return MemoryClaim(self, evict)
+
+    def has_room_for(self, size: int) -> bool:
+        """Whether a body of this size could be held, whoever is evicted."""
+        pinned = self._held_in(_State.PINNED)
+        return not pinned or pinned + size - _FREE_BYTES <= self._limit_of(size)
+
+    def resize(self, claim: MemoryClaim, size: int) -> None:
+        """Sets what a claim holds; evicts claims if that is too much."""
+        has_grown = size > claim.held
+        self.held += size - claim.held
+        claim.held = size
+        if not size:
+            self._claims.discard(claim)
+            return
+        self._claims.add(claim)
+        if has_grown and self.held > self._limit_of(size):
+            self._evict_down_to(self._limit_of(size))
+
+    def _held_in(self, state: _State) -> int:
+        return sum(claim.held for claim in self._claims if claim.state is state)
+
+    def _limit_of(self, size: int) -> int:
+        if size < _LARGE_BYTES:
+            return self.limit
+        return int(self.limit * (1 - _SMALL_SHARE))
+
+    def _evict_down_to(self, limit: int) -> None:
+        """Evicts until the claims that stay are within a limit."""
+        if len(self._claims) == 1:
+            return
+        now_s = self.now_s()
+        # Evicted claims are released a little later.
+        staying = self.held - self._held_in(_State.EVICTED)
+        candidates = sorted(
+            (c for c in self._claims if c.state is _State.RECEIVING),
+            key=lambda claim: claim.held * (now_s - claim.moved_at_s),
+        )
+        while staying > limit and candidates:
+            victim = candidates.pop()
+            staying -= victim.held
+            self.evicted += 1
+            victim.evict()
