Connections: heads are bounded while they arrive

What callers saw: heads over the limit or without end made a daemon grow until it ran out of memory. Cause: uvicorn and its parser keep a head until it is complete, without a limit; `max-header-bytes` was checked by a filter, which sees complete requests only.

`BoundedProtocol` counts the bytes of a head, answers 431 beyond four times the limit, and closes. A transport that lingers makes sure that the answer arrives though the client sends on. Headers count towards the memory budget. Operators' listeners use the same protocol. The wiring of listeners moves out of the daemon's module; the number of connections isn't enforced yet.

--- a/daisyhub/catalog/_types.py
+++ b/daisyhub/catalog/_types.py
@@ -163,11 +163,13 @@
     Attributes:
         header_bytes: Maximum total size of header names and values, in bytes.
         body_bytes: Maximum size of a body, in bytes.
+        head_timeout_s: Seconds in which a request's head must be complete.
         idle_s: Seconds after which an idle connection is closed.
     """
 
     header_bytes: int = 16384
     body_bytes: int = 1 << 25
+    head_timeout_s: float = 10.0
     idle_s: float = 15.0
 
 
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -45,6 +45,7 @@
 from daisyhub.hosting import LeaseFactory, PlatformClient, rank_candidates
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger, set_up_logs
+from daisyhub.memory import MemoryBudget
 from daisyhub.metrics import Metrics
 from daisyhub.peers import (
     ConfigRequest,
@@ -53,7 +54,14 @@
     PeerNetwork,
 )
 from daisyhub.process_flags import SETTINGS
-from daisyhub.serving import CallersApp, HttpServer, OperatorsApp
+from daisyhub.serving import (
+    CallersApp,
+    ConnectionLimits,
+    HttpServer,
+    ListenerLimits,
+    OperatorsApp,
+    count_sockets,
+)
 from daisyhub.settings import DaemonSettings, load_settings
 
 __all__ = ["Daemon", "main"]
@@ -62,6 +70,11 @@
 _CONTROLLER_RESTART_DELAY_S = 1.0
 # Number of live daemons of a failure domain that try to acquire a duty.
 _CANDIDATE_COUNT = 2
+# Fraction of the clients' sockets for callers, and for operators, with a
+# maximum number.
+_CALLERS_SHARE = 0.85
+_OPERATORS_SHARE = 0.1
+_MAX_OPERATORS = 64
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 
@@ -246,20 +259,45 @@
 
     def _build_servers(self) -> None:
         cfg = self.cfg
+        memory = MemoryBudget(cfg.limits.memory_mb)
         self.callers_app = CallersApp(
             build_chain(self._filters()),
             self.keys,
             self.metrics,
             cfg.daemon_id,
         )
+        caller_limits = ConnectionLimits(
+            header_bytes=cfg.limits.header_bytes,
+            head_timeout_s=cfg.limits.head_timeout_s,
+            idle_timeout_s=cfg.limits.idle_timeout_s,
+        )
+        sockets = count_sockets(cfg.limits.sockets)
         self.callers_server = HttpServer(
-            self.callers_app, cfg.callers_address, cfg.timing.drain_limit_s
+            self.callers_app,
+            cfg.callers_address,
+            cfg.timing.drain_limit_s,
+            ListenerLimits(
+                memory=memory,
+                connections=int(_CALLERS_SHARE * sockets),
+                get_limits=lambda: caller_limits,
+                on_refused=self._count_refused,
+            ),
         )
         self.operators_server = HttpServer(
             OperatorsApp(self.metrics, self.is_ready, self.status),
             cfg.operators_address,
+            limits=ListenerLimits(
+                memory=memory,
+                connections=min(
+                    _MAX_OPERATORS, int(_OPERATORS_SHARE * sockets)
+                ),
+                on_refused=self._count_refused,
+            ),
         )
 
+    def _count_refused(self, reason: str) -> None:
+        self.metrics.count("refused_connections", reason=reason)
+
     def is_ready(self) -> bool:
         """Whether callers should send new requests to this daemon."""
         return self.config.version > 0 and not self._is_draining
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -76,6 +76,7 @@
     TaskWorker,
     WorkerPool,
 )
+from daisyhub.memory import MemoryBudget
 from daisyhub.metrics import Metrics
 from daisyhub.objects import (
     KindWatcher,
@@ -100,6 +101,7 @@
     PlatformVersionReader,
 )
 from daisyhub.platform._evacuations import build_evacuations, tell_evacuations
+from daisyhub.platform._listeners import Listeners
 from daisyhub.platform._lots_json import PlatformLotWire, may_be_lot
 from daisyhub.platform._manifest import (
     CONFIG_KIND,
@@ -115,7 +117,7 @@
 from daisyhub.platform._store_pages import UnreadableObjects
 from daisyhub.platform._stream_origins import build_stream_origins
 from daisyhub.platform._wire import PlatformCallerWire, PlatformEndpointWire
-from daisyhub.serving import HttpServer, OperatorsApp
+from daisyhub.serving import OperatorsApp
 from daisyhub.settings import Address
 from daisyhub.weights import WeightLoadController
 
@@ -159,6 +161,7 @@
         self.metrics = Metrics()
         self._endpoint_wire = PlatformEndpointWire()
         self._lot_wire = PlatformLotWire()
+        self.memory = MemoryBudget(cfg.memory_mb)
         self._is_draining = False
         self._build_store()
         self._build_state()
@@ -581,13 +584,17 @@
                 SendFilter(self.sender, self.meter),
             )
         )
+        listeners = Listeners(
+            cfg, self.memory, self.manifests, self.metrics, self.log
+        )
+        self.listeners = listeners
         self.app = GatewayApp(
             handler, PlatformCallerWire(), self.metrics, self.log
         )
-        self.callers_server = HttpServer(
-            self.app, parse_address(cfg.callers), cfg.grace_s
+        self.callers_server = listeners.build_callers_server(self.app)
+        self.relay_servers = listeners.build_relay_servers(
+            self._build_relay_app()
         )
-        self.relay_servers = self._build_relay_servers()
         operators = OperatorsApp(
             self.metrics,
             self.is_ready,
@@ -595,25 +602,26 @@
             "/v1/readiness",
             self.suspects.lift,
         )
-        self.readiness_server = HttpServer(
+        self.readiness_server = listeners.build_operators_server(
             operators, parse_address(cfg.readiness)
         )
-        self.metrics_server = HttpServer(operators, cfg.metrics_address)
+        self.metrics_server = listeners.build_operators_server(
+            operators, cfg.metrics_address
+        )
 
-    def _build_relay_servers(self) -> tuple[HttpServer, ...]:
-        """Returns the server for relayed requests; nothing without a port."""
-        address = self.cfg.relay_address
-        if address is None:
-            return ()
+    def _build_relay_app(self) -> GatewayApp:
+        """Returns the application for relayed requests."""
         relay = RelayHandler(self.sender, self.reach, self.metrics, self.log)
         handler = functools.partial(
             self.shutdown_filter.handle, call_next=relay
         )
         # Responses to callers are counted where their requests were accepted.
-        app = GatewayApp(
-            handler, RelayWire(PlatformCallerWire()), Metrics(), self.log
+        return GatewayApp(
+            handler,
+            RelayWire(PlatformCallerWire()),
+            Metrics(),
+            self.log,
         )
-        return (HttpServer(app, address, self.cfg.grace_s),)
 
     @property
     def controllers(self) -> tuple[Controller, ...]:
@@ -654,6 +662,7 @@
             "is_ready": self.is_ready(),
             "manifest": manifest.version if manifest else 0,
             "open_requests": self.app.open_requests,
+            "clients": self.listeners.status(),
             "leaving_endpoints": self.directory.announced_leaving(),
             "limited_endpoints": self.permits.limited(),
             "cold_endpoints": self.permits.cold(),
--- a/daisyhub/platform/_manifest.py
+++ b/daisyhub/platform/_manifest.py
@@ -83,6 +83,7 @@
 class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
     max_header_bytes: int = 16384
     max_body_bytes: int = 1 << 25
+    header_timeout_ms: float = 10_000.0
     idle_timeout_ms: float = 15_000.0
 
 
@@ -128,6 +129,7 @@
         limits=CallerLimits(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
+            head_timeout_s=limits.header_timeout_ms / _MS_PER_S,
             idle_s=limits.idle_timeout_ms / _MS_PER_S,
         ),
     )
--- a/daisyhub/serving/__init__.py
+++ b/daisyhub/serving/__init__.py
@@ -1,7 +1,20 @@
 """HTTP servers and ASGI applications for callers and operators."""
 
 from daisyhub.serving._callers_app import CallersApp, OpenStreams
+from daisyhub.serving._limits import (
+    ConnectionLimits,
+    ListenerLimits,
+    count_sockets,
+)
 from daisyhub.serving._operators_app import OperatorsApp
 from daisyhub.serving._server import HttpServer
 
-__all__ = ["CallersApp", "HttpServer", "OpenStreams", "OperatorsApp"]
+__all__ = [
+    "CallersApp",
+    "ConnectionLimits",
+    "HttpServer",
+    "ListenerLimits",
+    "OpenStreams",
+    "OperatorsApp",
+    "count_sockets",
+]
--- /dev/null
+++ b/daisyhub/serving/_protocol.py
@@ -0,0 +1,228 @@
+"""The HTTP/1.1 protocol of a connection, within the limits of its listener.
+
+uvicorn's protocol keeps whatever a client sends until a request's head is
+complete. This one counts what
+isn't part of a body.
+"""
+
+import asyncio
+
+import httptools
+from uvicorn.protocols.http.httptools_impl import (
+    STATUS_LINE,
+    HttpToolsProtocol,
+)
+
+from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
+from daisyhub.messages import Response
+from daisyhub.problems import problem_response
+from daisyhub.serving._limits import ListenerLimits
+from daisyhub.serving._lingering_transport import LingeringTransport
+
+__all__ = ["BoundedProtocol"]
+
+_HEAD_END = b"\r\n\r\n"
+# A chunked body is passed to the parser in parts that end where the body may
+# end, and are no shorter than this, in bytes.
+_MIN_CHUNKED_PART = 512
+# Memory of a parsed header beside its text, and the size from which on headers
+# count, both in bytes.
+_HEADER_OVERHEAD = 128
+_CLAIM_STEP_BYTES = 4096
+
+
+class BoundedProtocol(HttpToolsProtocol, asyncio.BufferedProtocol):
+    """Serves one connection.
+
+    Args:
+        limits: Limits of the listener.
+        buffer: Receives what is read; shared by all connections, as it is
+            processed at once.
+        *args: Arguments of uvicorn's protocol.
+        **kwargs: The same.
+    """
+
+    def __init__(
+        self,
+        limits: ListenerLimits,
+        buffer: bytearray,
+        *args,
+        **kwargs,
+    ):
+        super().__init__(*args, **kwargs)
+        self._limits = limits
+        self._buffer = buffer
+        self._claim = limits.memory.open(self._on_no_room)
+        # Bytes of headers that aren't claimed yet.
+        self._unclaimed = 0
+        # Bytes since the last progress that aren't part of a body.
+        self._framing = 0
+        # Whether a part of a head was received, and whether a body is due.
+        self._has_begun = False
+        self._is_in_body = False
+        # Bytes that the current body still has; None if it is chunked.
+        self._body_left: int | None = 0
+        # Whether all further bytes are dropped.
+        self._is_discarding = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Makes sure that a refusal arrives before the close."""
+        super().connection_made(LingeringTransport(transport))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Returns what the connection holds."""
+        self._stop_reading()
+        self._unset_keepalive_if_required()
+        self.transport.cancel_timer()
+        self._claim.release()
+        super().connection_lost(exc)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the shared buffer; see `asyncio.BufferedProtocol`."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Processes received bytes; see `asyncio.BufferedProtocol`."""
+        if not self._is_discarding:
+            self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes."""
+        self._unset_keepalive_if_required()
+        self._parse_all(data)
+
+    def eof_received(self) -> None:
+        """Closes the connection, as the client does."""
+        self.transport.must_linger = False
+        self.transport.close()
+
+    def _parse_all(self, data: bytes) -> None:
+        """Parses bytes up to the end of a request."""
+        limit = self._limits.get_limits().framing_bytes
+        while data:
+            part = data[: self._find_part_end(data)]
+            data = data[len(part) :]
+            if self._has_begun or part.strip():
+                self._framing += len(part)
+            if not self._is_in_body and self._framing > limit:
+                self._refuse(
+                    ErrorCode.HEADERS_TOO_LARGE,
+                    f"the head exceeds {limit} bytes",
+                )
+                return
+            self._parse(part)
+            if self._is_discarding:
+                return
+
+    def _find_part_end(self, data: bytes) -> int:
+        """Returns up to where bytes belong to the current request."""
+        if self._is_in_body and self._body_left is not None:
+            return self._body_left
+        start = _MIN_CHUNKED_PART if self._is_in_body else 0
+        end = data.find(_HEAD_END, start)
+        return len(data) if end < 0 else end + len(_HEAD_END)
+
+    def _parse(self, part: bytes) -> None:
+        try:
+            self.parser.feed_data(part)
+        except httptools.HttpParserUpgrade:
+            # Upgrades are ignored; the part ends with the request's head.
+            return
+        except httptools.HttpParserError:
+            self._refuse(
+                ErrorCode.HEADER_INVALID, "the request isn't valid HTTP/1.1"
+            )
+
+    def on_message_begin(self) -> None:
+        """Starts a head."""
+        self._has_begun = True
+        self._body_left = 0
+        super().on_message_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collects a header."""
+        if self._is_discarding:
+            return
+        super().on_header(name, value)
+        if self._is_in_body:
+            return
+        name = self.headers[-1][0]
+        if name == b"content-length":
+            self._body_left = int(value)
+        elif name == b"transfer-encoding":
+            self._body_left = None
+        self._unclaimed += len(name) + len(value) + _HEADER_OVERHEAD
+        if self._unclaimed > _CLAIM_STEP_BYTES:
+            self._claim.add(self._unclaimed)
+            self._unclaimed = 0
+
+    def on_headers_complete(self) -> None:
+        """Starts serving the request."""
+        self._framing = 0
+        self._unclaimed = 0
+        self._is_in_body = True
+        if self._is_discarding:
+            return
+        self._claim.pin()
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Passes a part of the body to the application."""
+        if self._is_discarding:
+            return
+        if self._body_left is not None:
+            self._body_left -= len(body)
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Ends the request."""
+        self._framing = 0
+        self._is_in_body = False
+        self._has_begun = False
+        if not self._is_discarding:
+            super().on_message_complete()
+
+    def on_response_complete(self) -> None:
+        """Waits for the next request."""
+        self._claim.release()
+        super().on_response_complete()
+        if self.transport.is_closing():
+            self._stop_reading()
+            return
+
+    def _on_no_room(self) -> None:
+        self._limits.on_refused("no_room_for_head")
+        self._stop_reading()
+        self.transport.close()
+
+    def _stop_reading(self) -> None:
+        """Drops what was received and what still comes."""
+        self._is_discarding = True
+
+    def _refuse(self, error: ErrorCode, detail: str) -> None:
+        """Ends the connection, with a response if one is due."""
+        self._stop_reading()
+        self._limits.on_refused(error.label)
+        self.transport.must_linger = True
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            if cycle.response_started or not self._is_in_body:
+                cycle.keep_alive = False
+                return
+            # Ends the application's wait for the rest of the body.
+            cycle.disconnected = True
+            cycle.message_event.set()
+        refusal = Refusal(error, detail, ran=ExecutionStatus.NOT_RUN)
+        self.transport.write(_encode_response(problem_response(refusal, "")))
+        self.transport.close()
+
+
+def _encode_response(resp: Response) -> bytes:
+    """Returns the bytes of a last response on a connection."""
+    headers = (
+        *resp.headers,
+        (b"content-length", str(len(resp.body)).encode()),
+        (b"connection", b"close"),
+    )
+    lines = [b"%s: %s\r\n" % header for header in headers]
+    return b"".join([STATUS_LINE[resp.status], *lines, b"\r\n", resp.body])
--- a/daisyhub/serving/_server.py
+++ b/daisyhub/serving/_server.py
@@ -2,18 +2,22 @@
 
 import asyncio
 import contextlib
+import functools
 import select
 import socket
 
 import anyio
 import uvicorn
 
+from daisyhub.memory import MemoryBudget
+from daisyhub.serving._limits import ListenerLimits
+from daisyhub.serving._protocol import BoundedProtocol
 from daisyhub.settings import Address
 
 __all__ = ["HttpServer"]
 
 _BACKLOG = 1024
-_KEEP_ALIVE_S = 75
+_READ_BYTES = 1 << 16
 # Maximum time that `shutdown` waits for partly received requests, and the
 # interval at which it checks for them.
 _LAST_REQUESTS_TIMEOUT_S = 1.0
@@ -28,16 +32,31 @@
         address: Address to listen on.
         drain_limit_s: Maximum time for open requests to end after `stop`;
             rounded to whole seconds, at least one.
+        limits: Limits of its connections.
 
     Attributes:
         stopped: Set when the server has ended.
     """
 
-    def __init__(self, app, address: Address, drain_limit_s: float = 5.0):
+    def __init__(
+        self,
+        app,
+        address: Address,
+        drain_limit_s: float = 5.0,
+        limits: ListenerLimits | None = None,
+    ):
+        if limits is None:
+            limits = ListenerLimits(memory=MemoryBudget())
+        protocol = functools.partial(
+            BoundedProtocol,
+            limits,
+            bytearray(_READ_BYTES),
+        )
         super().__init__(
             uvicorn.Config(
                 app,
-                http="httptools",
+                http=protocol,
+                backlog=_BACKLOG,
                 loop="asyncio",
                 ws="none",
                 lifespan="off",
@@ -46,7 +65,6 @@
                 date_header=False,
                 server_header=False,
                 proxy_headers=False,
-                timeout_keep_alive=_KEEP_ALIVE_S,
                 timeout_graceful_shutdown=max(1, round(drain_limit_s)),
             )
         )
@@ -113,7 +131,7 @@
     def _has_partial_request(self) -> bool:
         """Whether a connection may have received a part of a request's head.
 
-        After a response, uvicorn's keep-alive timer runs until the next byte is
+        After a response, the keep-alive timer runs until the next byte is
         received. A new connection without any request counts as well.
         """
         return any(
--- /dev/null
+++ b/daisyhub/serving/tests/test_connections.py
@@ -0,0 +1,125 @@
+"""What a listener accepts within its limits, and how it refuses the rest."""
+
+import contextlib
+import socket
+import unittest
+
+import anyio
+
+from daisyhub.memory import MemoryBudget
+from daisyhub.serving import (
+    ConnectionLimits,
+    HttpServer,
+    ListenerLimits,
+)
+from daisyhub.settings import Address
+
+HEADER_BYTES = 2048
+HEAD = b"POST /a HTTP/1.1\r\nHost: a\r\n"
+GET = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class EchoApp:
+    """Responds with the path and the body; records the headers."""
+
+    def __init__(self):
+        self.headers = []
+
+    async def __call__(self, scope, receive, send):
+        self.headers.append(scope["headers"])
+        body = b""
+        is_read = scope["path"] != "/unread"
+        while is_read:
+            message = await receive()
+            body += message.get("body", b"")
+            is_read = message.get("more_body", False)
+        await anyio.sleep(0.01)
+        body = scope["path"].encode() + b"=" + body
+        length = (b"content-length", str(len(body)).encode())
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [length],
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+class ConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    async def exchange(self, *pieces, limits=None):
+        """Sends pieces; returns all that the listener sends until it closes."""
+        self.app = EchoApp()
+        limits = limits or ConnectionLimits(
+            header_bytes=HEADER_BYTES, head_timeout_s=5.0, idle_timeout_s=0.3
+        )
+        self.refused = []
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        server = HttpServer(
+            self.app,
+            Address(ip="127.0.0.1", port=port),
+            limits=ListenerLimits(
+                memory=MemoryBudget(),
+                get_limits=lambda: limits,
+                on_refused=self.refused.append,
+            ),
+        )
+        received = b""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.run_until_stopped)
+            while not server.started:
+                await anyio.sleep(0.01)
+            stream = await anyio.connect_tcp("127.0.0.1", port)
+            async with stream:
+                tasks.start_soon(self.send, stream, pieces)
+                with (
+                    anyio.fail_after(10.0),
+                    contextlib.suppress(anyio.EndOfStream),
+                ):
+                    while True:
+                        received += await stream.receive()
+            server.stop()
+        return received
+
+    async def send(self, stream, pieces):
+        with contextlib.suppress(
+            anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):
+            for piece in pieces:
+                await stream.send(piece)
+                await anyio.sleep(0.001)
+
+    async def test_a_head_of_the_maximum_size_is_served(self):
+        value = b"a" * (HEADER_BYTES - len(b"hosta" + b"x"))
+        head = b"GET /a HTTP/1.1\r\nHost: a\r\nX: " + value + b"\r\n\r\n"
+        received = await self.exchange(head)
+        self.assertIn(b" 200 ", received)
+
+    async def test_a_head_in_single_bytes_is_served(self):
+        pieces = [bytes([byte]) for byte in GET % 1]
+        self.assertIn(b"/1=", await self.exchange(*pieces))
+
+    async def test_a_head_over_the_maximum_size_is_refused(self):
+        received = await self.exchange(HEAD + b"X: " + b"a" * 9000)
+        self.assertTrue(received.startswith(b"HTTP/1.1 431 "))
+        self.assertEqual(self.refused, ["headers_too_large"])
+
+    async def test_a_refusal_arrives_though_the_client_sends_on(self):
+        piece = b"a" * 10_000
+        received = await self.exchange(HEAD + b"X: ", *[piece] * 50)
+        self.assertTrue(received.startswith(b"HTTP/1.1 431 "))
+        self.assertTrue(received.endswith(b"}"))
+
+    async def test_a_request_behind_an_ignored_upgrade_is_served(self):
+        upgrade = b"Connection: upgrade\r\nUpgrade: h2c\r\n\r\n"
+        get = b"GET /1 HTTP/1.1\r\nHost: a\r\n" + upgrade
+        received = await self.exchange(get + GET % 2)
+        self.assertIn(b"/1=", received)
+        self.assertIn(b"/2=", received)
+
+    async def test_invalid_requests_are_refused(self):
+        received = await self.exchange(b"what?\r\n\r\n")
+        self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
