Connections: empty lines count as a part of the head

What callers saw: a connection that sent empty lines only was read for as long as it sent, and kept its descriptor. Cause: the parser skips them, and nothing counted them. They are counted with the head, and dropped before the parser.

--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -22,6 +22,7 @@
 __all__ = ["BoundedProtocol"]
 
 _HEAD_END = b"\r\n\r\n"
+_EMPTY_LINES = b"\r\n"
 # A chunked body is passed to the parser in parts that end where the body may
 # end, and are no shorter than this, in bytes.
 _MIN_CHUNKED_PART = 512
@@ -100,10 +101,13 @@
         """Parses bytes up to the end of a request."""
         limit = self._limits.get_limits().framing_bytes
         while data:
+            if not self._has_begun and not self._is_in_body:
+                request = data.lstrip(_EMPTY_LINES)
+                self._framing += len(data) - len(request)
+                data = request
             part = data[: self._find_part_end(data)]
             data = data[len(part) :]
-            if self._has_begun or part.strip():
-                self._framing += len(part)
+            self._framing += len(part)
             if not self._is_in_body and self._framing > limit:
                 self._refuse(
                     ErrorCode.HEADERS_TOO_LARGE,
--- a/daisyhub/serving/tests/test_connections.py
+++ b/daisyhub/serving/tests/test_connections.py
@@ -113,6 +113,10 @@
         self.assertTrue(received.startswith(b"HTTP/1.1 431 "))
         self.assertTrue(received.endswith(b"}"))
 
+    async def test_empty_lines_before_a_request_are_ignored(self):
+        received = await self.exchange(b"\r\n\r\n" + GET % 1)
+        self.assertIn(b"/1=", received)
+
     async def test_a_request_behind_an_ignored_upgrade_is_served(self):
         upgrade = b"Connection: upgrade\r\nUpgrade: h2c\r\n\r\n"
         get = b"GET /1 HTTP/1.1\r\nHost: a\r\n" + upgrade
