Connections: trailers are dropped, framing of chunks is bounded

What callers saw: trailers without end behind a chunked body made a daemon grow until it ran out of memory, also after its response; chunk extensions and sizes without end were read for as long as they were sent. Cause: the parser reports trailers as headers, which uvicorn collects, and which could even be forwarded.

Trailers are dropped. A chunked body may have as much framing as a head, and each byte of it makes up for eight more.

--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -26,6 +26,9 @@
 # A chunked body is passed to the parser in parts that end where the body may
 # end, and are no shorter than this, in bytes.
 _MIN_CHUNKED_PART = 512
+# Bytes of framing that each byte of a chunked body makes up for: more than
+# those of a chunk of one byte.
+_FRAMING_PER_BODY_BYTE = 8
 # Memory of a parsed header beside its text, and the size from which on headers
 # count, both in bytes.
 _HEADER_OVERHEAD = 128
@@ -108,15 +111,17 @@
             part = data[: self._find_part_end(data)]
             data = data[len(part) :]
             self._framing += len(part)
-            if not self._is_in_body and self._framing > limit:
+            # A chunked body makes up for its framing while it is parsed.
+            if self._is_in_body or self._framing <= limit:
+                self._parse(part)
+            if self._is_discarding:
+                return
+            if self._framing > limit:
                 self._refuse(
                     ErrorCode.HEADERS_TOO_LARGE,
-                    f"the head exceeds {limit} bytes",
+                    f"head, trailers or chunk framing exceed {limit} bytes",
                 )
                 return
-            self._parse(part)
-            if self._is_discarding:
-                return
 
     def _find_part_end(self, data: bytes) -> int:
         """Returns up to where bytes belong to the current request."""
@@ -144,12 +149,10 @@
         super().on_message_begin()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header."""
-        if self._is_discarding:
+        """Collects a header; drops trailers, which aren't forwarded."""
+        if self._is_in_body or self._is_discarding:
             return
         super().on_header(name, value)
-        if self._is_in_body:
-            return
         name = self.headers[-1][0]
         if name == b"content-length":
             self._body_left = int(value)
@@ -174,8 +177,12 @@
         """Passes a part of the body to the application."""
         if self._is_discarding:
             return
-        if self._body_left is not None:
+        if self._body_left is None:
+            credit = (1 + _FRAMING_PER_BODY_BYTE) * len(body)
+            self._framing = max(0, self._framing - credit)
+        else:
             self._body_left -= len(body)
+            self._framing = 0
         super().on_body(body)
 
     def on_message_complete(self) -> None:
--- a/daisyhub/serving/tests/test_connections.py
+++ b/daisyhub/serving/tests/test_connections.py
@@ -117,6 +117,23 @@
         received = await self.exchange(b"\r\n\r\n" + GET % 1)
         self.assertIn(b"/1=", received)
 
+    async def test_trailers_are_not_taken_for_headers(self):
+        body = b"1\r\na\r\n0\r\nApi-Key: other\r\n\r\n"
+        received = await self.exchange(CHUNKED + body)
+        self.assertIn(b"/a=a", received)
+        names = [name for name, _ in self.app.headers[0]]
+        self.assertNotIn(b"api-key", names)
+
+    async def test_trailers_over_the_limit_are_refused(self):
+        body = b"1\r\na\r\n0\r\n" + b"X: b\r\n" * 3000
+        received = await self.exchange(CHUNKED + body)
+        self.assertTrue(received.startswith(b"HTTP/1.1 431 "))
+
+    async def test_a_body_in_chunks_of_one_byte_is_served(self):
+        chunks = b"1\r\na\r\n" * 20_000 + b"0\r\n\r\n"
+        received = await self.exchange(CHUNKED, chunks)
+        self.assertTrue(received.endswith(b"/a=" + b"a" * 20_000))
+
     async def test_a_request_behind_an_ignored_upgrade_is_served(self):
         upgrade = b"Connection: upgrade\r\nUpgrade: h2c\r\n\r\n"
         get = b"GET /1 HTTP/1.1\r\nHost: a\r\n" + upgrade
