Bodies: all requests together keep within a budget of memory

What callers saw: many bodies of legal size at once, whole or piece by piece, most stopping short of their end, made a daemon run out of memory. Cause: each might hold `max-body-bytes` for as long as its connection was open, and was copied when it was joined, by httpcore and by the transport.

Bodies hold a claim until their request is answered. If one doesn't fit, those without progress are refused, with 503 and Retry-After, or with 504 if an earlier attempt may have stored the lot. Reading ends at the deadline (408). A stated length without room is refused unread. Bodies are sent to endpoints, and responses to callers, in parts of 64 KB. A response that begins before its request has ended closes the connection.

--- a/daisyhub/connections/_exchange.py
+++ b/daisyhub/connections/_exchange.py
@@ -5,7 +5,7 @@
 must fit.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import AsyncIterator, Callable, Collection
 
 import httpcore
 
@@ -27,6 +27,8 @@
 ]
 
 _REQUEST_ID_HEADER = b"daisyhub-request-id"
+# Size of the parts in which a large body is sent, in bytes.
+_PART_BYTES = 1 << 16
 _NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 _NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -119,10 +121,25 @@
             target=target.encode(),
         ),
         headers=[*added, *headers],
-        content=body,
+        content=body if len(body) <= _PART_BYTES else _BodyParts(body),
     )
 
 
+class _BodyParts:
+    """A large body in parts.
+
+    httpcore and the transport copy whatever they are given at a time, until
+    the server has received it.
+    """
+
+    def __init__(self, body: bytes):
+        self._body = body
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        for start in range(0, len(self._body), _PART_BYTES):
+            yield self._body[start : start + _PART_BYTES]
+
+
 def find_request_id(headers: tuple[Header, ...]) -> bytes | None:
     """Returns the id in the headers of a request, or None."""
     for name, value in headers:
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -265,6 +265,7 @@
             self.keys,
             self.metrics,
             cfg.daemon_id,
+            memory,
         )
         caller_limits = ConnectionLimits(
             header_bytes=cfg.limits.header_bytes,
--- a/daisyhub/exceptions.py
+++ b/daisyhub/exceptions.py
@@ -42,6 +42,7 @@
     PATH_INVALID = ("path_invalid", 400)
     ROUTE_UNKNOWN = ("route_unknown", 404)
     METHOD_NOT_ALLOWED = ("method_not_allowed", 405)
+    REQUEST_TIMEOUT = ("request_timeout", 408)
     BODY_TOO_LARGE = ("body_too_large", 413)
     BODY_INVALID = ("body_invalid", 400)
     HEADERS_TOO_LARGE = ("headers_too_large", 431)
--- a/daisyhub/filters/_validate.py
+++ b/daisyhub/filters/_validate.py
@@ -48,7 +48,9 @@
                 ran=ExecutionStatus.NOT_RUN,
             )
         self._check_headers(req)
-        body = await req.read_body(self._max_body_bytes(req))
+        body = await req.read_body(
+            self._max_body_bytes(req), deadline_s=req.deadline_s
+        )
         if has_key(body):
             raise Refusal(
                 ErrorCode.BODY_INVALID,
--- a/daisyhub/gateway/_app.py
+++ b/daisyhub/gateway/_app.py
@@ -15,9 +15,11 @@
 )
 from daisyhub.gateway._wire import CallerWire
 from daisyhub.logs import DecisionLog
+from daisyhub.memory import MemoryBudget
 from daisyhub.messages import Request, Response
 from daisyhub.metrics import Metrics
 from daisyhub.problems import problem_body
+from daisyhub.serving import RequestBody
 
 __all__ = ["GatewayApp"]
 
@@ -39,6 +41,8 @@
         metrics: Counts responses and refusals, and measures latency.
         log: Receives refusals, internal errors, disconnects and failed
             streams.
+        memory: Memory of the process for what clients send; by default that
+            of a process that states none.
 
     Attributes:
         is_draining: Whether responses ask callers to close their connection.
@@ -51,7 +55,9 @@
         wire: CallerWire,
         metrics: Metrics,
         log: DecisionLog,
+        memory: MemoryBudget | None = None,
     ):
+        self._memory = memory or MemoryBudget()
         self._handler = handler
         self._wire = wire
         self._metrics = metrics
@@ -70,13 +76,23 @@
             self.open_requests -= 1
 
     async def _serve(self, scope: dict, receive: Receive, send: Send) -> None:
+        body = RequestBody(scope["headers"], receive, self._memory)
+        try:
+            await self._answer(scope, receive, send, body)
+        finally:
+            body.release()
+
+    async def _answer(
+        self, scope: dict, receive: Receive, send: Send, body: RequestBody
+    ) -> None:
         started_s = time.monotonic()
-        receiver = _RequestReceiver(receive)
         try:
-            req = self._wire.read_request(scope, receiver.read_body, started_s)
+            req = self._wire.read_request(scope, body.read, started_s)
         except Refusal as exc:
             await self._send(self._refuse(exc, None), send)
             return
+        body.deadline_s = req.deadline_s
+        receiver = _RequestReceiver(receive, body)
         resp = await self._handle(req, receiver)
         if resp is None:
             self._metrics.count("callers_left")
@@ -219,46 +235,18 @@
 
 
 class _RequestReceiver:
-    """Receives the body of one request, then its caller's disconnect."""
+    """Waits for the disconnect of a request's caller."""
 
-    def __init__(self, receive: Receive):
+    def __init__(self, receive: Receive, body: RequestBody):
         self._receive = receive
-        self._body_read = anyio.Event()
-
-    async def read_body(self, max_bytes: int) -> bytes:
-        """Returns the complete body.
-
-        Raises:
-            Refusal: The body is larger than `max_bytes`, or incomplete.
-        """
-        chunks = []
-        size = 0
-        while True:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                raise Refusal(
-                    ErrorCode.BODY_INVALID,
-                    "the body is incomplete",
-                    ran=ExecutionStatus.NOT_RUN,
-                )
-            chunks.append(message.get("body", b""))
-            size += len(chunks[-1])
-            if size > max_bytes:
-                raise Refusal(
-                    ErrorCode.BODY_TOO_LARGE,
-                    f"the body exceeds {max_bytes} bytes",
-                    ran=ExecutionStatus.NOT_RUN,
-                )
-            if not message.get("more_body", False):
-                self._body_read.set()
-                return b"".join(chunks)
+        self._body = body
 
     async def cancel_on_disconnect(self, scope: anyio.CancelScope) -> None:
         """Cancels the scope when the caller closes its connection.
 
         Waits until the body is read, as both use the same `receive`.
         """
-        await self._body_read.wait()
+        await self._body.was_read.wait()
         while (await self._receive())["type"] != "http.disconnect":
             pass
         scope.cancel()
--- a/daisyhub/gateway/_body_filter.py
+++ b/daisyhub/gateway/_body_filter.py
@@ -3,11 +3,15 @@
 import dataclasses
 
 from daisyhub.base import Filter, Handler
-from daisyhub.catalog import ManifestController
+from daisyhub.catalog import ManifestController, RouteKind
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.messages import Request, Response
 
-__all__ = ["BodyFilter"]
+__all__ = ["BodyFilter", "without_promise"]
+
+# A lot is held as its body, its decoded items, and what is written to the
+# store, encoded and as a message.
+_LOT_COPIES = 4
 
 
 class BodyFilter(Filter):
@@ -23,7 +27,11 @@
         self._manifests = manifests
 
     async def handle(self, req: Request, call_next: Handler) -> Response:
-        """Refuses requests that are larger than the manifest allows."""
+        """Refuses requests that are larger than the manifest allows.
+
+        Without its body, a lot that was submitted before, and may be stored,
+        can't be told from a new one.
+        """
         limits = self._manifests.manifest.limits
         size = sum(len(name) + len(value) for name, value in req.headers)
         if size > limits.header_bytes:
@@ -32,5 +40,41 @@
                 f"headers of {size} bytes exceed {limits.header_bytes} bytes",
                 ran=ExecutionStatus.NOT_RUN,
             )
-        body = await req.read_body(limits.body_bytes)
+        try:
+            body = await req.read_body(
+                limits.body_bytes,
+                copies=_count_copies(req),
+                deadline_s=req.deadline_s,
+            )
+        except Refusal as exc:
+            raise without_promise(exc) if _may_be_lot(req) else exc from None
         return await call_next(dataclasses.replace(req, body=body))
+
+
+def _may_be_lot(req: Request) -> bool:
+    """Whether a request whose body wasn't read may submit a lot.
+
+    An earlier manifest may have had a route for lots at the path.
+    """
+    if req.route is not None and req.route.kind is RouteKind.ROLLOUT:
+        return True
+    content_types = req.header_values(b"content-type")
+    return req.method == "POST" and any(b"json" in t for t in content_types)
+
+
+def without_promise(exc: Refusal) -> Refusal:
+    """Returns a refusal that doesn't say that a lot has not run."""
+    if not exc.error.promises_not_run:
+        return exc
+    return Refusal(
+        ErrorCode.LOT_UNCONFIRMED,
+        f"the lot wasn't read, but may be stored: {exc.detail}",
+        ran=ExecutionStatus.UNKNOWN,
+        retry_after_s=exc.retry_after_s,
+    )
+
+
+def _count_copies(req: Request) -> int:
+    """Returns how many times a body is held until its request is answered."""
+    is_lot = req.route is not None and req.route.kind is RouteKind.ROLLOUT
+    return _LOT_COPIES if is_lot else 1
--- a/daisyhub/gateway/_relay_server.py
+++ b/daisyhub/gateway/_relay_server.py
@@ -22,6 +22,11 @@
 # Largest relayed request, in bytes: the largest body that a manifest allows,
 # and the headers.
 _MAX_BYTES = 1 << 26
+# A relayed body is held as a message and decoded.
+_COPIES = 2
+# Time in which a peer must have sent a request, in seconds. The request's own
+# deadline is known once it is read.
+_READ_TIMEOUT_S = 10.0
 # Status of a response that isn't an endpoint's; its header says more.
 _NOT_ANSWERED_STATUS = 502
 
@@ -86,7 +91,12 @@
     async def __call__(self, req: Request) -> Response:
         """Returns the endpoint's response, or why there is none."""
         try:
-            relayed = decode_request(await req.read_body(_MAX_BYTES))
+            body = await req.read_body(
+                _MAX_BYTES,
+                copies=_COPIES,
+                deadline_s=req.started_s + _READ_TIMEOUT_S,
+            )
+            relayed = decode_request(body)
         except ValueError as exc:
             raise Refusal(
                 ErrorCode.BODY_INVALID, str(exc), ran=ExecutionStatus.NOT_RUN
--- a/daisyhub/gateway/_route_filter.py
+++ b/daisyhub/gateway/_route_filter.py
@@ -6,6 +6,7 @@
 from daisyhub.base import Filter, Handler
 from daisyhub.catalog import ManifestController
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
+from daisyhub.gateway._body_filter import without_promise
 from daisyhub.messages import Request, Response
 
 __all__ = ["FindRouteFilter"]
@@ -64,7 +65,11 @@
 
         Another daemon may have stored a lot that is submitted again here.
         """
-        if self._may_be_lot(await req.read_body(_MAX_BODY_BYTES)):
+        try:
+            body = await req.read_body(_MAX_BODY_BYTES)
+        except Refusal as exc:
+            return without_promise(exc)
+        if self._may_be_lot(body):
             return Refusal(
                 ErrorCode.LOT_UNCONFIRMED,
                 "no manifest has been loaded yet; the lot may be stored",
--- a/daisyhub/gateway/tests/test_relays.py
+++ b/daisyhub/gateway/tests/test_relays.py
@@ -173,7 +173,7 @@
 
 class RelayHandlerTest(unittest.IsolatedAsyncioTestCase):
     async def handle(self, sender, *, is_cut_off=False, body=b""):
-        async def read_body(max_bytes):
+        async def read_body(max_bytes, **_):
             return body
 
         handler = RelayHandler(
--- a/daisyhub/gateway/tests/test_route_filter.py
+++ b/daisyhub/gateway/tests/test_route_filter.py
@@ -24,7 +24,7 @@
         manifests = ManifestController(PlatformManifestReader(), log)
         route_filter = FindRouteFilter(manifests, may_be_lot)
 
-        async def read_body(_):
+        async def read_body(_, **__):
             return body
 
         now_s = time.monotonic()
--- a/daisyhub/gateway/tests/test_shutdown_filter.py
+++ b/daisyhub/gateway/tests/test_shutdown_filter.py
@@ -15,7 +15,7 @@
 
 
 def make_request(route="short", *, kind=RouteKind.UNSAFE, timeout_s=10.0):
-    async def read_body(max_bytes):
+    async def read_body(max_bytes, **_):
         return b""
 
     now_s = time.monotonic()
--- a/daisyhub/identity/tests/test_proof_keys.py
+++ b/daisyhub/identity/tests/test_proof_keys.py
@@ -113,7 +113,7 @@
     def send(self, path, query, headers, body):
         """Returns the texts that a client or a log could show."""
 
-        async def read_body(_):
+        async def read_body(_, **__):
             return body
 
         req = Request(
--- a/daisyhub/lots/tests/test_repeated_submissions.py
+++ b/daisyhub/lots/tests/test_repeated_submissions.py
@@ -187,7 +187,7 @@
             types.SimpleNamespace(manifest=manifest), may_be_lot
         )
 
-        async def read_body(_):
+        async def read_body(_, **__):
             return b"lot"
 
         async def reject(_):
--- a/daisyhub/messages.py
+++ b/daisyhub/messages.py
@@ -10,7 +10,7 @@
 __all__ = ["Header", "Request", "Response", "Resumption"]
 
 Header = tuple[bytes, bytes]
-BodyReader = Callable[[int], Awaitable[bytes]]
+BodyReader = Callable[..., Awaitable[bytes]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,7 +39,8 @@
         host: Host name; `CallersApp` passes it in lower case without the port.
         headers: Headers in order of arrival, names in lower case.
         read_body: Returns the whole body; raises `Refusal` if it has more than
-            the given number of bytes or is incomplete.
+            the given number of bytes or is incomplete. See
+            `serving.RequestBody.read`.
         started_s: Time of arrival, monotonic seconds.
         deadline_s: Time by which the caller needs the response, monotonic
             seconds.
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -589,7 +589,11 @@
         )
         self.listeners = listeners
         self.app = GatewayApp(
-            handler, PlatformCallerWire(), self.metrics, self.log
+            handler,
+            PlatformCallerWire(),
+            self.metrics,
+            self.log,
+            self.memory,
         )
         self.callers_server = listeners.build_callers_server(self.app)
         self.relay_servers = listeners.build_relay_servers(
@@ -621,6 +625,7 @@
             RelayWire(PlatformCallerWire()),
             Metrics(),
             self.log,
+            self.memory,
         )
 
     @property
--- a/daisyhub/serving/__init__.py
+++ b/daisyhub/serving/__init__.py
@@ -1,5 +1,6 @@
 """HTTP servers and ASGI applications for callers and operators."""
 
+from daisyhub.serving._body_reader import RequestBody
 from daisyhub.serving._callers_app import CallersApp, OpenStreams
 from daisyhub.serving._limits import (
     ConnectionLimits,
@@ -16,5 +17,6 @@
     "ListenerLimits",
     "OpenStreams",
     "OperatorsApp",
+    "RequestBody",
     "count_sockets",
 ]
--- a/daisyhub/serving/_callers_app.py
+++ b/daisyhub/serving/_callers_app.py
@@ -11,9 +11,11 @@
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.identity import KeyTable
 from daisyhub.logs import get_logger
+from daisyhub.memory import MemoryBudget
 from daisyhub.messages import BodyReader, Request, Response
 from daisyhub.metrics import Metrics
 from daisyhub.problems import problem_response
+from daisyhub.serving._body_reader import RequestBody
 
 __all__ = ["CallersApp", "OpenStreams"]
 
@@ -69,6 +71,8 @@
         keys: Checks the key of a stream and reports invalidated keys.
         metrics: Counts responses and refusals, and measures latency.
         daemon_id: Part of each request id.
+        memory: Memory of the process for what clients send; by default that
+            of a process that states none.
 
     Attributes:
         is_draining: Whether responses ask callers to close their connection.
@@ -81,7 +85,9 @@
         keys: KeyTable,
         metrics: Metrics,
         daemon_id: str,
+        memory: MemoryBudget | None = None,
     ):
+        self._memory = memory or MemoryBudget()
         self._handler = handler
         self._keys = keys
         self._streams = OpenStreams(keys)
@@ -97,17 +103,22 @@
         if scope["type"] != "http":
             return
         self.open_requests += 1
+        body = RequestBody(scope["headers"], receive, self._memory)
         try:
-            await self._serve(scope, receive, send)
+            await self._serve(scope, receive, send, body)
         finally:
             self.open_requests -= 1
+            body.release()
 
-    async def _serve(self, scope: dict, receive: Receive, send: Send) -> None:
+    async def _serve(
+        self, scope: dict, receive: Receive, send: Send, body: RequestBody
+    ) -> None:
         request_id = f"{self._id_prefix}-{next(self._numbers)}"
         started_s = time.monotonic()
         key_id = ""
         try:
-            req = _build_request(scope, receive, request_id, started_s)
+            req = _build_request(scope, body.read, request_id, started_s)
+            body.deadline_s = req.deadline_s
             resp = await self._handler(req)
             key_id = _key_id_of(req)
         except Refusal as exc:
@@ -207,7 +218,7 @@
 
 
 def _build_request(
-    scope: dict, receive: Receive, request_id: str, started_s: float
+    scope: dict, read_body: BodyReader, request_id: str, started_s: float
 ) -> Request:
     headers = tuple(scope["headers"])
     hosts = [value for name, value in headers if name == b"host"]
@@ -225,7 +236,7 @@
         query=scope["query_string"].decode("latin-1"),
         host=host,
         headers=headers,
-        read_body=_make_body_reader(headers, receive),
+        read_body=read_body,
         started_s=started_s,
         deadline_s=started_s + _parse_timeout_s(headers),
     )
@@ -259,37 +270,3 @@
     for value in req.header_values(b"authorization"):
         return value.decode("latin-1").partition("dh_")[2].partition("_")[0]
     return ""
-
-
-def _make_body_reader(headers, receive: Receive) -> BodyReader:
-    async def read_body(max_bytes: int) -> bytes:
-        for name, value in headers:
-            if name == b"content-length" and int(value) > max_bytes:
-                raise _make_too_large_refusal(max_bytes)
-        chunks = []
-        size = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                raise Refusal(
-                    ErrorCode.BODY_INVALID,
-                    "the body is incomplete",
-                    ran=ExecutionStatus.NOT_RUN,
-                )
-            chunk = message.get("body", b"")
-            size += len(chunk)
-            if size > max_bytes:
-                raise _make_too_large_refusal(max_bytes)
-            chunks.append(chunk)
-            if not message.get("more_body", False):
-                return b"".join(chunks)
-
-    return read_body
-
-
-def _make_too_large_refusal(max_bytes: int) -> Refusal:
-    return Refusal(
-        ErrorCode.BODY_TOO_LARGE,
-        f"the body exceeds {max_bytes} bytes",
-        ran=ExecutionStatus.NOT_RUN,
-    )
--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -19,7 +19,10 @@
 from daisyhub.serving._limits import ListenerLimits
 from daisyhub.serving._lingering_transport import LingeringTransport
 
-__all__ = ["BoundedProtocol"]
+__all__ = ["CONNECTION", "BoundedProtocol"]
+
+# Key of the connection in the ASGI scope of a request.
+CONNECTION = "daisyhub.connection"
 
 _HEAD_END = b"\r\n\r\n"
 _EMPTY_LINES = b"\r\n"
@@ -172,6 +175,7 @@
             return
         self._claim.pin()
         super().on_headers_complete()
+        self.scope[CONNECTION] = self
 
     def on_body(self, body: bytes) -> None:
         """Passes a part of the body to the application."""
@@ -193,6 +197,15 @@
         if not self._is_discarding:
             super().on_message_complete()
 
+    def begin_response(self) -> None:
+        """Closes after a response that begins before its request has ended.
+
+        What follows can't be told from another request.
+        """
+        if self._is_in_body:
+            self.transport.must_linger = True
+            self.cycle.keep_alive = False
+
     def on_response_complete(self) -> None:
         """Waits for the next request."""
         self._claim.release()
--- a/daisyhub/serving/_server.py
+++ b/daisyhub/serving/_server.py
@@ -11,13 +11,16 @@
 
 from daisyhub.memory import MemoryBudget
 from daisyhub.serving._limits import ListenerLimits
-from daisyhub.serving._protocol import BoundedProtocol
+from daisyhub.serving._protocol import CONNECTION, BoundedProtocol
 from daisyhub.settings import Address
 
 __all__ = ["HttpServer"]
 
 _BACKLOG = 1024
 _READ_BYTES = 1 << 16
+# Size of the parts in which a response is written, so that a client that
+# doesn't read makes the process hold one of them.
+_WRITE_BYTES = 1 << 16
 # Maximum time that `shutdown` waits for partly received requests, and the
 # interval at which it checks for them.
 _LAST_REQUESTS_TIMEOUT_S = 1.0
@@ -47,6 +50,7 @@
     ):
         if limits is None:
             limits = ListenerLimits(memory=MemoryBudget())
+        self._app = app
         protocol = functools.partial(
             BoundedProtocol,
             limits,
@@ -54,7 +58,8 @@
         )
         super().__init__(
             uvicorn.Config(
-                app,
+                self._serve_request,
+                interface="asgi3",
                 http=protocol,
                 backlog=_BACKLOG,
                 loop="asyncio",
@@ -88,6 +93,25 @@
         finally:
             self.stopped.set()
 
+    async def _serve_request(self, scope: dict, receive, send) -> None:
+        """Calls the application; writes large responses in parts."""
+        conn = scope.pop(CONNECTION, None)
+
+        async def send_parts(message: dict) -> None:
+            if message["type"] == "http.response.start":
+                conn.begin_response()
+            body = message.get("body", b"")
+            if len(body) > _WRITE_BYTES:
+                body = memoryview(body)
+            while len(body) > _WRITE_BYTES:
+                part = {**message, "body": body[:_WRITE_BYTES]}
+                await send({**part, "more_body": True})
+                body = body[_WRITE_BYTES:]
+                message = {**message, "body": body}
+            await send(message)
+
+        await self._app(scope, receive, send_parts)
+
     def stop(self) -> None:
         """Starts the shutdown; no connections are accepted any more.
 
--- a/daisyhub/serving/tests/test_connections.py
+++ b/daisyhub/serving/tests/test_connections.py
@@ -141,6 +141,13 @@
         self.assertIn(b"/1=", received)
         self.assertIn(b"/2=", received)
 
+    async def test_nothing_behind_an_unread_body_is_a_request(self):
+        head = HEAD.replace(b"/a", b"/unread") + b"Content-Length: 1000\r\n\r\n"
+        received = await self.exchange(head, GET % 1)
+        self.assertIn(b"connection: close", received)
+        self.assertTrue(received.endswith(b"/unread="))
+        self.assertEqual(len(self.app.headers), 1)
+
     async def test_invalid_requests_are_refused(self):
         received = await self.exchange(b"what?\r\n\r\n")
         self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
