Connections: heads, idle clients and unread responses have a time limit

What callers saw: a connection that had sent nothing, or half a head, was kept for good. Cause: `header-timeout-ms` was decoded nowhere, and uvicorn's timer runs between requests only.

None gets an answer: 408 would promise that the request hasn't run, and an unfinished head may be that of a lot that was submitted before.

--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -1,8 +1,12 @@
 """The HTTP/1.1 protocol of a connection, within the limits of its listener.
 
+A connection whose head doesn't arrive in time is closed without a response:
+408 and 503 would promise that a request has not run, and an unfinished head may
+be that of a lot that was submitted before.
+
 uvicorn's protocol keeps whatever a client sends until a request's head is
 complete. This one counts what
-isn't part of a body.
+isn't part of a body, and bounds the time until a head is complete.
 """
 
 import asyncio
@@ -36,6 +40,9 @@
 # count, both in bytes.
 _HEADER_OVERHEAD = 128
 _CLAIM_STEP_BYTES = 4096
+# Time in which a client must have received what fills the write buffer, in
+# seconds.
+_WRITE_TIMEOUT_S = 60.0
 
 
 class BoundedProtocol(HttpToolsProtocol, asyncio.BufferedProtocol):
@@ -71,14 +78,19 @@
         self._body_left: int | None = 0
         # Whether all further bytes are dropped.
         self._is_discarding = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_head_timed = False
+        self._write_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Makes sure that a refusal arrives before the close."""
+        """Starts the time within which a client must send something."""
         super().connection_made(LingeringTransport(transport))
+        self._set_timer(self._limits.get_limits().idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Returns what the connection holds."""
         self._stop_reading()
+        self.resume_writing()
         self._unset_keepalive_if_required()
         self.transport.cancel_timer()
         self._claim.release()
@@ -125,6 +137,7 @@
                     f"head, trailers or chunk framing exceed {limit} bytes",
                 )
                 return
+        self._update_timer()
 
     def _find_part_end(self, data: bytes) -> int:
         """Returns up to where bytes belong to the current request."""
@@ -173,6 +186,7 @@
         self._is_in_body = True
         if self._is_discarding:
             return
+        self._cancel_timer()
         self._claim.pin()
         super().on_headers_complete()
         self.scope[CONNECTION] = self
@@ -209,11 +223,55 @@
     def on_response_complete(self) -> None:
         """Waits for the next request."""
         self._claim.release()
+        self.timeout_keep_alive = self._limits.get_limits().idle_timeout_s
         super().on_response_complete()
         if self.transport.is_closing():
             self._stop_reading()
             return
 
+    def pause_writing(self) -> None:
+        """Bounds the time in which a client must read."""
+        super().pause_writing()
+        self._write_timer = self.loop.call_later(
+            _WRITE_TIMEOUT_S, self._on_write_timeout
+        )
+
+    def resume_writing(self) -> None:
+        """Ends the time in which a client must read."""
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+        super().resume_writing()
+
+    def _on_write_timeout(self) -> None:
+        self._limits.on_refused("unread_response")
+        self.transport.abort()
+
+    def _update_timer(self) -> None:
+        """Bounds the time until a head is complete."""
+        has_part = not self._is_in_body and (self._has_begun or self._framing)
+        if not has_part:
+            self._cancel_timer()
+        elif not self._is_head_timed:
+            self._set_timer(self._limits.get_limits().head_timeout_s)
+            self._is_head_timed = True
+
+    def _set_timer(self, delay_s: float) -> None:
+        self._cancel_timer()
+        self._timer = self.loop.call_later(delay_s, self._on_timeout)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._is_head_timed = False
+
+    def _on_timeout(self) -> None:
+        if self._is_head_timed:
+            self._limits.on_refused("head_timeout")
+        self._stop_reading()
+        self.transport.close()
+
     def _on_no_room(self) -> None:
         self._limits.on_refused("no_room_for_head")
         self._stop_reading()
@@ -222,6 +280,7 @@
     def _stop_reading(self) -> None:
         """Drops what was received and what still comes."""
         self._is_discarding = True
+        self._cancel_timer()
 
     def _refuse(self, error: ErrorCode, detail: str) -> None:
         """Ends the connection, with a response if one is due."""
--- a/daisyhub/serving/tests/test_connections.py
+++ b/daisyhub/serving/tests/test_connections.py
@@ -117,6 +117,17 @@
         received = await self.exchange(b"\r\n\r\n" + GET % 1)
         self.assertIn(b"/1=", received)
 
+    async def test_empty_lines_alone_get_no_response(self):
+        limits = ConnectionLimits(head_timeout_s=0.1, idle_timeout_s=0.1)
+        received = await self.exchange(b"\r\n", limits=limits)
+        self.assertEqual(received, b"")
+
+    async def test_a_part_of_a_head_gets_no_promise(self):
+        limits = ConnectionLimits(head_timeout_s=0.1)
+        received = await self.exchange(HEAD, limits=limits)
+        self.assertEqual(received, b"")
+        self.assertEqual(self.refused, ["head_timeout"])
+
     async def test_trailers_are_not_taken_for_headers(self):
         body = b"1\r\na\r\n0\r\nApi-Key: other\r\n\r\n"
         received = await self.exchange(CHUNKED + body)
