Connections: each listener has a maximum number

What callers saw: beside idle connections that used up the descriptors, a daemon answered nobody. Cause: nothing bounded the number of connections, and accepting as well as opening connections to endpoints failed.

--- a/daisyhub/serving/__init__.py
+++ b/daisyhub/serving/__init__.py
@@ -2,6 +2,10 @@
 
 from daisyhub.serving._body_reader import RequestBody
 from daisyhub.serving._callers_app import CallersApp, OpenStreams
+from daisyhub.serving._connection_table import (
+    ConnectionTable,
+    EvictableConnection,
+)
 from daisyhub.serving._limits import (
     ConnectionLimits,
     ListenerLimits,
@@ -13,6 +17,8 @@
 __all__ = [
     "CallersApp",
     "ConnectionLimits",
+    "ConnectionTable",
+    "EvictableConnection",
     "HttpServer",
     "ListenerLimits",
     "OpenStreams",
--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -20,6 +20,10 @@
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.messages import Response
 from daisyhub.problems import problem_response
+from daisyhub.serving._connection_table import (
+    ConnectionTable,
+    EvictableConnection,
+)
 from daisyhub.serving._limits import ListenerLimits
 from daisyhub.serving._lingering_transport import LingeringTransport
 
@@ -45,11 +49,14 @@
 _WRITE_TIMEOUT_S = 60.0
 
 
-class BoundedProtocol(HttpToolsProtocol, asyncio.BufferedProtocol):
+class BoundedProtocol(
+    HttpToolsProtocol, asyncio.BufferedProtocol, EvictableConnection
+):
     """Serves one connection.
 
     Args:
         limits: Limits of the listener.
+        table: Connections of the listener.
         buffer: Receives what is read; shared by all connections, as it is
             processed at once.
         *args: Arguments of uvicorn's protocol.
@@ -59,12 +66,14 @@
     def __init__(
         self,
         limits: ListenerLimits,
+        table: ConnectionTable,
         buffer: bytearray,
         *args,
         **kwargs,
     ):
         super().__init__(*args, **kwargs)
         self._limits = limits
+        self._table = table
         self._buffer = buffer
         self._claim = limits.memory.open(self._on_no_room)
         # Bytes of headers that aren't claimed yet.
@@ -86,6 +95,7 @@
         """Starts the time within which a client must send something."""
         super().connection_made(LingeringTransport(transport))
         self._set_timer(self._limits.get_limits().idle_timeout_s)
+        self._table.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Returns what the connection holds."""
@@ -93,6 +103,7 @@
         self.resume_writing()
         self._unset_keepalive_if_required()
         self.transport.cancel_timer()
+        self._table.remove(self)
         self._claim.release()
         super().connection_lost(exc)
 
@@ -187,6 +198,7 @@
         if self._is_discarding:
             return
         self._cancel_timer()
+        self._table.set_busy(self)
         self._claim.pin()
         super().on_headers_complete()
         self.scope[CONNECTION] = self
@@ -228,6 +240,13 @@
         if self.transport.is_closing():
             self._stop_reading()
             return
+        self._table.set_idle(self)
+
+    def evict(self) -> None:
+        """Makes room for another connection."""
+        self._stop_reading()
+        self._limits.on_refused("connections")
+        self.transport.abort()
 
     def pause_writing(self) -> None:
         """Bounds the time in which a client must read."""
--- a/daisyhub/serving/_server.py
+++ b/daisyhub/serving/_server.py
@@ -10,6 +10,7 @@
 import uvicorn
 
 from daisyhub.memory import MemoryBudget
+from daisyhub.serving._connection_table import ConnectionTable
 from daisyhub.serving._limits import ListenerLimits
 from daisyhub.serving._protocol import CONNECTION, BoundedProtocol
 from daisyhub.settings import Address
@@ -17,6 +18,9 @@
 __all__ = ["HttpServer"]
 
 _BACKLOG = 1024
+# Connections accepted at a time. All of them are open before the first can make
+# room for others.
+_ACCEPT_COUNT = 16
 _READ_BYTES = 1 << 16
 # Size of the parts in which a response is written, so that a client that
 # doesn't read makes the process hold one of them.
@@ -54,6 +58,7 @@
         protocol = functools.partial(
             BoundedProtocol,
             limits,
+            ConnectionTable(limits.connections),
             bytearray(_READ_BYTES),
         )
         super().__init__(
@@ -61,7 +66,7 @@
                 self._serve_request,
                 interface="asgi3",
                 http=protocol,
-                backlog=_BACKLOG,
+                backlog=_ACCEPT_COUNT,
                 loop="asyncio",
                 ws="none",
                 lifespan="off",
@@ -93,6 +98,14 @@
         finally:
             self.stopped.set()
 
+    async def startup(self, sockets=None) -> None:
+        """Starts listening."""
+        await super().startup(sockets)
+        for sock in sockets or ():
+            # uvicorn's backlog is also the number of connections accepted at a
+            # time.
+            sock.listen(_BACKLOG)
+
     async def _serve_request(self, scope: dict, receive, send) -> None:
         """Calls the application; writes large responses in parts."""
         conn = scope.pop(CONNECTION, None)
