Connections: the next request is parsed after the response to the last

What callers saw: one client that pipelined requests without end made a daemon grow until it ran out of memory. Cause: uvicorn parses whatever it has read, keeps a cycle for each request, and resumes reading whenever an application waits for a disconnect.

The parser gets one request at a time. What follows is kept unparsed, at most 16 KB and one read, and reading stops meanwhile.

--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -5,8 +5,9 @@
 be that of a lot that was submitted before.
 
 uvicorn's protocol keeps whatever a client sends until a request's head is
-complete. This one counts what
-isn't part of a body, and bounds the time until a head is complete.
+complete, and parses pipelined requests as they arrive. This one counts what
+isn't part of a body, bounds the time until a head is complete, and parses the
+next request only after the response to the one before.
 """
 
 import asyncio
@@ -44,6 +45,8 @@
 # count, both in bytes.
 _HEADER_OVERHEAD = 128
 _CLAIM_STEP_BYTES = 4096
+# Size up to which pipelined requests are read ahead, in bytes.
+_READ_AHEAD_BYTES = 1 << 14
 # Time in which a client must have received what fills the write buffer, in
 # seconds.
 _WRITE_TIMEOUT_S = 60.0
@@ -85,6 +88,7 @@
         self._is_in_body = False
         # Bytes that the current body still has; None if it is chunked.
         self._body_left: int | None = 0
+        self._read_ahead = bytearray()
         # Whether all further bytes are dropped.
         self._is_discarding = False
         self._timer: asyncio.TimerHandle | None = None
@@ -116,16 +120,35 @@
         if not self._is_discarding:
             self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
 
-    def data_received(self, data: bytes) -> None:
-        """Parses received bytes."""
-        self._unset_keepalive_if_required()
-        self._parse_all(data)
-
     def eof_received(self) -> None:
         """Closes the connection, as the client does."""
         self.transport.must_linger = False
         self.transport.close()
 
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes unless a response has to be sent before."""
+        self._unset_keepalive_if_required()
+        if self._is_responding:
+            self._keep_for_later(data)
+        else:
+            self._parse_all(data)
+
+    @property
+    def _is_responding(self) -> bool:
+        """Whether a request is complete, and its response isn't."""
+        cycle = self.cycle
+        return (
+            cycle is not None
+            and not self._is_in_body
+            and not cycle.response_complete
+        )
+
+    def _keep_for_later(self, data: bytes) -> None:
+        self._read_ahead += data
+        self.transport.must_linger = True
+        if len(self._read_ahead) > _READ_AHEAD_BYTES:
+            self.transport.pause_reading()
+
     def _parse_all(self, data: bytes) -> None:
         """Parses bytes up to the end of a request."""
         limit = self._limits.get_limits().framing_bytes
@@ -148,6 +171,9 @@
                     f"head, trailers or chunk framing exceed {limit} bytes",
                 )
                 return
+            if data and self._is_responding:
+                self._keep_for_later(data)
+                return
         self._update_timer()
 
     def _find_part_end(self, data: bytes) -> int:
@@ -233,7 +259,7 @@
             self.cycle.keep_alive = False
 
     def on_response_complete(self) -> None:
-        """Waits for the next request."""
+        """Goes on with what was read while the response was sent."""
         self._claim.release()
         self.timeout_keep_alive = self._limits.get_limits().idle_timeout_s
         super().on_response_complete()
@@ -241,6 +267,19 @@
             self._stop_reading()
             return
         self._table.set_idle(self)
+        if self._read_ahead:
+            self._unset_keepalive_if_required()
+            self.loop.call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        """Parses what was read ahead."""
+        if self._is_discarding or self._is_responding:
+            return
+        data = bytes(self._read_ahead)
+        self._read_ahead.clear()
+        self.transport.must_linger = False
+        self.transport.resume_reading()
+        self._parse_all(data)
 
     def evict(self) -> None:
         """Makes room for another connection."""
@@ -299,6 +338,7 @@
     def _stop_reading(self) -> None:
         """Drops what was received and what still comes."""
         self._is_discarding = True
+        self._read_ahead.clear()
         self._cancel_timer()
 
     def _refuse(self, error: ErrorCode, detail: str) -> None:
--- a/daisyhub/serving/tests/test_connections.py
+++ b/daisyhub/serving/tests/test_connections.py
@@ -145,6 +145,21 @@
         received = await self.exchange(CHUNKED, chunks)
         self.assertTrue(received.endswith(b"/a=" + b"a" * 20_000))
 
+    async def test_pipelined_requests_are_answered_in_order(self):
+        count = 50
+        requests = b"".join(GET % number for number in range(count))
+        received = await self.exchange(requests)
+        answers = [b"/%d=" % number for number in range(count)]
+        found = [received.find(answer) for answer in answers]
+        self.assertEqual(found, sorted(found))
+        self.assertNotIn(-1, found)
+
+    async def test_requests_with_bodies_are_answered_in_order(self):
+        head = HEAD.replace(b"/a", b"/%d") + b"Content-Length: 3\r\n\r\nabc"
+        received = await self.exchange(head % 1 + CHUNKED + b"0\r\n\r\n" + head)
+        self.assertEqual(received.count(b" 200 "), 3)
+        self.assertLess(received.find(b"/1=abc"), received.find(b"/a="))
+
     async def test_a_request_behind_an_ignored_upgrade_is_served(self):
         upgrade = b"Connection: upgrade\r\nUpgrade: h2c\r\n\r\n"
         get = b"GET /1 HTTP/1.1\r\nHost: a\r\n" + upgrade
