Connections to endpoints are closed by a timer once they are idle

Seen beside idle clients: connections to endpoints stayed open long after `connection_idle_s`, 100 descriptors where 33 were allowed. Cause: the pool closed expired connections only when another one was released.

A timer runs while connections are idle.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -89,7 +89,8 @@
         self._in_use: collections.Counter[Address] = collections.Counter()
         self._waiters: dict[Address, collections.deque[asyncio.Future]] = {}
         self._dropped: list[Connection] = []
-        self._sweep_at_s = 0.0
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._sweep_task: asyncio.Task | None = None
 
     async def request(
         self,
@@ -297,10 +298,13 @@
         if self._hand_over(address, conn):
             return
         self._idle.setdefault(address, []).append(conn)
-        await self._sweep(conn.idle_since_s)
+        self._schedule_sweep()
 
     async def aclose(self) -> None:
         """Closes every idle connection."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._sweep_timer = None
         for address in list(self._idle):
             self.drop_idle_connections(address)
         await self._close_dropped()
@@ -385,11 +389,19 @@
         while self._dropped:
             await self._dropped.pop().aclose()
 
-    async def _sweep(self, now_s: float) -> None:
-        """Closes expired connections, at most once per idle timeout."""
-        if now_s < self._sweep_at_s:
-            return
-        self._sweep_at_s = now_s + self._idle_s
+    def _schedule_sweep(self) -> None:
+        """Makes sure that connections are closed though none is used again."""
+        if self._sweep_timer is None:
+            loop = asyncio.get_running_loop()
+            self._sweep_timer = loop.call_later(self._idle_s, self._start_sweep)
+
+    def _start_sweep(self) -> None:
+        self._sweep_timer = None
+        self._sweep_task = asyncio.create_task(self._sweep())
+
+    async def _sweep(self) -> None:
+        """Closes expired connections."""
+        now_s = time.monotonic()
         for address, conns in list(self._idle.items()):
             recent = [c for c in conns if self._is_recent(c, now_s)]
             self._dropped += [c for c in conns if c not in recent]
@@ -397,6 +409,8 @@
                 self._idle[address] = recent
             else:
                 del self._idle[address]
+        if self._idle:
+            self._schedule_sweep()
         await self._close_dropped()
 
     def _is_recent(self, conn: Connection, now_s: float) -> bool:
