Peers: unfinished frames count towards the memory budget

Seen while the listeners were compared: bytes that begin a large frame on the port for peers, and stop short of its end, stayed in memory, up to 64 MB for each connection. Cause: a link keeps a frame until it is complete.

Unfinished frames have a claim; the link without progress is closed if others need the room, and its peer sends again what wasn't acknowledged.

--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -96,6 +96,7 @@
         self.cfg = cfg
         self.incarnation = time.time_ns() // _NS_PER_US
         self.metrics = Metrics()
+        self.memory = MemoryBudget(cfg.limits.memory_mb)
         self.keys = KeyTable(cfg.key_hash_secret)
         self.table = EndpointTable()
         self._build_clients()
@@ -120,7 +121,9 @@
         self.lease_factory = LeaseFactory(
             self.platform, self.process_id, timing
         )
-        self.network = PeerNetwork(self.cfg, self.incarnation)
+        self.network = PeerNetwork(
+            self.cfg, self.incarnation, memory=self.memory
+        )
         self.counters = UsageCounters(
             self.cfg.daemon_id, self.incarnation, timing.usage_window_s
         )
@@ -259,13 +262,12 @@
 
     def _build_servers(self) -> None:
         cfg = self.cfg
-        memory = MemoryBudget(cfg.limits.memory_mb)
         self.callers_app = CallersApp(
             build_chain(self._filters()),
             self.keys,
             self.metrics,
             cfg.daemon_id,
-            memory,
+            self.memory,
         )
         caller_limits = ConnectionLimits(
             header_bytes=cfg.limits.header_bytes,
@@ -278,7 +280,7 @@
             cfg.callers_address,
             cfg.timing.drain_limit_s,
             ListenerLimits(
-                memory=memory,
+                memory=self.memory,
                 connections=int(_CALLERS_SHARE * sockets),
                 get_limits=lambda: caller_limits,
                 on_refused=self._count_refused,
@@ -288,7 +290,7 @@
             OperatorsApp(self.metrics, self.is_ready, self.status),
             cfg.operators_address,
             limits=ListenerLimits(
-                memory=memory,
+                memory=self.memory,
                 connections=min(
                     _MAX_OPERATORS, int(_OPERATORS_SHARE * sockets)
                 ),
--- a/daisyhub/peers/_links.py
+++ b/daisyhub/peers/_links.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable
 
+from daisyhub.memory import MemoryBudget
 from daisyhub.settings import Address
 
 __all__ = ["IncomingLink", "OutgoingLink"]
@@ -190,12 +191,18 @@
         on_frame: Called with each complete frame.
         open_links: The open links of the daemon; this one adds and removes
             itself.
+        memory: Memory of the process for what others send. The link is closed
+            if an unfinished frame has no room.
     """
 
     def __init__(
-        self, on_frame: Callable[[bytes], None], open_links: set["IncomingLink"]
+        self,
+        on_frame: Callable[[bytes], None],
+        open_links: set["IncomingLink"],
+        memory: MemoryBudget,
     ):
         self._on_frame = on_frame
+        self._claim = memory.open(self.abort)
         self._open_links = open_links
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
@@ -210,6 +217,9 @@
     def data_received(self, data: bytes) -> None:
         """Passes complete frames on, then acknowledges them."""
         self._last_received_s = time.monotonic()
+        self._claim.add(len(data))
+        if self._claim.is_evicted:
+            return
         self._buffer += data
         start = 0
         count = 0
@@ -230,6 +240,8 @@
         if not count:
             return
         del self._buffer[:start]
+        self._claim.release()
+        self._claim.add(len(self._buffer))
         self._received += count
         self._transport.write(_ACK.pack(self._received))
 
@@ -237,9 +249,11 @@
         """Removes the link."""
         del exc
         self._open_links.discard(self)
+        self._claim.release()
 
     def abort(self) -> None:
-        """Closes the connection."""
+        """Closes the connection; drops an unfinished frame."""
+        self._buffer = bytearray()
         if self._transport is not None:
             self._transport.abort()
 
--- a/daisyhub/peers/_network.py
+++ b/daisyhub/peers/_network.py
@@ -16,6 +16,7 @@
 
 from daisyhub.exceptions import DaisyhubError
 from daisyhub.logs import get_logger
+from daisyhub.memory import MemoryBudget
 from daisyhub.peers._links import IncomingLink, OutgoingLink
 from daisyhub.peers._messages import Call, CallResponse, Envelope
 from daisyhub.settings import Address, DaemonSettings
@@ -82,6 +83,8 @@
         cfg: Settings of this daemon.
         incarnation: Start of this process, microseconds since the epoch.
         protocol: The message types that are exchanged.
+        memory: Memory of the process for what others send; by default that of
+            a process that states none.
     """
 
     def __init__(
@@ -89,8 +92,10 @@
         cfg: DaemonSettings,
         incarnation: int,
         protocol: PeerProtocol = _DEFAULT_PROTOCOL,
+        memory: MemoryBudget | None = None,
     ):
         self._cfg = cfg
+        self._memory = memory or MemoryBudget()
         self._protocol = protocol
         self._addresses = {p.daemon_id: p.address for p in cfg.peers}
         self._incarnation = incarnation
@@ -199,7 +204,7 @@
         loop = asyncio.get_running_loop()
         own = self._cfg.peer_address
         server = await loop.create_server(
-            lambda: IncomingLink(self._receive, self._incoming),
+            lambda: IncomingLink(self._receive, self._incoming, self._memory),
             own.ip,
             own.port,
         )
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -183,7 +183,9 @@
             idle_s=cfg.connection_idle_s,
             on_exchange=self._record_exchange,
         )
-        self.network = PeerNetwork(cfg, self.incarnation, CLUSTER_PROTOCOL)
+        self.network = PeerNetwork(
+            cfg, self.incarnation, CLUSTER_PROTOCOL, self.memory
+        )
         self.peers = PeerTable(cfg.daemon_id, self.log)
         direct = PlatformStore(
             parse_address(cfg.store),
