--- a/daisyhub/serving/_body_reader.py
+++ b/daisyhub/serving/_body_reader.py
@@ -48,7 +48,6 @@
         self._headers = headers
         self._receive = receive
         self._budget = budget
-        self._scope = anyio.CancelScope()
         self._claim: MemoryClaim | None = None
         self.was_read = anyio.Event()
         self.deadline_s = math.inf
@@ -73,24 +72,23 @@
                 arrive in time, or there is no room for it.
         """
         self._check_length(max_bytes, copies)
-        self._claim = self._budget.open(self._scope.cancel)
         if deadline_s is None:
             deadline_s = self.deadline_s
         body = None
-        with self._scope:
-            with anyio.move_on_after(deadline_s - time.monotonic()) as waiting:
-                body = await self._collect(max_bytes, copies)
+        with anyio.move_on_after(deadline_s - time.monotonic()) as scope:
+            self._claim = self._budget.open(scope.cancel)
+            body = await self._collect(max_bytes, copies)
         if body is not None:
             self._claim.pin()
             self.was_read.set()
             return body
-        if waiting.cancelled_caught:
-            raise Refusal(
-                ErrorCode.REQUEST_TIMEOUT,
-                "the body didn't arrive in the time that the request has",
-                ran=ExecutionStatus.NOT_RUN,
-            )
-        raise _make_no_room_refusal()
+        if self._claim.is_evicted:
+            raise _make_no_room_refusal()
+        raise Refusal(
+            ErrorCode.REQUEST_TIMEOUT,
+            "the body didn't arrive in the time that the request has",
+            ran=ExecutionStatus.NOT_RUN,
+        )
 
     def release(self) -> None:
         """Returns the memory, once the request is answered."""
