Responses: large ones keep within the budget of memory

Seen while related paths were looked at: clients that ask for large responses, and read them or not, made a daemon hold all of them. Cause: a buffered response is collected, copied to the write buffer as a whole, and kept until it is read.

A response has a claim while it is read from the endpoint and while it is written. A client that doesn't read is disconnected if others need the room; a response that finds none fails with 502 and 'ran', and its endpoint isn't counted as failed. The budget is 40% of the memory beside 64 MB, not half, as what the allocator keeps adds to it.

The crowd waits until nothing moves, as the peak comes after its requests.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -27,6 +27,7 @@
     try_connect,
 )
 from daisyhub.connections._exchange import (
+    NoRoomError,
     check_may_send,
     exchange_heads,
     find_request_id,
@@ -39,6 +40,7 @@
     Timing,
 )
 from daisyhub.exceptions import ExecutionStatus
+from daisyhub.memory import MemoryBudget
 from daisyhub.messages import Header
 from daisyhub.settings import Address
 
@@ -57,6 +59,10 @@
 ExchangeObserver = Callable[[Address, bool], None]
 
 
+def _ignore() -> None:
+    """Is called when a claim is evicted, which `read_body` notices itself."""
+
+
 def _always() -> bool:
     """The default of `may_send`."""
     return True
@@ -71,6 +77,8 @@
         on_exchange: Called with the address of a server and whether it
             answered: at each response head, failure, and request that is
             cancelled after a long silence.
+        memory: Memory of the process for buffered responses; by default that
+            of a process that states none.
     """
 
     def __init__(
@@ -79,7 +87,9 @@
         connect_timeout_s: float,
         idle_s: float,
         on_exchange: ExchangeObserver = lambda *_: None,
+        memory: MemoryBudget | None = None,
     ):
+        self._memory = memory or MemoryBudget()
         self._connect_timeout_s = connect_timeout_s
         self._idle_s = idle_s
         self._on_exchange = on_exchange
@@ -181,6 +191,7 @@
             RequestFailedError: See `request`.
         """
         method, address, target, headers, body = request
+        claim = self._memory.open(_ignore)
         conn.begin_exchange()
         try:
             with mapped_errors(address, lambda: conn.ran, deadline_s):
@@ -188,7 +199,11 @@
                     conn, method, address, target, headers, body
                 )
                 self._on_exchange(address, True)
-                content = await read_body(conn, response, max_body_bytes)
+                content = await read_body(conn, response, max_body_bytes, claim)
+        except NoRoomError:
+            # The server isn't at fault.
+            await conn.aclose()
+            raise
         except RequestFailedError:
             self._report_failure(address, conn)
             await self._discard(address, conn, started_s)
@@ -198,6 +213,8 @@
             self._report_cancelled(address, conn, started_s)
             await conn.aclose()
             raise
+        finally:
+            claim.release()
         conn.update_keep_alive(response.headers)
         await self.release(address, conn, started_s)
         return HttpResponse(
--- a/daisyhub/connections/_exchange.py
+++ b/daisyhub/connections/_exchange.py
@@ -15,10 +15,12 @@
     RequestWithdrawnError,
 )
 from daisyhub.exceptions import ExecutionStatus
+from daisyhub.memory import MemoryClaim
 from daisyhub.messages import Header
 from daisyhub.settings import Address
 
 __all__ = [
+    "NoRoomError",
     "check_may_send",
     "exchange_heads",
     "find_request_id",
@@ -75,18 +77,40 @@
     return response
 
 
+class NoRoomError(RequestFailedError):
+    """The memory of the process has no room for a response."""
+
+    code = "no_room"
+
+
 async def read_body(
-    conn: Connection, response: httpcore.Response, max_bytes: int
+    conn: Connection,
+    response: httpcore.Response,
+    max_bytes: int,
+    claim: MemoryClaim,
 ) -> bytes:
     """Returns the complete body of a response.
 
+    Args:
+        conn: The connection.
+        response: The response.
+        max_bytes: Maximum size.
+        claim: Grows with the body.
+
     Raises:
+        NoRoomError: There is no room for the body.
         RequestFailedError: The body is larger than `max_bytes`.
     """
     chunks = []
     size = 0
     async for chunk in response.stream:
         size += len(chunk)
+        claim.add(len(chunk))
+        if claim.is_evicted:
+            raise NoRoomError(
+                f"there is no room for the response after {size} bytes",
+                ran=ExecutionStatus.RAN,
+            )
         if size > max_bytes:
             raise RequestFailedError(
                 f"the response exceeds {max_bytes} bytes",
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -114,6 +114,7 @@
         self.http = HttpClient(
             connect_timeout_s=timing.connect_timeout_s,
             idle_s=timing.connection_idle_s,
+            memory=self.memory,
         )
         self.platform = PlatformClient(
             self.cfg.platform_address, self.http, timing.platform_timeout_s
--- a/daisyhub/memory.py
+++ b/daisyhub/memory.py
@@ -39,14 +39,14 @@
 # that the budget has. The other part is for connections, responses and what
 # the allocator can't return.
 _BASE_BYTES = 64_000_000
-_BUDGET_SHARE = 0.5
+_BUDGET_SHARE = 0.4
 _DEFAULT_MEMORY_MB = 256.0
 _MIN_LIMIT_BYTES = 1 << 22
 _BYTES_PER_MB = 1_000_000
 
 
 class MemoryClaim:
-    """The memory that one request holds.
+    """The memory that one request, or its response, holds.
 
     Attributes:
         held: Bytes that count.
@@ -75,7 +75,7 @@
         self._since_progress += size
         if self._since_progress >= _PROGRESS_BYTES:
             self._since_progress = 0
-            self.moved_at_s = self._budget.now_s()
+            self.touch()
         self._total += size * weight
         if self._total > _FREE_BYTES:
             self._budget.resize(self, self._total - _FREE_BYTES)
@@ -85,6 +85,10 @@
         """Whether the request must end."""
         return self.state is _State.EVICTED
 
+    def touch(self) -> None:
+        """Records that its client made progress."""
+        self.moved_at_s = self._budget.now_s()
+
     def pin(self) -> None:
         """Keeps what was received until `release`; nothing evicts it."""
         if self.state is _State.RECEIVING:
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -182,6 +182,7 @@
             connect_timeout_s=cfg.connect_timeout_s,
             idle_s=cfg.connection_idle_s,
             on_exchange=self._record_exchange,
+            memory=self.memory,
         )
         self.network = PeerNetwork(
             cfg, self.incarnation, CLUSTER_PROTOCOL, self.memory
--- a/daisyhub/serving/_limits.py
+++ b/daisyhub/serving/_limits.py
@@ -56,7 +56,7 @@
     """
 
     memory: MemoryBudget
-    connections: int = 256
+    connections: int = _UNLIMITED_SOCKETS
     get_limits: Callable[[], ConnectionLimits] = ConnectionLimits
     on_refused: Callable[[str], None] = _ignore
 
--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -258,6 +258,15 @@
             self.transport.must_linger = True
             self.cycle.keep_alive = False
 
+    def hold_response(self, size: int) -> None:
+        """Counts a large response until its client has received it."""
+        self._claim.release()
+        self._claim.add(size)
+
+    def on_part_sent(self) -> None:
+        """Records that the client has received a part of its response."""
+        self._claim.touch()
+
     def on_response_complete(self) -> None:
         """Goes on with what was read while the response was sent."""
         self._claim.release()
@@ -331,9 +340,12 @@
         self.transport.close()
 
     def _on_no_room(self) -> None:
-        self._limits.on_refused("no_room_for_head")
+        reason = (
+            "unread_response" if self._is_responding else "no_room_for_head"
+        )
+        self._limits.on_refused(reason)
         self._stop_reading()
-        self.transport.close()
+        self.transport.abort()
 
     def _stop_reading(self) -> None:
         """Drops what was received and what still comes."""
--- a/daisyhub/serving/_server.py
+++ b/daisyhub/serving/_server.py
@@ -115,10 +115,12 @@
                 conn.begin_response()
             body = message.get("body", b"")
             if len(body) > _WRITE_BYTES:
+                conn.hold_response(len(body))
                 body = memoryview(body)
             while len(body) > _WRITE_BYTES:
                 part = {**message, "body": body[:_WRITE_BYTES]}
                 await send({**part, "more_body": True})
+                conn.on_part_sent()
                 body = body[_WRITE_BYTES:]
                 message = {**message, "body": body}
             await send(message)
--- a/daisyhub/serving/tests/crowd_cases.py
+++ b/daisyhub/serving/tests/crowd_cases.py
@@ -258,6 +258,18 @@
         await self.crowd(lambda _: _endless(b"", get), _PIPELINES, reads=False)
         await self.check()
 
+    async def test_large_responses_that_stay_unread(self):
+        get = self.head(has_body=False).replace(b"/1 ", b"/large ", 1) + b"\r\n"
+        crowd = await self.crowd(lambda _: iter([get]), _BODIES, reads=False)
+        await crowd.wait_until_still()
+        await self.check()
+
+    async def test_large_responses(self):
+        get = self.head(has_body=False).replace(b"/1 ", b"/large ", 1) + b"\r\n"
+        crowd = await self.crowd(lambda _: iter([get]), _BODIES)
+        await crowd.wait_until_still()
+        await self.check()
+
     async def test_part_of_a_head_and_then_silence(self):
         await self.crowd(lambda _: iter([self.head()]))
         await self.check_closed()
--- a/daisyhub/testing/crowd.py
+++ b/daisyhub/testing/crowd.py
@@ -86,9 +86,18 @@
         if self._reads:
             reading = map(self._read_one, range(len(self._socks)))
             self._tasks += [asyncio.create_task(task) for task in reading]
+        await self._watch(
+            lambda: may_go_on() and not all(task.done() for task in sending)
+        )
+
+    async def wait_until_still(self) -> None:
+        """Waits until nothing has been sent or received for some seconds."""
+        await self._watch(lambda: True)
+
+    async def _watch(self, may_go_on: Callable[[], bool]) -> None:
         loop = asyncio.get_running_loop()
         moved, moved_at_s = -1, loop.time()
-        while not all(task.done() for task in sending) and may_go_on():
+        while may_go_on():
             if self._moved != moved:
                 moved, moved_at_s = self._moved, loop.time()
             if loop.time() - moved_at_s > _STALL_S:
--- a/daisyhub/testing/fake_app.py
+++ b/daisyhub/testing/fake_app.py
@@ -18,10 +18,19 @@
 from daisyhub.serving import HttpServer
 from daisyhub.settings import Address
 
-__all__ = ["FakeApp", "Fault", "Request", "Response", "serve_fake"]
+__all__ = [
+    "LARGE_TEXT",
+    "FakeApp",
+    "Fault",
+    "Request",
+    "Response",
+    "serve_fake",
+]
 
 _PORT = flags.DEFINE_integer("port", 0, "Port on loopback to listen on.")
 _FOREVER_S = 3600.0
+# Text of a large response, which all share.
+LARGE_TEXT = "a" * (4 << 20)
 
 
 class Fault(msgspec.Struct, frozen=True, kw_only=True):
--- a/daisyhub/testing/fake_fleet.py
+++ b/daisyhub/testing/fake_fleet.py
@@ -22,7 +22,13 @@
     ObjectConflictError,
     StoredObject,
 )
-from daisyhub.testing.fake_app import FakeApp, Request, Response, serve_fake
+from daisyhub.testing.fake_app import (
+    LARGE_TEXT,
+    FakeApp,
+    Request,
+    Response,
+    serve_fake,
+)
 from daisyhub.testing.object_store import MemoryStore
 
 __all__ = ["CRASH_STATUS", "FakePlatformStore", "FakeServer"]
@@ -180,7 +186,8 @@
     `GET /admin/arrivals` returns the monotonic time of each request, reports
     and orders included, that arrived while a limit was stated, and `GET
     /admin/received` path and time of each one that arrived at all. A look-up of
-    `/records/crash` ends the process with `CRASH_STATUS`.
+    `/records/crash` ends the process with `CRASH_STATUS`, that of
+    `/records/large` has a response of 4 MB.
 
     Args:
         name: Instance id.
@@ -271,6 +278,8 @@
         if request.path.startswith("/chat/"):
             return self._generate(request, request.path.rpartition("/")[2])
         await anyio.sleep(self.event_s)
+        if request.path == "/records/large":
+            return self._respond(value=LARGE_TEXT)
         return self._respond(value={"path": request.path})
 
     async def _handle_order(self, order: dict) -> Response:
--- a/daisyhub/testing/fake_service.py
+++ b/daisyhub/testing/fake_service.py
@@ -4,7 +4,13 @@
 from absl import app, flags
 
 from daisyhub.logs import set_up_logs
-from daisyhub.testing.fake_app import FakeApp, Request, Response, serve_fake
+from daisyhub.testing.fake_app import (
+    LARGE_TEXT,
+    FakeApp,
+    Request,
+    Response,
+    serve_fake,
+)
 
 __all__ = ["FakeService"]
 
@@ -17,7 +23,8 @@
 class FakeService(FakeApp):
     """Responds to look-ups and records each filing (POST) that it runs.
 
-    Paths below `/stream` get a streamed response with any method.
+    Paths below `/stream` get a streamed response with any method, and the
+    response of `/records/large` has 4 MB.
 
     `GET /admin/filings` returns the bodies of all filings, `GET
     /admin/headers` the names of all headers received; `POST /admin/leave` sets
@@ -69,6 +76,8 @@
             return self._respond(
                 201, {"filed": request.body.decode(), "no": number}
             )
+        if request.path == "/records/large":
+            return self._respond(200, LARGE_TEXT)
         account = request.headers.get("daisyhub-account", "")
         value = {"path": request.path, "account": account, "by": self.name}
         return self._respond(200, value)
