Connections: only large heads are claimed, once for each part

A claim for each header cost every request. Heads of up to 2 KB aren't counted now, larger ones by what was received and the number of headers.

--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -41,10 +41,10 @@
 # Bytes of framing that each byte of a chunked body makes up for: more than
 # those of a chunk of one byte.
 _FRAMING_PER_BODY_BYTE = 8
-# Memory of a parsed header beside its text, and the size from which on headers
-# count, both in bytes.
+# Memory of a parsed header beside its text, and the size from which on a head
+# counts, both in bytes.
 _HEADER_OVERHEAD = 128
-_CLAIM_STEP_BYTES = 4096
+_ORDINARY_HEAD_BYTES = 2048
 # Size up to which pipelined requests are read ahead, in bytes.
 _READ_AHEAD_BYTES = 1 << 14
 # Time in which a client must have received what fills the write buffer, in
@@ -79,8 +79,8 @@
         self._table = table
         self._buffer = buffer
         self._claim = limits.memory.open(self._on_no_room)
-        # Bytes of headers that aren't claimed yet.
-        self._unclaimed = 0
+        # Bytes of the current head that are claimed.
+        self._claimed = 0
         # Bytes since the last progress that aren't part of a body.
         self._framing = 0
         # Whether a part of a head was received, and whether a body is due.
@@ -163,6 +163,8 @@
             # A chunked body makes up for its framing while it is parsed.
             if self._is_in_body or self._framing <= limit:
                 self._parse(part)
+            if self._has_begun and not self._is_in_body:
+                self._claim_head()
             if self._is_discarding:
                 return
             if self._framing > limit:
@@ -176,6 +178,14 @@
                 return
         self._update_timer()
 
+    def _claim_head(self) -> None:
+        """Counts a large head towards the memory of the process."""
+        if self._framing <= _ORDINARY_HEAD_BYTES:
+            return
+        size = self._framing + _HEADER_OVERHEAD * len(self.headers)
+        self._claim.add(size - self._claimed)
+        self._claimed = size
+
     def _find_part_end(self, data: bytes) -> int:
         """Returns up to where bytes belong to the current request."""
         if self._is_in_body and self._body_left is not None:
@@ -211,15 +221,12 @@
             self._body_left = int(value)
         elif name == b"transfer-encoding":
             self._body_left = None
-        self._unclaimed += len(name) + len(value) + _HEADER_OVERHEAD
-        if self._unclaimed > _CLAIM_STEP_BYTES:
-            self._claim.add(self._unclaimed)
-            self._unclaimed = 0
 
     def on_headers_complete(self) -> None:
         """Starts serving the request."""
+        self._claim_head()
         self._framing = 0
-        self._unclaimed = 0
+        self._claimed = 0
         self._is_in_body = True
         if self._is_discarding:
             return
