Memory: the largest body fits beside ordinary ones

Found while reading: beside any request above 16 KB in progress, a body of the maximum size, or a lot, which counts four times, was refused though there was memory. Cause: it had to fit with all others, unless it was the only claim. It now counts as the part of the budget that large claims have, at most.

--- a/daisyhub/memory.py
+++ b/daisyhub/memory.py
@@ -49,7 +49,7 @@
     """The memory that one request, or its response, holds.
 
     Attributes:
-        held: Bytes that count.
+        held: Bytes that count towards the budget.
         state: What may happen to it.
         moved_at_s: When its client last made progress.
     """
@@ -80,6 +80,11 @@
         if self._total > _FREE_BYTES:
             self._budget.resize(self, self._total - _FREE_BYTES)
 
+    @property
+    def is_large(self) -> bool:
+        """Whether it belongs to the large claims."""
+        return self.held >= _LARGE_BYTES
+
     @property
     def is_evicted(self) -> bool:
         """Whether the request must end."""
@@ -111,8 +116,9 @@
     """Decides which requests may hold how much memory.
 
     A claim that grows beyond the budget evicts the claims that hold the most
-    for the longest time without progress, perhaps itself. A claim that is the
-    only one always fits, whatever its size.
+    for the longest time without progress, perhaps itself. Large claims together
+    have a part of the budget only. One of them always fits, whatever its size,
+    as it counts as that part at most.
 
     Args:
         memory_mb: Memory of the process, in units of 10^6 bytes; by default
@@ -121,7 +127,7 @@
 
     Attributes:
         limit: Bytes that all claims may hold together.
-        held: Bytes that they hold.
+        held: Bytes of theirs that count.
         evicted: Number of claims that were evicted.
     """
 
@@ -132,6 +138,7 @@
     ):
         spare = memory_mb * _BYTES_PER_MB - _BASE_BYTES
         self.limit = max(_MIN_LIMIT_BYTES, int(spare * _BUDGET_SHARE))
+        self._large_limit = int(self.limit * (1 - _SMALL_SHARE))
         self.now_s = now_s
         self.held = 0
         self.evicted = 0
@@ -148,38 +155,38 @@
 
     def has_room_for(self, size: int) -> bool:
         """Whether a body of this size could be held, whoever is evicted."""
-        pinned = self._held_in(_State.PINNED)
-        return not pinned or pinned + size - _FREE_BYTES <= self._limit_of(size)
+        counted = min(size, self._large_limit)
+        pinned = [c for c in self._claims if c.state is _State.PINNED]
+        if sum(c.held for c in pinned) + counted > self.limit:
+            return False
+        large = sum(c.held for c in pinned if c.is_large)
+        return size < _LARGE_BYTES or large + counted <= self._large_limit
 
     def resize(self, claim: MemoryClaim, size: int) -> None:
         """Sets what a claim holds; evicts claims if that is too much."""
-        has_grown = size > claim.held
-        self.held += size - claim.held
-        claim.held = size
+        counted = min(size, self._large_limit)
+        has_grown = counted > claim.held
+        self.held += counted - claim.held
+        claim.held = counted
         if not size:
             self._claims.discard(claim)
             return
         self._claims.add(claim)
-        if has_grown and self.held > self._limit_of(size):
-            self._evict_down_to(self._limit_of(size))
-
-    def _held_in(self, state: _State) -> int:
-        return sum(claim.held for claim in self._claims if claim.state is state)
-
-    def _limit_of(self, size: int) -> int:
-        if size < _LARGE_BYTES:
-            return self.limit
-        return int(self.limit * (1 - _SMALL_SHARE))
-
-    def _evict_down_to(self, limit: int) -> None:
-        """Evicts until the claims that stay are within a limit."""
-        if len(self._claims) == 1:
+        if has_grown and claim.is_large:
+            large = [c for c in self._claims if c.is_large]
+            self._evict_down_to(self._large_limit, large)
+        if has_grown and self.held > self.limit:
+            self._evict_down_to(self.limit, list(self._claims))
+
+    def _evict_down_to(self, limit: int, claims: list[MemoryClaim]) -> None:
+        """Evicts some of the claims until the others are within a limit."""
+        # Evicted claims are released a little later.
+        staying = sum(c.held for c in claims if not c.is_evicted)
+        if staying <= limit:
             return
         now_s = self.now_s()
-        # Evicted claims are released a little later.
-        staying = self.held - self._held_in(_State.EVICTED)
         candidates = sorted(
-            (c for c in self._claims if c.state is _State.RECEIVING),
+            (c for c in claims if c.state is _State.RECEIVING),
             key=lambda claim: claim.held * (now_s - claim.moved_at_s),
         )
         while staying > limit and candidates:
--- a/daisyhub/tests/test_memory.py
+++ b/daisyhub/tests/test_memory.py
@@ -24,6 +24,19 @@
         claim.add(500 * MB)
         self.assertEqual(self.evicted, [])
 
+    def test_the_largest_claim_fits_beside_ordinary_ones(self):
+        for number in range(10):
+            claim = self.open(number)
+            claim.add(500_000)
+            claim.pin()
+        self.assertTrue(self.budget.has_room_for(500 * MB))
+        largest = self.open("largest")
+        for _ in range(500):
+            largest.add(1 * MB)
+        largest.pin()
+        self.open("next").add(500_000)
+        self.assertEqual(self.evicted, [])
+
     def test_a_claim_without_progress_makes_room(self):
         stalled, moving = self.open("stalled"), self.open("moving")
         stalled.add(14 * MB)
