Serving: the module of RequestBody has its name

Cause: a newcomer looks for `RequestBody` in a module of that name; the file was called `_body_reader`. Change: the file is renamed. Measured: 18 tests of connections and of unread bodies pass.

--- a/daisyhub/serving/__init__.py
+++ b/daisyhub/serving/__init__.py
@@ -1,6 +1,5 @@
 """HTTP servers and ASGI applications for callers and operators."""
 
-from daisyhub.serving._body_reader import RequestBody
 from daisyhub.serving._callers_app import CallersApp, OpenStreams
 from daisyhub.serving._connection_table import (
     ConnectionTable,
@@ -12,6 +11,7 @@
     count_sockets,
 )
 from daisyhub.serving._operators_app import OperatorsApp
+from daisyhub.serving._request_body import RequestBody
 from daisyhub.serving._server import HttpServer
 
 __all__ = [
--- a/daisyhub/serving/_callers_app.py
+++ b/daisyhub/serving/_callers_app.py
@@ -15,7 +15,7 @@
 from daisyhub.messages import BodyReader, Request, Response
 from daisyhub.metrics import Metrics
 from daisyhub.problems import problem_response
-from daisyhub.serving._body_reader import RequestBody
+from daisyhub.serving._request_body import RequestBody
 
 __all__ = ["CallersApp", "OpenStreams"]
 
