--- a/daisyhub/connections/tests/test_complete_responses.py
+++ b/daisyhub/connections/tests/test_complete_responses.py
@@ -14,8 +14,8 @@
 import anyio
 
 from daisyhub.connections import HttpClient, RequestFailedError
-from daisyhub.connections import _client as client_module
 from daisyhub.connections import _exchange as exchange_module
+from daisyhub.connections import _pool as pool_module
 from daisyhub.connections._connection import Connection
 from daisyhub.exceptions import ExecutionStatus
 from daisyhub.settings import Address
@@ -170,7 +170,7 @@
         self.assertEqual(self.server.connections, 6)
 
     async def test_short_requests_wait_for_a_connection_in_use(self):
-        with mock.patch.object(client_module, "_MAX_RELEASE_WAIT_S", 5.0):
+        with mock.patch.object(pool_module, "_MAX_RELEASE_WAIT_S", 5.0):
             async with anyio.create_task_group() as tasks:
                 for number in range(5):
                     tasks.start_soon(
@@ -181,7 +181,7 @@
         self.assertEqual(self.server.connections, 1)
 
     async def test_long_requests_get_connections_of_their_own(self):
-        with mock.patch.object(client_module, "_MAX_RELEASE_WAIT_S", 0.001):
+        with mock.patch.object(pool_module, "_MAX_RELEASE_WAIT_S", 0.001):
             async with anyio.create_task_group() as tasks:
                 for number in range(3):
                     tasks.start_soon(
--- a/daisyhub/connections/tests/test_unknown_outcomes.py
+++ b/daisyhub/connections/tests/test_unknown_outcomes.py
@@ -8,7 +8,7 @@
 import anyio
 
 from daisyhub.connections import HttpClient, RequestFailedError
-from daisyhub.connections import _client as client_module
+from daisyhub.connections import _pool as pool_module
 from daisyhub.connections._connection import _TrackedStream
 from daisyhub.exceptions import ExecutionStatus
 from daisyhub.settings import Address
@@ -201,7 +201,7 @@
             )
 
         await send("q1")
-        with mock.patch.object(client_module, "_MAX_RELEASE_WAIT_S", 5.0):
+        with mock.patch.object(pool_module, "_MAX_RELEASE_WAIT_S", 5.0):
             async with anyio.create_task_group() as tasks:
                 # The second starts while the first uses the connection.
                 tasks.start_soon(send, "q2")
--- a/daisyhub/platform/tests/test_leaving_announcements.py
+++ b/daisyhub/platform/tests/test_leaving_announcements.py
@@ -12,7 +12,7 @@
     _directory,
 )
 from daisyhub.catalog import PoolShare, Route, RouteKind
-from daisyhub.connections import HttpClient, _client
+from daisyhub.connections import HttpClient, _pool
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.gateway import Sender, SendTask
 from daisyhub.logs import DecisionLog
@@ -179,7 +179,7 @@
         )
         other = await self.add_endpoint("b", ok)
         with (
-            mock.patch.object(_client, "_MAX_RELEASE_WAIT_S", 5.0),
+            mock.patch.object(_pool, "_MAX_RELEASE_WAIT_S", 5.0),
             # A slow first response makes the directory choose the other one.
             mock.patch.object(_directory, "_LATENCY_RATIO_SMOOTHING", 0.0),
         ):
