--- a/daisyhub/cluster/__init__.py
+++ b/daisyhub/cluster/__init__.py
@@ -11,35 +11,35 @@
     ORIGINS_KIND,
     DurableStreamOrigins,
 )
-from daisyhub.cluster._leaving_news import LeavingNews
-from daisyhub.cluster._load_news import LoadNews
-from daisyhub.cluster._messages import (
-    CLUSTER_PROTOCOL,
+from daisyhub.cluster._endpoint_messages import (
     ColdNotification,
     EndedProcess,
     EndpointLeavingNotification,
-    HolderNews,
+    PermitRequest,
+    PermitResponse,
+    RateLimitNotification,
+    SuspectNews,
+    TrialRequest,
+    TrialResponse,
+)
+from daisyhub.cluster._leaving_news import LeavingNews
+from daisyhub.cluster._load_news import LoadNews
+from daisyhub.cluster._lot_messages import (
     LotAcceptedNotification,
     LotEndedNotification,
     LotHeadRequest,
     LotItemBodyRequest,
     LotResponse,
     LotResultsRequest,
+)
+from daisyhub.cluster._messages import (
+    CLUSTER_PROTOCOL,
+    HolderNews,
     ManifestRequest,
     ManifestResponse,
-    PermitRequest,
-    PermitResponse,
     Ping,
-    RateLimitNotification,
     StoreRequest,
     StoreResponse,
-    StreamOriginBatch,
-    StreamOriginQuery,
-    StreamOriginRecord,
-    StreamOriginResponse,
-    SuspectNews,
-    TrialRequest,
-    TrialResponse,
     UsageReport,
 )
 from daisyhub.cluster._owners import OwnerTable
@@ -59,6 +59,12 @@
     PeerRelayProvider,
     StoreRequestHandler,
 )
+from daisyhub.cluster._stream_messages import (
+    StreamOriginBatch,
+    StreamOriginQuery,
+    StreamOriginRecord,
+    StreamOriginResponse,
+)
 from daisyhub.cluster._stream_origins import SharedStreamOrigins
 from daisyhub.cluster._suspects import SharedSuspects
 from daisyhub.cluster._task_messages import (
--- a/daisyhub/cluster/_durable_origins.py
+++ b/daisyhub/cluster/_durable_origins.py
@@ -11,8 +11,11 @@
 from daisyhub.balancing import Release
 from daisyhub.base import Controller
 from daisyhub.cluster._cluster_clock import ClusterClock
-from daisyhub.cluster._messages import StreamOriginBatch, StreamOriginResponse
 from daisyhub.cluster._peers import PeerTable
+from daisyhub.cluster._stream_messages import (
+    StreamOriginBatch,
+    StreamOriginResponse,
+)
 from daisyhub.cluster._stream_origins import SharedStreamOrigins
 from daisyhub.hosting import rank_candidates
 from daisyhub.logs import DecisionLog
--- a/daisyhub/cluster/_leaving_news.py
+++ b/daisyhub/cluster/_leaving_news.py
@@ -9,13 +9,13 @@
     LeavingMark,
     digest_marks,
 )
-from daisyhub.cluster._messages import (
+from daisyhub.cluster._endpoint_messages import (
     EndpointLeavingNotification,
     LeavingMarkNews,
     LeavingMarksRequest,
     LeavingMarksResponse,
-    Ping,
 )
+from daisyhub.cluster._messages import Ping
 from daisyhub.cluster._peers import PeerTable
 from daisyhub.fleet_settings import parse_address
 from daisyhub.logs import DecisionLog
--- a/daisyhub/cluster/_messages.py
+++ b/daisyhub/cluster/_messages.py
@@ -5,43 +5,46 @@
 from daisyhub.balancing import CapacityDigest
 from daisyhub.billing import WindowCounts
 from daisyhub.cluster._backlogs import BacklogNews
+from daisyhub.cluster._endpoint_messages import (
+    ColdNotification,
+    EndpointLeavingNotification,
+    LeavingMarksRequest,
+    LeavingMarksResponse,
+    PermitRequest,
+    PermitResponse,
+    RateLimitNotification,
+    SuspectNews,
+    TrialRequest,
+    TrialResponse,
+)
 from daisyhub.cluster._load_news import LoadNews
+from daisyhub.cluster._lot_messages import (
+    LotAcceptedNotification,
+    LotEndedNotification,
+    LotHeadRequest,
+    LotItemBodyRequest,
+    LotResponse,
+    LotResultsRequest,
+)
+from daisyhub.cluster._stream_messages import (
+    StreamOriginBatch,
+    StreamOriginQuery,
+    StreamOriginRecord,
+    StreamOriginResponse,
+)
 from daisyhub.cluster._task_messages import TaskOrders, TaskReport
 from daisyhub.objects import StoredObject
 from daisyhub.peers import PeerProtocol
-from daisyhub.streams import StoredOrigin
 
 __all__ = [
     "CLUSTER_PROTOCOL",
-    "ColdNotification",
-    "EndedProcess",
-    "EndpointLeavingNotification",
     "HolderNews",
-    "LeavingMarkNews",
-    "LeavingMarksRequest",
-    "LeavingMarksResponse",
-    "LotResponse",
-    "LotItemBodyRequest",
-    "LotEndedNotification",
-    "LotHeadRequest",
-    "LotResultsRequest",
-    "LotAcceptedNotification",
     "ManifestResponse",
     "ManifestRequest",
-    "PermitRequest",
-    "PermitResponse",
     "Ping",
-    "RateLimitNotification",
     "ReachQuestion",
-    "SuspectNews",
-    "TrialRequest",
-    "TrialResponse",
     "StoreResponse",
     "StoreRequest",
-    "StreamOriginBatch",
-    "StreamOriginQuery",
-    "StreamOriginRecord",
-    "StreamOriginResponse",
     "UsageReport",
 ]
 
@@ -68,56 +71,6 @@
     age_s: float
 
 
-class EndedProcess(msgspec.Struct, frozen=True, array_like=True):
-    """A process that ended while a suspected request ran there.
-
-    Attributes:
-        endpoint_id: The endpoint.
-        incarnation: Start time of its process, milliseconds since 1970; 0 if
-            unknown.
-        address: Where it listened, `IP:PORT`.
-        age_s: Seconds since its end.
-    """
-
-    endpoint_id: str
-    incarnation: int
-    address: str
-    age_s: float
-
-
-class SuspectNews(msgspec.Struct, frozen=True, kw_only=True, tag="sn"):
-    """What the sender knows of a suspected request.
-
-    Attributes:
-        digest: Digest of its content.
-        ended: The processes that ended while it ran there.
-        cleared_age_s: Seconds since the time up to which evidence was dropped;
-            None if it never was.
-        trials: Number of trials that were granted.
-    """
-
-    digest: bytes
-    ended: tuple[EndedProcess, ...]
-    cleared_age_s: float | None = None
-    trials: int = 0
-
-
-class TrialRequest(msgspec.Struct, frozen=True, kw_only=True, tag="tq"):
-    """Asks for a trial of a suspected request.
-
-    Attributes:
-        news: What the sender knows of it.
-    """
-
-    news: SuspectNews
-
-
-class TrialResponse(msgspec.Struct, frozen=True, kw_only=True, tag="ta"):
-    """Whether a trial was granted."""
-
-    is_granted: bool
-
-
 class Ping(
     msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="ping"
 ):
@@ -264,253 +217,6 @@
     found: StoredObject | None
 
 
-class LotResultsRequest(msgspec.Struct, frozen=True, kw_only=True, tag="rq"):
-    """Requests results of a lot from its holder.
-
-    Attributes:
-        lot_id: The lot.
-        after: Position of the first requested result, counted from 0.
-        wait_s: Maximum wait in seconds if there is no result yet.
-    """
-
-    lot_id: str
-    after: int
-    wait_s: float
-
-
-class LotItemBodyRequest(msgspec.Struct, frozen=True, kw_only=True, tag="bq"):
-    """Requests the body of an item from the lot's holder."""
-
-    lot_id: str
-    item_id: str
-
-
-class LotHeadRequest(msgspec.Struct, frozen=True, kw_only=True, tag="hq"):
-    """Requests a lot without its items from its holder."""
-
-    lot_id: str
-
-
-class LotAcceptedNotification(msgspec.Struct, frozen=True, tag="lt"):
-    """Notifies the holder of a lot that was accepted.
-
-    Attributes:
-        head: The lot without its items, JSON.
-    """
-
-    head: bytes
-
-
-class LotEndedNotification(msgspec.Struct, frozen=True, tag="le"):
-    """Notifies the holder of a lot that the lot was ended."""
-
-    lot_id: str
-
-
-class EndpointLeavingNotification(
-    msgspec.Struct, frozen=True, kw_only=True, tag="el"
-):
-    """Notifies peers that an endpoint announced its leaving.
-
-    Attributes:
-        endpoint_id: The endpoint.
-        incarnation: Start time of its process, milliseconds since 1970; 0 if
-            unknown.
-        address: Where it listens, `IP:PORT`.
-    """
-
-    endpoint_id: str
-    incarnation: int = 0
-    address: str = ""
-
-
-class LeavingMarkNews(msgspec.Struct, frozen=True, array_like=True):
-    """A process of an endpoint that announced its leaving.
-
-    Attributes:
-        endpoint_id: The endpoint.
-        incarnation: Start time of its process, milliseconds since 1970; 0 if
-            unknown.
-        address: Where it listens, `IP:PORT`.
-        age_s: Seconds since its announcement.
-    """
-
-    endpoint_id: str
-    incarnation: int
-    address: str
-    age_s: float
-
-
-class LeavingMarksRequest(msgspec.Struct, frozen=True, tag="mr"):
-    """Requests a peer's marks of leaving endpoints."""
-
-
-class LeavingMarksResponse(msgspec.Struct, frozen=True, kw_only=True, tag="ms"):
-    """The marks of leaving endpoints that the sender has.
-
-    Attributes:
-        digest: Their digest.
-        marks: The marks.
-    """
-
-    digest: int
-    marks: tuple[LeavingMarkNews, ...]
-
-
-class RateLimitNotification(
-    msgspec.Struct, frozen=True, kw_only=True, tag="rl"
-):
-    """Notifies peers that an endpoint limits its requests, or no more.
-
-    Attributes:
-        endpoint_id: The endpoint.
-        incarnation: Start time of its process, milliseconds since 1970; 0 if
-            unknown.
-        address: Where it listens, `IP:PORT`.
-        rate_per_s: Requests a second that it accepts; infinite if it states no
-            limit.
-        age_s: Seconds since the time from which that holds.
-    """
-
-    endpoint_id: str
-    incarnation: int
-    address: str
-    rate_per_s: float
-    age_s: float
-
-
-class ColdNotification(msgspec.Struct, frozen=True, kw_only=True, tag="cn"):
-    """Notifies peers that an endpoint became cold.
-
-    Attributes:
-        endpoint_id: The endpoint.
-        incarnation: Start time of its process, milliseconds since 1970; 0 if
-            unknown.
-        address: Where it listens, `IP:PORT`.
-        left_s: Seconds for which it stays cold.
-        per_s: Requests a second that it tolerates from all daemons together.
-    """
-
-    endpoint_id: str
-    incarnation: int
-    address: str
-    left_s: float
-    per_s: float
-
-
-class PermitRequest(msgspec.Struct, frozen=True, kw_only=True, tag="pq"):
-    """Asks for a permit for one request to an endpoint with a limit.
-
-    Attributes:
-        endpoint_id: The endpoint.
-        incarnation: Start time of its process, milliseconds since 1970; 0 if
-            unknown.
-        address: Where it listens, `IP:PORT`.
-        rate_per_s: Requests a second that it accepts, as the sender knows it;
-            infinite if it states no limit.
-        age_s: Seconds since the time from which that holds; infinite if it
-            never stated a limit.
-        is_urgent: Whether somebody waits for the request.
-        max_wait_s: How far ahead the permit may start.
-        cold_left_s: Seconds for which it stays cold, as the sender knows it.
-        cold_per_s: Requests a second that it tolerates while it is cold.
-    """
-
-    endpoint_id: str
-    incarnation: int
-    address: str
-    rate_per_s: float
-    age_s: float
-    is_urgent: bool
-    max_wait_s: float
-    cold_left_s: float = 0.0
-    cold_per_s: float = 0.0
-
-
-class PermitResponse(msgspec.Struct, frozen=True, kw_only=True, tag="pa"):
-    """The response to a request for a permit.
-
-    Attributes:
-        is_decided: Whether the daemon decides for the endpoint.
-        is_granted: Whether the request may be sent.
-        wait_s: Seconds until it may be sent, or until there is room if it was
-            denied.
-        rate_per_s: Requests a second that the endpoint accepts, as the daemon
-            knows it; None if it doesn't.
-        age_s: Seconds since the time from which that holds.
-        cold_left_s: Seconds for which the endpoint stays cold.
-        cold_per_s: Requests a second that it tolerates while it is cold.
-    """
-
-    is_decided: bool
-    is_granted: bool = False
-    wait_s: float = 0.0
-    rate_per_s: float | None = None
-    age_s: float = 0.0
-    cold_left_s: float = 0.0
-    cold_per_s: float = 0.0
-
-
-class StreamOriginRecord(msgspec.Struct, frozen=True, kw_only=True, tag="ow"):
-    """Asks a daemon to keep the origin of a stream.
-
-    Attributes:
-        key: Key of the stream's first request.
-        pool: Pool of the release that began it.
-        software: Software version of that release.
-        valid_s: Seconds for which its caller may come back.
-    """
-
-    key: str
-    pool: str
-    software: str
-    valid_s: float
-
-
-class StreamOriginBatch(msgspec.Struct, frozen=True, kw_only=True, tag="ob"):
-    """Asks the writer of a failure domain to store the origins of streams."""
-
-    origins: tuple[StoredOrigin, ...]
-
-
-class StreamOriginQuery(msgspec.Struct, frozen=True, kw_only=True, tag="oq"):
-    """Asks a daemon for the origin of a stream."""
-
-    key: str
-
-
-class StreamOriginResponse(msgspec.Struct, frozen=True, kw_only=True, tag="oa"):
-    """What a daemon knows of a stream.
-
-    Attributes:
-        is_known: Whether it knows the stream.
-        pool: Pool of the release that began it.
-        software: Software version of that release; empty if two were named.
-        valid_s: Seconds for which its caller may come back.
-    """
-
-    is_known: bool
-    pool: str = ""
-    software: str = ""
-    valid_s: float = 0.0
-
-
-class LotResponse(msgspec.Struct, frozen=True, kw_only=True, tag="la"):
-    """A holder's response to a request about a lot.
-
-    Attributes:
-        is_held: Whether the daemon is the lot's holder and can serve it.
-        content: Results as JSON, a head as JSON, or an item's body.
-        is_found: Whether the requested item exists.
-        is_ended: Whether the lot was ended; its results are in the store.
-    """
-
-    is_held: bool
-    content: bytes = b""
-    is_found: bool = True
-    is_ended: bool = False
-
-
 class _Call(msgspec.Struct, frozen=True, kw_only=True, tag="call"):
     """A request that expects one response; `call_id` is unique per sender."""
 
--- a/daisyhub/cluster/_permits.py
+++ b/daisyhub/cluster/_permits.py
@@ -24,7 +24,7 @@
     RateLimit,
     Urgency,
 )
-from daisyhub.cluster._messages import (
+from daisyhub.cluster._endpoint_messages import (
     ColdNotification,
     PermitRequest,
     PermitResponse,
--- a/daisyhub/cluster/_stream_origins.py
+++ b/daisyhub/cluster/_stream_origins.py
@@ -13,13 +13,13 @@
 import anyio
 
 from daisyhub.balancing import Release
-from daisyhub.cluster._messages import (
+from daisyhub.cluster._peer_types import PeerState
+from daisyhub.cluster._peers import PeerTable
+from daisyhub.cluster._stream_messages import (
     StreamOriginQuery,
     StreamOriginRecord,
     StreamOriginResponse,
 )
-from daisyhub.cluster._peer_types import PeerState
-from daisyhub.cluster._peers import PeerTable
 from daisyhub.hosting import rank_candidates
 from daisyhub.logs import DecisionLog
 from daisyhub.metrics import Metrics
--- a/daisyhub/cluster/_suspects.py
+++ b/daisyhub/cluster/_suspects.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable
 
 from daisyhub.balancing import EndpointProcess
-from daisyhub.cluster._messages import (
+from daisyhub.cluster._endpoint_messages import (
     EndedProcess,
-    Ping,
     SuspectNews,
     TrialRequest,
     TrialResponse,
 )
+from daisyhub.cluster._messages import Ping
 from daisyhub.cluster._owners import OwnerTable
 from daisyhub.cluster._peers import PeerTable
 from daisyhub.fleet_settings import parse_address
--- a/daisyhub/cluster/tests/test_durable_origins.py
+++ b/daisyhub/cluster/tests/test_durable_origins.py
@@ -16,7 +16,7 @@
     SharedStreamOrigins,
     StreamOriginBatch,
 )
-from daisyhub.cluster._messages import StreamOriginRecord
+from daisyhub.cluster._stream_messages import StreamOriginRecord
 from daisyhub.logs import DecisionLog
 from daisyhub.metrics import Metrics
 from daisyhub.objects import ObjectStoreError
--- a/daisyhub/cluster/tests/test_stream_origins.py
+++ b/daisyhub/cluster/tests/test_stream_origins.py
@@ -8,7 +8,7 @@
 
 from daisyhub.balancing import Release
 from daisyhub.cluster import CLUSTER_PROTOCOL, SharedStreamOrigins
-from daisyhub.cluster._messages import StreamOriginRecord
+from daisyhub.cluster._stream_messages import StreamOriginRecord
 from daisyhub.logs import DecisionLog
 from daisyhub.metrics import Metrics
 from daisyhub.peers import PeerUnreachableError
