Testing: a fleet's documents and fakes in modules of their own

What operators and trainers send, and the calls to the fakes, are apart from starting processes. The list of a lot's items is built by a function.

--- a/daisyhub/testing/fleet.py
+++ b/daisyhub/testing/fleet.py
@@ -4,7 +4,6 @@
 `daisyhub.daemon`.
 """
 
-import base64
 import contextlib
 import itertools
 import json
@@ -20,8 +19,9 @@
 import anyio
 import msgspec
 
-from daisyhub.connections import HttpClient, HttpResponse, RequestFailedError
-from daisyhub.settings import Address
+from daisyhub.connections import HttpResponse, RequestFailedError
+from daisyhub.testing.fleet_documents import build_lot, build_manifest
+from daisyhub.testing.fleet_fakes import FleetFakes
 
 __all__ = ["KEY", "Fleet"]
 
@@ -33,7 +33,7 @@
 _DOMAINS = ("z1", "z2", "z3")
 
 
-class Fleet:
+class Fleet(FleetFakes):
     """Daemons, an object store and servers, each in a process of its own.
 
     Methods that wait raise `TimeoutError` after 20 seconds.
@@ -64,6 +64,7 @@
         module: str = "daisyhub.platform",
         settings: dict | None = None,
     ):
+        super().__init__([f"i-{n}" for n in range(servers)])
         self._module = module
         self._settings = settings or {}
         self.daemon_env: dict[str, dict[str, str]] = {}
@@ -72,13 +73,10 @@
         self.pool_fields: dict[str, object] = {}
         self.limits: dict[str, int] = {}
         self.daemon_names = [f"edge-{n}" for n in range(daemons)]
-        self.server_names = [f"i-{n}" for n in range(servers)]
         self.event_s = event_s
-        self.ports: dict[str, int] = {}
         self.processes: dict[str, subprocess.Popen] = {}
         self._folder = tempfile.TemporaryDirectory(prefix="daisyhub-fleet-")
         self.folder = pathlib.Path(self._folder.name)
-        self.http = HttpClient(connect_timeout_s=1.0, idle_s=5.0)
         self._version = 1
 
     async def start(self) -> None:
@@ -202,164 +200,10 @@
     async def write_config(self, keys: dict[str, list[str]]) -> None:
         """Writes a manifest with these client accounts and their API keys."""
         self._version += 1
-        common = {"host": "a.example", "service": "s", "max-attempts": 3}
-        config = {
-            "version": self._version,
-            "routes": [
-                {
-                    **common,
-                    "name": "records",
-                    "path-prefix": "/records/",
-                    "route-type": "safe",
-                    "timeout-ms": 2000,
-                    "target-latency-ms": 200,
-                },
-                {
-                    **common,
-                    "name": "writes",
-                    "path-prefix": "/writes/",
-                    "route-type": "unsafe",
-                    "timeout-ms": 2000,
-                    "target-latency-ms": 200,
-                },
-                {
-                    **common,
-                    "name": "reward",
-                    "path-prefix": "/reward/",
-                    "route-type": "safe",
-                    "timeout-ms": 2000,
-                    "target-latency-ms": 200,
-                    "public": True,
-                },
-                {
-                    **common,
-                    "name": "chat",
-                    "path-prefix": "/chat/",
-                    "route-type": "streaming",
-                    "resumable": True,
-                    "timeout-ms": 10000,
-                    "target-latency-ms": 1000,
-                },
-                {
-                    **common,
-                    "name": "gen",
-                    "path-prefix": "/gen/",
-                    "route-type": "rollout",
-                    "timeout-ms": 10000,
-                    "due-ms": 7500,
-                    "max-wait-s": 60,
-                },
-            ],
-            "services": [
-                {
-                    "name": "s",
-                    "engine": {"models": [{"name": "m"}]},
-                    **self.pool_fields,
-                }
-            ],
-            "limits": self.limits,
-            "tenants": [
-                {"name": name, "api-keys": account_keys}
-                for name, account_keys in keys.items()
-            ],
-        }
-        await self.put("config", "main", config)
-
-    async def put(self, kind: str, name: str, spec: dict) -> None:
-        """Writes an object as an operator would."""
-        body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
-        await self.http.request(
-            "PUT",
-            self.address("platform"),
-            f"/v1/objects/{kind}/{name}",
-            body=body,
-            timeout_s=5.0,
-        )
-
-    async def delete(self, kind: str, name: str) -> None:
-        """Deletes an object as an operator would."""
-        await self.http.request(
-            "DELETE",
-            self.address("platform"),
-            f"/v1/objects/{kind}/{name}",
-            timeout_s=5.0,
-        )
-
-    async def inject_fault(self, name: str, fault: dict | None) -> None:
-        """Injects a fault into a fake; None removes all its faults."""
-        await self.http.request(
-            "POST" if fault else "DELETE",
-            self.address(name),
-            "/faults",
-            body=msgspec.json.encode(fault),
-            timeout_s=5.0,
-        )
-
-    async def announce_leaving(
-        self, name: str, *, is_leaving: bool = True
-    ) -> None:
-        """Has a server announce in its responses that it is leaving, or not.
-
-        Its entry in the object store doesn't change.
-        """
-        await self.http.request(
-            "POST" if is_leaving else "DELETE",
-            self.address(name),
-            "/admin/leave",
-            timeout_s=5.0,
-        )
-
-    async def set_limit(self, name: str, per_s: float | None) -> None:
-        """Has a server state a limit in its responses; None for no limit."""
-        await self.http.request(
-            "DELETE" if per_s is None else "POST",
-            self.address(name),
-            "/admin/limit",
-            body=b"" if per_s is None else str(per_s).encode(),
-            timeout_s=2.0,
+        manifest = build_manifest(
+            self._version, keys, self.pool_fields, self.limits
         )
-
-    async def limited_arrivals(self, name: str) -> list[float]:
-        """Returns when requests arrived at a server while it had a limit."""
-        response = await self._get(self.ports[name], "/admin/arrivals")
-        return json.loads(response.body)
-
-    async def received(self, name: str) -> list[dict]:
-        """Returns path and arrival of each request that a server received."""
-        response = await self._get(self.ports[name], "/admin/received")
-        return json.loads(response.body)
-
-    async def remove_fault(self, name: str, fault_id: str) -> None:
-        """Removes one fault of a fake."""
-        await self.http.request(
-            "DELETE",
-            self.address(name),
-            f"/faults?id={fault_id}",
-            timeout_s=5.0,
-        )
-
-    async def faulted_clients(self, name: str, fault_id: str) -> list[str]:
-        """Returns the IP addresses to which a fault was applied, in order."""
-        response = await self._get(self.ports[name], "/faults")
-        return json.loads(response.body).get(fault_id, [])
-
-    async def created_lots(self) -> dict[str, float]:
-        """Returns the monotonic time at which each lot was stored, by id."""
-        response = await self._get(self.ports["platform"], "/admin/created")
-        return json.loads(response.body)
-
-    async def usage(self) -> list[dict]:
-        """Returns the usage reports that the platform accepted."""
-        response = await self._get(self.ports["platform"], "/admin/usage")
-        return json.loads(response.body)
-
-    async def executed_requests(self, *servers: str) -> list[dict]:
-        """Returns the requests that some servers, or all, executed."""
-        runs = []
-        for name in servers or self.server_names:
-            response = await self._get(self.ports[name], "/admin/ran")
-            runs += json.loads(response.body)
-        return runs
+        await self.put("config", "main", manifest)
 
     async def call(
         self,
@@ -401,31 +245,10 @@
             "POST",
             "/gen/lot",
             request_id=lot_id,
-            body=msgspec.json.encode(self.build_lot(lot_id, groups)),
+            body=msgspec.json.encode(build_lot(lot_id, groups)),
         )
         return response.status
 
-    def build_lot(self, lot_id: str, groups=3) -> dict:
-        """Returns a lot of groups of four items, as a trainer submits it."""
-        items = [
-            {
-                "id": f"{lot_id}-{g}-{n}",
-                "path": f"/gen/{g}",
-                "headers": {},
-                "body": base64.b64encode(b"prompt").decode(),
-                "group": f"g{g}",
-                "scorer": {
-                    "id": f"{lot_id}-{g}-{n}-r",
-                    "host": "a.example",
-                    "path": "/reward/1",
-                    "body": "",
-                },
-            }
-            for g in range(groups)
-            for n in range(4)
-        ]
-        return {"step": 1, "model": "m", "min-version": 1, "items": items}
-
     async def results(self, daemon: str, lot_id: str, after=0) -> dict | None:
         """Reads a lot's results from a position.
 
@@ -485,14 +308,6 @@
                         return
                 await anyio.sleep(0.05)
 
-    async def _get(self, port: int, target: str) -> HttpResponse:
-        address = Address(ip=_LOOPBACK, port=port)
-        return await self.http.request("GET", address, target, timeout_s=2.0)
-
-    def address(self, name: str) -> Address:
-        """Returns the address of a fake or of a daemon's `name/listener`."""
-        return Address(ip=_LOOPBACK, port=self.ports[name])
-
     def build_server_entry(self, name: str) -> dict:
         """Returns a server's entry in the object store."""
         return {
--- a/daisyhub/testing/soak/_load_generator.py
+++ b/daisyhub/testing/soak/_load_generator.py
@@ -12,6 +12,7 @@
 
 from daisyhub.connections import HttpClient, RequestFailedError
 from daisyhub.testing.fleet import KEY, Fleet
+from daisyhub.testing.fleet_documents import build_lot
 from daisyhub.testing.soak._ledger import Ledger
 
 __all__ = ["LoadGenerator"]
@@ -206,7 +207,7 @@
 
     async def _run_lot(self, lot_id: str) -> None:
         """Submits a lot; if it is accepted, reads all its results."""
-        lot = self._fleet.build_lot(lot_id, groups=2)
+        lot = build_lot(lot_id, groups=2)
         body = msgspec.json.encode(lot)
         self._ledger.record_submitted_lot(
             lot_id, [item["id"] for item in lot["items"]]
