--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -26,6 +26,7 @@
     WeightController,
 )
 from daisyhub.controllers._lot_server import LotServerDependencies
+from daisyhub.daemon_listeners import DaemonListeners
 from daisyhub.exceptions import DocumentError
 from daisyhub.filters import (
     AccountFilter,
@@ -56,11 +57,7 @@
 from daisyhub.process_flags import SETTINGS
 from daisyhub.serving import (
     CallersApp,
-    ConnectionLimits,
-    HttpServer,
-    ListenerLimits,
     OperatorsApp,
-    count_sockets,
 )
 from daisyhub.settings import DaemonSettings, load_settings
 
@@ -70,11 +67,6 @@
 _CONTROLLER_RESTART_DELAY_S = 1.0
 # Number of live daemons of a failure domain that try to acquire a duty.
 _CANDIDATE_COUNT = 2
-# Fraction of the clients' sockets for callers, and for operators, with a
-# maximum number.
-_CALLERS_SHARE = 0.85
-_OPERATORS_SHARE = 0.1
-_MAX_OPERATORS = 64
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 
@@ -270,37 +262,11 @@
             cfg.daemon_id,
             self.memory,
         )
-        caller_limits = ConnectionLimits(
-            header_bytes=cfg.limits.header_bytes,
-            head_timeout_s=cfg.limits.head_timeout_s,
-            idle_timeout_s=cfg.limits.idle_timeout_s,
+        listeners = DaemonListeners(cfg, self.memory, self.metrics)
+        self.callers_server = listeners.build_callers_server(self.callers_app)
+        self.operators_server = listeners.build_operators_server(
+            OperatorsApp(self.metrics, self.is_ready, self.status)
         )
-        sockets = count_sockets(cfg.limits.sockets)
-        self.callers_server = HttpServer(
-            self.callers_app,
-            cfg.callers_address,
-            cfg.timing.drain_limit_s,
-            ListenerLimits(
-                memory=self.memory,
-                connections=int(_CALLERS_SHARE * sockets),
-                get_limits=lambda: caller_limits,
-                on_refused=self._count_refused,
-            ),
-        )
-        self.operators_server = HttpServer(
-            OperatorsApp(self.metrics, self.is_ready, self.status),
-            cfg.operators_address,
-            limits=ListenerLimits(
-                memory=self.memory,
-                connections=min(
-                    _MAX_OPERATORS, int(_OPERATORS_SHARE * sockets)
-                ),
-                on_refused=self._count_refused,
-            ),
-        )
-
-    def _count_refused(self, reason: str) -> None:
-        self.metrics.count("refused_connections", reason=reason)
 
     def is_ready(self) -> bool:
         """Whether callers should send new requests to this daemon."""
