--- a/daisyhub/serving/tests/crowd_cases.py
+++ b/daisyhub/serving/tests/crowd_cases.py
@@ -6,8 +6,11 @@
 """
 
 import abc
+import dataclasses
 import itertools
 import os
+import pathlib
+import re
 import resource
 import signal
 import unittest
@@ -15,7 +18,7 @@
 import anyio
 
 from daisyhub.settings import Address
-from daisyhub.testing.crowd import Crowd, ProcessUsage
+from daisyhub.testing.crowd import Crowd
 
 MEMORY_MB = 128
 HEADER_BYTES = 4096
@@ -42,9 +45,31 @@
 CHUNK_BYTES = 1 << 16
 _WAIT_TIMEOUT_S = 25.0
 _STOP_TIMEOUT_S = 60.0
+_PEAK = re.compile(r"VmHWM:\s+(\d+) kB")
+_BYTES_PER_KB = 1024
 _CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessUsage:
+    """Reads memory and descriptors of a process.
+
+    Attributes:
+        pid: Its process id.
+    """
+
+    pid: int
+
+    def peak_bytes(self) -> int:
+        """Returns the largest resident memory so far."""
+        status = pathlib.Path(f"/proc/{self.pid}/status").read_text("ascii")
+        return int(_PEAK.search(status)[1]) * _BYTES_PER_KB
+
+    def descriptors(self) -> int:
+        """Returns the number of open descriptors."""
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
+
 def _endless(first: bytes, piece: bytes):
     """Yields a beginning, then a piece up to `_ENDLESS_BYTES`."""
     yield first
--- a/daisyhub/testing/crowd.py
+++ b/daisyhub/testing/crowd.py
@@ -1,22 +1,17 @@
-"""Clients that ignore the limits on requests, and their effect on a process.
+"""Clients that ignore the limits on requests.
 
 A crowd opens connections to one listener, sends what it is given over each and
-leaves them open. `ProcessUsage` reads what the process behind the listener
-holds meanwhile.
+leaves them open.
 """
 
 import asyncio
 import contextlib
-import dataclasses
-import os
-import pathlib
-import re
 import socket
 from collections.abc import Callable, Iterable
 
 from daisyhub.settings import Address
 
-__all__ = ["Crowd", "ProcessUsage"]
+__all__ = ["Crowd"]
 
 # Receive buffer of a client that doesn't read, in bytes.
 _SMALL_BUFFER = 4096
@@ -24,28 +19,6 @@
 # Seconds without progress of any client after which all are taken for held up.
 _STALL_S = 3.0
 _POLL_INTERVAL_S = 0.05
-_PEAK = re.compile(r"VmHWM:\s+(\d+) kB")
-_BYTES_PER_KB = 1024
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProcessUsage:
-    """Reads memory and descriptors of a process.
-
-    Attributes:
-        pid: Its process id.
-    """
-
-    pid: int
-
-    def peak_bytes(self) -> int:
-        """Returns the largest resident memory so far."""
-        status = pathlib.Path(f"/proc/{self.pid}/status").read_text("ascii")
-        return int(_PEAK.search(status)[1]) * _BYTES_PER_KB
-
-    def descriptors(self) -> int:
-        """Returns the number of open descriptors."""
-        return len(os.listdir(f"/proc/{self.pid}/fd"))
 
 
 class Crowd:
