Lots, platform: dispatch core, holder and daemon in parts

The dispatch core shares its state with parts that start runs, handle what runs deliver, and finish items. The holder has parts that load, list, save and remove lots; requests of peers have a handler. The daemon is built in layers, each on those below. Nothing else changes.

--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -11,9 +11,9 @@
 from absl import app, flags
 
 from daisyhub.lots import DispatchCore, ItemSpec, LotHead, LotSpec
+from daisyhub.lots._run_states import EngineView
 from daisyhub.lots._run_types import (
     EnginesListed,
-    EngineView,
     FinishItem,
     LotClosed,
     LotOpened,
--- a/daisyhub/lots/__init__.py
+++ b/daisyhub/lots/__init__.py
@@ -11,8 +11,10 @@
 from daisyhub.lots._dispatch_core import DispatchCore
 from daisyhub.lots._engine_capacity import EngineCapacity
 from daisyhub.lots._filter import SubmittedLotsFilter
-from daisyhub.lots._holder import LotHolder, LotHolderDependencies
+from daisyhub.lots._holder import LotHolder
+from daisyhub.lots._holder_types import LotHolderDependencies
 from daisyhub.lots._listing_core import ListingCore
+from daisyhub.lots._lot_requests import LotRequestHandler
 from daisyhub.lots._lot_store import LotStore
 from daisyhub.lots._reader import LotReader
 from daisyhub.lots._rewards import RewardCaller
@@ -44,6 +46,7 @@
     "LotHolder",
     "LotHolderDependencies",
     "LotReader",
+    "LotRequestHandler",
     "LotSpec",
     "LotStore",
     "LotWire",
--- a/daisyhub/lots/_backlog.py
+++ b/daisyhub/lots/_backlog.py
@@ -16,7 +16,8 @@
 from daisyhub.cluster import PoolBacklog
 from daisyhub.lots._length_estimator import LengthEstimator
 from daisyhub.lots._pool_state import PoolState, capacity
-from daisyhub.lots._run_types import Engine, Item, LotOpened, Run
+from daisyhub.lots._run_states import Engine, Item, Run
+from daisyhub.lots._run_types import LotOpened
 
 __all__ = ["OpenItems", "estimate_backlog", "least_work", "make_backlog"]
 
--- a/daisyhub/lots/_lot_order.py
+++ b/daisyhub/lots/_lot_order.py
@@ -20,7 +20,8 @@
 from collections.abc import Iterable, Mapping
 
 from daisyhub.lots._length_estimator import LengthEstimator
-from daisyhub.lots._run_types import Item, LotOpened, Run
+from daisyhub.lots._run_states import Item, Run
+from daisyhub.lots._run_types import LotOpened
 from daisyhub.lots._types import LotHead
 
 __all__ = [
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -23,7 +23,7 @@
     part_name,
 )
 from daisyhub.lots._repeats import check_repeat
-from daisyhub.lots._run_types import Progress
+from daisyhub.lots._run_states import Progress
 from daisyhub.lots._types import ItemResult, ItemSpec, LotHead, LotSpec
 from daisyhub.objects import (
     ObjectConflictError,
--- a/daisyhub/lots/_placement.py
+++ b/daisyhub/lots/_placement.py
@@ -19,7 +19,7 @@
 
 from daisyhub.lots._length_estimator import LengthEstimator
 from daisyhub.lots._pool_state import PoolState, capacity
-from daisyhub.lots._run_types import Engine, Item, Run
+from daisyhub.lots._run_states import Engine, Item, Run
 from daisyhub.lots._types import LotHead
 
 __all__ = ["Move", "Placement", "RunContext"]
--- a/daisyhub/lots/_pool_state.py
+++ b/daisyhub/lots/_pool_state.py
@@ -8,7 +8,7 @@
 import statistics
 from collections.abc import Iterable, Mapping
 
-from daisyhub.lots._run_types import Engine, Run
+from daisyhub.lots._run_states import Engine, Run
 from daisyhub.lots._types import ItemSpec, LotHead
 
 __all__ = [
--- a/daisyhub/lots/_runner.py
+++ b/daisyhub/lots/_runner.py
@@ -24,7 +24,7 @@
     StreamedResponse,
 )
 from daisyhub.gateway import EndpointRequest, EndpointWire, HeadRecorder
-from daisyhub.lots._run_types import RunFault
+from daisyhub.lots._run_states import RunFault
 from daisyhub.lots._wire import LotWire, StreamEvent
 
 __all__ = ["ItemRunner"]
--- a/daisyhub/lots/_worker_pool.py
+++ b/daisyhub/lots/_worker_pool.py
@@ -20,12 +20,12 @@
     TaskReport,
 )
 from daisyhub.logs import DecisionLog
+from daisyhub.lots._run_states import RunFault
 from daisyhub.lots._run_types import (
     RewardCallFailed,
     RewardCallSucceeded,
     RunCompleted,
     RunFailed,
-    RunFault,
     StartRewardCall,
     StartRun,
     StreamEventsReceived,
--- a/daisyhub/lots/tests/fake_engines.py
+++ b/daisyhub/lots/tests/fake_engines.py
@@ -10,10 +10,10 @@
 
 from daisyhub.balancing import Release
 from daisyhub.lots import DispatchCore
+from daisyhub.lots._run_states import EngineView
 from daisyhub.lots._run_types import (
     CancelRun,
     EnginesListed,
-    EngineView,
     FinishItem,
     RunCompleted,
     StartRun,
--- a/daisyhub/lots/tests/test_backlog.py
+++ b/daisyhub/lots/tests/test_backlog.py
@@ -10,14 +10,13 @@
 from daisyhub.catalog import PoolShare
 from daisyhub.logs import DecisionLog
 from daisyhub.lots import ItemSpec, LotHead, LotHolder, LotSpec, LotStore
-from daisyhub.lots._holder import LotHolderDependencies, _LotState
+from daisyhub.lots._holder_types import HeldLot, LotHolderDependencies
 from daisyhub.lots._listing_core import ListingCore
 from daisyhub.lots._load_queue import LoadQueue
+from daisyhub.lots._run_states import EngineView, Progress
 from daisyhub.lots._run_types import (
     EnginesListed,
-    EngineView,
     LotOpened,
-    Progress,
     StartRewardCall,
     StartRun,
 )
@@ -195,7 +194,7 @@
         stored, _ = await self.lots.accept(
             LotSpec(head=head(max_wait_s=40.0), items=(item,))
         )
-        lot = _LotState(stored, ListingCore(1))
+        lot = HeldLot(stored, ListingCore(1))
         self.holder._lots["L"] = lot
         with anyio.fail_after(5.0):
             await self.holder._load_lot(lot)
--- a/daisyhub/lots/tests/test_dispatch_core.py
+++ b/daisyhub/lots/tests/test_dispatch_core.py
@@ -6,19 +6,17 @@
 
 from daisyhub.balancing import Release
 from daisyhub.lots import DispatchCore, ItemSpec, LotHead, LotSpec, RewardSpec
+from daisyhub.lots._run_states import EngineView, Progress, RunFault
 from daisyhub.lots._run_types import (
     CancelRun,
     EnginesListed,
-    EngineView,
     FinishItem,
     LotClosed,
     LotOpened,
-    Progress,
     RewardCallFailed,
     RewardCallSucceeded,
     RunCompleted,
     RunFailed,
-    RunFault,
     StartRewardCall,
     StartRun,
     StreamEventsReceived,
--- a/daisyhub/lots/tests/test_holder.py
+++ b/daisyhub/lots/tests/test_holder.py
@@ -18,15 +18,12 @@
     LotHolder,
     LotSpec,
     LotStore,
-    _holder,
+    _lot_remover,
 )
-from daisyhub.lots._holder import LotHolderDependencies, _LotState
+from daisyhub.lots._holder_types import HeldLot, LotHolderDependencies
 from daisyhub.lots._listing_core import ItemFinished, ListingCore
-from daisyhub.lots._run_types import (
-    LotOpened,
-    StartRun,
-    StreamEventsReceived,
-)
+from daisyhub.lots._lot_requests import LotRequestHandler
+from daisyhub.lots._run_types import LotOpened, StartRun, StreamEventsReceived
 from daisyhub.settings import Address
 from daisyhub.testing.object_store import Fault, MemoryStore
 from daisyhub.testing.virtual_time import run_in_virtual_time
@@ -75,6 +72,7 @@
         duty = types.SimpleNamespace(fencing=1, tenure=1)
         self.holder = LotHolder(duty, deps)
         self.tasks = self.holder._tasks = RecordedTasks()
+        self.holder._listing.tasks = self.tasks
         head = LotHead(
             lot_id="L",
             account="a",
@@ -90,7 +88,7 @@
             ItemSpec(item_id=name, path="/p", headers={}, body=b"{}", group="g")
             for name in "ab"
         )
-        self.lot = _LotState(head, ListingCore(2), is_listing_loaded=True)
+        self.lot = HeldLot(head, ListingCore(2), is_listing_loaded=True)
         self.holder._lots["L"] = self.lot
 
     def writes(self):
@@ -102,11 +100,11 @@
 
     async def test_a_result_finished_during_a_write_is_listed(self):
         """It stayed unlisted if the own chunk was read before its write."""
-        self.holder._feed_listing(self.lot, ItemFinished(result("a"), True))
+        self.holder._listing.feed(self.lot, ItemFinished(result("a"), True))
         self.assertEqual(self.writes(), [(result("a"),)])
-        self.holder._feed_listing(self.lot, ItemFinished(result("b"), True))
+        self.holder._listing.feed(self.lot, ItemFinished(result("b"), True))
         await self.lots.write_chunk("L", 0, (result("a"),))
-        await self.holder._load_listed_chunks(self.lot)
+        await self.holder._loader.load_chunks(self.lot)
         self.assertEqual(self.writes()[1:], [(result("b"),)])
 
     async def test_a_move_of_a_run_is_logged(self):
@@ -213,17 +211,17 @@
         self,
     ):
         """It once ended the daemon, as its task group was gone."""
-        self.holder._feed_listing(self.lot, ItemFinished(result("a"), True))
-        self.holder._feed_listing(self.lot, ItemFinished(result("b"), True))
+        self.holder._listing.feed(self.lot, ItemFinished(result("a"), True))
+        self.holder._listing.feed(self.lot, ItemFinished(result("b"), True))
         await self.lots.write_chunk("L", 0, (result("a"),))
-        self.holder._tasks = None
-        await self.holder._load_listed_chunks(self.lot)
+        self.holder._tasks = self.holder._listing.tasks = None
+        await self.holder._loader.load_chunks(self.lot)
 
     def test_loads_of_many_lots_do_not_flood_a_failing_store(self):
         """All 60 lots were read again each 0.2 s."""
         self.store.fail_next("read", *[Fault.REFUSED] * 10_000)
         lots = [
-            _LotState(
+            HeldLot(
                 msgspec.structs.replace(self.lot.head, lot_id=f"L{number}"),
                 ListingCore(2),
                 is_ended=number >= 30,
@@ -255,7 +253,7 @@
             reading[kind] -= 1
 
         self.holder._lots = {
-            f"{kind}{number}": _LotState(
+            f"{kind}{number}": HeldLot(
                 msgspec.structs.replace(
                     self.lot.head, lot_id=f"{kind}{number}"
                 ),
@@ -324,10 +322,10 @@
 
     async def test_an_ended_lot_is_served_from_memory(self):
         await self.lots.write_chunk("L", 0, (result("a"),))
-        await self.holder._load_listed_chunks(self.lot)
+        await self.holder._loader.load_chunks(self.lot)
         self.lot.is_ended = True
         request = types.SimpleNamespace(lot_id="L", after=0, wait_s=1.0)
-        response = await self.holder.handle_results_request(request)
+        response = await LotRequestHandler(self.holder).handle_results(request)
         self.assertTrue(response.is_held and response.is_ended)
         found = msgspec.json.decode(response.content, type=list[ItemResult])
         self.assertEqual(found, [result("a")])
@@ -335,7 +333,7 @@
     async def test_ended_lots_are_left_to_the_store_while_links_are_slow(self):
         """After a loss of power, a holder once used 228 MB for them."""
         await self.lots.write_chunk("L", 0, (result("a"),))
-        await self.holder._load_listed_chunks(self.lot)
+        await self.holder._loader.load_chunks(self.lot)
         self.unsent_bytes = 10_000_000
         self.assertEqual(await self.holder.results("L", 0, 0.0), [result("a")])
         self.lot.is_ended = True
@@ -347,9 +345,9 @@
         watcher = types.SimpleNamespace(
             objects={"L": types.SimpleNamespace(name="L")}
         )
-        with mock.patch.object(_holder, "_DELETE_INTERVAL_S", 0):
+        with mock.patch.object(_lot_remover, "_DELETE_INTERVAL_S", 0):
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.holder._delete_expired_lots, watcher)
+                tasks.start_soon(self.holder._remover.run, watcher)
                 with anyio.fail_after(10):
                     while len(self.events) < 4:
                         await anyio.sleep(0)
--- a/daisyhub/lots/tests/test_interleaved_runs.py
+++ b/daisyhub/lots/tests/test_interleaved_runs.py
@@ -6,13 +6,8 @@
 from hypothesis import strategies as st
 
 from daisyhub.balancing import Release
-from daisyhub.lots._run_types import (
-    CancelRun,
-    FinishItem,
-    RunFailed,
-    RunFault,
-    StartRun,
-)
+from daisyhub.lots._run_states import RunFault
+from daisyhub.lots._run_types import CancelRun, FinishItem, RunFailed, StartRun
 from daisyhub.lots.tests.fake_engines import adaptive
 from daisyhub.lots.tests.test_dispatch_core import Driver, engines, item, lot
 
--- a/daisyhub/lots/tests/test_lot_order.py
+++ b/daisyhub/lots/tests/test_lot_order.py
@@ -14,11 +14,11 @@
     order_lots,
     trainer_lag_s,
 )
+from daisyhub.lots._run_states import RunFault
 from daisyhub.lots._run_types import (
     EnginesListed,
     LotOpened,
     RunFailed,
-    RunFault,
     StartRun,
 )
 from daisyhub.lots.tests.test_dispatch_core import (
--- a/daisyhub/lots/tests/test_lot_routes.py
+++ b/daisyhub/lots/tests/test_lot_routes.py
@@ -12,16 +12,15 @@
 from daisyhub.catalog import PoolShare
 from daisyhub.logs import DecisionLog
 from daisyhub.lots import DispatchCore, ItemSpec, LotHead, LotHolder, LotSpec
-from daisyhub.lots._holder import LotHolderDependencies, _LotState
+from daisyhub.lots._holder_types import HeldLot, LotHolderDependencies
 from daisyhub.lots._listing_core import ListingCore
 from daisyhub.lots._lot_routes import choose_pool
+from daisyhub.lots._run_states import EngineView, RunFault
 from daisyhub.lots._run_types import (
     EnginesListed,
-    EngineView,
     LotOpened,
     LotRouted,
     RunFailed,
-    RunFault,
     StartRun,
     StreamEventsReceived,
 )
@@ -134,7 +133,7 @@
         duty = types.SimpleNamespace(fencing=1, tenure=1)
         self.holder = LotHolder(duty, deps)
         spec = make_spec(accepted_s=1e9)
-        self.lot = _LotState(
+        self.lot = HeldLot(
             spec.head, ListingCore(ITEMS), spec, is_listing_loaded=True
         )
         self.holder._lots["L"] = self.lot
@@ -160,7 +159,7 @@
 
     def lose_runs(self):
         """All open runs break."""
-        for run in list(self.holder._core._runs):
+        for run in list(self.holder._core._state.runs):
             self.holder._feed_dispatch(RunFailed(run, RunFault.WORKER_LOST))
 
     def test_items_follow_a_route_to_another_service(self):
--- a/daisyhub/lots/tests/test_lot_writes.py
+++ b/daisyhub/lots/tests/test_lot_writes.py
@@ -17,7 +17,7 @@
     _parts,
 )
 from daisyhub.lots._repeats import LotConflictError
-from daisyhub.lots._run_types import Progress
+from daisyhub.lots._run_states import Progress
 from daisyhub.objects import ObjectConflictError, ObjectStoreError
 from daisyhub.testing.object_store import BareConflictStore, Fault, MemoryStore
 
--- a/daisyhub/lots/tests/test_placement.py
+++ b/daisyhub/lots/tests/test_placement.py
@@ -4,7 +4,8 @@
 
 from daisyhub.balancing import Release
 from daisyhub.lots._pool_state import record_interval
-from daisyhub.lots._run_types import CancelRun, RunFailed, RunFault
+from daisyhub.lots._run_states import RunFault
+from daisyhub.lots._run_types import CancelRun, RunFailed
 from daisyhub.lots.tests.fake_engines import adaptive
 from daisyhub.lots.tests.test_dispatch_core import Driver, engines, item, lot
 
@@ -112,7 +113,7 @@
         self.assertEqual(moves, ["e2" if first.endpoint_id == "e1" else "e1"])
 
     def set_speed(self, endpoint_id, interval_s):
-        engine = self.driver.core._engines[endpoint_id]
+        engine = self.driver.core._state.engines[endpoint_id]
         record_interval(engine, interval_s, 100, self.driver.now_s)
 
     def test_an_engine_that_was_left_as_silent_gets_no_runs_for_a_second(self):
--- a/daisyhub/lots/tests/test_repeated_submissions.py
+++ b/daisyhub/lots/tests/test_repeated_submissions.py
@@ -20,7 +20,7 @@
     RewardSpec,
     SubmittedLotsFilter,
 )
-from daisyhub.lots._holder import LotHolderDependencies
+from daisyhub.lots._holder_types import LotHolderDependencies
 from daisyhub.lots._run_types import LotOpened
 from daisyhub.lots.tests.test_submitted_lots import (
     LOT,
--- a/daisyhub/lots/tests/test_saved_texts.py
+++ b/daisyhub/lots/tests/test_saved_texts.py
@@ -7,14 +7,8 @@
 import msgspec
 
 from daisyhub.lots import DispatchCore, LotStore
-from daisyhub.lots._run_types import (
-    FinishItem,
-    LotOpened,
-    Progress,
-    RunFailed,
-    RunFault,
-    StartRun,
-)
+from daisyhub.lots._run_states import Progress, RunFault
+from daisyhub.lots._run_types import FinishItem, LotOpened, RunFailed, StartRun
 from daisyhub.lots.tests.test_dispatch_core import (
     V1,
     V2,
--- a/daisyhub/lots/tests/test_worker_pool.py
+++ b/daisyhub/lots/tests/test_worker_pool.py
@@ -18,10 +18,10 @@
 from daisyhub.cluster import RewardEnd, RunEnd, TaskOrders, TaskReport
 from daisyhub.logs import DecisionLog
 from daisyhub.lots import DispatchCore, ItemSpec, LotHead, LotSpec, RewardSpec
+from daisyhub.lots._run_states import EngineView
 from daisyhub.lots._run_types import (
     CancelRun,
     EnginesListed,
-    EngineView,
     FinishItem,
     LotClosed,
     LotOpened,
--- a/daisyhub/lots/tests/trainer_play.py
+++ b/daisyhub/lots/tests/trainer_play.py
@@ -7,10 +7,10 @@
 from daisyhub.balancing import Release
 from daisyhub.lots import DispatchCore, ItemSpec, LotHead, LotSpec
 from daisyhub.lots._lot_order import trainer_lag_s
+from daisyhub.lots._run_states import EngineView
 from daisyhub.lots._run_types import (
     CancelRun,
     EnginesListed,
-    EngineView,
     FinishItem,
     LotClosed,
     LotOpened,
--- a/daisyhub/platform/tests/test_store_gaps.py
+++ b/daisyhub/platform/tests/test_store_gaps.py
@@ -9,6 +9,7 @@
 from daisyhub.balancing import _lapses
 from daisyhub.platform import _daemon
 from daisyhub.platform._daemon import FleetDaemon
+from daisyhub.platform._manifest import CONFIG_KIND
 from daisyhub.platform._servers import SERVERS_KIND
 from daisyhub.platform.tests.test_daemon import make_settings
 from daisyhub.testing.object_store import Fault, MemoryStore
@@ -104,7 +105,7 @@
             self.store.fail_next("list_all", Fault.REFUSED, Fault.REFUSED)
             self.store.fail_next("watch", *[Fault.REFUSED] * 3)
             self.store.put("evacuations", "x", b"{}")
-            self.store.put(_daemon.CONFIG_KIND, "x", b"{}")
+            self.store.put(CONFIG_KIND, "x", b"{}")
             self.store.put(SERVERS_KIND, "x", b"{}")
             await self.wait_until(lambda: not self.store.faults["list_all"])
             await self.remove_server()
