--- a/daisyhub/fleet_settings.py
+++ b/daisyhub/fleet_settings.py
@@ -66,8 +66,8 @@
         evacuate_ms: Time after which nothing reaches the endpoints of a failure
             domain that operators evacuate; 0 if they don't.
         memory_mb: Memory of the process, in units of 10^6 bytes.
-        max_fds: Number of descriptors that the process may open; 0 if only its
-            resource limit is known.
+        descriptors: Number of descriptors that the process may open; 0 if only
+            its resource limit is known.
     """
 
     daemon_id: Name
@@ -97,7 +97,7 @@
     adaptive_models: Annotated[int, Range(0, 1000)] = 0
     evacuate_ms: Annotated[float, Range(0, 600_000, "ms")] = 0.0
     memory_mb: Annotated[float, Range(64, 1_000_000, "MB")] = 256.0
-    max_fds: Annotated[int, Range(0, 10_000_000)] = 0
+    descriptors: Annotated[int, Range(0, 10_000_000)] = 0
 
     @property
     def peer_address(self) -> Address:
--- a/daisyhub/platform/_listeners.py
+++ b/daisyhub/platform/_listeners.py
@@ -56,7 +56,9 @@
         self._manifests = manifests
         self._metrics = metrics
         self._log = log
-        self._sockets = count_sockets(max(0, cfg.max_fds - _FILE_DESCRIPTORS))
+        self._sockets = count_sockets(
+            max(0, cfg.descriptors - _FILE_DESCRIPTORS)
+        )
         self._seen: Manifest | None = None
         self._limits = _to_connection_limits(CallerLimits())
 
