--- a/daisyhub/platform/tests/test_crowd_processes.py
+++ b/daisyhub/platform/tests/test_crowd_processes.py
@@ -25,6 +25,8 @@
 class FleetCrowdTest(CrowdTests):
     """One daemon in front of one server."""
 
+    key = KEY.encode()
+
     async def start(self):
         self.fleet = Fleet(
             daemons=1,
@@ -32,7 +34,7 @@
             settings={
                 "memory_mb": MEMORY_MB,
                 "connection_idle_s": CONNECTION_IDLE_S,
-                "max_fds": SOCKETS + _FILE_DESCRIPTORS,
+                "descriptors": SOCKETS + _FILE_DESCRIPTORS,
             },
         )
         self.fleet.limits = {
@@ -58,7 +60,7 @@
         lines = [
             b"%s %s HTTP/1.1" % (b"POST" if has_body else b"GET", path),
             b"Host: a.example",
-            b"Api-Key: " + KEY.encode(),
+            b"Api-Key: " + self.key,
             b"Daisyhub-Request-Id: crowd",
             b"Daisyhub-Deadline-Ms: 4000",
         ]
--- a/daisyhub/serving/tests/crowd_cases.py
+++ b/daisyhub/serving/tests/crowd_cases.py
@@ -99,10 +99,12 @@
     Attributes:
         pid: The daemon's process.
         listener: Where the crowd connects.
+        key: The API key of the crowd.
     """
 
     pid: int
     listener: Address
+    key: bytes
 
     @abc.abstractmethod
     async def start(self) -> None:
@@ -283,6 +285,16 @@
         await self.crowd(lambda _: _endless(b"", get), _PIPELINES, reads=False)
         await self.check()
 
+    async def test_large_bodies_with_an_unknown_key(self):
+        head = self.body_head().replace(self.key[-8:], b"00000000")
+        whole = head + b"a" * BODY_BYTES
+        await self.check_bodies(lambda _: split(whole, CHUNK_BYTES))
+
+    async def test_large_bodies_without_a_route(self):
+        head = self.body_head().replace(b"/records/1", b"/nowhere/1")
+        whole = head + b"a" * BODY_BYTES
+        await self.check_bodies(lambda _: split(whole, CHUNK_BYTES))
+
     async def test_large_responses_that_stay_unread(self):
         get = self.head(has_body=False).replace(b"/1 ", b"/large ", 1) + b"\r\n"
         crowd = await self.crowd(lambda _: iter([get]), _BODIES, reads=False)
--- a/daisyhub/serving/tests/test_crowd_processes.py
+++ b/daisyhub/serving/tests/test_crowd_processes.py
@@ -32,6 +32,7 @@
         self.addCleanup(deployment.stop)
         await deployment.start()
         self.keys = DemoKeys.make()
+        self.key = DemoKeys.text(self.keys.yard).encode()
         document = demo_document(self.keys)
         document["routes"]["records"]["methods"] = ["GET", "PUT"]
         document["routes"]["records"]["body_bytes"] = BODY_BYTES
@@ -60,7 +61,7 @@
         lines = [
             b"%s /records/1 HTTP/1.1" % (b"PUT" if has_body else b"GET"),
             b"Host: records.example",
-            b"Authorization: Bearer " + DemoKeys.text(self.keys.yard).encode(),
+            b"Authorization: Bearer " + self.key,
         ]
         return b"\r\n".join(lines) + b"\r\n"
 
