Requests: bodies that aren't there cost less

Each request paid for a cancel scope and a claim, and each response for another, whether there was anything to count. A request without a body needs none, and an empty claim is released without looking at the budget.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -48,10 +48,6 @@
 ExchangeObserver = Callable[[Address, bool], None]
 
 
-def _ignore() -> None:
-    """Is called when a claim is evicted, which `read_body` notices itself."""
-
-
 def _always() -> bool:
     """The default of `may_send`."""
     return True
@@ -172,7 +168,6 @@
             RequestFailedError: See `request`.
         """
         method, address, target, headers, body = request
-        claim = self._memory.open(_ignore)
         conn.begin_exchange()
         try:
             with mapped_errors(address, lambda: conn.ran, deadline_s):
@@ -180,7 +175,9 @@
                     conn, method, address, target, headers, body
                 )
                 self._on_exchange(address, True)
-                content = await read_body(conn, response, max_body_bytes, claim)
+                content = await read_body(
+                    conn, response, max_body_bytes, self._memory
+                )
         except NoRoomError:
             # The server isn't at fault.
             await conn.aclose()
@@ -194,8 +191,6 @@
             self._report_cancelled(address, conn, started_s)
             await conn.aclose()
             raise
-        finally:
-            claim.release()
         conn.update_keep_alive(response.headers)
         await self.release(address, conn, started_s)
         return HttpResponse(
--- a/daisyhub/connections/_exchange.py
+++ b/daisyhub/connections/_exchange.py
@@ -15,7 +15,7 @@
     RequestWithdrawnError,
 )
 from daisyhub.exceptions import ExecutionStatus
-from daisyhub.memory import MemoryClaim
+from daisyhub.memory import MemoryBudget
 from daisyhub.messages import Header
 from daisyhub.settings import Address
 
@@ -77,6 +77,10 @@
     return response
 
 
+def _ignore() -> None:
+    """Is called when a claim is evicted, which `read_body` notices itself."""
+
+
 class NoRoomError(RequestFailedError):
     """The memory of the process has no room for a response."""
 
@@ -87,7 +91,7 @@
     conn: Connection,
     response: httpcore.Response,
     max_bytes: int,
-    claim: MemoryClaim,
+    memory: MemoryBudget,
 ) -> bytes:
     """Returns the complete body of a response.
 
@@ -95,7 +99,7 @@
         conn: The connection.
         response: The response.
         max_bytes: Maximum size.
-        claim: Grows with the body.
+        memory: Memory of the process for such bodies.
 
     Raises:
         NoRoomError: There is no room for the body.
@@ -103,20 +107,24 @@
     """
     chunks = []
     size = 0
-    async for chunk in response.stream:
-        size += len(chunk)
-        claim.add(len(chunk))
-        if claim.is_evicted:
-            raise NoRoomError(
-                f"there is no room for the response after {size} bytes",
-                ran=ExecutionStatus.RAN,
-            )
-        if size > max_bytes:
-            raise RequestFailedError(
-                f"the response exceeds {max_bytes} bytes",
-                ran=ExecutionStatus.RAN,
-            )
-        chunks.append(chunk)
+    claim = memory.open(_ignore)
+    try:
+        async for chunk in response.stream:
+            size += len(chunk)
+            claim.add(len(chunk))
+            if claim.is_evicted:
+                raise NoRoomError(
+                    f"there is no room for the response after {size} bytes",
+                    ran=ExecutionStatus.RAN,
+                )
+            if size > max_bytes:
+                raise RequestFailedError(
+                    f"the response exceeds {max_bytes} bytes",
+                    ran=ExecutionStatus.RAN,
+                )
+            chunks.append(chunk)
+    finally:
+        claim.release()
     # After `aclose`, httpcore's connection is idle, or closed if the server
     # ends it. `end_exchange` comes first, so that this close isn't a reset.
     conn.end_exchange()
--- a/daisyhub/memory.py
+++ b/daisyhub/memory.py
@@ -101,9 +101,11 @@
 
     def release(self) -> None:
         """Gives everything back, so that the claim may be used again."""
+        self.state = _State.RECEIVING
+        if not self._total:
+            return
         self._total = 0
         self._since_progress = 0
-        self.state = _State.RECEIVING
         self._budget.resize(self, 0)
 
     def evict(self) -> None:
--- a/daisyhub/serving/_request_body.py
+++ b/daisyhub/serving/_request_body.py
@@ -16,6 +16,8 @@
 # room at once, and this one once a client without progress is evicted.
 _RETRY_AFTER_S = 0.5
 
+# Headers without which a request has no body.
+_BODY_HEADERS = (b"content-length", b"transfer-encoding")
 # Size from which on pieces of a body are put together, in bytes.
 _BLOCK_BYTES = 1 << 16
 
@@ -71,6 +73,10 @@
             Refusal: The body is larger than `max_bytes`, is incomplete, didn't
                 arrive in time, or there is no room for it.
         """
+        if not self._is_announced():
+            await self._receive()
+            self.was_read.set()
+            return b""
         self._check_length(max_bytes, copies)
         if deadline_s is None:
             deadline_s = self.deadline_s
@@ -95,6 +101,10 @@
         if self._claim is not None:
             self._claim.release()
 
+    def _is_announced(self) -> bool:
+        """Whether the request has a body, which may be empty."""
+        return any(name in _BODY_HEADERS for name, _ in self._headers)
+
     def _check_length(self, max_bytes: int, copies: int) -> None:
         """Refuses a body that states a length for which there is no room."""
         for name, value in self._headers:
