--- a/daisyhub/platform/tests/test_leaving_announcements.py
+++ b/daisyhub/platform/tests/test_leaving_announcements.py
@@ -9,7 +9,7 @@
 from daisyhub.balancing import (
     EndpointDirectory,
     EndpointEntry,
-    _directory,
+    _endpoint_records,
 )
 from daisyhub.catalog import PoolShare, Route, RouteKind
 from daisyhub.connections import HttpClient, _pool
@@ -181,7 +181,9 @@
         with (
             mock.patch.object(_pool, "_MAX_RELEASE_WAIT_S", 5.0),
             # A slow first response makes the directory choose the other one.
-            mock.patch.object(_directory, "_LATENCY_RATIO_SMOOTHING", 0.0),
+            mock.patch.object(
+                _endpoint_records, "_LATENCY_RATIO_SMOOTHING", 0.0
+            ),
         ):
             await self.send()
             responses = await asyncio.gather(self.send(), self.send())
