Responses: counted until they are sent, ended at once when evicted

What callers saw: nothing yet.

Cause: a response counted while it was read, and again once it was written. In between, while its pieces were joined and it passed through the filters, it did not, and since that began before the join, which doubles it. An evicted response was noticed with its next piece only, so that it stayed, uncounted, as long as its server was silent.

Change: a response has a lease that lives as long as the body does, and which the listener takes over when it starts to write. Its pieces and the whole count until they are joined. Eviction resets the connection to the server.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -175,7 +175,7 @@
                     conn, method, address, target, headers, body
                 )
                 self._on_exchange(address, True)
-                content = await read_body(
+                content, lease = await read_body(
                     conn, response, max_body_bytes, self._memory
                 )
         except NoRoomError:
@@ -197,6 +197,7 @@
             status=response.status,
             headers=lower_names(response.headers),
             body=content,
+            lease=lease,
         )
 
     async def open(
--- a/daisyhub/connections/_connection.py
+++ b/daisyhub/connections/_connection.py
@@ -89,10 +89,11 @@
         during a network partition and deliver it once the partition ends.
         """
         if self.is_in_exchange:
-            self._reset()
+            self.reset()
         await self.inner.aclose()
 
-    def _reset(self) -> None:
+    def reset(self) -> None:
+        """Closes the connection at once; drops what wasn't sent."""
         sock = self.get_extra_info("socket")
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
@@ -196,6 +197,10 @@
             self._poll.register(sock, select.POLLIN)
         return bool(self._poll.poll(0))
 
+    def abort(self) -> None:
+        """Resets the connection at once; reading from it fails."""
+        self._stream.reset()
+
     async def aclose(self) -> None:
         """Closes the connection; ignores errors and delays a cancellation.
 
--- a/daisyhub/connections/_exchange.py
+++ b/daisyhub/connections/_exchange.py
@@ -15,7 +15,7 @@
     RequestWithdrawnError,
 )
 from daisyhub.exceptions import ExecutionStatus
-from daisyhub.memory import MemoryBudget
+from daisyhub.memory import MemoryBudget, MemoryClaim, MemoryLease
 from daisyhub.messages import Header
 from daisyhub.settings import Address
 
@@ -31,6 +31,8 @@
 _REQUEST_ID_HEADER = b"daisyhub-request-id"
 # Size of the parts in which a large body is sent, in bytes.
 _PART_BYTES = 1 << 16
+# A body is held in the pieces that were received and, at its end, as a whole.
+_COPIES = 2
 _NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 _NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -77,10 +79,6 @@
     return response
 
 
-def _ignore() -> None:
-    """Is called when a claim is evicted, which `read_body` notices itself."""
-
-
 class NoRoomError(RequestFailedError):
     """The memory of the process has no room for a response."""
 
@@ -92,7 +90,7 @@
     response: httpcore.Response,
     max_bytes: int,
     memory: MemoryBudget,
-) -> bytes:
+) -> tuple[bytes, MemoryLease | None]:
     """Returns the complete body of a response.
 
     Args:
@@ -101,35 +99,57 @@
         max_bytes: Maximum size.
         memory: Memory of the process for such bodies.
 
+    Returns:
+        The body, and its lease; None if it is too small to count.
+
     Raises:
         NoRoomError: There is no room for the body.
         RequestFailedError: The body is larger than `max_bytes`.
     """
-    chunks = []
-    size = 0
-    claim = memory.open(_ignore)
+    # Without the abort, an evicted body would stay until its server sends more.
+    claim = memory.open(conn.abort)
+    lease = MemoryLease(claim)
     try:
-        async for chunk in response.stream:
-            size += len(chunk)
-            claim.add(len(chunk))
-            if claim.is_evicted:
-                raise NoRoomError(
-                    f"there is no room for the response after {size} bytes",
-                    ran=ExecutionStatus.RAN,
-                )
-            if size > max_bytes:
-                raise RequestFailedError(
-                    f"the response exceeds {max_bytes} bytes",
-                    ran=ExecutionStatus.RAN,
-                )
-            chunks.append(chunk)
-    finally:
-        claim.release()
+        body = await _collect(response, max_bytes, claim)
+    except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+        if claim.is_evicted:
+            raise _make_no_room_error() from exc
+        raise
     # After `aclose`, httpcore's connection is idle, or closed if the server
     # ends it. `end_exchange` comes first, so that this close isn't a reset.
     conn.end_exchange()
     await response.aclose()
-    return b"".join(chunks)
+    return body, lease if claim.held else None
+
+
+async def _collect(
+    response: httpcore.Response, max_bytes: int, claim: MemoryClaim
+) -> bytes:
+    """Returns a body, which its claim counts; see `read_body`."""
+    chunks = []
+    size = 0
+    async for chunk in response.stream:
+        size += len(chunk)
+        claim.add(len(chunk), _COPIES)
+        if claim.is_evicted:
+            raise _make_no_room_error()
+        if size > max_bytes:
+            raise RequestFailedError(
+                f"the response exceeds {max_bytes} bytes",
+                ran=ExecutionStatus.RAN,
+            )
+        chunks.append(chunk)
+    claim.pin()
+    body = b"".join(chunks)
+    claim.shrink(size)
+    return body
+
+
+def _make_no_room_error() -> NoRoomError:
+    return NoRoomError(
+        "there is no room for the response, as other large bodies are held",
+        ran=ExecutionStatus.RAN,
+    )
 
 
 def _build_request(
--- a/daisyhub/connections/_response.py
+++ b/daisyhub/connections/_response.py
@@ -13,6 +13,7 @@
 
 from daisyhub.connections._connection import RequestFailedError, mapped_errors
 from daisyhub.connections._exchange import lower_names
+from daisyhub.memory import MemoryLease
 from daisyhub.messages import Header
 
 __all__ = ["HttpResponse", "ResponseStream", "StreamedResponse", "Timing"]
@@ -27,11 +28,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HttpResponse:
-    """A complete response, its body included."""
+    """A complete response, its body included.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header fields, with names in lower case.
+        body: The body.
+        lease: Counts a large body while it is referred to.
+    """
 
     status: int
     headers: tuple[Header, ...]
     body: bytes
+    lease: MemoryLease | None = None
 
 
 class StreamedResponse:
--- a/daisyhub/filters/_forward.py
+++ b/daisyhub/filters/_forward.py
@@ -253,6 +253,7 @@
         headers=headers,
         body=response.body,
         tokens=tokens,
+        lease=response.lease,
     )
 
 
--- a/daisyhub/gateway/_app.py
+++ b/daisyhub/gateway/_app.py
@@ -19,7 +19,7 @@
 from daisyhub.messages import Request, Response
 from daisyhub.metrics import Metrics
 from daisyhub.problems import problem_body
-from daisyhub.serving import RequestBody
+from daisyhub.serving import LEASE, RequestBody
 
 __all__ = ["GatewayApp"]
 
@@ -178,7 +178,13 @@
         headers = self._response_headers(resp)
         headers.append((b"content-length", str(len(resp.body)).encode()))
         await send(_start_message(resp.status, headers))
-        await send({"type": "http.response.body", "body": resp.body})
+        await send(
+            {
+                "type": "http.response.body",
+                "body": resp.body,
+                LEASE: resp.lease,
+            }
+        )
 
     async def _send_stream(
         self, resp: Response, receiver: "_RequestReceiver", send: Send
--- a/daisyhub/gateway/_relay_messages.py
+++ b/daisyhub/gateway/_relay_messages.py
@@ -5,6 +5,8 @@
 as it arrives, with a header that says what became of the request.
 """
 
+import dataclasses
+
 import msgspec
 
 from daisyhub.balancing import Release
@@ -101,12 +103,7 @@
 def with_result(resp: Response, result: RelayResult) -> Response:
     """Returns a response with the header that states a result."""
     header = (_RESULT_HEADER, msgspec.json.encode(result))
-    return Response(
-        status=resp.status,
-        headers=(*resp.headers, header),
-        body=resp.body,
-        stream=resp.stream,
-    )
+    return dataclasses.replace(resp, headers=(*resp.headers, header))
 
 
 def read_result(
--- a/daisyhub/gateway/_send_outcomes.py
+++ b/daisyhub/gateway/_send_outcomes.py
@@ -111,5 +111,8 @@
             stream=ResponseStream(response),
         )
     return Response(
-        status=response.status, headers=response.headers, body=response.body
+        status=response.status,
+        headers=response.headers,
+        body=response.body,
+        lease=response.lease,
     )
--- a/daisyhub/memory.py
+++ b/daisyhub/memory.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable
 
-__all__ = ["MemoryBudget", "MemoryClaim"]
+__all__ = ["MemoryBudget", "MemoryClaim", "MemoryLease"]
 
 
 class _State(enum.Enum):
@@ -99,6 +99,11 @@
         if self.state is _State.RECEIVING:
             self.state = _State.PINNED
 
+    def shrink(self, size: int) -> None:
+        """Sets the size once the copies made meanwhile are gone."""
+        self._total = size
+        self._budget.resize(self, max(0, size - _FREE_BYTES))
+
     def release(self) -> None:
         """Gives everything back, so that the claim may be used again."""
         self.state = _State.RECEIVING
@@ -114,6 +119,27 @@
         self._evict()
 
 
+class MemoryLease:
+    """Counts a body towards the budget while anything refers to the lease.
+
+    Passed along with the body, so that a body counts until it was sent, or was
+    dropped wherever that happened.
+
+    Args:
+        claim: The claim of the body.
+    """
+
+    def __init__(self, claim: MemoryClaim):
+        self._claim = claim
+
+    def release(self) -> None:
+        """Ends the lease, as the body is counted elsewhere."""
+        self._claim.release()
+
+    def __del__(self):
+        self._claim.release()
+
+
 class MemoryBudget:
     """Decides which requests may hold how much memory.
 
--- a/daisyhub/messages.py
+++ b/daisyhub/messages.py
@@ -4,6 +4,8 @@
 import typing
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+from daisyhub.memory import MemoryLease
+
 if typing.TYPE_CHECKING:
     from daisyhub.config import Route
 
@@ -92,6 +94,7 @@
         stream: The chunks of the content, if it is streamed; None if it was
             buffered.
         tokens: Tokens generated for this response, for usage accounting.
+        lease: Counts a large `body` until it is sent.
     """
 
     status: int
@@ -99,6 +102,7 @@
     body: bytes = b""
     stream: AsyncIterator[bytes] | None = None
     tokens: int = 0
+    lease: MemoryLease | None = None
 
     def header_values(self, name: bytes) -> list[bytes]:
         """Returns all values of a header, `name` in lower case."""
--- a/daisyhub/serving/__init__.py
+++ b/daisyhub/serving/__init__.py
@@ -11,10 +11,12 @@
     count_sockets,
 )
 from daisyhub.serving._operators_app import OperatorsApp
+from daisyhub.serving._protocol import LEASE
 from daisyhub.serving._request_body import RequestBody
 from daisyhub.serving._server import HttpServer
 
 __all__ = [
+    "LEASE",
     "CallersApp",
     "ConnectionLimits",
     "ConnectionTable",
--- a/daisyhub/serving/_callers_app.py
+++ b/daisyhub/serving/_callers_app.py
@@ -15,6 +15,7 @@
 from daisyhub.messages import BodyReader, Request, Response
 from daisyhub.metrics import Metrics
 from daisyhub.problems import problem_response
+from daisyhub.serving._protocol import LEASE
 from daisyhub.serving._request_body import RequestBody
 
 __all__ = ["CallersApp", "OpenStreams"]
@@ -159,7 +160,9 @@
             headers.append((b"content-length", length))
         await send(_start_message(resp.status, headers))
         body = resp.body if scope["method"] != "HEAD" else b""
-        await send({"type": "http.response.body", "body": body})
+        await send(
+            {"type": "http.response.body", "body": body, LEASE: resp.lease}
+        )
 
     async def _send_stream(
         self, resp: Response, headers, key_id: str, receive, send
--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -19,6 +19,7 @@
 )
 
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
+from daisyhub.memory import MemoryLease
 from daisyhub.messages import Response
 from daisyhub.problems import problem_response
 from daisyhub.serving._connection_table import (
@@ -28,10 +29,12 @@
 from daisyhub.serving._limits import ListenerLimits
 from daisyhub.serving._lingering_transport import LingeringTransport
 
-__all__ = ["CONNECTION", "BoundedProtocol"]
+__all__ = ["CONNECTION", "LEASE", "BoundedProtocol"]
 
 # Key of the connection in the ASGI scope of a request.
 CONNECTION = "daisyhub.connection"
+# Key of the lease of a response's body, or None, in the ASGI message with it.
+LEASE = "daisyhub.lease"
 
 _HEAD_END = b"\r\n\r\n"
 _EMPTY_LINES = b"\r\n"
@@ -271,8 +274,15 @@
             self.transport.must_linger = True
             self.cycle.keep_alive = False
 
-    def hold_response(self, size: int) -> None:
-        """Counts a large response until its client has received it."""
+    def hold_response(self, size: int, lease: MemoryLease | None) -> None:
+        """Counts a large response until its client has received it.
+
+        Args:
+            size: Its size.
+            lease: What has counted it until now.
+        """
+        if lease is not None:
+            lease.release()
         self._claim.release()
         self._claim.add(size)
 
--- a/daisyhub/serving/_server.py
+++ b/daisyhub/serving/_server.py
@@ -12,7 +12,7 @@
 from daisyhub.memory import MemoryBudget
 from daisyhub.serving._connection_table import ConnectionTable
 from daisyhub.serving._limits import ListenerLimits
-from daisyhub.serving._protocol import CONNECTION, BoundedProtocol
+from daisyhub.serving._protocol import CONNECTION, LEASE, BoundedProtocol
 from daisyhub.settings import Address
 
 __all__ = ["HttpServer"]
@@ -114,8 +114,9 @@
             if message["type"] == "http.response.start":
                 conn.begin_response()
             body = message.get("body", b"")
+            lease = message.pop(LEASE, None)
             if len(body) > _WRITE_BYTES:
-                conn.hold_response(len(body))
+                conn.hold_response(len(body), lease)
                 body = memoryview(body)
             while len(body) > _WRITE_BYTES:
                 part = {**message, "body": body[:_WRITE_BYTES]}
