Responses: what a client leaves unread or reads ahead is bounded lower

Cause: the last 64 KB of a response didn't count, nor did a whole one below that size, nor up to 32 KB of requests behind the current one.

Change: responses are written in parts of 16 KB and count from that size on, the transport pauses the application above 16 KB, and 4 KB are read at a time while a response is due. test_connection_times' stand-in of a transport accepts limits of its buffer.

--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -48,10 +48,12 @@
 # counts, both in bytes.
 _HEADER_OVERHEAD = 128
 _ORDINARY_HEAD_BYTES = 2048
-# Size of a read outside of bodies, and size up to which pipelined requests are
-# read ahead, in bytes.
+# Size of a read of a head, and of one while a response is due, after which
+# reading pauses until then, in bytes.
 _READ_BYTES = 1 << 14
-_READ_AHEAD_BYTES = 1 << 14
+_READ_AHEAD_BYTES = 1 << 12
+# Unsent bytes above which the application waits.
+_WRITE_BUFFER_BYTES = 1 << 14
 # Time in which a client must have received what fills the write buffer, in
 # seconds.
 _WRITE_TIMEOUT_S = 60.0
@@ -102,6 +104,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Starts the time within which a client must send something."""
+        transport.set_write_buffer_limits(_WRITE_BUFFER_BYTES)
         super().connection_made(LingeringTransport(transport))
         self._set_timer(self._limits.get_limits().idle_timeout_s)
         self._table.add(self)
@@ -122,7 +125,10 @@
         Only bodies are read in large parts, as what follows a request is kept
         until its response.
         """
-        return self._buffer if self._is_in_body else self._buffer[:_READ_BYTES]
+        if self._is_in_body:
+            return self._buffer
+        is_due = self._is_responding
+        return self._buffer[: _READ_AHEAD_BYTES if is_due else _READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Processes received bytes; see `asyncio.BufferedProtocol`."""
--- a/daisyhub/serving/_server.py
+++ b/daisyhub/serving/_server.py
@@ -22,9 +22,9 @@
 # room for others.
 _ACCEPT_COUNT = 16
 _READ_BYTES = 1 << 16
-# Size of the parts in which a response is written, so that a client that
-# doesn't read makes the process hold one of them.
-_WRITE_BYTES = 1 << 16
+# Size of the parts in which a response is written. A smaller response doesn't
+# count; of a larger one, the last part doesn't.
+_WRITE_BYTES = 1 << 14
 # Maximum time that `shutdown` waits for partly received requests, and the
 # interval at which it checks for them.
 _LAST_REQUESTS_TIMEOUT_S = 1.0
--- a/daisyhub/serving/tests/test_connection_times.py
+++ b/daisyhub/serving/tests/test_connection_times.py
@@ -41,6 +41,9 @@
     def get_write_buffer_size(self):
         return 0
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
     def pause_reading(self):
         pass
 
