Responses: connections to servers are read in smaller parts

Cause: asyncio reads up to 256 KB at a time, which anyio keeps until httpcore has taken it, 64 KB at a time. Sixty responses that begin at the same time held 15 MB that way before any of it was counted.

Change: 64 KB are read at a time. The copy that joins a body's pieces no longer counts: it is made without a pause, so that there is one at a time.

--- a/daisyhub/connections/_connection.py
+++ b/daisyhub/connections/_connection.py
@@ -37,6 +37,9 @@
 # `SO_LINGER` value: closing resets the connection and drops unsent data.
 _NO_LINGER = struct.pack("ii", 1, 0)
 _BACKEND = AnyIOBackend()
+# Maximum size of a read, in bytes. asyncio's default is four times as large,
+# which each connection may hold beside the response it belongs to.
+_READ_BYTES = 1 << 16
 _KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 
 
@@ -219,6 +222,9 @@
         httpcore.ConnectTimeout: Connecting timed out.
     """
     stream = await _BACKEND.connect_tcp(address.ip, address.port, timeout_s)
+    transport = getattr(stream._stream, "_transport", None)
+    if transport is not None:
+        transport.max_size = _READ_BYTES
     return Connection(address, stream)
 
 
--- a/daisyhub/connections/_exchange.py
+++ b/daisyhub/connections/_exchange.py
@@ -31,8 +31,6 @@
 _REQUEST_ID_HEADER = b"daisyhub-request-id"
 # Size of the parts in which a large body is sent, in bytes.
 _PART_BYTES = 1 << 16
-# A body is held in the pieces that were received and, at its end, as a whole.
-_COPIES = 2
 _NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 _NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -130,7 +128,7 @@
     size = 0
     async for chunk in response.stream:
         size += len(chunk)
-        claim.add(len(chunk), _COPIES)
+        claim.add(len(chunk))
         if claim.is_evicted:
             raise _make_no_room_error()
         if size > max_bytes:
@@ -140,9 +138,8 @@
             )
         chunks.append(chunk)
     claim.pin()
-    body = b"".join(chunks)
-    claim.shrink(size)
-    return body
+    # The copy doesn't count: no other is made at the same time.
+    return b"".join(chunks)
 
 
 def _make_no_room_error() -> NoRoomError:
