Relays: copies for peers and responses of peers count

Cause: a daemon that is cut off sends the requests of its callers through peers, each encoded as one message with its body. That copy counted nowhere, and the responses counted towards a budget of their own, as the client for peers was that for the store.

Change: the copy has a lease until the peer has answered, and relays have a client of their own with the budget of the process.

--- a/daisyhub/connections/_client.py
+++ b/daisyhub/connections/_client.py
@@ -34,7 +34,7 @@
     Timing,
 )
 from daisyhub.exceptions import ExecutionStatus
-from daisyhub.memory import MemoryBudget
+from daisyhub.memory import MemoryBudget, MemoryLease
 from daisyhub.messages import Header
 from daisyhub.settings import Address
 
@@ -79,6 +79,10 @@
         self._connect_timeout_s = connect_timeout_s
         self._on_exchange = on_exchange
 
+    def hold(self, size: int) -> MemoryLease:
+        """Returns the lease of a body that was made to be sent."""
+        return self._memory.hold(size)
+
     async def request(
         self,
         method: str,
--- a/daisyhub/gateway/_relays.py
+++ b/daisyhub/gateway/_relays.py
@@ -260,16 +260,20 @@
             )
         )
         call = self._http.open if task.is_streamed else self._http.request
-        return await call(
-            "POST",
-            address,
-            RELAY_PATH,
-            body=body,
-            timeout_s=remaining_s,
-            # A request that may run once isn't sent on a connection that the
-            # peer may be closing.
-            fresh=not task.route.idempotent,
-        )
+        lease = self._http.hold(len(body))
+        try:
+            return await call(
+                "POST",
+                address,
+                RELAY_PATH,
+                body=body,
+                timeout_s=remaining_s,
+                # A request that may run once isn't sent on a connection that
+                # the peer may be closing.
+                fresh=not task.route.idempotent,
+            )
+        finally:
+            lease.release()
 
     def _load(self, peer: PeerState) -> tuple[float, float]:
         """Returns a sort key; the peer with the lowest one is chosen."""
--- a/daisyhub/gateway/tests/test_relays.py
+++ b/daisyhub/gateway/tests/test_relays.py
@@ -1,5 +1,6 @@
 """Requests through a peer: what its response says, and which peer is asked."""
 
+import dataclasses
 import time
 import types
 import unittest
@@ -18,6 +19,7 @@
     with_result,
 )
 from daisyhub.logs import DecisionLog
+from daisyhub.memory import MemoryBudget
 from daisyhub.messages import Request, Response
 from daisyhub.metrics import Metrics
 from daisyhub.platform._wire import PlatformEndpointWire
@@ -72,7 +74,10 @@
 
 class RelaysTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.http = HttpClient(connect_timeout_s=1.0, idle_s=30.0)
+        self.budget = MemoryBudget()
+        self.http = HttpClient(
+            connect_timeout_s=1.0, idle_s=30.0, memory=self.budget
+        )
         self.addAsyncCleanup(self.http.aclose)
         self.reach = Reach()
         self.sender = Sender(
@@ -91,6 +96,17 @@
         self.reach.add(name, server.address, **fields)
         return server
 
+    async def test_the_copy_for_a_peer_counts_until_it_answers(self):
+        """The encoded copy of a body was counted nowhere."""
+        size = 1 << 20
+        held = []
+        server = await self.add_peer("a", ANSWERED)
+        server.on_request = lambda: held.append(self.budget.held)
+        task = dataclasses.replace(make_send_task(), body=b"a" * size)
+        await self.sender.send(task)
+        self.assertGreater(held[0], 0.9 * size)
+        self.assertEqual(self.budget.held, 0)
+
     async def refuse(self, *args, **fields):
         with self.assertRaises(Refusal) as caught:
             await self.sender.send(make_send_task(*args, **fields))
--- a/daisyhub/memory.py
+++ b/daisyhub/memory.py
@@ -45,6 +45,10 @@
 _BYTES_PER_MB = 1_000_000
 
 
+def _do_nothing() -> None:
+    """Evicts a claim that is never evicted."""
+
+
 class MemoryClaim:
     """The memory that one request, or its response, holds.
 
@@ -99,10 +103,18 @@
         if self.state is _State.RECEIVING:
             self.state = _State.PINNED
 
-    def shrink(self, size: int) -> None:
-        """Sets the size once the copies made meanwhile are gone."""
-        self._total = size
-        self._budget.resize(self, max(0, size - _FREE_BYTES))
+    def grow(self, size: int) -> bool:
+        """Adds what processing a complete body takes.
+
+        Returns:
+            Whether there is room beside other complete ones; else nothing was
+            added.
+        """
+        if not self._budget.has_room_for(self._total + size, self):
+            return False
+        self._total += size
+        self._budget.resize(self, max(0, self._total - _FREE_BYTES))
+        return True
 
     def release(self) -> None:
         """Gives everything back, so that the claim may be used again."""
@@ -155,6 +167,7 @@
 
     Attributes:
         limit: Bytes that all claims may hold together.
+        large_limit: Bytes that large ones may hold.
         held: Bytes of theirs that count.
         evicted: Number of claims that were evicted.
     """
@@ -166,7 +179,7 @@
     ):
         spare = memory_mb * _BYTES_PER_MB - _BASE_BYTES
         self.limit = max(_MIN_LIMIT_BYTES, int(spare * _BUDGET_SHARE))
-        self._large_limit = int(self.limit * (1 - _SMALL_SHARE))
+        self.large_limit = int(self.limit * (1 - _SMALL_SHARE))
         self.now_s = now_s
         self.held = 0
         self.evicted = 0
@@ -181,18 +194,34 @@
         """
         return MemoryClaim(self, evict)
 
-    def has_room_for(self, size: int) -> bool:
-        """Whether a body of this size could be held, whoever is evicted."""
-        counted = min(size, self._large_limit)
-        pinned = [c for c in self._claims if c.state is _State.PINNED]
+    def hold(self, size: int) -> MemoryLease:
+        """Returns the lease of a complete body, which nothing evicts."""
+        claim = self.open(_do_nothing)
+        claim.pin()
+        claim.add(size)
+        return MemoryLease(claim)
+
+    def has_room_for(self, size: int, claim: MemoryClaim | None = None) -> bool:
+        """Whether a body of this size could be held, whoever is evicted.
+
+        Args:
+            size: Its size.
+            claim: Its claim if it has one already.
+        """
+        counted = min(size, self.large_limit)
+        pinned = [
+            c
+            for c in self._claims
+            if c.state is _State.PINNED and c is not claim
+        ]
         if sum(c.held for c in pinned) + counted > self.limit:
             return False
         large = sum(c.held for c in pinned if c.is_large)
-        return size < _LARGE_BYTES or large + counted <= self._large_limit
+        return size < _LARGE_BYTES or large + counted <= self.large_limit
 
     def resize(self, claim: MemoryClaim, size: int) -> None:
         """Sets what a claim holds; evicts claims if that is too much."""
-        counted = min(size, self._large_limit)
+        counted = min(size, self.large_limit)
         has_grown = counted > claim.held
         self.held += counted - claim.held
         claim.held = counted
@@ -202,7 +231,7 @@
         self._claims.add(claim)
         if has_grown and claim.is_large:
             large = [c for c in self._claims if c.is_large]
-            self._evict_down_to(self._large_limit, large)
+            self._evict_down_to(self.large_limit, large)
         if has_grown and self.held > self.limit:
             self._evict_down_to(self.limit, list(self._claims))
 
--- a/daisyhub/platform/_daemon.py
+++ b/daisyhub/platform/_daemon.py
@@ -241,6 +241,7 @@
                 await self._shut_down()
                 tasks.cancel_scope.cancel()
         await self.http.aclose()
+        await self.relay_http.aclose()
         await self.endpoint_http.aclose()
         self.network.close()
 
--- a/daisyhub/platform/_lot_parts.py
+++ b/daisyhub/platform/_lot_parts.py
@@ -72,7 +72,7 @@
                 self.cfg.daemon_id,
                 self.cfg.failure_domain,
                 self.reach,
-                self.http,
+                self.relay_http,
                 self.metrics,
             ),
             self.adaptive.heads,
--- a/daisyhub/platform/_store_parts.py
+++ b/daisyhub/platform/_store_parts.py
@@ -68,6 +68,11 @@
             connect_timeout_s=cfg.connect_timeout_s,
             idle_s=cfg.connection_idle_s,
         )
+        self.relay_http = HttpClient(
+            connect_timeout_s=cfg.connect_timeout_s,
+            idle_s=cfg.connection_idle_s,
+            memory=self.memory,
+        )
         self.endpoint_http = HttpClient(
             connect_timeout_s=cfg.connect_timeout_s,
             idle_s=cfg.connection_idle_s,
--- a/daisyhub/tests/test_memory.py
+++ b/daisyhub/tests/test_memory.py
@@ -37,6 +37,18 @@
         self.open("next").add(500_000)
         self.assertEqual(self.evicted, [])
 
+    def test_a_complete_body_grows_only_into_free_room(self):
+        complete, other = self.open("complete"), self.open("other")
+        for claim in (complete, other):
+            claim.add(4 * MB)
+            claim.pin()
+        self.assertFalse(complete.grow(20 * MB))
+        self.assertLess(self.budget.held, 8 * MB)
+        self.assertTrue(complete.grow(10 * MB))
+        other.release()
+        self.assertTrue(complete.grow(500 * MB))
+        self.assertEqual(self.evicted, [])
+
     def test_a_claim_without_progress_makes_room(self):
         stalled, moving = self.open("stalled"), self.open("moving")
         stalled.add(14 * MB)
