Lots: bodies that decode to many times their size are refused

What callers saw: nothing yet; a crowd of four lots of 4 MB, each of 80,000 small items, made a daemon that may have 128 MB reach 138 MB.

Cause: the budget counted the bytes of a lot's body. A small item of 45 bytes takes 430 once decoded, measured, and one lot of 32 MB more than the memory of a machine. A body on a path without a route was decoded, too, to tell whether it is a lot.

Change: what decoding takes is estimated from the numbers of objects and members, and counted in the claim of the body. Beyond what large bodies may have it is refused with 413; without room beside others as any body without room. A body that takes more than 16 MB is taken for a lot without decoding it, so that no promise is made.

--- a/daisyhub/gateway/_body_filter.py
+++ b/daisyhub/gateway/_body_filter.py
@@ -5,6 +5,7 @@
 from daisyhub.base import Filter, Handler
 from daisyhub.catalog import ManifestController, RouteKind
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
+from daisyhub.json_texts import estimate_decoded_bytes
 from daisyhub.messages import Request, Response
 
 __all__ = ["BodyFilter", "without_promise"]
@@ -48,6 +49,7 @@
                 limits.body_bytes,
                 copies=_count_copies(req),
                 deadline_s=_read_deadline_s(req),
+                weigh=estimate_decoded_bytes if _is_lot(req) else None,
             )
         except Refusal as exc:
             raise without_promise(exc) if _may_be_lot(req) else exc from None
--- a/daisyhub/json_texts.py
+++ b/daisyhub/json_texts.py
@@ -9,7 +9,13 @@
 
 import msgspec
 
-__all__ = ["decode_json", "parse_count", "split_array", "split_object"]
+__all__ = [
+    "decode_json",
+    "estimate_decoded_bytes",
+    "parse_count",
+    "split_array",
+    "split_object",
+]
 
 # Digits of the largest number that a header or an address may state.
 _MAX_DIGITS = 18
@@ -18,6 +24,10 @@
 # as itself.
 _TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"|["\[\]{},]', re.DOTALL)
 _MEMBER = re.compile(rb'\s*("(?:[^"\\]++|\\.)*+")\s*:', re.DOTALL)
+# Memory of a decoded object and of a member of one, beside their texts, in
+# bytes.
+_OBJECT_OVERHEAD = 300
+_MEMBER_OVERHEAD = 100
 _CLOSING_BY_OPENING = {b"[": b"]", b"{": b"}"}
 
 
@@ -34,6 +44,15 @@
         raise msgspec.DecodeError("JSON is nested too deeply") from exc
 
 
+def estimate_decoded_bytes(text: bytes) -> int:
+    """Returns an upper bound of what decoding a text adds to its own size.
+
+    Small objects take a multiple of their text.
+    """
+    objects, members = text.count(b"{"), text.count(b":")
+    return _OBJECT_OVERHEAD * objects + _MEMBER_OVERHEAD * members
+
+
 def parse_count(text: str) -> int | None:
     """Returns a number of ASCII digits; None if the text is anything else."""
     return int(text) if _COUNT.fullmatch(text) else None
--- a/daisyhub/platform/_lots_json.py
+++ b/daisyhub/platform/_lots_json.py
@@ -10,7 +10,11 @@
 import msgspec
 
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
-from daisyhub.json_texts import decode_json, parse_count
+from daisyhub.json_texts import (
+    decode_json,
+    estimate_decoded_bytes,
+    parse_count,
+)
 from daisyhub.lots import (
     EventReader,
     ItemResult,
@@ -34,6 +38,9 @@
 _LENGTH_HINT_HEADER = "daisyhub-length-hint"
 _ID_PREFIX = b"id:"
 _DATA_PREFIX = b"data:"
+# Memory up to which a body is decoded only to tell whether it is a lot, in
+# bytes.
+_MAX_DECODED_BYTES = 1 << 24
 # Limit for events that never end; real events have some hundred bytes.
 _MAX_EVENT_BYTES = 1 << 20
 
@@ -147,7 +154,12 @@
 
 
 def may_be_lot(body: bytes) -> bool:
-    """Whether a request body is a lot that a daemon may have stored."""
+    """Whether a request body is a lot that a daemon may have stored.
+
+    True if telling it takes too much memory.
+    """
+    if estimate_decoded_bytes(body) > _MAX_DECODED_BYTES:
+        return True
     try:
         return bool(decode_json(body, type=_Lot).items)
     except msgspec.DecodeError:
--- a/daisyhub/platform/tests/test_crowd_processes.py
+++ b/daisyhub/platform/tests/test_crowd_processes.py
@@ -18,6 +18,8 @@
 from daisyhub.testing.fleet import KEY, Fleet
 
 DAEMON = "edge-0"
+# Lots of many items in such a crowd.
+MANY_ITEMS_LOTS = 4
 # Descriptors that the platform keeps for files; the others are for sockets.
 _FILE_DESCRIPTORS = 200
 
@@ -74,6 +76,21 @@
             lambda _: itertools.chain([head], itertools.repeat(piece, 64))
         )
 
+    async def test_lots_of_many_items(self):
+        """One lot of small items took many times its size."""
+        item = b'{"id":"%d","path":"","headers":{},"body":""},'
+        count = BODY_BYTES // 52
+        items = b"".join(item % n for n in range(count))
+        lot = b'{"items":[%s]}' % items[:-1]
+        self.assertLess(len(lot), BODY_BYTES)
+        head = self.head(path=b"/gen/lot")
+        head += b"Content-Length: %d\r\n\r\n" % len(lot)
+        crowd = await self.crowd(
+            lambda _: split(head + lot, CHUNK_BYTES), MANY_ITEMS_LOTS
+        )
+        await crowd.wait_until_still()
+        await self.check()
+
     async def test_headers_without_end_at_the_readiness_check(self):
         await self.check_endless(
             b"GET /v1/readiness HTTP/1.1\r\n",
--- a/daisyhub/serving/_request_body.py
+++ b/daisyhub/serving/_request_body.py
@@ -60,6 +60,7 @@
         *,
         copies: int = 1,
         deadline_s: float | None = None,
+        weigh: Callable[[bytes], int] | None = None,
     ) -> bytes:
         """Returns the complete body.
 
@@ -68,10 +69,12 @@
             copies: How many times the process holds the body until it answers
                 the request.
             deadline_s: When to stop reading, monotonic seconds.
+            weigh: Returns how many bytes more it takes to process a body.
 
         Raises:
-            Refusal: The body is larger than `max_bytes`, is incomplete, didn't
-                arrive in time, or there is no room for it.
+            Refusal: The body is larger than `max_bytes` or than may ever be
+                processed, is incomplete, didn't arrive in time, or there is no
+                room for it.
         """
         if not self._is_announced():
             await self._receive()
@@ -87,6 +90,8 @@
         if body is not None:
             self._claim.pin()
             self.was_read.set()
+            if weigh is not None:
+                self._add_weight(weigh(body))
             return body
         if self._claim.is_evicted:
             raise _make_no_room_refusal()
@@ -115,6 +120,19 @@
             if not self._budget.has_room_for(int(value) * copies):
                 raise _make_no_room_refusal()
 
+    def _add_weight(self, size: int) -> None:
+        """Counts what it takes to process a complete body."""
+        limit = self._budget.large_limit
+        if size > limit:
+            raise Refusal(
+                ErrorCode.BODY_TOO_LARGE,
+                f"decoding the body takes {size} bytes, more than the {limit}"
+                " that this daemon has for it",
+                ran=ExecutionStatus.NOT_RUN,
+            )
+        if not self._claim.grow(size):
+            raise _make_no_room_refusal()
+
     async def _collect(self, max_bytes: int, copies: int) -> bytes:
         # Pieces may be tiny, and each would cost a multiple of its size. One
         # growing buffer for each body would leave holes of all sizes behind.
