Lots: the holder reads large open lots while there is memory for them

What callers saw: nothing yet; 60 lots of 2.8 MB, submitted one after the other and all accepted, made the holder reach 128 MB of 128.

Cause: the holder read the items of each open lot at once and kept them until the lot was deleted, minutes after its end. Each daemon cached the items of six lots, whatever their size. An accepted lot can't be refused any more.

Change: LotMemory admits lots of 1 MB or more in the order of their arrival, up to half of the budget of memory; the others stay in the store until one is closed. Smaller lots never wait. Items are dropped when their lot is closed, and lots above 1 MB aren't cached. A head states the size of its items; heads of older daemons state none, and count by their number.

Evidence: test_crowd_processes..test_large_lots, 128.2 MB of 128 on, 69 MB now; test_lot_memory.

--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -28,6 +28,7 @@
 from daisyhub.lots._listing_writer import ListingWriter
 from daisyhub.lots._lot_demand import LotDemand
 from daisyhub.lots._lot_loader import LotLoader
+from daisyhub.lots._lot_memory import LotMemory
 from daisyhub.lots._lot_order import trainer_lag_s
 from daisyhub.lots._lot_remover import LotRemover
 from daisyhub.lots._lot_routes import choose_pool
@@ -94,8 +95,13 @@
         self._texts = TextSaver(deps, self._is_adaptive)
         self._listing = ListingWriter(deps, self._on_listed)
         self._remover = LotRemover(deps, self.find)
+        self._memory = LotMemory(deps.memory_bytes)
         self._loader = LotLoader(
-            deps, self._is_known, self._is_adaptive, self._listing.add_chunk
+            deps,
+            self._is_known,
+            self._is_adaptive,
+            self._listing.add_chunk,
+            self._memory,
         )
         self._results = HeldResults(duty, deps, self._loader)
 
@@ -130,6 +136,7 @@
                 for lot_id, lot in self._lots.items()
                 if not lot.is_ended
             },
+            "large_lots_waiting": self._memory.waiting_lots,
             "running": self._core.total_open_runs,
             "waiting": self._core.waiting_items,
             "order": describe_order(self._core),
@@ -163,6 +170,7 @@
             self._tasks = self._listing.tasks = None
             self._core = DispatchCore()
             self._lots.clear()
+            self._memory.clear()
 
     async def save_unfinished_texts(self) -> None:
         """Saves the text of unfinished items to the store."""
@@ -244,10 +252,12 @@
 
         A later lot with items of the same ids resumes from these texts.
         """
+        self._memory.release(lot_id)
         if lot_id not in self._core.open_lots:
             return
         self._cached_texts.add(self._core.progress_of(lot_id))
         lot = self._lots[lot_id]
+        lot.spec = None
         self._deps.log.record(
             "lot_closed",
             lot=lot_id,
@@ -263,6 +273,9 @@
         is_open = not lot.is_ended and not lot.listing.is_complete
         if self._is_known(lot) and is_open:
             self._open_lot(lot)
+            return
+        lot.spec = None
+        self._memory.release(lot.head.lot_id)
 
     def _is_known(self, lot: HeldLot) -> bool:
         """Whether a lot was neither deleted nor replaced by a new state."""
--- a/daisyhub/lots/_holder_types.py
+++ b/daisyhub/lots/_holder_types.py
@@ -19,6 +19,8 @@
 
 __all__ = ["HeldLot", "LotHolderDependencies"]
 
+_DEFAULT_MEMORY_BYTES = 1 << 25
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LotHolderDependencies:
@@ -41,6 +43,7 @@
         is_adaptive: Returns whether a pool is adaptive; see `AdaptivePools`.
         is_cold: Returns whether an endpoint is cold.
         capacity: Measures the engines of adaptive pools.
+        memory_bytes: Memory for the items of large lots.
     """
 
     store: ObjectStore
@@ -57,6 +60,7 @@
     is_adaptive: Callable[[str], bool] = lambda _: False
     is_cold: Callable[[EndpointEntry], bool] = lambda _: False
     capacity: EngineCapacity | None = None
+    memory_bytes: int = _DEFAULT_MEMORY_BYTES
 
     def measured(self, entry: EndpointEntry) -> tuple[float | None, float]:
         """Returns an engine's limit and slowdown; see `EngineView`."""
@@ -70,7 +74,8 @@
     Attributes:
         head: The lot.
         listing: Lists its results.
-        spec: The lot with its items; None until they are read.
+        spec: The lot with its items; None until they are read, and once the
+            lot is closed.
         is_ended: Whether a caller ended it.
         is_listing_loaded: Whether its stored results were read.
         is_inherited: Whether it was accepted before this daemon got the duty,
--- a/daisyhub/lots/_lot_loader.py
+++ b/daisyhub/lots/_lot_loader.py
@@ -7,6 +7,7 @@
 
 from daisyhub.lots._holder_types import HeldLot, LotHolderDependencies
 from daisyhub.lots._load_queue import LoadQueue
+from daisyhub.lots._lot_memory import LotMemory
 from daisyhub.lots._run_states import Progress
 from daisyhub.lots._types import ItemResult, LotHead
 from daisyhub.objects import ObjectStoreError
@@ -37,6 +38,7 @@
         is_adaptive: Whether the pool that is to serve a lot is adaptive.
         add_chunk: Called with each stored chunk of results, and the position
             of its first.
+        memory: Admits the lots whose items are read.
     """
 
     def __init__(
@@ -45,11 +47,13 @@
         is_known: Callable[[HeldLot], bool],
         is_adaptive: Callable[[LotHead], bool],
         add_chunk: Callable[[HeldLot, int, tuple[ItemResult, ...]], None],
+        memory: LotMemory,
     ):
         self._deps = deps
         self._is_known = is_known
         self._is_adaptive = is_adaptive
         self._add_chunk = add_chunk
+        self._memory = memory
         self._open_loads = anyio.CapacityLimiter(_MAX_OPEN_LOADS)
         self._ended_loads = anyio.CapacityLimiter(_MAX_ENDED_LOADS)
         self._adaptive_loads = LoadQueue(_MAX_OPEN_LOADS, _MAX_ENDED_LOADS)
@@ -57,12 +61,15 @@
     async def load(self, lot: HeldLot) -> dict[str, Progress]:
         """Reads a lot's results, and its items if it is open.
 
-        Failed reads are retried until they succeed or the lot is removed.
+        Failed reads are retried until they succeed or the lot is removed. An
+        open lot that is large may have to wait for others.
 
         Returns:
             Texts of unfinished items that an earlier holder saved.
         """
         retry_delay_s = _LOAD_RETRY_DELAY_S
+        if not lot.is_ended:
+            await self._memory.admit(lot.head)
         while self._is_known(lot):
             try:
                 async with self._admit(lot):
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from daisyhub.json_texts import decode_json
+from daisyhub.lots._lot_memory import estimate_bytes
 from daisyhub.lots._parts import (
     Part,
     encode_parts,
@@ -50,6 +51,8 @@
 # Maximum number of lots whose items are cached after a create or a read: those
 # of a few steps.
 _MAX_CACHED_LOTS = 6
+# Maximum size of a lot that is cached, in bytes.
+_MAX_CACHED_LOT_BYTES = 1 << 20
 # Seconds within which the reads after a failed submission must end: one call's
 # usual timeout. Callers leave after about a second.
 _RESOLVE_TIMEOUT_S = 0.7
@@ -381,6 +384,8 @@
         await self._store.delete(LOTS_KIND, head.lot_id)
 
     def _cache_lot(self, spec: LotSpec) -> None:
+        if estimate_bytes(spec.head) > _MAX_CACHED_LOT_BYTES:
+            return
         self._cache[spec.head.lot_id] = spec
         while len(self._cache) > _MAX_CACHED_LOTS:
             self._cache.popitem(last=False)
--- a/daisyhub/lots/_parts.py
+++ b/daisyhub/lots/_parts.py
@@ -59,7 +59,10 @@
         for items in split_into_parts(spec.items)
     ]
     head = msgspec.structs.replace(
-        spec.head, parts=len(parts), parts_digest=digest_parts(parts)
+        spec.head,
+        parts=len(parts),
+        parts_digest=digest_parts(parts),
+        stored_bytes=sum(map(len, parts)),
     )
     return head, parts
 
--- a/daisyhub/lots/_types.py
+++ b/daisyhub/lots/_types.py
@@ -71,6 +71,7 @@
         parts: Number of objects that contain the items.
         parts_digest: Digest of the items, part of the names of these objects;
             empty if the names contain none.
+        stored_bytes: Size of these objects; 0 in heads of older versions.
         accepted_s: Time of its acceptance on the cluster's clock, in seconds
             since 1970.
         due_s: Seconds from its acceptance until its results are due.
@@ -92,6 +93,7 @@
     total: int
     parts: int = 0
     parts_digest: str = ""
+    stored_bytes: int = 0
     accepted_s: float = 0.0
     due_s: float = 0.0
     max_wait_s: float = 0.0
--- a/daisyhub/platform/_lot_parts.py
+++ b/daisyhub/platform/_lot_parts.py
@@ -125,6 +125,7 @@
             is_adaptive=self.adaptive.pools.is_adaptive,
             is_cold=self.permits.is_cold,
             capacity=self.capacity.engines,
+            memory_bytes=self.memory.limit // 2,
         )
         self.holder = LotHolder(self.rollouts, dependencies)
         self.rollouts.before_release = self.holder.save_unfinished_texts
--- a/daisyhub/platform/tests/test_crowd_processes.py
+++ b/daisyhub/platform/tests/test_crowd_processes.py
@@ -1,6 +1,8 @@
 """Crowds of clients that ignore the limits, at the platform's daemon."""
 
+import base64
 import itertools
+import json
 import struct
 
 from daisyhub.serving.tests.crowd_cases import (
@@ -16,9 +18,12 @@
     split,
 )
 from daisyhub.testing.fleet import KEY, Fleet
+from daisyhub.testing.fleet_documents import build_lot
 
 DAEMON = "edge-0"
-# Lots of many items in such a crowd.
+# Lots of such a crowd, and items of each.
+LOTS = 60
+LOT_ITEMS = 64
 MANY_ITEMS_LOTS = 4
 # Descriptors that the platform keeps for files; the others are for sockets.
 _FILE_DESCRIPTORS = 200
@@ -76,6 +81,28 @@
             lambda _: itertools.chain([head], itertools.repeat(piece, 64))
         )
 
+    async def test_large_lots(self):
+        """Items of lots that were accepted stayed in memory, all of them."""
+        item = build_lot("", groups=1)["items"][0]
+        padding = base64.b64encode(b"a" * (BODY_BYTES // LOT_ITEMS // 4 * 2))
+
+        def make_lot(number):
+            items = [
+                {**item, "id": f"{number}-{n}", "body": padding.decode()}
+                for n in range(LOT_ITEMS)
+            ]
+            lot = json.dumps({**build_lot("", groups=0), "items": items})
+            return lot.encode()
+
+        for number in range(LOTS):
+            body = make_lot(number)
+            resp = await self.fleet.call(
+                DAEMON, "POST", "/gen/lot", request_id=f"l{number}", body=body
+            )
+            self.assertEqual(resp.status, 202)
+            self.check_memory()
+        await self.check()
+
     async def test_lots_of_many_items(self):
         """One lot of small items took many times its size."""
         item = b'{"id":"%d","path":"","headers":{},"body":""},'
