Peers: the number of their connections is bounded

What callers saw: no answer, while 260 connections to the listener for peers, which send nothing, use up the 200 descriptors of a daemon.

Cause: links of peers had no maximum; an idle one was closed after a minute.

Change: links are in a ConnectionTable, too, so that the longest without a frame makes room. They may have half of the sockets that are kept from clients.

The cases of operators' and peers' listeners now run at both daemons: headers without end, idle connections, unfinished frames.

Evidence: test_idle_connections_at_the_peers_listener at both daemons, no answer within the time of a request on; they pass. The cases of the other listeners passed before.

--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -58,6 +58,7 @@
 from daisyhub.serving import (
     CallersApp,
     OperatorsApp,
+    count_links,
 )
 from daisyhub.settings import DaemonSettings, load_settings
 
@@ -115,7 +116,10 @@
             self.platform, self.process_id, timing
         )
         self.network = PeerNetwork(
-            self.cfg, self.incarnation, memory=self.memory
+            self.cfg,
+            self.incarnation,
+            memory=self.memory,
+            most_links=count_links(self.cfg.limits.sockets),
         )
         self.counters = UsageCounters(
             self.cfg.daemon_id, self.incarnation, timing.usage_window_s
--- a/daisyhub/fleet_settings.py
+++ b/daisyhub/fleet_settings.py
@@ -13,6 +13,9 @@
 
 Name = Annotated[str, Range(1, 128, "characters")]
 
+# Descriptors that the platform keeps for files.
+_FILE_DESCRIPTORS = 200
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FleetSettings:
@@ -99,6 +102,11 @@
     memory_mb: Annotated[float, Range(64, 1_000_000, "MB")] = 256.0
     descriptors: Annotated[int, Range(0, 10_000_000)] = 0
 
+    @property
+    def sockets(self) -> int:
+        """Number of sockets that the process may open; 0 if unknown."""
+        return max(0, self.descriptors - _FILE_DESCRIPTORS)
+
     @property
     def peer_address(self) -> Address:
         """Address of the listener for other daemons."""
--- a/daisyhub/peers/_links.py
+++ b/daisyhub/peers/_links.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 
 from daisyhub.memory import MemoryBudget
+from daisyhub.serving import ConnectionTable, EvictableConnection
 from daisyhub.settings import Address
 
 __all__ = ["IncomingLink", "OutgoingLink"]
@@ -184,13 +185,14 @@
         self._start_timer(_ACK_TIMEOUT_S)
 
 
-class IncomingLink(asyncio.Protocol):
+class IncomingLink(asyncio.Protocol, EvictableConnection):
     """Receives the frames of one connection and acknowledges them.
 
     Args:
         on_frame: Called with each complete frame.
         open_links: The open links of the daemon; this one adds and removes
             itself.
+        table: The same, for their maximum number.
         memory: Memory of the process for what others send. The link is closed
             if an unfinished frame has no room.
     """
@@ -199,11 +201,13 @@
         self,
         on_frame: Callable[[bytes], None],
         open_links: set["IncomingLink"],
+        table: ConnectionTable,
         memory: MemoryBudget,
     ):
         self._on_frame = on_frame
         self._claim = memory.open(self.abort)
         self._open_links = open_links
+        self._table = table
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._received = 0
@@ -213,6 +217,7 @@
         """Registers the link."""
         self._transport = transport
         self._open_links.add(self)
+        self._table.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Passes complete frames on, then acknowledges them."""
@@ -242,6 +247,7 @@
         del self._buffer[:start]
         self._claim.release()
         self._claim.add(len(self._buffer))
+        self._table.set_idle(self)
         self._received += count
         self._transport.write(_ACK.pack(self._received))
 
@@ -249,6 +255,7 @@
         """Removes the link."""
         del exc
         self._open_links.discard(self)
+        self._table.remove(self)
         self._claim.release()
 
     def abort(self) -> None:
@@ -257,6 +264,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def evict(self) -> None:
+        """Makes room for another link."""
+        self.abort()
+
     def close_if_idle(self, now_s: float) -> None:
         """Closes the link of a sender that is gone without closing it.
 
--- a/daisyhub/peers/_network.py
+++ b/daisyhub/peers/_network.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import socket
 import time
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -19,6 +20,7 @@
 from daisyhub.memory import MemoryBudget
 from daisyhub.peers._links import IncomingLink, OutgoingLink
 from daisyhub.peers._messages import Call, CallResponse, Envelope
+from daisyhub.serving import ConnectionTable
 from daisyhub.settings import Address, DaemonSettings
 
 __all__ = ["PeerNetwork", "PeerProtocol", "PeerUnreachableError"]
@@ -29,6 +31,12 @@
 # Seconds between checks for connections whose senders are gone.
 _SWEEP_INTERVAL_S = 30.0
 
+# Connections accepted at a time, and those that wait for it.
+_ACCEPT_COUNT = 16
+_BACKLOG = 1024
+# Maximum number of connections from peers if none is stated.
+_MOST_LINKS = 1 << 14
+
 log = get_logger("peers")
 
 Receiver = Callable[[object, object], None]
@@ -85,6 +93,7 @@
         protocol: The message types that are exchanged.
         memory: Memory of the process for what others send; by default that of
             a process that states none.
+        most_links: Maximum number of connections from peers.
     """
 
     def __init__(
@@ -93,8 +102,10 @@
         incarnation: int,
         protocol: PeerProtocol = _DEFAULT_PROTOCOL,
         memory: MemoryBudget | None = None,
+        most_links: int = _MOST_LINKS,
     ):
         self._cfg = cfg
+        self._links_table = ConnectionTable(most_links)
         self._memory = memory or MemoryBudget()
         self._protocol = protocol
         self._addresses = {p.daemon_id: p.address for p in cfg.peers}
@@ -203,11 +214,20 @@
         """Receives messages until cancelled."""
         loop = asyncio.get_running_loop()
         own = self._cfg.peer_address
+        sock = socket.create_server((own.ip, own.port))
+        # Accepted sockets inherit the option, which asyncio sets only on
+        # sockets with an explicit protocol number.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         server = await loop.create_server(
-            lambda: IncomingLink(self._receive, self._incoming, self._memory),
-            own.ip,
-            own.port,
+            lambda: IncomingLink(
+                self._receive, self._incoming, self._links_table, self._memory
+            ),
+            sock=sock,
+            # Also the number of connections accepted at a time, before the
+            # first of them can make room for others.
+            backlog=_ACCEPT_COUNT,
         )
+        sock.listen(_BACKLOG)
         self._datagrams, _ = await loop.create_datagram_endpoint(
             lambda: _DatagramReceiver(self._receive),
             local_addr=(own.ip, own.port),
--- a/daisyhub/platform/_listeners.py
+++ b/daisyhub/platform/_listeners.py
@@ -19,8 +19,6 @@
 
 __all__ = ["Listeners"]
 
-# Descriptors that the platform keeps for files.
-_FILE_DESCRIPTORS = 200
 # Fractions of the clients' sockets for callers and for peers; and the maximum
 # number of connections of a listener for operators.
 _CALLERS_SHARE = 0.75
@@ -56,9 +54,7 @@
         self._manifests = manifests
         self._metrics = metrics
         self._log = log
-        self._sockets = count_sockets(
-            max(0, cfg.descriptors - _FILE_DESCRIPTORS)
-        )
+        self._sockets = count_sockets(cfg.sockets)
         self._seen: Manifest | None = None
         self._limits = _to_connection_limits(CallerLimits())
 
--- a/daisyhub/platform/_store_parts.py
+++ b/daisyhub/platform/_store_parts.py
@@ -26,6 +26,7 @@
 from daisyhub.platform._store import PlatformStore
 from daisyhub.platform._store_pages import UnreadableObjects
 from daisyhub.platform._wire import PlatformEndpointWire
+from daisyhub.serving import count_links
 from daisyhub.settings import Address
 
 __all__ = ["StoreParts"]
@@ -80,7 +81,11 @@
             memory=self.memory,
         )
         self.network = PeerNetwork(
-            cfg, self.incarnation, CLUSTER_PROTOCOL, self.memory
+            cfg,
+            self.incarnation,
+            CLUSTER_PROTOCOL,
+            self.memory,
+            count_links(cfg.sockets),
         )
         self.peers = PeerTable(cfg.daemon_id, self.log)
         direct = PlatformStore(
--- a/daisyhub/platform/tests/test_crowd_processes.py
+++ b/daisyhub/platform/tests/test_crowd_processes.py
@@ -3,7 +3,6 @@
 import base64
 import itertools
 import json
-import struct
 
 from daisyhub.serving.tests.crowd_cases import (
     BODY_BYTES,
@@ -55,6 +54,8 @@
         self.process = self.fleet.processes[DAEMON]
         self.pid = self.process.pid
         self.listener = self.fleet.address(f"{DAEMON}/front")
+        self.operators_listener = self.fleet.address(f"{DAEMON}/metrics")
+        self.peers_listener = self.fleet.address(f"{DAEMON}/peer")
 
     def is_alive(self):
         return self.process.poll() is None
@@ -125,12 +126,11 @@
             listener=self.fleet.address(f"{DAEMON}/ready"),
         )
 
-    async def test_headers_without_end_at_the_metrics(self):
-        await self.check_endless(
-            b"GET /metrics HTTP/1.1\r\n",
-            b"X-A: b\r\n",
-            listener=self.fleet.address(f"{DAEMON}/metrics"),
-        )
+    async def test_idle_connections_at_the_readiness_check(self):
+        await self.check_idle(self.fleet.address(f"{DAEMON}/ready"))
+
+    async def test_idle_connections_at_the_relay(self):
+        await self.check_idle(self.fleet.address(f"{DAEMON}/relay"))
 
     async def test_large_bodies_at_the_relay(self):
         head = b"POST /relay HTTP/1.1\r\nHost: a\r\n"
@@ -141,12 +141,5 @@
             listener=self.fleet.address(f"{DAEMON}/relay"),
         )
 
-    async def test_frames_of_peers_that_stop_short_of_their_end(self):
-        short = struct.pack(">I", BODY_BYTES) + b"a" * (BODY_BYTES - 1)
-        await self.check_bodies(
-            lambda _: split(short, CHUNK_BYTES),
-            listener=self.fleet.address(f"{DAEMON}/peer"),
-        )
-
 
 del CrowdTests
--- a/daisyhub/serving/__init__.py
+++ b/daisyhub/serving/__init__.py
@@ -8,6 +8,7 @@
 from daisyhub.serving._limits import (
     ConnectionLimits,
     ListenerLimits,
+    count_links,
     count_sockets,
 )
 from daisyhub.serving._operators_app import OperatorsApp
@@ -26,5 +27,6 @@
     "OpenStreams",
     "OperatorsApp",
     "RequestBody",
+    "count_links",
     "count_sockets",
 ]
--- a/daisyhub/serving/_connection_table.py
+++ b/daisyhub/serving/_connection_table.py
@@ -60,7 +60,8 @@
         self._used.pop(conn, None)
 
     def set_idle(self, conn: EvictableConnection) -> None:
-        """Records that a response was completed."""
+        """Records that a request or message was completed."""
+        self.set_busy(conn)
         self._used[conn] = None
 
     def remove(self, conn: EvictableConnection) -> None:
--- a/daisyhub/serving/_limits.py
+++ b/daisyhub/serving/_limits.py
@@ -6,11 +6,18 @@
 
 from daisyhub.memory import MemoryBudget
 
-__all__ = ["ConnectionLimits", "ListenerLimits", "count_sockets"]
+__all__ = [
+    "ConnectionLimits",
+    "ListenerLimits",
+    "count_links",
+    "count_sockets",
+]
 
 # Fraction of the process's sockets that are kept for endpoints, the platform
 # and peers.
 _OWN_SHARE = 0.3
+# Fraction of those for connections that peers open.
+_LINKS_SHARE = 0.5
 # Sockets if neither the settings nor the system state a limit.
 _UNLIMITED_SOCKETS = 1 << 16
 
@@ -67,6 +74,19 @@
     Args:
         stated: Number of sockets of the process; 0 for its resource limit.
     """
+    return int((1 - _OWN_SHARE) * _count_all_sockets(stated))
+
+
+def count_links(stated: int) -> int:
+    """Returns how many connections peers may have open together.
+
+    Args:
+        stated: Number of sockets of the process; 0 for its resource limit.
+    """
+    return int(_LINKS_SHARE * _OWN_SHARE * _count_all_sockets(stated))
+
+
+def _count_all_sockets(stated: int) -> int:
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     known = _UNLIMITED_SOCKETS if soft == resource.RLIM_INFINITY else soft
-    return int((1 - _OWN_SHARE) * min(known, stated or known))
+    return min(known, stated or known)
--- a/daisyhub/serving/tests/crowd_cases.py
+++ b/daisyhub/serving/tests/crowd_cases.py
@@ -13,6 +13,7 @@
 import re
 import resource
 import signal
+import struct
 import unittest
 
 import anyio
@@ -99,11 +100,15 @@
     Attributes:
         pid: The daemon's process.
         listener: Where the crowd connects.
+        operators_listener: Listener for operators.
+        peers_listener: Listener for other daemons.
         key: The API key of the crowd.
     """
 
     pid: int
     listener: Address
+    operators_listener: Address
+    peers_listener: Address
     key: bytes
 
     @abc.abstractmethod
@@ -179,6 +184,13 @@
         self.assertEqual(await self.ask(b"a" * BODY_BYTES), 200)
         await self.check()
 
+    async def check_idle(self, listener: Address):
+        """Checks a crowd that connects and sends nothing."""
+        limit_sockets(self.pid)
+        await self.crowd(lambda _: iter(()), _IDLE, listener=listener)
+        await self.check()
+        self.assertLess(self.usage.descriptors(), SOCKETS)
+
     async def check_stop(self):
         """Checks that the daemon ends when it is told to."""
         self.check_memory()
@@ -331,10 +343,27 @@
         await self.check_stop()
 
     async def test_idle_connections_beyond_the_descriptors(self):
-        limit_sockets(self.pid)
-        await self.crowd(lambda _: iter(()), _IDLE)
-        await self.check()
-        self.assertLess(self.usage.descriptors(), SOCKETS)
+        await self.check_idle(self.listener)
+
+    async def test_idle_connections_at_the_operators_listener(self):
+        await self.check_idle(self.operators_listener)
+
+    async def test_idle_connections_at_the_peers_listener(self):
+        """Idle links used up the descriptors for callers and endpoints."""
+        await self.check_idle(self.peers_listener)
+
+    async def test_headers_without_end_at_the_operators_listener(self):
+        await self.check_endless(
+            b"GET /metrics HTTP/1.1\r\n",
+            b"X-A: b\r\n",
+            listener=self.operators_listener,
+        )
+
+    async def test_frames_of_peers_that_stop_short_of_their_end(self):
+        short = struct.pack(">I", BODY_BYTES) + b"a" * (BODY_BYTES - 1)
+        await self.check_bodies(
+            lambda _: split(short, CHUNK_BYTES), listener=self.peers_listener
+        )
 
     async def test_idle_connections_after_an_answer(self):
         get = self.head(has_body=False) + b"\r\n"
--- a/daisyhub/serving/tests/test_crowd_processes.py
+++ b/daisyhub/serving/tests/test_crowd_processes.py
@@ -40,6 +40,8 @@
         self.daemon = deployment.daemons()[0]
         self.pid = self.daemon.popen.pid
         self.listener = self.daemon.address
+        self.operators_listener = self.daemon.operators_address
+        self.peers_listener = self.daemon.peer_address
 
     def is_alive(self):
         return self.daemon.popen.poll() is None
--- a/daisyhub/testing/processes.py
+++ b/daisyhub/testing/processes.py
@@ -40,12 +40,14 @@
         popen: The handle of the process.
         address: The address where it serves requests.
         operators_address: A daemon's listener for operators; None for a fake.
+        peer_address: A daemon's listener for peers; None for a fake.
     """
 
     name: str
     popen: subprocess.Popen
     address: Address
     operators_address: Address | None = None
+    peer_address: Address | None = None
 
     def send_signal(self, number: int) -> None:
         """Sends a signal to this process only."""
@@ -189,6 +191,7 @@
             self._popen(name, args),
             Address(**settings["callers_address"]),
             Address(**settings["operators_address"]),
+            Address(**settings["peer_address"]),
         )
 
     def stop(self) -> None:
