Responses: large ones wait for room while others make it

What callers saw: of 60 that ask for a response of 4 MB at the same time, and read it, 5 to 10 got it; the others got 502, though their requests had run.

Cause: a response without room was dropped, or another one for it.

Change: a response of a stated length of 1 MB or more reserves its room before it is read, in the order of arrival, while its server waits. It waits only as long as memory is released, so that it isn't held up by what makes no progress; then it competes as before. The listener takes the claim over without giving it back in between.

--- a/daisyhub/connections/_exchange.py
+++ b/daisyhub/connections/_exchange.py
@@ -108,6 +108,7 @@
     claim = memory.open(conn.abort)
     lease = MemoryLease(claim)
     try:
+        await claim.reserve(min(_stated_length(response), max_bytes))
         body = await _collect(response, max_bytes, claim)
     except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
         if claim.is_evicted:
@@ -120,6 +121,14 @@
     return body, lease if claim.held else None
 
 
+def _stated_length(response: httpcore.Response) -> int:
+    """Returns the length that a response states; 0 if it states none."""
+    for name, value in response.headers:
+        if name.lower() == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
+
+
 async def _collect(
     response: httpcore.Response, max_bytes: int, claim: MemoryClaim
 ) -> bytes:
--- a/daisyhub/memory.py
+++ b/daisyhub/memory.py
@@ -3,13 +3,17 @@
 The load: many bodies of legal size that arrive at the same time, most of which
 never end. Each alone is allowed, together they exceed the memory of the
 machine. Waiting for room would let those that never end hold up all others, so
-that one of them is ended instead.
+that one of them is ended instead. Only large responses wait: their servers end
+them, and have done the work.
 """
 
+import collections
 import enum
 import time
 from collections.abc import Callable
 
+import anyio
+
 __all__ = ["MemoryBudget", "MemoryClaim", "MemoryLease"]
 
 
@@ -43,6 +47,9 @@
 _DEFAULT_MEMORY_MB = 256.0
 _MIN_LIMIT_BYTES = 1 << 22
 _BYTES_PER_MB = 1_000_000
+# Time without any release after which nothing waits for one, in seconds. Those
+# that hold the memory make no progress then.
+_MAX_WAIT_S = 1.0
 
 
 def _do_nothing() -> None:
@@ -62,6 +69,7 @@
         self._budget = budget
         self._evict = evict
         self._total = 0
+        self._reserved = 0
         self._since_progress = 0
         self.held = 0
         self.state = _State.RECEIVING
@@ -81,9 +89,31 @@
             self._since_progress = 0
             self.touch()
         self._total += size * weight
-        if self._total > _FREE_BYTES:
+        if self._total > max(_FREE_BYTES, self._reserved):
             self._budget.resize(self, self._total - _FREE_BYTES)
 
+    async def reserve(self, size: int) -> None:
+        """Waits until there is room for a body of a known size.
+
+        In the order of arrival, and only while others release memory. A body
+        that isn't large, or gets no room, counts as it arrives.
+        """
+        if size >= _LARGE_BYTES:
+            await self._budget.wait_for_room(self, size)
+
+    def set_reserved(self, size: int) -> None:
+        """Counts a body that is still to arrive."""
+        self._reserved = size
+        self.touch()
+        self._budget.resize(self, size)
+
+    def take_over(self, other: "MemoryClaim") -> None:
+        """Counts what another claim has counted; this one must be empty."""
+        self._total = other._total
+        self._budget.move(other, self)
+        other.release()
+        self.touch()
+
     @property
     def is_large(self) -> bool:
         """Whether it belongs to the large claims."""
@@ -119,9 +149,10 @@
     def release(self) -> None:
         """Gives everything back, so that the claim may be used again."""
         self.state = _State.RECEIVING
-        if not self._total:
+        if not self._total and not self._reserved:
             return
         self._total = 0
+        self._reserved = 0
         self._since_progress = 0
         self._budget.resize(self, 0)
 
@@ -145,13 +176,26 @@
         self._claim = claim
 
     def release(self) -> None:
-        """Ends the lease, as the body is counted elsewhere."""
+        """Ends the lease, as the body isn't needed any more."""
         self._claim.release()
 
+    def move_to(self, claim: MemoryClaim) -> None:
+        """Ends the lease, as another claim counts the body from now on."""
+        claim.take_over(self._claim)
+
     def __del__(self):
         self._claim.release()
 
 
+class _Waiting:
+    """A body that waits for room."""
+
+    def __init__(self, claim: MemoryClaim, size: int):
+        self.claim = claim
+        self.size = size
+        self.granted = anyio.Event()
+
+
 class MemoryBudget:
     """Decides which requests may hold how much memory.
 
@@ -184,6 +228,8 @@
         self.held = 0
         self.evicted = 0
         self._claims: set[MemoryClaim] = set()
+        self._waiting: collections.deque[_Waiting] = collections.deque()
+        self._release_count = 0
 
     def open(self, evict: Callable[[], None]) -> MemoryClaim:
         """Returns an empty claim.
@@ -225,16 +271,56 @@
         has_grown = counted > claim.held
         self.held += counted - claim.held
         claim.held = counted
-        if not size:
+        if size:
+            self._claims.add(claim)
+        else:
             self._claims.discard(claim)
+        if not has_grown:
+            self._release_count += 1
+            self._grant_room()
             return
-        self._claims.add(claim)
-        if has_grown and claim.is_large:
+        if claim.is_large:
             large = [c for c in self._claims if c.is_large]
             self._evict_down_to(self.large_limit, large)
-        if has_grown and self.held > self.limit:
+        if self.held > self.limit:
             self._evict_down_to(self.limit, list(self._claims))
 
+    def move(self, source: MemoryClaim, target: MemoryClaim) -> None:
+        """Moves what a claim holds to an empty one."""
+        source.held, target.held = 0, source.held
+        self._claims.discard(source)
+        self._claims.add(target)
+
+    async def wait_for_room(self, claim: MemoryClaim, size: int) -> None:
+        """Waits until a large body fits beside all others; see `reserve`."""
+        waiting = _Waiting(claim, size)
+        self._waiting.append(waiting)
+        self._grant_room()
+        try:
+            while not waiting.granted.is_set():
+                count = self._release_count
+                with anyio.move_on_after(_MAX_WAIT_S):
+                    await waiting.granted.wait()
+                if self._release_count == count:
+                    return
+        finally:
+            if not waiting.granted.is_set():
+                self._waiting.remove(waiting)
+
+    def _grant_room(self) -> None:
+        """Gives room to those that have waited for longest."""
+        while self._waiting:
+            first = self._waiting[0]
+            counted = min(first.size, self.large_limit)
+            large = sum(c.held for c in self._claims if c.is_large)
+            if large + counted > self.large_limit:
+                return
+            if self.held + counted > self.limit:
+                return
+            self._waiting.popleft()
+            first.claim.set_reserved(first.size)
+            first.granted.set()
+
     def _evict_down_to(self, limit: int, claims: list[MemoryClaim]) -> None:
         """Evicts some of the claims until the others are within a limit."""
         # Evicted claims are released a little later.
--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -287,10 +287,11 @@
             size: Its size.
             lease: What has counted it until now.
         """
-        if lease is not None:
-            lease.release()
         self._claim.release()
-        self._claim.add(size)
+        if lease is None:
+            self._claim.add(size)
+        else:
+            lease.move_to(self._claim)
 
     def on_part_sent(self) -> None:
         """Records that the client has received a part of its response."""
