Serving, lots: shorter modules; responses to HEAD reserve nothing

The response that a refused client gets is encoded in a module of its own. A response without a body returns the room that its stated length had reserved.

--- a/daisyhub/connections/_exchange.py
+++ b/daisyhub/connections/_exchange.py
@@ -118,6 +118,9 @@
     # ends it. `end_exchange` comes first, so that this close isn't a reset.
     conn.end_exchange()
     await response.aclose()
+    if not body:
+        # A response to HEAD states the length of a body that it lacks.
+        lease.release()
     return body, lease if claim.held else None
 
 
--- a/daisyhub/daemon.py
+++ b/daisyhub/daemon.py
@@ -55,11 +55,7 @@
     PeerNetwork,
 )
 from daisyhub.process_flags import SETTINGS
-from daisyhub.serving import (
-    CallersApp,
-    OperatorsApp,
-    count_links,
-)
+from daisyhub.serving import CallersApp, OperatorsApp, count_links
 from daisyhub.settings import DaemonSettings, load_settings
 
 __all__ = ["Daemon", "main"]
--- a/daisyhub/lots/_holder.py
+++ b/daisyhub/lots/_holder.py
@@ -14,10 +14,7 @@
 from daisyhub.duty_bound import DutyBoundController
 from daisyhub.json_texts import decode_json
 from daisyhub.lots._dispatch_core import DispatchCore
-from daisyhub.lots._engine_views import (
-    find_pools_by_model,
-    list_engine_views,
-)
+from daisyhub.lots._engine_views import find_pools_by_model, list_engine_views
 from daisyhub.lots._held_results import HeldResults
 from daisyhub.lots._holder_types import HeldLot, LotHolderDependencies
 from daisyhub.lots._listing_core import (
@@ -52,9 +49,7 @@
 )
 from daisyhub.lots._text_saver import TextCache, TextSaver
 from daisyhub.lots._types import ItemResult, LotHead
-from daisyhub.objects import (
-    KindWatcher,
-)
+from daisyhub.objects import KindWatcher
 
 __all__ = ["LotHolder", "LotHolderDependencies"]
 
@@ -153,11 +148,7 @@
             async with anyio.create_task_group() as tasks:
                 self._tasks = self._listing.tasks = tasks
                 self._duty_since_s = time.monotonic()
-                tasks.start_soon(
-                    self._deps.pool.run,
-                    term,
-                    self._feed_dispatch,
-                )
+                tasks.start_soon(self._deps.pool.run, term, self._feed_dispatch)
                 tasks.start_soon(watcher.run)
                 tasks.start_soon(self.verify, watcher, _VERIFY_INTERVAL_S)
                 tasks.start_soon(self._remover.run, watcher)
--- a/daisyhub/lots/_lot_store.py
+++ b/daisyhub/lots/_lot_store.py
@@ -18,11 +18,7 @@
 
 from daisyhub.json_texts import decode_json
 from daisyhub.lots._lot_memory import estimate_bytes
-from daisyhub.lots._parts import (
-    Part,
-    encode_parts,
-    part_name,
-)
+from daisyhub.lots._parts import Part, encode_parts, part_name
 from daisyhub.lots._repeats import check_repeat
 from daisyhub.lots._run_states import Progress
 from daisyhub.lots._types import ItemResult, ItemSpec, LotHead, LotSpec
--- a/daisyhub/serving/_protocol.py
+++ b/daisyhub/serving/_protocol.py
@@ -13,19 +13,15 @@
 import asyncio
 
 import httptools
-from uvicorn.protocols.http.httptools_impl import (
-    STATUS_LINE,
-    HttpToolsProtocol,
-)
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from daisyhub.exceptions import ErrorCode, ExecutionStatus, Refusal
 from daisyhub.memory import MemoryLease
-from daisyhub.messages import Response
-from daisyhub.problems import problem_response
 from daisyhub.serving._connection_table import (
     ConnectionTable,
     EvictableConnection,
 )
+from daisyhub.serving._last_response import encode_last_response
 from daisyhub.serving._limits import ListenerLimits
 from daisyhub.serving._lingering_transport import LingeringTransport
 
@@ -285,7 +281,7 @@
 
         Args:
             size: Its size.
-            lease: What has counted it until now.
+            lease: What has counted it until now; None for nothing.
         """
         self._claim.release()
         if lease is None:
@@ -397,16 +393,5 @@
             cycle.disconnected = True
             cycle.message_event.set()
         refusal = Refusal(error, detail, ran=ExecutionStatus.NOT_RUN)
-        self.transport.write(_encode_response(problem_response(refusal, "")))
+        self.transport.write(encode_last_response(refusal))
         self.transport.close()
-
-
-def _encode_response(resp: Response) -> bytes:
-    """Returns the bytes of a last response on a connection."""
-    headers = (
-        *resp.headers,
-        (b"content-length", str(len(resp.body)).encode()),
-        (b"connection", b"close"),
-    )
-    lines = [b"%s: %s\r\n" % header for header in headers]
-    return b"".join([STATUS_LINE[resp.status], *lines, b"\r\n", resp.body])
