Responses: ordinary traffic doesn't prolong the wait for room

What callers saw: nothing yet. A large response that waits behind claims without progress waited until its deadline as long as bodies above 16 KB came and went.

Evidence: test_small_releases_do_not_prolong_the_wait, no response in 15 s before.

--- a/daisyhub/connections/tests/test_response_memory.py
+++ b/daisyhub/connections/tests/test_response_memory.py
@@ -87,6 +87,29 @@
         lease.release()
         self.assertEqual(len((await self.get(server)).body), 8 * MB)
 
+    async def test_small_releases_do_not_prolong_the_wait(self):
+        """Ordinary bodies kept responses waiting for what never ends."""
+        server = await self.start_server(make_response(200, body=b"a" * 8 * MB))
+        stalled = self.budget.open(lambda: None)
+        stalled.add(24 * MB)
+        served = anyio.Event()
+
+        async def release_small():
+            while not served.is_set():
+                small = self.budget.open(lambda: None)
+                small.add(100_000)
+                await anyio.sleep(POLL_INTERVAL_S)
+                small.release()
+
+        with mock.patch.object(memory, "_MAX_WAIT_S", 0.1):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(release_small)
+                with anyio.fail_after(PATIENT_S / 2):
+                    resp = await self.get(server)
+                served.set()
+        self.assertEqual(len(resp.body), 8 * MB)
+        self.assertTrue(stalled.is_evicted)
+
     async def test_a_response_that_is_cancelled_waits_no_longer(self):
         server = await self.start_server(make_response(200, body=b"a" * 8 * MB))
         lease = self.budget.hold(24 * MB)
--- a/daisyhub/memory.py
+++ b/daisyhub/memory.py
@@ -47,8 +47,8 @@
 _DEFAULT_MEMORY_MB = 256.0
 _MIN_LIMIT_BYTES = 1 << 22
 _BYTES_PER_MB = 1_000_000
-# Time without any release after which nothing waits for one, in seconds. Those
-# that hold the memory make no progress then.
+# Time without the release of a large claim after which nothing waits for it,
+# in seconds. Those that hold the memory make no progress then.
 _MAX_WAIT_S = 1.0
 
 
@@ -95,8 +95,8 @@
     async def reserve(self, size: int) -> None:
         """Waits until there is room for a body of a known size.
 
-        In the order of arrival, and only while others release memory. A body
-        that isn't large, or gets no room, counts as it arrives.
+        In the order of arrival, and only while other large ones are released.
+        A body that isn't large, or gets no room, counts as it arrives.
         """
         if size >= _LARGE_BYTES:
             await self._budget.wait_for_room(self, size)
@@ -269,6 +269,8 @@
         """Sets what a claim holds; evicts claims if that is too much."""
         counted = min(size, self.large_limit)
         has_grown = counted > claim.held
+        if not has_grown and claim.is_large:
+            self._release_count += 1
         self.held += counted - claim.held
         claim.held = counted
         if size:
@@ -276,7 +278,6 @@
         else:
             self._claims.discard(claim)
         if not has_grown:
-            self._release_count += 1
             self._grant_room()
             return
         if claim.is_large:
