--- /dev/null
+++ b/review/rig2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: store, servers, clients, daemons."""
