--- a/review/rig2/daemons.py
+++ b/review/rig2/daemons.py
@@ -1,6 +1,7 @@
 """Starts daemons as the deploy file says, on loopback addresses."""
 
 import asyncio
+import itertools
 import json
 import os
 import pathlib
@@ -59,16 +60,20 @@
     return _PLACE.sub(place, _SECTION.sub(section, text))
 
 
+# Below the range from which the system takes ports for outgoing connections.
+_candidate_ports = itertools.count(10_000 + os.getpid() * 131 % 20_000)
+
+
 def free_port() -> int:
     """Returns a port that nobody uses for TCP or UDP."""
     while True:
+        port = next(_candidate_ports)
         with (
             socket.socket() as tcp,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
         ):
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
