--- a/review/8/run.py
+++ b/review/8/run.py
@@ -23,6 +23,7 @@
 _LOAD_S = 8.0
 _CLIENTS = 12
 _WORK_S = 0.0375
+_OK = 200
 _MANIFEST = {
     "version": 1,
     "routes": [
@@ -164,7 +165,7 @@
         )
         counts[status] = counts.get(status, 0) + 1
         stamp = headers.get("daisyhub-server-stamp", "")
-        if status // 100 != 2:
+        if status != _OK:
             record.write(f"{request_id} at {daemon}: {status}")
             continue
         is_whole = content == b"whole answer to " + request_id.encode()
