--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,237 +1,244 @@
-"""All servers of a service crash once; is a repeated look-up served again?
+"""An item that can never be done comes again in later batch submissions.
 
-The clerks of one tenant ask for the same record again and again, as displays
-do; those of another tenant ask for one record after the other. All three
-servers of the service crash at the same moment and are back five seconds
-later. Then nothing is disturbed any more.
+The service that scores is lost, so that no group is complete at the trainer's
+deadline. The trainer asks for the same group again in its next batch
+submissions, under the same ids. One item of the group can never be done: model
+servers answer it with 422. How often does it reach one?
 """
 
 import asyncio
-import collections
-import dataclasses
-import itertools
+import base64
+import json
 
 from review.rig2.case import Record, has_trouble, run_case
 from review.rig2.daemons import Daemons
 from review.rig2.http import Answer, Call, listen, request
-from review.rig2.servers import entry
+from review.rig2.servers import MODEL, ModelServer, entry
 from review.rig2.store import Store
 
-_KEYS = {"kaje80": "2b9wu3fexd9dnn2ctnfz", "vopu11": "n2ctnfzs989anu6wsjnb"}
-# The tenant whose clerks ask for the same record.
-_SAME = "kaje80"
-_CLIENTS = 18
-_PAUSE_S = 0.1
-_WORK_S = 0.045
-_BEFORE_S = 4.0
-_DOWN_S = 5.0
-_AFTER_S = 50.0
-_OK = 200
-# A tenant's requests must be served at least a quarter as often as all.
-_LEAST_SHARE = 0.25
+_KEY = "2b9wu3fexd9dnn2ctnfz"
+_ACCEPTED = 202
+_ENDED = 200
+_IMPOSSIBLE = "422"
+# Answers of 422 after which an item must not reach a server again.
+_MOST_IMPOSSIBLE = 3
+_STEPS = 5
+# The trainer's deadline: that of the class in the site file.
+_DEADLINE_S = 12.0
+_GROUP = 8
+# The item that can never be done; see `ModelServer`.
+_NEVER = "never907c14da6f38"
 _MANIFEST = {
     "version": 1,
     "routes": [
         {
-            "name": "r-lookup",
+            "name": "r-reward",
             "host": "a.example",
-            "path-prefix": "/lookup/",
+            "path-prefix": "/check/",
             "route-type": "safe",
-            "timeout-ms": 2000,
-            "target-latency-ms": 190,
+            "timeout-ms": 1500,
+            "target-latency-ms": 199,
             "priority": 2,
             "service": "yard-records",
-            "max-attempts": 2,
+            "max-attempts": 4,
+            "public": True,
+        },
+        {
+            "name": "r-assess",
+            "host": "a.example",
+            "path-prefix": "/assess/",
+            "route-type": "rollout",
+            "timeout-ms": 10000,
+            "target-latency-ms": 500,
+            "priority": 1,
+            "service": "assessor-lm",
+            "max-attempts": 3,
+            "due-ms": 7500,
+            "max-wait-s": 40,
+            "sticky": True,
+        },
+    ],
+    "services": [
+        {"name": "yard-records", "health-path": "/health"},
+        {
+            "name": "assessor-lm",
+            "health-path": "/health",
+            "engine": {"slots": 8, "models": [{"name": MODEL}]},
         },
     ],
-    "services": [{"name": "yard-records", "health-path": "/health"}],
     "limits": {
         "max-header-bytes": 16384,
         "max-body-bytes": 33554432,
         "header-timeout-ms": 3000,
         "idle-timeout-ms": 15000,
     },
-    "tenants": [
-        {"name": name, "api-keys": [key], "priority": 1}
-        for name, key in _KEYS.items()
-    ],
+    "tenants": [{"name": "kaje80", "api-keys": [_KEY], "priority": 1}],
 }
 
 
-class Server:
-    """A plain server, with six slots.
-
-    Args:
-        name: Its id, which a later boot doesn't have.
-        born: Its start.
-    """
+class ScoreServer:
+    """A sound server of the service that scores."""
 
-    def __init__(self, name: str, born: int):
+    def __init__(self, name: str, record: Record):
         self.name = name
-        self.born = born
-        self._slots = asyncio.Semaphore(6)
-        self._listener = None
-        self._crashed = asyncio.Event()
-
-    async def start(self, store: Store) -> None:
-        """Listens, and writes its entry."""
-        self._listener, port = await listen(self.handle)
-        spec = entry("yard-records", port, self.born)
-        store.put("servers", self.name, spec)
-
-    def crash(self) -> None:
-        """Ends its process: channels close, and nobody listens."""
-        self._listener.close()
-        self._crashed.set()
-
-    async def handle(self, call: Call) -> Answer | None:
-        """Runs one request; None closes its channel."""
+        self._record = record
+
+    async def handle(self, call: Call) -> Answer:
+        """Runs one request."""
         if call.path == "/health":
             return Answer(headers={"daisyhub-instance-id": self.name})
         if call.headers.get("daisyhub-expect-instance") != self.name:
             return Answer(421)
-        work = asyncio.create_task(self._run(call))
-        crash = asyncio.create_task(self._crashed.wait())
-        await asyncio.wait((work, crash), return_when="FIRST_COMPLETED")
-        crash.cancel()
-        if not work.done():
-            work.cancel()
-            return None
-        return work.result()
-
-    async def _run(self, call: Call) -> Answer:
         request_id = call.headers.get("daisyhub-request-id", "")
-        async with self._slots:
-            await asyncio.sleep(_WORK_S)
+        self._record.write(f"score server {self.name} runs {request_id}")
+        await asyncio.sleep(0.045)
         headers = {
             "daisyhub-request-id": request_id,
             "daisyhub-server-stamp": f"{self.name}.{request_id}",
         }
-        return Answer(headers=headers, body=b'{"condition":"sound"}')
-
-
-@dataclasses.dataclass
-class Counts:
-    """Requests by tenant: owed, served, and answers by status."""
-
-    owed: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    served: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    statuses: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
+        return Answer(headers=headers, body=b"{}")
 
 
-async def _clerk(daemons, tenant: str, number: int, until_s, counts) -> None:
-    """Sends look-ups, each with one retry at another daemon."""
-    loop = asyncio.get_running_loop()
-    names = daemons.names
-    for count in itertools.count():
-        if loop.time() > until_s:
-            return
-        body = b'{"pallet":4711}'
-        if tenant != _SAME:
-            body = b'{"pallet":%d}' % (100_000 * number + count)
-        counts.owed[tenant] += 1
-        for attempt in range(2):
-            daemon = names[(number + attempt) % len(names)]
-            status, headers, _ = await request(
-                daemons.port(daemon),
-                "POST",
-                "/lookup/condition",
-                {
-                    "api-key": _KEYS[tenant],
-                    "daisyhub-request-id": (
-                        f"{tenant}{number:02x}{count:06x}{attempt}"
-                    ),
-                    "daisyhub-deadline-ms": "2000",
-                },
-                body,
-            )
-            counts.statuses[(tenant, status)] += 1
-            if status == _OK and "daisyhub-server-stamp" in headers:
-                counts.served[tenant] += 1
-                break
-        await asyncio.sleep(_PAUSE_S)
-
-
-async def _load(daemons, seconds: float, record: Record) -> Counts:
-    """Has all clerks send look-ups for some seconds."""
-    counts = Counts()
-    until_s = asyncio.get_running_loop().time() + seconds
-    async with asyncio.TaskGroup() as tasks:
-        for tenant in _KEYS:
-            for number in range(_CLIENTS):
-                tasks.create_task(
-                    _clerk(daemons, tenant, number, until_s, counts)
-                )
-    record.write(
-        f"in {seconds} s: owed {dict(counts.owed)}, served "
-        f"{dict(counts.served)}, answers {dict(counts.statuses)}"
-    )
-    return counts
+def _build_lot(step: int, groups: dict[str, list[str]]) -> bytes:
+    items = [
+        {
+            "id": item_id,
+            "path": "/assess/3/91c4",
+            "headers": {
+                "Daisyhub-Model": MODEL,
+                "Daisyhub-Token-Count": "271,100",
+            },
+            "body": base64.b64encode(b"prompt").decode(),
+            "tokens": 371,
+            "group": group,
+            "scorer": {
+                "id": f"40c8{item_id}",
+                "host": "a.example",
+                "path": "/check/5e07",
+                "body": base64.b64encode(b"score").decode(),
+            },
+        }
+        for group, ids in groups.items()
+        for item_id in ids
+    ]
+    lot = {
+        "step": step,
+        "model": MODEL,
+        "min-version": 1,
+        "desired-count": len(groups),
+        "items": items,
+    }
+    return json.dumps(lot).encode()
 
 
 async def play(record: Record) -> list[str]:
-    """Plays the case; returns what broke the rule."""
+    """Plays the steps of a trainer; returns what broke the rule."""
     store = Store()
     _, store_port = await listen(store.handle)
     store.put("config", "main", _MANIFEST)
-    servers = [Server(f"i-{n}", 1000 + n) for n in range(3)]
-    for server in servers:
-        await server.start(store)
+    models = [ModelServer(f"m-{n}", store, record.write) for n in range(2)]
+    for model in models:
+        _, port = await listen(model.handle)
+        model.register(port)
+    score = ScoreServer("i-score", record)
+    listener, score_port = await listen(score.handle)
+    store.put("servers", score.name, entry("yard-records", score_port, 1000))
     daemons = Daemons(3, store_port)
     try:
         await daemons.start_all()
-        await asyncio.sleep(1)
-        spans = []
-        crash = None
+        await asyncio.sleep(2)
         if has_trouble():
-            crash = asyncio.create_task(_crash_all(record, store, servers))
-        spans.append(await _load(daemons, _BEFORE_S + _DOWN_S + 1, record))
-        if crash is not None:
-            await crash
-        for _ in range(5):
-            spans.append(await _load(daemons, _AFTER_S / 5, record))
-        return _judge(spans, record)
+            record.write("the score server is lost")
+            listener.close()
+            store.remove("servers", score.name)
+        await _train(record, daemons)
     finally:
         daemons.stop()
+    return _judge([run for model in models for run in model.ran])
+
+
+async def _train(record: Record, daemons: Daemons) -> None:
+    """Asks for steps of two groups, one of which may come again."""
+    again = {"g1002a": [_NEVER, *_make_ids("e5", _GROUP - 1)]}
+    for step in range(_STEPS):
+        groups = {**again, f"g{step}": _make_ids(f"{step:02d}", _GROUP)}
+        if not again:
+            groups[f"h{step}"] = _make_ids(f"{step + 50:02d}", _GROUP)
+        lot_id = f"7c41e09b52d6a3{step:02d}"
+        daemon = daemons.names[step % len(daemons.names)]
+        lot = _build_lot(step, groups)
+        status, _ = await _call(
+            record, daemons, daemon, "POST", "/assess/1", lot_id, lot
+        )
+        if status != _ACCEPTED:
+            raise RuntimeError(f"the submission got {status}")
+        listed = await _read_until(record, daemons, daemon, lot_id)
+        status, _ = await _call(
+            record, daemons, daemon, "DELETE", f"/v1/lots/{lot_id}", "d"
+        )
+        if status != _ENDED:
+            raise RuntimeError(f"the end got {status}")
+        incomplete = [
+            group for group, ids in groups.items() if not listed >= set(ids)
+        ]
+        record.write(f"trainer: groups that aren't complete: {incomplete}")
+        again = {group: groups[group] for group in incomplete[:1]}
 
 
-async def _crash_all(record: Record, store: Store, servers) -> None:
-    """Crashes all servers; starts them as new boots with new ids."""
-    await asyncio.sleep(_BEFORE_S)
-    for server in servers:
-        server.crash()
-    record.write("all servers crash")
-    # Three intervals of 1.2 s of silence remove the entries.
-    await asyncio.sleep(3.6)
-    for server in servers:
-        store.remove("servers", server.name)
-    await asyncio.sleep(_DOWN_S - 3.6)
-    for number in range(len(servers)):
-        await Server(f"j-{number}", 2000 + number).start(store)
-    record.write("all servers are back, as new boots")
-
-
-def _judge(spans: list[Counts], record: Record) -> list[str]:
-    """Compares each tenant's requests with all, over the whole time."""
-    owed = sum((span.owed for span in spans), collections.Counter())
-    served = sum((span.served for span in spans), collections.Counter())
-    share_of_all = served.total() / owed.total()
-    broken = []
-    for tenant in _KEYS:
-        share = served[tenant] / owed[tenant]
-        line = (
-            f"{tenant}: {share:.3f} of {owed[tenant]} requests served, all: "
-            f"{share_of_all:.3f}"
+def _make_ids(prefix: str, count: int) -> list[str]:
+    return [f"{prefix}b2907c14da6f{n:02d}" for n in range(count)]
+
+
+async def _read_until(record, daemons, daemon: str, lot_id: str) -> set[str]:
+    """Reads results until all are listed or the deadline; returns the ids."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + _DEADLINE_S
+    listed = []
+    while loop.time() < until_s and len(listed) < 2 * _GROUP:
+        status, _, content = await request(
+            daemons.port(daemon),
+            "GET",
+            f"/v1/lots/{lot_id}?after={len(listed)}",
+            {
+                "api-key": _KEY,
+                "daisyhub-request-id": "r",
+                "daisyhub-wait-ms": "500",
+            },
         )
-        record.write(line)
-        if share < _LEAST_SHARE * share_of_all:
-            broken.append(f"Starved: {line}")
+        if status == _ENDED:
+            listed += json.loads(content)["results"]
+        await asyncio.sleep(0.1)
+    states = {result["id"]: result["state"] for result in listed}
+    record.write(f"trainer: {lot_id} lists {states}")
+    return set(states)
+
+
+async def _call(record, daemons, name, method, target, lot_id, body=b""):
+    headers = {
+        "api-key": _KEY,
+        "daisyhub-request-id": lot_id,
+        "content-type": "application/json",
+    }
+    status, _, content = await request(
+        daemons.port(name), method, target, headers, body
+    )
+    record.write(f"trainer: {method} {target} at {name}: {status}")
+    return status, content
+
+
+def _judge(ran: list[tuple[float, str, str]]) -> list[str]:
+    """Returns a line for each arrival after the third 422 to its item."""
+    broken = []
+    answers = 0
+    for _, item_id, status in sorted(ran):
+        if item_id != _NEVER:
+            continue
+        if answers >= _MOST_IMPOSSIBLE:
+            broken.append(
+                f"BUDGET: {item_id} reached a server after {answers} answers "
+                "of 422"
+            )
+        answers += status == _IMPOSSIBLE
     return broken
 
 
