--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,8 +1,9 @@
-"""A batch submission on a public route is accepted; can it be read?
+"""An item that can never be done comes again in later batch submissions.
 
-The manifest says of the rollout route that it is public. A trainer hands in a
-batch submission with a key of its tenant, as always, reads it with the same
-key, and ends it.
+The service that scores is lost, so that no group is complete at the trainer's
+deadline. The trainer asks for the same group again in its next batch
+submissions, under the same ids. One item of the group can never be done: model
+servers answer it with 422. How often does it reach one?
 """
 
 import asyncio
@@ -11,20 +12,37 @@
 
 from review.rig2.case import Record, has_trouble, run_case
 from review.rig2.daemons import Daemons
-from review.rig2.http import listen, request
-from review.rig2.servers import MODEL, ModelServer
+from review.rig2.http import Answer, Call, listen, request
+from review.rig2.servers import MODEL, ModelServer, entry
 from review.rig2.store import Store
 
 _KEY = "2b9wu3fexd9dnn2ctnfz"
-_LOT = "7c41e09b52d6a3f8"
-_ITEMS = 8
 _ACCEPTED = 202
-_LOST = (404, 410)
-# `settle-ms` of the site, in seconds.
-_SETTLE_S = 1.0
+_ENDED = 200
+_IMPOSSIBLE = "422"
+# Answers of 422 after which an item must not reach a server again.
+_MOST_IMPOSSIBLE = 3
+_STEPS = 5
+# The trainer's deadline: that of the class in the site file.
+_DEADLINE_S = 12.0
+_GROUP = 8
+# The item that can never be done; see `ModelServer`.
+_NEVER = "never907c14da6f38"
 _MANIFEST = {
     "version": 1,
     "routes": [
+        {
+            "name": "r-reward",
+            "host": "a.example",
+            "path-prefix": "/check/",
+            "route-type": "safe",
+            "timeout-ms": 1500,
+            "target-latency-ms": 199,
+            "priority": 2,
+            "service": "yard-records",
+            "max-attempts": 4,
+            "public": True,
+        },
         {
             "name": "r-assess",
             "host": "a.example",
@@ -38,10 +56,10 @@
             "due-ms": 7500,
             "max-wait-s": 40,
             "sticky": True,
-            "public": False,
         },
     ],
     "services": [
+        {"name": "yard-records", "health-path": "/health"},
         {
             "name": "assessor-lm",
             "health-path": "/health",
@@ -58,10 +76,33 @@
 }
 
 
-def _build_lot() -> bytes:
+class ScoreServer:
+    """A sound server of the service that scores."""
+
+    def __init__(self, name: str, record: Record):
+        self.name = name
+        self._record = record
+
+    async def handle(self, call: Call) -> Answer:
+        """Runs one request."""
+        if call.path == "/health":
+            return Answer(headers={"daisyhub-instance-id": self.name})
+        if call.headers.get("daisyhub-expect-instance") != self.name:
+            return Answer(421)
+        request_id = call.headers.get("daisyhub-request-id", "")
+        self._record.write(f"score server {self.name} runs {request_id}")
+        await asyncio.sleep(0.045)
+        headers = {
+            "daisyhub-request-id": request_id,
+            "daisyhub-server-stamp": f"{self.name}.{request_id}",
+        }
+        return Answer(headers=headers, body=b"{}")
+
+
+def _build_lot(step: int, groups: dict[str, list[str]]) -> bytes:
     items = [
         {
-            "id": f"e5b2907c14da6f{n:02d}",
+            "id": item_id,
             "path": "/assess/3/91c4",
             "headers": {
                 "Daisyhub-Model": MODEL,
@@ -69,68 +110,113 @@
             },
             "body": base64.b64encode(b"prompt").decode(),
             "tokens": 371,
-            "group": "g1002a",
+            "group": group,
+            "scorer": {
+                "id": f"40c8{item_id}",
+                "host": "a.example",
+                "path": "/check/5e07",
+                "body": base64.b64encode(b"score").decode(),
+            },
         }
-        for n in range(_ITEMS)
+        for group, ids in groups.items()
+        for item_id in ids
     ]
     lot = {
-        "step": 0,
+        "step": step,
         "model": MODEL,
         "min-version": 1,
-        "desired-count": 1,
+        "desired-count": len(groups),
         "items": items,
     }
     return json.dumps(lot).encode()
 
 
 async def play(record: Record) -> list[str]:
-    """Plays the case; returns what broke the rule."""
+    """Plays the steps of a trainer; returns what broke the rule."""
     store = Store()
     _, store_port = await listen(store.handle)
-    _MANIFEST["routes"][0]["public"] = has_trouble()
     store.put("config", "main", _MANIFEST)
-    for number in range(2):
-        model = ModelServer(f"m-{number}", store, record.write)
+    models = [ModelServer(f"m-{n}", store, record.write) for n in range(2)]
+    for model in models:
         _, port = await listen(model.handle)
         model.register(port)
+    score = ScoreServer("i-score", record)
+    listener, score_port = await listen(score.handle)
+    store.put("servers", score.name, entry("yard-records", score_port, 1000))
     daemons = Daemons(3, store_port)
     try:
         await daemons.start_all()
         await asyncio.sleep(2)
-        return await _play_lot(record, daemons)
+        if has_trouble():
+            record.write("the score server is lost")
+            listener.close()
+            store.remove("servers", score.name)
+        await _train(record, daemons)
     finally:
         daemons.stop()
+    return _judge([run for model in models for run in model.ran])
 
 
-async def _play_lot(record: Record, daemons: Daemons) -> list[str]:
-    broken = []
-    status, _ = await _call(
-        record, daemons, daemons.names[0], "POST", "/assess/1", _build_lot()
-    )
-    if status != _ACCEPTED:
-        raise RuntimeError(f"the submission got {status}")
-    await asyncio.sleep(_SETTLE_S + 1.0)
-    for round_number in range(3):
-        for name in daemons.names:
-            target = f"/v1/lots/{_LOT}?after=0"
-            status, content = await _call(record, daemons, name, "GET", target)
-            if status in _LOST:
-                broken.append(
-                    f"LOST: {name} answers {status} for a batch submission "
-                    f"that was accepted {2 + round_number} s before"
-                )
-            elif content:
-                listed = len(json.loads(content)["results"])
-                record.write(f"listed: {listed} of {_ITEMS}")
-        await asyncio.sleep(1.0)
-    await _call(record, daemons, daemons.names[1], "DELETE", f"/v1/lots/{_LOT}")
-    return broken
+async def _train(record: Record, daemons: Daemons) -> None:
+    """Asks for steps of two groups, one of which may come again."""
+    again = {"g1002a": [_NEVER, *_make_ids("e5", _GROUP - 1)]}
+    for step in range(_STEPS):
+        groups = {**again, f"g{step}": _make_ids(f"{step:02d}", _GROUP)}
+        if not again:
+            groups[f"h{step}"] = _make_ids(f"{step + 50:02d}", _GROUP)
+        lot_id = f"7c41e09b52d6a3{step:02d}"
+        daemon = daemons.names[step % len(daemons.names)]
+        lot = _build_lot(step, groups)
+        status, _ = await _call(
+            record, daemons, daemon, "POST", "/assess/1", lot_id, lot
+        )
+        if status != _ACCEPTED:
+            raise RuntimeError(f"the submission got {status}")
+        listed = await _read_until(record, daemons, daemon, lot_id)
+        status, _ = await _call(
+            record, daemons, daemon, "DELETE", f"/v1/lots/{lot_id}", "d"
+        )
+        if status != _ENDED:
+            raise RuntimeError(f"the end got {status}")
+        incomplete = [
+            group for group, ids in groups.items() if not listed >= set(ids)
+        ]
+        record.write(f"trainer: groups that aren't complete: {incomplete}")
+        again = {group: groups[group] for group in incomplete[:1]}
+
+
+def _make_ids(prefix: str, count: int) -> list[str]:
+    return [f"{prefix}b2907c14da6f{n:02d}" for n in range(count)]
+
+
+async def _read_until(record, daemons, daemon: str, lot_id: str) -> set[str]:
+    """Reads results until all are listed or the deadline; returns the ids."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + _DEADLINE_S
+    listed = []
+    while loop.time() < until_s and len(listed) < 2 * _GROUP:
+        status, _, content = await request(
+            daemons.port(daemon),
+            "GET",
+            f"/v1/lots/{lot_id}?after={len(listed)}",
+            {
+                "api-key": _KEY,
+                "daisyhub-request-id": "r",
+                "daisyhub-wait-ms": "500",
+            },
+        )
+        if status == _ENDED:
+            listed += json.loads(content)["results"]
+        await asyncio.sleep(0.1)
+    states = {result["id"]: result["state"] for result in listed}
+    record.write(f"trainer: {lot_id} lists {states}")
+    return set(states)
 
 
-async def _call(record, daemons, name, method, target, body=b""):
+async def _call(record, daemons, name, method, target, lot_id, body=b""):
     headers = {
         "api-key": _KEY,
-        "daisyhub-request-id": _LOT,
+        "daisyhub-request-id": lot_id,
         "content-type": "application/json",
     }
     status, _, content = await request(
@@ -140,5 +226,21 @@
     return status, content
 
 
+def _judge(ran: list[tuple[float, str, str]]) -> list[str]:
+    """Returns a line for each arrival after the third 422 to its item."""
+    broken = []
+    answers = 0
+    for _, item_id, status in sorted(ran):
+        if item_id != _NEVER:
+            continue
+        if answers >= _MOST_IMPOSSIBLE:
+            broken.append(
+                f"BUDGET: {item_id} reached a server after {answers} answers "
+                "of 422"
+            )
+        answers += status == _IMPOSSIBLE
+    return broken
+
+
 if __name__ == "__main__":
     run_case(__file__, play)
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,14 +1,15 @@
-"""An item that can never be done comes again in later batch submissions.
+"""A reward call goes on after its batch submission was ended.
 
-The service that scores is lost, so that no group is complete at the trainer's
-deadline. The trainer asks for the same group again in its next batch
-submissions, under the same ids. One item of the group can never be done: model
-servers answer it with 422. How often does it reach one?
+The service that scores has one server, which hangs: it reads a reward call and
+doesn't answer. The trainer ends its batch submission. The operators replace
+the server: a new one starts, the old one's process ends. Which calls does the
+new one run?
 """
 
 import asyncio
 import base64
 import json
+import time
 
 from review.rig2.case import Record, has_trouble, run_case
 from review.rig2.daemons import Daemons
@@ -17,17 +18,15 @@
 from review.rig2.store import Store
 
 _KEY = "2b9wu3fexd9dnn2ctnfz"
+_CANCEL_S = 3.0
 _ACCEPTED = 202
 _ENDED = 200
-_IMPOSSIBLE = "422"
-# Answers of 422 after which an item must not reach a server again.
-_MOST_IMPOSSIBLE = 3
-_STEPS = 5
-# The trainer's deadline: that of the class in the site file.
-_DEADLINE_S = 12.0
-_GROUP = 8
-# The item that can never be done; see `ModelServer`.
-_NEVER = "never907c14da6f38"
+_LOT = "7c41e09b52d6a3f8"
+_ITEMS = 4
+_OTHER_LOT = "0a41e09b52d6a3f8"
+_OTHER_ITEMS = 96
+# Seconds after the confirmed end at which the hanging server is replaced.
+_REPLACED_S = 3.4
 _MANIFEST = {
     "version": 1,
     "routes": [
@@ -36,13 +35,25 @@
             "host": "a.example",
             "path-prefix": "/check/",
             "route-type": "safe",
-            "timeout-ms": 1500,
+            "timeout-ms": 10000,
             "target-latency-ms": 199,
             "priority": 2,
             "service": "yard-records",
             "max-attempts": 4,
             "public": True,
         },
+        {
+            "name": "r-desk",
+            "host": "a.example",
+            "path-prefix": "/desk/",
+            "route-type": "safe",
+            "timeout-ms": 1500,
+            "target-latency-ms": 199,
+            "priority": 2,
+            "service": "report-desk",
+            "max-attempts": 4,
+            "public": True,
+        },
         {
             "name": "r-assess",
             "host": "a.example",
@@ -60,6 +71,7 @@
     ],
     "services": [
         {"name": "yard-records", "health-path": "/health"},
+        {"name": "report-desk", "health-path": "/health"},
         {
             "name": "assessor-lm",
             "health-path": "/health",
@@ -77,20 +89,36 @@
 
 
 class ScoreServer:
-    """A sound server of the service that scores."""
+    """A server of the service that scores.
+
+    Attributes:
+        hangs: Whether it reads requests and never answers.
+        arrived: When each request arrived, and its id.
+    """
 
     def __init__(self, name: str, record: Record):
         self.name = name
         self._record = record
+        self.hangs = False
+        self.arrived: list[tuple[float, str]] = []
+        self._ended = asyncio.Event()
+
+    def end(self) -> None:
+        """Ends the process: open channels close without an answer."""
+        self._ended.set()
 
-    async def handle(self, call: Call) -> Answer:
-        """Runs one request."""
+    async def handle(self, call: Call) -> Answer | None:
+        """Runs one request; None closes its channel."""
         if call.path == "/health":
             return Answer(headers={"daisyhub-instance-id": self.name})
         if call.headers.get("daisyhub-expect-instance") != self.name:
             return Answer(421)
         request_id = call.headers.get("daisyhub-request-id", "")
+        self.arrived.append((time.monotonic(), request_id))
         self._record.write(f"score server {self.name} runs {request_id}")
+        if self.hangs:
+            await self._ended.wait()
+            return None
         await asyncio.sleep(0.045)
         headers = {
             "daisyhub-request-id": request_id,
@@ -99,10 +127,10 @@
         return Answer(headers=headers, body=b"{}")
 
 
-def _build_lot(step: int, groups: dict[str, list[str]]) -> bytes:
+def _build_lot(lot_id: str, count: int, scorer_path: str) -> bytes:
     items = [
         {
-            "id": item_id,
+            "id": f"{lot_id[:2]}b2907c14da6f{n:02d}",
             "path": "/assess/3/91c4",
             "headers": {
                 "Daisyhub-Model": MODEL,
@@ -110,107 +138,51 @@
             },
             "body": base64.b64encode(b"prompt").decode(),
             "tokens": 371,
-            "group": group,
+            "group": "g1002a",
             "scorer": {
-                "id": f"40c8{item_id}",
+                "id": f"{lot_id[:2]}c8f1a7b3e926{n:02d}",
                 "host": "a.example",
-                "path": "/check/5e07",
+                "path": scorer_path,
                 "body": base64.b64encode(b"score").decode(),
             },
         }
-        for group, ids in groups.items()
-        for item_id in ids
+        for n in range(count)
     ]
     lot = {
-        "step": step,
+        "step": 0,
         "model": MODEL,
         "min-version": 1,
-        "desired-count": len(groups),
+        "desired-count": 1,
         "items": items,
     }
     return json.dumps(lot).encode()
 
 
 async def play(record: Record) -> list[str]:
-    """Plays the steps of a trainer; returns what broke the rule."""
+    """Plays the case; returns what broke the rule."""
     store = Store()
     _, store_port = await listen(store.handle)
     store.put("config", "main", _MANIFEST)
-    models = [ModelServer(f"m-{n}", store, record.write) for n in range(2)]
-    for model in models:
+    for number in range(2):
+        model = ModelServer(f"m-{number}", store, record.write)
+        model.pause_s = 0.12
         _, port = await listen(model.handle)
         model.register(port)
-    score = ScoreServer("i-score", record)
-    listener, score_port = await listen(score.handle)
-    store.put("servers", score.name, entry("yard-records", score_port, 1000))
+    desk = ScoreServer("i-desk", record)
+    _, desk_port = await listen(desk.handle)
+    store.put("servers", desk.name, entry("report-desk", desk_port, 900))
+    old = ScoreServer("i-old", record)
+    new = ScoreServer("i-new", record)
+    old.hangs = has_trouble()
+    old_listener, old_port = await listen(old.handle)
+    store.put("servers", old.name, entry("yard-records", old_port, 1000))
     daemons = Daemons(3, store_port)
     try:
         await daemons.start_all()
         await asyncio.sleep(2)
-        if has_trouble():
-            record.write("the score server is lost")
-            listener.close()
-            store.remove("servers", score.name)
-        await _train(record, daemons)
+        return await _play_lot(record, store, daemons, (old, new, old_listener))
     finally:
         daemons.stop()
-    return _judge([run for model in models for run in model.ran])
-
-
-async def _train(record: Record, daemons: Daemons) -> None:
-    """Asks for steps of two groups, one of which may come again."""
-    again = {"g1002a": [_NEVER, *_make_ids("e5", _GROUP - 1)]}
-    for step in range(_STEPS):
-        groups = {**again, f"g{step}": _make_ids(f"{step:02d}", _GROUP)}
-        if not again:
-            groups[f"h{step}"] = _make_ids(f"{step + 50:02d}", _GROUP)
-        lot_id = f"7c41e09b52d6a3{step:02d}"
-        daemon = daemons.names[step % len(daemons.names)]
-        lot = _build_lot(step, groups)
-        status, _ = await _call(
-            record, daemons, daemon, "POST", "/assess/1", lot_id, lot
-        )
-        if status != _ACCEPTED:
-            raise RuntimeError(f"the submission got {status}")
-        listed = await _read_until(record, daemons, daemon, lot_id)
-        status, _ = await _call(
-            record, daemons, daemon, "DELETE", f"/v1/lots/{lot_id}", "d"
-        )
-        if status != _ENDED:
-            raise RuntimeError(f"the end got {status}")
-        incomplete = [
-            group for group, ids in groups.items() if not listed >= set(ids)
-        ]
-        record.write(f"trainer: groups that aren't complete: {incomplete}")
-        again = {group: groups[group] for group in incomplete[:1]}
-
-
-def _make_ids(prefix: str, count: int) -> list[str]:
-    return [f"{prefix}b2907c14da6f{n:02d}" for n in range(count)]
-
-
-async def _read_until(record, daemons, daemon: str, lot_id: str) -> set[str]:
-    """Reads results until all are listed or the deadline; returns the ids."""
-    loop = asyncio.get_running_loop()
-    until_s = loop.time() + _DEADLINE_S
-    listed = []
-    while loop.time() < until_s and len(listed) < 2 * _GROUP:
-        status, _, content = await request(
-            daemons.port(daemon),
-            "GET",
-            f"/v1/lots/{lot_id}?after={len(listed)}",
-            {
-                "api-key": _KEY,
-                "daisyhub-request-id": "r",
-                "daisyhub-wait-ms": "500",
-            },
-        )
-        if status == _ENDED:
-            listed += json.loads(content)["results"]
-        await asyncio.sleep(0.1)
-    states = {result["id"]: result["state"] for result in listed}
-    record.write(f"trainer: {lot_id} lists {states}")
-    return set(states)
 
 
 async def _call(record, daemons, name, method, target, lot_id, body=b""):
@@ -226,20 +198,54 @@
     return status, content
 
 
-def _judge(ran: list[tuple[float, str, str]]) -> list[str]:
-    """Returns a line for each arrival after the third 422 to its item."""
-    broken = []
-    answers = 0
-    for _, item_id, status in sorted(ran):
-        if item_id != _NEVER:
-            continue
-        if answers >= _MOST_IMPOSSIBLE:
-            broken.append(
-                f"BUDGET: {item_id} reached a server after {answers} answers "
-                "of 422"
-            )
-        answers += status == _IMPOSSIBLE
-    return broken
+async def _play_lot(record, store, daemons, servers) -> list[str]:
+    old, new, old_listener = servers
+    first, second, _ = daemons.names
+    for lot_id, count, scorer_path in (
+        (_LOT, _ITEMS, "/check/5e07"),
+        (_OTHER_LOT, _OTHER_ITEMS, "/desk/5e07"),
+    ):
+        lot = _build_lot(lot_id, count, scorer_path)
+        status, _ = await _call(
+            record, daemons, first, "POST", "/assess/1", lot_id, lot
+        )
+        if status != _ACCEPTED:
+            raise RuntimeError(f"the submission got {status}")
+    # Until the texts are whole and the reward calls are at the old server.
+    while len(old.arrived) < _ITEMS:
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.3)
+    status, content = await _call(
+        record, daemons, second, "GET", f"/v1/lots/{_LOT}?after=0", "r1"
+    )
+    record.write(f"listed: {content[:120]!r}")
+    status, _ = await _call(
+        record, daemons, second, "DELETE", f"/v1/lots/{_LOT}", "d1"
+    )
+    if status != _ENDED:
+        raise RuntimeError(f"the end got {status}")
+    ended_s = time.monotonic()
+    record.write(f"the end of the submission is confirmed: {status}")
+    stored = store.get("lots", _LOT)
+    record.write(f"status in the store: {stored and stored['status']}")
+    # The operators replace the server: the new one starts first.
+    await asyncio.sleep(_REPLACED_S - 1.0)
+    _, new_port = await listen(new.handle)
+    store.put("servers", new.name, entry("yard-records", new_port, 2000))
+    record.write("the new score server registers itself")
+    await asyncio.sleep(1.0)
+    record.write("the old score server's process ends")
+    old_listener.close()
+    old.end()
+    store.remove("servers", old.name)
+    await asyncio.sleep(4)
+    return [
+        f"UNASKED: reward call {request_id} reached {server.name} "
+        f"{at_s - ended_s:.2f} s after the end of {_LOT} was confirmed"
+        for server in (old, new)
+        for at_s, request_id in server.arrived
+        if at_s - ended_s > _CANCEL_S
+    ]
 
 
 if __name__ == "__main__":
