--- a/review/10/run.py
+++ b/review/10/run.py
@@ -25,6 +25,7 @@
 _STEPS = 5
 # The trainer's deadline: that of the class in the site file.
 _DEADLINE_S = 12.0
+_TRAIN_S = 1.0
 _GROUP = 8
 # The item that can never be done; see `ModelServer`.
 _NEVER = "never907c14da6f38"
@@ -124,7 +125,7 @@
     lot = {
         "step": step,
         "model": MODEL,
-        "min-version": 1,
+        "min-version": max(1, step),
         "desired-count": len(groups),
         "items": items,
     }
@@ -146,18 +147,20 @@
     daemons = Daemons(3, store_port)
     try:
         await daemons.start_all()
-        await asyncio.sleep(2)
+        await asyncio.sleep(4)
         if has_trouble():
             record.write("the score server is lost")
             listener.close()
-            store.remove("servers", score.name)
-        await _train(record, daemons)
+            loop = asyncio.get_running_loop()
+            # After three intervals of silence.
+            loop.call_later(3.6, store.remove, "servers", score.name)
+        await _train(record, store, daemons)
     finally:
         daemons.stop()
     return _judge([run for model in models for run in model.ran])
 
 
-async def _train(record: Record, daemons: Daemons) -> None:
+async def _train(record: Record, store: Store, daemons: Daemons) -> None:
     """Asks for steps of two groups, one of which may come again."""
     again = {"g1002a": [_NEVER, *_make_ids("e5", _GROUP - 1)]}
     for step in range(_STEPS):
@@ -183,6 +186,10 @@
         ]
         record.write(f"trainer: groups that aren't complete: {incomplete}")
         again = {group: groups[group] for group in incomplete[:1]}
+        await asyncio.sleep(_TRAIN_S)
+        version = {"model": MODEL, "version": step + 2}
+        store.put("versions", MODEL, version)
+        record.write(f"trainer: names {version}")
 
 
 def _make_ids(prefix: str, count: int) -> list[str]:
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -11,8 +11,8 @@
 
 from review.rig2.case import Record, has_trouble, run_case
 from review.rig2.daemons import Daemons
-from review.rig2.http import listen, request
-from review.rig2.servers import MODEL, ModelServer
+from review.rig2.http import Answer, Call, listen, request
+from review.rig2.servers import MODEL, ModelServer, entry
 from review.rig2.store import Store
 
 _KEY = "2b9wu3fexd9dnn2ctnfz"
@@ -40,8 +40,21 @@
             "sticky": True,
             "public": False,
         },
+        {
+            "name": "r-reward",
+            "host": "a.example",
+            "path-prefix": "/check/",
+            "route-type": "safe",
+            "timeout-ms": 1500,
+            "target-latency-ms": 199,
+            "priority": 2,
+            "service": "yard-records",
+            "max-attempts": 4,
+            "public": True,
+        },
     ],
     "services": [
+        {"name": "yard-records", "health-path": "/health"},
         {
             "name": "assessor-lm",
             "health-path": "/health",
@@ -58,6 +71,20 @@
 }
 
 
+async def _score(call: Call) -> Answer:
+    """Answers a request to the server of the service that scores."""
+    if call.headers.get("daisyhub-expect-instance", "i-score") != "i-score":
+        return Answer(421)
+    request_id = call.headers.get("daisyhub-request-id", "")
+    await asyncio.sleep(0.045)
+    headers = {
+        "daisyhub-instance-id": "i-score",
+        "daisyhub-request-id": request_id,
+        "daisyhub-server-stamp": f"i-score.{request_id}",
+    }
+    return Answer(headers=headers, body=b"{}")
+
+
 def _build_lot() -> bytes:
     items = [
         {
@@ -70,6 +97,12 @@
             "body": base64.b64encode(b"prompt").decode(),
             "tokens": 371,
             "group": "g1002a",
+            "scorer": {
+                "id": f"40c8f1a7b3e926{n:02d}",
+                "host": "a.example",
+                "path": "/check/5e07",
+                "body": base64.b64encode(b"score").decode(),
+            },
         }
         for n in range(_ITEMS)
     ]
@@ -93,10 +126,13 @@
         model = ModelServer(f"m-{number}", store, record.write)
         _, port = await listen(model.handle)
         model.register(port)
+    _, port = await listen(_score)
+    store.put("servers", "i-score", entry("yard-records", port, 1000))
     daemons = Daemons(3, store_port)
     try:
         await daemons.start_all()
-        await asyncio.sleep(2)
+        # All machines are in touch: `contact-ms` after their start.
+        await asyncio.sleep(4)
         return await _play_lot(record, daemons)
     finally:
         daemons.stop()
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,13 +1,14 @@
 """A reward call goes on after its batch submission was ended.
 
-The service that scores has one server, which hangs: it reads a reward call and
-doesn't answer. The trainer ends its batch submission. The operators replace
-the server: a new one starts, the old one's process ends. Which calls does the
-new one run?
+The service that scores has one server, which hangs on some requests: it reads
+them and doesn't answer. The trainer has the groups that it waits for and ends
+its batch submission. The server is replaced: a new one starts, the old one
+reports `draining`, serves on and exits. Which calls does the new one run?
 """
 
 import asyncio
 import base64
+import collections
 import json
 import time
 
@@ -22,11 +23,20 @@
 _ACCEPTED = 202
 _ENDED = 200
 _LOT = "7c41e09b52d6a3f8"
-_ITEMS = 4
+_GROUPS = 3
+_GROUP = 4
+_WANTED = 2
+# Reward calls, by the number of their item, on which the server hangs, and the
+# largest share of its requests on which it may.
+_HANGS = (8, 9)
+_MOST_HANGING = 0.4
 _OTHER_LOT = "0a41e09b52d6a3f8"
 _OTHER_ITEMS = 96
-# Seconds after the confirmed end at which the hanging server is replaced.
-_REPLACED_S = 3.4
+# Seconds after the confirmed end at which the new server registers itself, the
+# old one reports `draining`, and exits: `drain-ms` and a little later.
+_NEW_S = 0.6
+_DRAINING_S = 1.1
+_EXIT_S = 3.3
 _MANIFEST = {
     "version": 1,
     "routes": [
@@ -89,26 +99,25 @@
 
 
 class ScoreServer:
-    """A server of the service that scores.
+    """A server of a service that scores.
 
     Attributes:
-        hangs: Whether it reads requests and never answers.
+        hangs: The requests that it reads and never answers, by id.
         arrived: When each request arrived, and its id.
     """
 
     def __init__(self, name: str, record: Record):
         self.name = name
         self._record = record
-        self.hangs = False
+        self.hangs: frozenset[str] = frozenset()
         self.arrived: list[tuple[float, str]] = []
-        self._ended = asyncio.Event()
 
-    def end(self) -> None:
-        """Ends the process: open channels close without an answer."""
-        self._ended.set()
+    def count_hanging(self) -> int:
+        """Returns the number of requests on which it hangs."""
+        return sum(request_id in self.hangs for _, request_id in self.arrived)
 
-    async def handle(self, call: Call) -> Answer | None:
-        """Runs one request; None closes its channel."""
+    async def handle(self, call: Call) -> Answer:
+        """Runs one request."""
         if call.path == "/health":
             return Answer(headers={"daisyhub-instance-id": self.name})
         if call.headers.get("daisyhub-expect-instance") != self.name:
@@ -116,9 +125,8 @@
         request_id = call.headers.get("daisyhub-request-id", "")
         self.arrived.append((time.monotonic(), request_id))
         self._record.write(f"score server {self.name} runs {request_id}")
-        if self.hangs:
-            await self._ended.wait()
-            return None
+        if request_id in self.hangs:
+            await asyncio.Event().wait()
         await asyncio.sleep(0.045)
         headers = {
             "daisyhub-request-id": request_id,
@@ -138,7 +146,7 @@
             },
             "body": base64.b64encode(b"prompt").decode(),
             "tokens": 371,
-            "group": "g1002a",
+            "group": f"g{n // _GROUP}",
             "scorer": {
                 "id": f"{lot_id[:2]}c8f1a7b3e926{n:02d}",
                 "host": "a.example",
@@ -152,7 +160,7 @@
         "step": 0,
         "model": MODEL,
         "min-version": 1,
-        "desired-count": 1,
+        "desired-count": _WANTED,
         "items": items,
     }
     return json.dumps(lot).encode()
@@ -173,18 +181,45 @@
     store.put("servers", desk.name, entry("report-desk", desk_port, 900))
     old = ScoreServer("i-old", record)
     new = ScoreServer("i-new", record)
-    old.hangs = has_trouble()
+    if has_trouble():
+        old.hangs = frozenset(f"{_LOT[:2]}c8f1a7b3e926{n:02d}" for n in _HANGS)
     old_listener, old_port = await listen(old.handle)
-    store.put("servers", old.name, entry("yard-records", old_port, 1000))
+    spec = entry("yard-records", old_port, 1000)
+    store.put("servers", old.name, spec)
     daemons = Daemons(3, store_port)
     try:
         await daemons.start_all()
-        await asyncio.sleep(2)
-        return await _play_lot(record, store, daemons, (old, new, old_listener))
+        # All machines are in touch: `contact-ms` after their start.
+        await asyncio.sleep(4)
+        return await _play_lot(
+            record, store, daemons, (old, new, old_listener, spec)
+        )
     finally:
         daemons.stop()
 
 
+async def _read_groups(record, daemons, name: str) -> None:
+    """Reads until the groups that the trainer waits for are complete."""
+    listed = []
+    while True:
+        status, content = await _call(
+            record,
+            daemons,
+            name,
+            "GET",
+            f"/v1/lots/{_LOT}?after={len(listed)}",
+            "r1",
+        )
+        if status == _ENDED:
+            listed += json.loads(content)["results"]
+        counts = collections.Counter(
+            int(result["id"][-2:]) // _GROUP for result in listed
+        )
+        if sum(count == _GROUP for count in counts.values()) >= _WANTED:
+            return
+        await asyncio.sleep(0.2)
+
+
 async def _call(record, daemons, name, method, target, lot_id, body=b""):
     headers = {
         "api-key": _KEY,
@@ -199,10 +234,10 @@
 
 
 async def _play_lot(record, store, daemons, servers) -> list[str]:
-    old, new, old_listener = servers
+    old, new, old_listener, spec = servers
     first, second, _ = daemons.names
     for lot_id, count, scorer_path in (
-        (_LOT, _ITEMS, "/check/5e07"),
+        (_LOT, _GROUPS * _GROUP, "/check/5e07"),
         (_OTHER_LOT, _OTHER_ITEMS, "/desk/5e07"),
     ):
         lot = _build_lot(lot_id, count, scorer_path)
@@ -211,14 +246,10 @@
         )
         if status != _ACCEPTED:
             raise RuntimeError(f"the submission got {status}")
-    # Until the texts are whole and the reward calls are at the old server.
-    while len(old.arrived) < _ITEMS:
+    await _read_groups(record, daemons, second)
+    # Each hanging call is there, and its repeat after the usual latency.
+    while old.count_hanging() < 2 * len(old.hangs):
         await asyncio.sleep(0.02)
-    await asyncio.sleep(0.3)
-    status, content = await _call(
-        record, daemons, second, "GET", f"/v1/lots/{_LOT}?after=0", "r1"
-    )
-    record.write(f"listed: {content[:120]!r}")
     status, _ = await _call(
         record, daemons, second, "DELETE", f"/v1/lots/{_LOT}", "d1"
     )
@@ -228,15 +259,20 @@
     record.write(f"the end of the submission is confirmed: {status}")
     stored = store.get("lots", _LOT)
     record.write(f"status in the store: {stored and stored['status']}")
-    # The operators replace the server: the new one starts first.
-    await asyncio.sleep(_REPLACED_S - 1.0)
+    # A release: the new one starts first, the old one drains.
+    await asyncio.sleep(_NEW_S)
     _, new_port = await listen(new.handle)
     store.put("servers", new.name, entry("yard-records", new_port, 2000))
     record.write("the new score server registers itself")
-    await asyncio.sleep(1.0)
-    record.write("the old score server's process ends")
+    await asyncio.sleep(_DRAINING_S - _NEW_S)
+    store.put("servers", old.name, {**spec, "state": "draining"})
+    record.write("the old score server reports draining")
+    await asyncio.sleep(_EXIT_S - _DRAINING_S)
+    hanging, arrived = old.count_hanging(), len(old.arrived)
+    record.write(f"the old one exits; it hung on {hanging} of {arrived}")
+    if hanging > _MOST_HANGING * arrived:
+        raise RuntimeError("the server hung on too many requests")
     old_listener.close()
-    old.end()
     store.remove("servers", old.name)
     await asyncio.sleep(4)
     return [
--- a/review/rig2/case.py
+++ b/review/rig2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -46,7 +47,7 @@
     record.write(f"trouble: {has_trouble()}")
     try:
         broken = asyncio.run(_play_in_time(play, record))
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record.write(f"the case couldn't run: {exc!r}")
         sys.exit(NOT_RUN)
     for line in broken:
@@ -56,5 +57,9 @@
 
 
 async def _play_in_time(play, record: Record) -> list[str]:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        # The case ends its processes before it exits.
+        loop.add_signal_handler(number, asyncio.current_task().cancel)
     async with asyncio.timeout(_LIMIT_S):
         return await play(record)
--- a/review/rig2/daemons.py
+++ b/review/rig2/daemons.py
@@ -14,7 +14,7 @@
 import tempfile
 import tomllib
 
-from review.rig2.http import request
+from review.rig2.http import LOOPBACK, request
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 _PLACE = re.compile(r"\{\{([a-z0-9.-]+)(\|json)?\}\}")
@@ -73,8 +73,8 @@
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
         ):
             try:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
+                tcp.bind((LOOPBACK, port))
+                udp.bind((LOOPBACK, port))
             except OSError:
                 continue
             return port
@@ -92,7 +92,7 @@
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self._role = deploy["roles"]["hub"]
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
-        self._store = f"127.0.0.1:{store_port}"
+        self._store = f"{LOOPBACK}:{store_port}"
         self.names = [f"edge-{n}" for n in range(1, count + 1)]
         self._ports = {
             name: {
@@ -114,12 +114,12 @@
             "node-name": name,
             "zone": _ZONES[number % len(_ZONES)],
             "listen": {
-                use: f"127.0.0.1:{ports[use]}"
+                use: f"{LOOPBACK}:{ports[use]}"
                 for use in ("front", "ready", "control")
             },
             "internal-ports": [ports["metrics"], ports["relay"]],
             "seeds": [
-                f"127.0.0.1:{self.port(other, 'control')}"
+                f"{LOOPBACK}:{self.port(other, 'control')}"
                 for other in self.names[:3]
             ],
             "limits": _LIMITS,
--- a/review/rig2/http.py
+++ b/review/rig2/http.py
@@ -4,8 +4,16 @@
 import contextlib
 import dataclasses
 import json
+import os
 import urllib.parse
 
+# A loopback address for each run, by its process id, so that no two runs at one
+# time share a port.
+LOOPBACK = ".".join(
+    str(part)
+    for part in (127, *((64 << 16) + os.getpid() % (1 << 22)).to_bytes(3))
+)
+
 
 @dataclasses.dataclass
 class Call:
@@ -146,12 +154,40 @@
     await writer.drain()
 
 
-async def listen(handle, port: int = 0, ip: str = "127.0.0.1"):
-    """Starts a server; returns it and its port."""
-    server = await asyncio.start_server(
-        lambda reader, writer: serve(handle, reader, writer), ip, port
+class Listener:
+    """The listening socket of a process, and its open channels."""
+
+    def __init__(self):
+        self._server = None
+        self._writers = set()
+
+    async def open(self, serve_channel) -> int:
+        """Listens on a free port; returns it."""
+
+        async def accept(reader, writer):
+            self._writers.add(writer)
+            try:
+                await serve_channel(reader, writer)
+            finally:
+                self._writers.discard(writer)
+
+        self._server = await asyncio.start_server(accept, LOOPBACK, 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Ends the process: nobody listens, and all channels close."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+
+async def listen(handle) -> tuple[Listener, int]:
+    """Starts a server; returns its listener and its port."""
+    listener = Listener()
+    port = await listener.open(
+        lambda reader, writer: serve(handle, reader, writer)
     )
-    return server, server.sockets[0].getsockname()[1]
+    return listener, port
 
 
 async def request(
@@ -169,7 +205,7 @@
     """
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
             try:
                 lines = [f"{method} {target} HTTP/1.1"]
                 sent = {"host": "a.example", **(headers or {})}
--- a/review/rig2/servers.py
+++ b/review/rig2/servers.py
@@ -5,7 +5,7 @@
 import time
 import zlib
 
-from review.rig2.http import Answer, Call, json_answer
+from review.rig2.http import LOOPBACK, Answer, Call, json_answer
 from review.rig2.store import Store
 
 MODEL = "daka510000"
@@ -19,7 +19,7 @@
     """Returns a server's entry in the store."""
     return {
         "service": service,
-        "address": f"127.0.0.1:{port}",
+        "address": f"{LOOPBACK}:{port}",
         "zone": "busan-yard",
         "version": "v1",
         "slots": slots,
