review: case 10 is now UNASKED, an order delivered after a cut

Cause: a worker knows the generation number only of orders that it has had, and a link that is given up isn't reset.

--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,49 +1,48 @@
-"""An item that can never be done comes again in later batch submissions.
+"""A daemon is cut off; what it ordered as the cut began is run after it.
 
-The service that scores is lost, so that no group is complete at the trainer's
-deadline. The trainer asks for the same group again in its next batch
-submissions, under the same ids. One item of the group can never be done: model
-servers answer it with 422. How often does it reach one?
+One daemon holds the duty for batch submissions and has the others run the
+items. It is cut off from the other machines and the store for five seconds.
+Meanwhile the trainer ends its submission at another daemon. Which items does
+that daemon, or another one that was never disturbed, send to model servers
+afterwards?
 """
 
 import asyncio
 import base64
+import functools
 import json
+import time
 
+from review.rig2 import gateway
 from review.rig2.case import Record, has_trouble, run_case
-from review.rig2.daemons import Daemons
-from review.rig2.http import Answer, Call, listen, request
-from review.rig2.servers import MODEL, ModelServer, entry
+from review.rig2.daemons import Daemons, free_port
+from review.rig2.http import LOOPBACK, Call, Listener, request, serve
+from review.rig2.servers import MODEL, ModelServer
 from review.rig2.store import Store
 
 _KEY = "2b9wu3fexd9dnn2ctnfz"
+_CANCEL_S = 3.0
 _ACCEPTED = 202
 _ENDED = 200
-_IMPOSSIBLE = "422"
-# Answers of 422 after which an item must not reach a server again.
-_MOST_IMPOSSIBLE = 3
-_STEPS = 5
-# The trainer's deadline: that of the class in the site file.
-_DEADLINE_S = 12.0
-_TRAIN_S = 1.0
+_ITEM_PATH = "/assess/3/91c4"
+_LOT = "7c41e09b52d6a3f8"
+_GROUPS = 60
 _GROUP = 8
-# The item that can never be done; see `ModelServer`.
-_NEVER = "never907c14da6f38"
+_DAEMONS = 6
+_SERVERS = 8
+# Seconds between two events of a text. An item has 4 to 12 events.
+_PAUSE_S = 0.05
+# The daemon that is started first, so that it gets the duty for submissions.
+_HOLDER = "edge-5"
+# Seconds from the acceptance to the cut, at least; from the cut to the end of
+# the submission; and the length of the cut.
+_BEFORE_S = 1.0
+_END_S = 0.3
+_CUT_S = 5.0
+_AFTER_S = 3.0
 _MANIFEST = {
     "version": 1,
     "routes": [
-        {
-            "name": "r-reward",
-            "host": "a.example",
-            "path-prefix": "/check/",
-            "route-type": "safe",
-            "timeout-ms": 1500,
-            "target-latency-ms": 199,
-            "priority": 2,
-            "service": "yard-records",
-            "max-attempts": 4,
-            "public": True,
-        },
         {
             "name": "r-assess",
             "host": "a.example",
@@ -60,7 +59,6 @@
         },
     ],
     "services": [
-        {"name": "yard-records", "health-path": "/health"},
         {
             "name": "assessor-lm",
             "health-path": "/health",
@@ -77,176 +75,227 @@
 }
 
 
-class ScoreServer:
-    """A sound server of the service that scores."""
+class CutDaemons(Daemons):
+    """Daemons of which one is behind a gateway.
+
+    Args:
+        store_port: Port of the store.
+        net: The gateway.
+    """
+
+    def __init__(self, store_port: int, net: gateway.Gateway):
+        super().__init__(_DAEMONS, store_port)
+        self._net = net
+        self._store_port = store_port
+        self._store_seen = (gateway.OTHERS_SEEN, free_port())
+
+    async def open_gateway(self) -> None:
+        """Lets the gateway listen for the daemons and the store."""
+        await self._net.open(
+            self._store_seen, (LOOPBACK, self._store_port), is_out=True
+        )
+        for name in self.names:
+            is_out = name != _HOLDER
+            seen, real = (
+                (gateway.OTHERS_SEEN, gateway.OTHERS)
+                if is_out
+                else (gateway.OWN_SEEN, gateway.OWN)
+            )
+            for use in ("control", "relay"):
+                port = self.port(name, use)
+                await self._net.open(
+                    (seen, port),
+                    (real, port),
+                    is_out=is_out,
+                    has_datagrams=use == "control",
+                )
+
+    async def start_others(self) -> None:
+        """Starts the daemons besides the holder; returns once all are ready."""
+        for name in self.names:
+            if name != _HOLDER:
+                self.start(name)
+        for name in self.names:
+            while not await self.is_ready(name):
+                await asyncio.sleep(0.1)
+
+    def _fields(self, name: str) -> dict:
+        fields = super()._fields(name)
+        is_holder = name == _HOLDER
+        own = gateway.OWN if is_holder else gateway.OTHERS
+        fields["listen"]["control"] = f"{own}:{self.port(name, 'control')}"
+        others = gateway.OTHERS_SEEN if is_holder else gateway.OTHERS
+        fields["seeds"] = [
+            f"{others}:{self.port(seed, 'control')}" for seed in self.names[:3]
+        ]
+        if is_holder:
+            store = "{}:{}".format(*self._store_seen)
+            fields["platform"]["address"] = store
+            fields["cloud-api"]["address"] = store
+        return fields
+
+
+class SeenServer(ModelServer):
+    """A model server that the gateway forwards the cut daemon's requests to."""
+
+    async def open(self, serve_channel, net: gateway.Gateway) -> None:
+        """Listens, also for the cut daemon, and writes its entry."""
+        server = await asyncio.start_server(serve_channel, gateway.OTHERS, 0)
+        port = server.sockets[0].getsockname()[1]
+        await net.open(
+            (gateway.OTHERS_SEEN, port),
+            (gateway.OTHERS, port),
+            is_out=True,
+            is_spared=True,
+        )
+        self.register(port)
+
+    def register(self, port: int) -> None:
+        """Writes its entry."""
+        super().register(port)
+        spec = self._store.get("servers", self.name)["spec"]
+        spec = {**spec, "address": f"{gateway.OTHERS}:{port}"}
+        self._store.put("servers", self.name, spec)
+
+
+class Items:
+    """The items that reached model servers.
 
-    def __init__(self, name: str, record: Record):
-        self.name = name
+    Attributes:
+        arrived: When each arrived, its id, and whether the daemon that can be
+            cut off sent it.
+    """
+
+    def __init__(self, record: Record, net: gateway.Gateway):
         self._record = record
+        self._net = net
+        self.arrived: list[tuple[float, str, bool]] = []
 
-    async def handle(self, call: Call) -> Answer:
-        """Runs one request."""
-        if call.path == "/health":
-            return Answer(headers={"daisyhub-instance-id": self.name})
-        if call.headers.get("daisyhub-expect-instance") != self.name:
-            return Answer(421)
-        request_id = call.headers.get("daisyhub-request-id", "")
-        self._record.write(f"score server {self.name} runs {request_id}")
-        await asyncio.sleep(0.045)
-        headers = {
-            "daisyhub-request-id": request_id,
-            "daisyhub-server-stamp": f"{self.name}.{request_id}",
-        }
-        return Answer(headers=headers, body=b"{}")
+    async def handle(self, model: ModelServer, port: int, call: Call):
+        """Passes a call on to a model server; notes items."""
+        if call.path.startswith("/assess/"):
+            item_id = call.headers.get("daisyhub-request-id", "")
+            is_own = port in self._net.own_ports
+            self.arrived.append((time.monotonic(), item_id, is_own))
+            sender = _HOLDER if is_own else "another machine"
+            self._record.write(f"{model.name} gets item {item_id} of {sender}")
+        return await model.handle(call)
 
 
-def _build_lot(step: int, groups: dict[str, list[str]]) -> bytes:
+def _build_lot() -> bytes:
     items = [
         {
-            "id": item_id,
-            "path": "/assess/3/91c4",
+            "id": f"b2907c14da6f{n:04d}",
+            "path": _ITEM_PATH,
             "headers": {
                 "Daisyhub-Model": MODEL,
                 "Daisyhub-Token-Count": "271,100",
             },
             "body": base64.b64encode(b"prompt").decode(),
             "tokens": 371,
-            "group": group,
-            "scorer": {
-                "id": f"40c8{item_id}",
-                "host": "a.example",
-                "path": "/check/5e07",
-                "body": base64.b64encode(b"score").decode(),
-            },
+            "group": f"g{n // _GROUP}",
         }
-        for group, ids in groups.items()
-        for item_id in ids
+        for n in range(_GROUPS * _GROUP)
     ]
     lot = {
-        "step": step,
+        "step": 0,
         "model": MODEL,
-        "min-version": max(1, step),
-        "desired-count": len(groups),
+        "min-version": 1,
+        "desired-count": _GROUPS,
         "items": items,
     }
     return json.dumps(lot).encode()
 
 
 async def play(record: Record) -> list[str]:
-    """Plays the steps of a trainer; returns what broke the rule."""
+    """Plays the case; returns what broke the rule."""
     store = Store()
-    _, store_port = await listen(store.handle)
+    store_port = await Listener().open(
+        lambda reader, writer: serve(store.handle, reader, writer)
+    )
     store.put("config", "main", _MANIFEST)
-    models = [ModelServer(f"m-{n}", store, record.write) for n in range(2)]
-    for model in models:
-        _, port = await listen(model.handle)
-        model.register(port)
-    score = ScoreServer("i-score", record)
-    listener, score_port = await listen(score.handle)
-    store.put("servers", score.name, entry("yard-records", score_port, 1000))
-    daemons = Daemons(3, store_port)
+    net = gateway.Gateway()
+    daemons = CutDaemons(store_port, net)
+    await daemons.open_gateway()
+    items = Items(record, net)
+    for number in range(_SERVERS):
+        model = SeenServer(f"m-{number}", store, lambda _: None)
+        model.pause_s = _PAUSE_S
+
+        def serve_channel(reader, writer, model=model):
+            _, port = writer.get_extra_info("peername")
+            handle = functools.partial(items.handle, model, port)
+            return serve(handle, reader, writer)
+
+        await model.open(serve_channel, net)
     try:
-        await daemons.start_all()
+        daemons.start(_HOLDER)
+        while _find_holder(store) != _HOLDER:
+            await asyncio.sleep(0.1)
+        await daemons.start_others()
+        # All machines are in touch: `contact-ms` after their start.
         await asyncio.sleep(4)
-        if has_trouble():
-            record.write("the score server is lost")
-            listener.close()
-            loop = asyncio.get_running_loop()
-            # After three intervals of silence.
-            loop.call_later(3.6, store.remove, "servers", score.name)
-        await _train(record, store, daemons)
+        return await _play_lot(record, store, daemons, net, items)
     finally:
         daemons.stop()
-    return _judge([run for model in models for run in model.ran])
-
-
-async def _train(record: Record, store: Store, daemons: Daemons) -> None:
-    """Asks for steps of two groups, one of which may come again."""
-    again = {"g1002a": [_NEVER, *_make_ids("e5", _GROUP - 1)]}
-    for step in range(_STEPS):
-        groups = {**again, f"g{step}": _make_ids(f"{step:02d}", _GROUP)}
-        if not again:
-            groups[f"h{step}"] = _make_ids(f"{step + 50:02d}", _GROUP)
-        lot_id = f"7c41e09b52d6a3{step:02d}"
-        daemon = daemons.names[step % len(daemons.names)]
-        lot = _build_lot(step, groups)
-        status, _ = await _call(
-            record, daemons, daemon, "POST", "/assess/1", lot_id, lot
-        )
-        if status != _ACCEPTED:
-            raise RuntimeError(f"the submission got {status}")
-        listed = await _read_until(record, daemons, daemon, lot_id)
-        status, _ = await _call(
-            record, daemons, daemon, "DELETE", f"/v1/lots/{lot_id}", "d"
-        )
-        if status != _ENDED:
-            raise RuntimeError(f"the end got {status}")
-        incomplete = [
-            group for group, ids in groups.items() if not listed >= set(ids)
-        ]
-        record.write(f"trainer: groups that aren't complete: {incomplete}")
-        again = {group: groups[group] for group in incomplete[:1]}
-        await asyncio.sleep(_TRAIN_S)
-        version = {"model": MODEL, "version": step + 2}
-        store.put("versions", MODEL, version)
-        record.write(f"trainer: names {version}")
-
-
-def _make_ids(prefix: str, count: int) -> list[str]:
-    return [f"{prefix}b2907c14da6f{n:02d}" for n in range(count)]
-
-
-async def _read_until(record, daemons, daemon: str, lot_id: str) -> set[str]:
-    """Reads results until all are listed or the deadline; returns the ids."""
-    loop = asyncio.get_running_loop()
-    until_s = loop.time() + _DEADLINE_S
-    listed = []
-    while loop.time() < until_s and len(listed) < 2 * _GROUP:
-        status, _, content = await request(
-            daemons.port(daemon),
-            "GET",
-            f"/v1/lots/{lot_id}?after={len(listed)}",
-            {
-                "api-key": _KEY,
-                "daisyhub-request-id": "r",
-                "daisyhub-wait-ms": "500",
-            },
-        )
-        if status == _ENDED:
-            listed += json.loads(content)["results"]
-        await asyncio.sleep(0.1)
-    states = {result["id"]: result["state"] for result in listed}
-    record.write(f"trainer: {lot_id} lists {states}")
-    return set(states)
+        net.close()
+
 
+def _find_holder(store: Store) -> str:
+    found = store.get("duties", "rollouts")
+    return found["spec"]["holder"].split("/")[0] if found else ""
 
-async def _call(record, daemons, name, method, target, lot_id, body=b""):
+
+async def _call(record, daemons, method, target, call_id, body=b"") -> int:
+    name = daemons.names[0]
     headers = {
         "api-key": _KEY,
-        "daisyhub-request-id": lot_id,
+        "daisyhub-request-id": call_id,
         "content-type": "application/json",
     }
-    status, _, content = await request(
+    status, _, _ = await request(
         daemons.port(name), method, target, headers, body
     )
     record.write(f"trainer: {method} {target} at {name}: {status}")
-    return status, content
-
-
-def _judge(ran: list[tuple[float, str, str]]) -> list[str]:
-    """Returns a line for each arrival after the third 422 to its item."""
-    broken = []
-    answers = 0
-    for _, item_id, status in sorted(ran):
-        if item_id != _NEVER:
-            continue
-        if answers >= _MOST_IMPOSSIBLE:
-            broken.append(
-                f"BUDGET: {item_id} reached a server after {answers} answers "
-                "of 422"
-            )
-        answers += status == _IMPOSSIBLE
-    return broken
+    return status
+
+
+async def _play_lot(record, store, daemons, net, items) -> list[str]:
+    holder = _find_holder(store)
+    record.write(f"holder: {holder}")
+    if holder != _HOLDER:
+        raise RuntimeError("another daemon is the holder")
+    status = await _call(
+        record, daemons, "POST", "/assess/1", _LOT, _build_lot()
+    )
+    if status != _ACCEPTED:
+        raise RuntimeError(f"the submission got {status}")
+    await asyncio.sleep(_BEFORE_S)
+    if has_trouble():
+        # An order to run items; nothing else that it sends names their path.
+        await net.cut_at(_ITEM_PATH.encode())
+        record.write(f"{_HOLDER} has sent an order and is cut off")
+    cut_s = time.monotonic()
+    await asyncio.sleep(_END_S)
+    status = await _call(record, daemons, "DELETE", f"/v1/lots/{_LOT}", "d1")
+    if status != _ENDED:
+        raise RuntimeError(f"the end got {status}")
+    ended_s = time.monotonic()
+    stored = store.get("lots", _LOT)
+    record.write(f"status in the store: {stored and stored['status']}")
+    await asyncio.sleep(cut_s + _CUT_S - time.monotonic())
+    record.write(f"holder in the store: {_find_holder(store)}")
+    if has_trouble():
+        net.heal()
+        record.write("the cut is over")
+    await asyncio.sleep(_AFTER_S)
+    return [
+        f"UNASKED: item {item_id} of {_LOT} reached a model server from a "
+        f"machine in touch {at_s - ended_s:.2f} s after its end was confirmed"
+        for at_s, item_id, is_own in items.arrived
+        # The machine that was cut off isn't in touch.
+        if at_s - ended_s > _CANCEL_S and not is_own
+    ]
 
 
 if __name__ == "__main__":
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps python3 -c \
-  "import review.rig2.case, review.rig2.daemons, review.rig2.store"
+  "import review.rig2.case, review.rig2.daemons, review.rig2.gateway, \
+    review.rig2.store"
