--- a/review/rig2/gateway.py
+++ b/review/rig2/gateway.py
@@ -7,8 +7,9 @@
 
 While the cut lasts, datagrams are lost, and what asks for a new channel gets no
 answer. Of open channels, it keeps what a side has sent, as that side's system
-does, and forwards it after the cut, the first piece a round trip before the
-others; a channel that its sender has reset loses what it held.
+does, and forwards it after the cut: one piece, a round trip later two, then
+four, and so on, as TCP does after a loss. A channel that its sender has reset
+loses what it held.
 """
 
 import asyncio
@@ -194,6 +195,8 @@
         source = _Source(reader, self.pass_trigger if is_watched else None)
         self._spawn(source.read())
         rest = b""
+        # Pieces of what was held that may go on now, and in each round trip.
+        left = window = 1
         while True:
             data = await source.pieces.get()
             was_held = self.is_cut and not is_spared
@@ -209,8 +212,11 @@
             if not data:
                 writer.close()
                 return
-            if was_held:
+            if was_held or window > 1:
+                left -= 1
+            if not left:
                 await asyncio.sleep(_ROUND_TRIP_S)
+                left = window = 2 * window
 
 
 class _Source:
