--- a/review/rig2/gateway.py
+++ b/review/rig2/gateway.py
@@ -14,14 +14,37 @@
 
 import asyncio
 import contextlib
+import functools
 import os
 import socket
 
 __all__ = ["OTHERS", "OTHERS_SEEN", "OWN", "OWN_SEEN", "Gateway"]
 
-# By the process id, so that two runs at one time share no address; all of one
-# length, so that nothing changes its size.
-_END = f"{100 + os.getpid() // 150 % 150}.{100 + os.getpid() % 150}"
+# Port that a run keeps at its first address, so that no other takes the same;
+# below those of daemons.
+_LOCK_PORT = 9876
+_MOST_TRIES = 200
+
+
+def _take_addresses() -> tuple[str, socket.socket]:
+    """Returns the end of addresses that no other run has, and their lock.
+
+    All addresses are of one length, so that replacing them changes no size.
+    """
+    for number in range(os.getpid(), os.getpid() + _MOST_TRIES):
+        end = f"{100 + number // 150 % 150}.{100 + number % 150}"
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.131.{end}", _LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return end, lock
+    raise OSError("no address is free")
+
+
+# The lock is kept until the process ends.
+_END, _LOCK = _take_addresses()
 # Where the others listen, and where the cut daemon finds them.
 OTHERS, OTHERS_SEEN = f"127.131.{_END}", f"127.132.{_END}"
 # Where the cut daemon listens, and where the others find it.
@@ -70,6 +93,7 @@
         self._fillers: list[socket.socket] = []
         self._datagrams: list[asyncio.DatagramTransport] = []
         self._trigger = b""
+        self._trigger_ports: set[int] = set()
         self._begun = asyncio.Event()
         # Ports from which the cut daemon's channels come to their targets.
         self.own_ports: set[int] = set()
@@ -106,18 +130,21 @@
             )
             self._datagrams.append(transport)
 
-    async def cut_at(self, sent: bytes) -> None:
+    async def cut_at(self, sent: bytes, ports: set[int]) -> None:
         """Begins the cut as the daemon has just sent something.
 
         Args:
             sent: A part of it. It is on its way, and doesn't arrive.
+            ports: The ports to one of which it is sent.
         """
         self._trigger = sent
+        self._trigger_ports = ports
         await self._begun.wait()
 
-    def pass_trigger(self, data: bytes) -> None:
+    def pass_trigger(self, data: bytes, port: int) -> None:
         """Begins the cut if the daemon sent what it waits for."""
-        if self._trigger and self._trigger in data:
+        is_meant = port in self._trigger_ports
+        if is_meant and self._trigger and self._trigger in data:
             self._trigger = b""
             self._cut()
             self._begun.set()
@@ -191,8 +218,11 @@
 
     async def _forward(self, reader, writer, pairs, is_spared) -> None:
         """Forwards one direction of a channel until its sender closes it."""
-        is_watched = pairs is _OUT and not is_spared
-        source = _Source(reader, self.pass_trigger if is_watched else None)
+        on_piece = None
+        if pairs is _OUT and not is_spared:
+            _, port = writer.get_extra_info("peername")
+            on_piece = functools.partial(self.pass_trigger, port=port)
+        source = _Source(reader, on_piece)
         self._spawn(source.read())
         rest = b""
         # Pieces of what was held that may go on now, and in each round trip.
