--- a/review/9/run.py
+++ b/review/9/run.py
@@ -30,8 +30,16 @@
 # largest share of its requests on which it may.
 _HANGS = (8, 9)
 _MOST_HANGING = 0.4
-_OTHER_LOT = "0a41e09b52d6a3f8"
-_OTHER_ITEMS = 96
+# The next step, which the trainer requests ahead, and the groups that it waits
+# for there: `want` of the site, 0.9.
+_NEXT_LOT = "0a41e09b52d6a3f8"
+_NEXT_GROUPS = 48
+_NEXT_WANTED = 43
+# The trainer's deadline (`deadline_ms` of the site), its training, and the time
+# between its reads ("about twice per second").
+_DEADLINE_S = 12.0
+_TRAINING_S = 1.0
+_READ_S = 0.5
 # Seconds after the confirmed end at which the new server registers itself, the
 # old one reports `draining`, and exits: `drain-ms` and a little later.
 _NEW_S = 0.6
@@ -135,10 +143,12 @@
         return Answer(headers=headers, body=b"{}")
 
 
-def _build_lot(lot_id: str, count: int, scorer_path: str) -> bytes:
+def _build_lot(
+    lot_id: str, step: int, groups: int, wanted: int, scorer_path: str
+) -> bytes:
     items = [
         {
-            "id": f"{lot_id[:2]}b2907c14da6f{n:02d}",
+            "id": f"{lot_id[:2]}b2907c14da6f{n:03d}",
             "path": "/assess/3/91c4",
             "headers": {
                 "Daisyhub-Model": MODEL,
@@ -148,19 +158,19 @@
             "tokens": 371,
             "group": f"g{n // _GROUP}",
             "scorer": {
-                "id": f"{lot_id[:2]}c8f1a7b3e926{n:02d}",
+                "id": f"{lot_id[:2]}c8f1a7b3e926{n:03d}",
                 "host": "a.example",
                 "path": scorer_path,
                 "body": base64.b64encode(b"score").decode(),
             },
         }
-        for n in range(count)
+        for n in range(groups * _GROUP)
     ]
     lot = {
-        "step": 0,
+        "step": step,
         "model": MODEL,
         "min-version": 1,
-        "desired-count": _WANTED,
+        "desired-count": wanted,
         "items": items,
     }
     return json.dumps(lot).encode()
@@ -182,7 +192,7 @@
     old = ScoreServer("i-old", record)
     new = ScoreServer("i-new", record)
     if has_trouble():
-        old.hangs = frozenset(f"{_LOT[:2]}c8f1a7b3e926{n:02d}" for n in _HANGS)
+        old.hangs = frozenset(f"{_LOT[:2]}c8f1a7b3e926{n:03d}" for n in _HANGS)
     old_listener, old_port = await listen(old.handle)
     spec = entry("yard-records", old_port, 1000)
     store.put("servers", old.name, spec)
@@ -198,26 +208,43 @@
         daemons.stop()
 
 
-async def _read_groups(record, daemons, name: str) -> None:
-    """Reads until the groups that the trainer waits for are complete."""
+async def _read_groups(record, daemons, lot_id: str, wanted: int) -> bool:
+    """Reads until enough groups are complete; False at the deadline."""
     listed = []
-    while True:
-        status, content = await _call(
-            record,
-            daemons,
-            name,
-            "GET",
-            f"/v1/lots/{_LOT}?after={len(listed)}",
-            "r1",
-        )
+    deadline_s = time.monotonic() + _DEADLINE_S
+    while time.monotonic() < deadline_s:
+        target = f"/v1/lots/{lot_id}?after={len(listed)}"
+        name = daemons.names[1]
+        status, content = await _call(record, daemons, name, "GET", target, "r")
         if status == _ENDED:
             listed += json.loads(content)["results"]
         counts = collections.Counter(
-            int(result["id"][-2:]) // _GROUP for result in listed
+            int(result["id"][-3:]) // _GROUP for result in listed
         )
-        if sum(count == _GROUP for count in counts.values()) >= _WANTED:
-            return
-        await asyncio.sleep(0.2)
+        if sum(count == _GROUP for count in counts.values()) >= wanted:
+            return True
+        await asyncio.sleep(_READ_S)
+    return False
+
+
+async def _follow_next(record, daemons) -> None:
+    """Reads the next step and ends it, as the first one."""
+    await _read_groups(record, daemons, _NEXT_LOT, _NEXT_WANTED)
+    await _end(record, daemons, _NEXT_LOT)
+
+
+async def _end(record, daemons, lot_id: str) -> None:
+    target = f"/v1/lots/{lot_id}"
+    name = daemons.names[1]
+    status, _ = await _call(record, daemons, name, "DELETE", target, "d1")
+    if status != _ENDED:
+        raise RuntimeError(f"the end got {status}")
+
+
+async def _name_version(record, store) -> None:
+    await asyncio.sleep(_TRAINING_S)
+    store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    record.write("trainer: names version 2")
 
 
 async def _call(record, daemons, name, method, target, lot_id, body=b""):
@@ -235,28 +262,27 @@
 
 async def _play_lot(record, store, daemons, servers) -> list[str]:
     old, new, old_listener, spec = servers
-    first, second, _ = daemons.names
-    for lot_id, count, scorer_path in (
-        (_LOT, _GROUPS * _GROUP, "/check/5e07"),
-        (_OTHER_LOT, _OTHER_ITEMS, "/desk/5e07"),
+    for lot_id, step, groups, wanted, scorer_path in (
+        (_LOT, 0, _GROUPS, _WANTED, "/check/5e07"),
+        (_NEXT_LOT, 1, _NEXT_GROUPS, _NEXT_WANTED, "/desk/5e07"),
     ):
-        lot = _build_lot(lot_id, count, scorer_path)
+        lot = _build_lot(lot_id, step, groups, wanted, scorer_path)
+        name = daemons.names[0]
         status, _ = await _call(
-            record, daemons, first, "POST", "/assess/1", lot_id, lot
+            record, daemons, name, "POST", "/assess/1", lot_id, lot
         )
         if status != _ACCEPTED:
             raise RuntimeError(f"the submission got {status}")
-    await _read_groups(record, daemons, second)
+    following = asyncio.create_task(_follow_next(record, daemons))
+    if not await _read_groups(record, daemons, _LOT, _WANTED):
+        raise RuntimeError("the groups weren't complete in time")
     # Each hanging call is there, and its repeat after the usual latency.
     while old.count_hanging() < 2 * len(old.hangs):
         await asyncio.sleep(0.02)
-    status, _ = await _call(
-        record, daemons, second, "DELETE", f"/v1/lots/{_LOT}", "d1"
-    )
-    if status != _ENDED:
-        raise RuntimeError(f"the end got {status}")
+    await _end(record, daemons, _LOT)
     ended_s = time.monotonic()
-    record.write(f"the end of the submission is confirmed: {status}")
+    record.write("the end of the submission is confirmed")
+    training = asyncio.create_task(_name_version(record, store))
     stored = store.get("lots", _LOT)
     record.write(f"status in the store: {stored and stored['status']}")
     # A release: the new one starts first, the old one drains.
@@ -275,6 +301,8 @@
     old_listener.close()
     store.remove("servers", old.name)
     await asyncio.sleep(4)
+    await training
+    following.cancel()
     return [
         f"UNASKED: reward call {request_id} reached {server.name} "
         f"{at_s - ended_s:.2f} s after the end of {_LOT} was confirmed"
