--- /dev/null
+++ b/review/rig3/servers.py
@@ -0,0 +1,239 @@
+"""Stand-ins of the platform's servers: engines and plain services."""
+
+import asyncio
+import contextlib
+import itertools
+import secrets
+import time
+
+import wire
+
+LOAD_S = 0.9
+ENTRY_INTERVAL_S = 1.2
+
+
+class Server:
+    """One server, with its channels.
+
+    Args:
+        store: Where it registers itself.
+        record: Writes a line of the record.
+        name: Its id.
+        service: Its service.
+        zone: Its zone.
+        model: The model that it serves; empty for a plain service.
+        slots: Requests that it serves at one time.
+
+    Attributes:
+        version: Version of its weights.
+        work_of: Returns the seconds for a request of a plain service.
+        gap_s: Seconds between the events of a stream.
+        lengths: Returns the number of events of an item's text.
+        pace: What follows the load in its header, such as ",100".
+        runs: What it ran, in the order in which it began.
+        on_answer: Called with the channel's state and the answer of a plain
+            request; returns the bytes to send.
+    """
+
+    def __init__(self, store, record, name, service, zone, model="", slots=8):
+        self._store = store
+        self._record = record
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.model = model
+        self.slots = slots
+        self.version = 1
+        self.work_of = lambda request: 0.03
+        self.gap_s = 0.02
+        self.lengths = lambda item_id, version: 10
+        self.pace = ""
+        self.runs: list[dict] = []
+        self.orders: list[dict] = []
+        self.on_answer = lambda channel, request, answer: answer
+        self.state = "ready"
+        self.address = ""
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+        self._is_busy = False
+        self._fence = 0
+        self._running = 0
+        self._stamps = itertools.count(1)
+        self._channels = itertools.count(1)
+        self._mark = secrets.token_hex(3)
+        self._server = None
+
+    async def start(self) -> None:
+        """Listens and registers."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, limit=1 << 22
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self.register()
+
+    def register(self) -> None:
+        """Writes its entry."""
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "r1",
+            "slots": self.slots,
+            "state": self.state,
+            "cold-left-ms": 0,
+            "sequence": 1,
+            "born": self._born,
+            "stage": "both",
+            "models": self._models(),
+        }
+        self._store.put("servers", self.name, entry)
+
+    def _models(self) -> list[dict]:
+        if not self.model:
+            return []
+        return [{"name": self.model, "version": self.version, "adapters": []}]
+
+    def _load_text(self) -> str:
+        return f"{self._running},0,{self.slots}{self.pace}"
+
+    def _headers(self, request: wire.Request) -> dict[str, str]:
+        return {
+            "Daisyhub-Request-Id": request.headers["daisyhub-request-id"],
+            "Daisyhub-Server-Stamp": f"{self._mark}.{next(self._stamps)}",
+            "Daisyhub-Server-Load": self._load_text(),
+            "Keep-Alive": "timeout=30",
+        }
+
+    async def _serve(self, reader, writer) -> None:
+        channel = {"number": next(self._channels), "extra": b""}
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            while (request := await wire.read_request(reader)) is not None:
+                await self._handle(channel, request, reader, writer)
+                await writer.drain()
+        writer.close()
+
+    async def _handle(self, channel, request, reader, writer) -> None:
+        expected = request.headers.get("daisyhub-expect-instance", self.name)
+        if expected != self.name:
+            writer.write(wire.encode_answer(421))
+        elif request.path == "/health":
+            headers = {
+                "Daisyhub-Instance-Id": self.name,
+                "Daisyhub-Server-Load": self._load_text(),
+            }
+            answer = wire.encode_answer(200, b"", headers)
+            writer.write(self.on_answer(channel, request, answer))
+        elif request.path == "/v1/report":
+            writer.write(wire.encode_json(200, self._report()))
+        elif request.path == "/v1/order":
+            writer.write(wire.encode_json(self._order(request.json()), {}))
+        elif "daisyhub-request-id" not in request.headers:
+            headers = {"Daisyhub-Not-Executed": "1"}
+            writer.write(wire.encode_answer(400, b"", headers))
+        elif self._running >= self.slots:
+            headers = {
+                "Daisyhub-Request-Id": request.headers["daisyhub-request-id"],
+                "Daisyhub-Not-Executed": "1",
+            }
+            writer.write(wire.encode_answer(503, b"", headers))
+        else:
+            await self._run(channel, request, reader, writer)
+
+    def _report(self) -> dict:
+        return {
+            "stage": "both",
+            "models": self._models(),
+            "busy": self._is_busy,
+            "sequence": self._sequence,
+            "num-waiting": 0,
+            "num-running": self._running,
+            "kv-used": 0,
+            "kv-total": 49_641,
+            "handles": 0,
+            "born": self._born,
+        }
+
+    def _order(self, order: dict) -> int:
+        self.orders.append({"at_s": time.monotonic(), **order})
+        status = self._judge_order(order)
+        self._record("order", server=self.name, status=status, **order)
+        return status
+
+    def _judge_order(self, order: dict) -> int:
+        if order["fencing-token"] < self._fence:
+            return 412
+        self._fence = order["fencing-token"]
+        if order["version"] == self.version:
+            return 200
+        if self._is_busy or order.get("expect", self._sequence) != (
+            self._sequence
+        ):
+            return 409
+        self._sequence += 1
+        self._is_busy = True
+        asyncio.create_task(self._load(order["version"]))
+        return 202
+
+    async def _load(self, version: int) -> None:
+        await asyncio.sleep(LOAD_S)
+        self.version = version
+        self._is_busy = False
+        self.register()
+
+    async def _run(self, channel, request, reader, writer) -> None:
+        run = {
+            "server": self.name,
+            "channel": channel["number"],
+            "id": request.headers["daisyhub-request-id"],
+            "tenant": request.headers.get("daisyhub-tenant", ""),
+            "target": request.target,
+            "after": int(request.headers.get("last-event-id", 0)),
+            "began_s": time.monotonic(),
+            "made_s": [],
+            "ended_s": None,
+            "stamp": "",
+        }
+        self.runs.append(run)
+        self._running += 1
+        try:
+            if self.model and request.target.startswith("/gen/"):
+                await self._stream(run, request, reader, writer)
+            else:
+                await self._look_up(channel, run, request, writer)
+        finally:
+            self._running -= 1
+            run["ended_s"] = time.monotonic()
+
+    async def _look_up(self, channel, run, request, writer) -> None:
+        await asyncio.sleep(self.work_of(request))
+        headers = self._headers(request)
+        run["stamp"] = headers["Daisyhub-Server-Stamp"]
+        body = f"answer to {run['id']}".encode().ljust(800, b".")
+        answer = wire.encode_answer(200, body, headers)
+        writer.write(self.on_answer(channel, request, answer))
+
+    async def _stream(self, run, request, reader, writer) -> None:
+        headers = {
+            **self._headers(request),
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            "Daisyhub-Weight-Versions": str(self.version),
+        }
+        run["stamp"] = headers["Daisyhub-Server-Stamp"]
+        last = self.version
+        count = self.lengths(run["id"], self.version)
+        writer.write(wire.encode_head(200, headers))
+        for number in range(run["after"] + 1, count + 1):
+            await asyncio.sleep(self.gap_s)
+            if reader.at_eof() or writer.is_closing():
+                raise ConnectionResetError
+            line = ""
+            if self.version != last:
+                last = self.version
+                line = f"daisyhub-weight-versions: {last}\n"
+            event = f"{line}id: {number}\ndata: {run['id']}.{number}\n\n"
+            run["made_s"].append((number, last, time.monotonic()))
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
