--- a/review/rig3/servers.py
+++ b/review/rig3/servers.py
@@ -9,7 +9,7 @@
 import wire
 
 LOAD_S = 0.9
-ENTRY_INTERVAL_S = 1.2
+IMPOSSIBLE = 422
 
 
 class Server:
@@ -30,6 +30,7 @@
         gap_s: Seconds between the events of a stream.
         lengths: Returns the number of events of an item's text.
         pace: What follows the load in its header, such as ",100".
+        impossible: The items that it answers with 422.
         runs: What it ran, in the order in which it began.
         on_answer: Called with the channel's state and the answer of a plain
             request; returns the bytes to send.
@@ -48,6 +49,7 @@
         self.gap_s = 0.02
         self.lengths = lambda item_id, version: 10
         self.pace = ""
+        self.impossible: frozenset[str] = frozenset()
         self.runs: list[dict] = []
         self.orders: list[dict] = []
         self.on_answer = lambda channel, request, answer: answer
@@ -193,11 +195,16 @@
             "made_s": [],
             "ended_s": None,
             "stamp": "",
+            "status": wire.OK,
         }
         self.runs.append(run)
         self._running += 1
         try:
-            if self.model and request.target.startswith("/gen/"):
+            if run["id"] in self.impossible:
+                run["status"] = IMPOSSIBLE
+                headers = self._headers(request)
+                writer.write(wire.encode_answer(IMPOSSIBLE, b"", headers))
+            elif self.model and request.target.startswith("/gen/"):
                 await self._stream(run, request, reader, writer)
             else:
                 await self._look_up(channel, run, request, writer)
