--- a/review/12/case.py
+++ b/review/12/case.py
@@ -132,4 +132,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(system.run(main))
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -106,4 +106,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(system.run(main))
--- a/review/rig3/system.py
+++ b/review/rig3/system.py
@@ -32,6 +32,22 @@
 _ports = iter(range(20_000 + os.getpid() * 37 % 9_000, 32_000))
 
 
+def run(main) -> int:
+    """Runs a case; returns its exit status, 2 if it is told to stop."""
+
+    async def play() -> int:
+        task = asyncio.ensure_future(main())
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            return 2
+
+    return asyncio.run(play())
+
+
 class CannotRunError(Exception):
     """The case could not be set up."""
 
