--- a/review/rig3/servers.py
+++ b/review/rig3/servers.py
@@ -10,6 +10,10 @@
 
 LOAD_S = 0.9
 IMPOSSIBLE = 422
+# Requests that wait at a server with no free slot.
+QUEUE = 24
+# Seconds after which the entry of a server that crashed is removed.
+ENTRY_S = 3.6
 
 
 class Server:
@@ -31,6 +35,8 @@
         lengths: Returns the number of events of an item's text.
         pace: What follows the load in its header, such as ",100".
         impossible: The items that it answers with 422.
+        other_models: Further models, at their first version.
+        running: Number of requests that it works on.
         runs: What it ran, in the order in which it began.
         on_answer: Called with the channel's state and the answer of a plain
             request; returns the bytes to send.
@@ -59,7 +65,11 @@
         self._sequence = 0
         self._is_busy = False
         self._fence = 0
-        self._running = 0
+        self.running = 0
+        self._waiting = 0
+        self._free = asyncio.Semaphore(slots)
+        self._writers: set = set()
+        self.other_models: tuple[str, ...] = ()
         self._stamps = itertools.count(1)
         self._channels = itertools.count(1)
         self._mark = secrets.token_hex(3)
@@ -68,12 +78,21 @@
     async def start(self) -> None:
         """Listens and registers."""
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=1 << 22
+            self._serve, self._store.ip, 0, limit=1 << 22
         )
         port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        self.address = f"{self._store.ip}:{port}"
         self.register()
 
+    async def crash(self) -> None:
+        """Ends for good; its entry is removed after its silence."""
+        self._record("server_gone", server=self.name)
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(ENTRY_S)
+        self._store.drop("servers", self.name)
+
     def register(self) -> None:
         """Writes its entry."""
         entry = {
@@ -94,10 +113,15 @@
     def _models(self) -> list[dict]:
         if not self.model:
             return []
-        return [{"name": self.model, "version": self.version, "adapters": []}]
+        versions = {self.model: self.version}
+        versions.update((name, 1) for name in self.other_models)
+        return [
+            {"name": name, "version": version, "adapters": []}
+            for name, version in versions.items()
+        ]
 
     def _load_text(self) -> str:
-        return f"{self._running},0,{self.slots}{self.pace}"
+        return f"{self.running},{self._waiting},{self.slots}{self.pace}"
 
     def _headers(self, request: wire.Request) -> dict[str, str]:
         return {
@@ -108,11 +132,17 @@
         }
 
     async def _serve(self, reader, writer) -> None:
-        channel = {"number": next(self._channels), "extra": b""}
+        channel = {
+            "server": self.name,
+            "number": next(self._channels),
+            "extra": b"",
+        }
+        self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (request := await wire.read_request(reader)) is not None:
                 await self._handle(channel, request, reader, writer)
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _handle(self, channel, request, reader, writer) -> None:
@@ -133,7 +163,7 @@
         elif "daisyhub-request-id" not in request.headers:
             headers = {"Daisyhub-Not-Executed": "1"}
             writer.write(wire.encode_answer(400, b"", headers))
-        elif self._running >= self.slots:
+        elif self._waiting >= QUEUE:
             headers = {
                 "Daisyhub-Request-Id": request.headers["daisyhub-request-id"],
                 "Daisyhub-Not-Executed": "1",
@@ -149,7 +179,7 @@
             "busy": self._is_busy,
             "sequence": self._sequence,
             "num-waiting": 0,
-            "num-running": self._running,
+            "num-running": self.running,
             "kv-used": 0,
             "kv-total": 49_641,
             "handles": 0,
@@ -197,8 +227,14 @@
             "stamp": "",
             "status": wire.OK,
         }
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        run["began_s"] = time.monotonic()
         self.runs.append(run)
-        self._running += 1
+        self.running += 1
         try:
             if run["id"] in self.impossible:
                 run["status"] = IMPOSSIBLE
@@ -209,7 +245,8 @@
             else:
                 await self._look_up(channel, run, request, writer)
         finally:
-            self._running -= 1
+            self.running -= 1
+            self._free.release()
             run["ended_s"] = time.monotonic()
 
     async def _look_up(self, channel, run, request, writer) -> None:
--- a/review/rig3/store.py
+++ b/review/rig3/store.py
@@ -31,8 +31,9 @@
             answered so much later).
     """
 
-    def __init__(self, record):
+    def __init__(self, record, ip: str):
         self._record = record
+        self.ip = ip
         self._objects: dict[tuple[str, str], dict] = {}
         self._history: list[tuple[int, str, dict, bool]] = []
         self._revision = 10
@@ -46,10 +47,8 @@
         async def serve(reader, writer):
             await self._serve(daemon, reader, writer)
 
-        server = await asyncio.start_server(
-            serve, "127.0.0.1", 0, limit=1 << 25
-        )
-        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        server = await asyncio.start_server(serve, self.ip, 0, limit=1 << 25)
+        return f"{self.ip}:{server.sockets[0].getsockname()[1]}"
 
     def put(self, kind: str, name: str, spec) -> int:
         """Writes an object as the operator or a server does."""
--- a/review/rig3/system.py
+++ b/review/rig3/system.py
@@ -25,11 +25,11 @@
 HOST = "yard.example"
 KEY = "key-of-tenant-1"
 TENANT = "tenant-1"
-MODEL = "m0"
+MODEL, OTHER_MODEL = "m0", "m1"
 ZONES = ("busan-yard", "ulsan-yard", "changwon-yard")
 _PLACEHOLDER = re.compile(r"\{\{([a-z0-9.-]+)(\|json)?\}\}")
 _SECTION = re.compile(r"\{\{#([a-z0-9.-]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
-_ports = iter(range(20_000 + os.getpid() * 37 % 9_000, 32_000))
+_ports = iter(range(20_000, 32_000))
 
 
 def run(main) -> int:
@@ -52,7 +52,14 @@
     """The case could not be set up."""
 
 
-def free_port() -> int:
+def own_address() -> str:
+    """Returns a loopback address that no other run has at the same time."""
+    number, last = divmod(os.getpid(), 254)
+    number, third = divmod(number, 256)
+    return f"127.{64 + number % 64}.{third}.{last + 1}"
+
+
+def free_port(ip: str) -> int:
     """Returns a port below those of outgoing connections that is free."""
     for port in _ports:
         with (
@@ -60,8 +67,8 @@
             socket.socket(type=socket.SOCK_DGRAM) as udp,
             contextlib.suppress(OSError),
         ):
-            tcp.bind(("127.0.0.1", port))
-            udp.bind(("127.0.0.1", port))
+            tcp.bind((ip, port))
+            udp.bind((ip, port))
             return port
     raise CannotRunError("no port is free")
 
@@ -99,17 +106,22 @@
         daemons: Number of daemons.
         engines: Number of model servers.
         plain: Number of servers of the plain service.
+        desk: Number of servers of the service for the route `/stock/`; without
+            any, the plain service has it.
         bounds: Bounds that differ from those of the small deployments.
     """
 
-    def __init__(self, folder, daemons=4, engines=4, plain=3, bounds=None):
+    def __init__(
+        self, folder, daemons=4, engines=4, plain=3, desk=0, bounds=None
+    ):
         self._out = open(  # noqa: SIM115
             pathlib.Path(folder) / "record.txt", "w", encoding="utf-8"
         )
         self._started_s = time.monotonic()
         self._temporary = tempfile.TemporaryDirectory(prefix="daisyhub-review-")
         self.folder = pathlib.Path(self._temporary.name)
-        self.store = Store(self.record)
+        self.ip = own_address()
+        self.store = Store(self.record, self.ip)
         self.daemons = [f"edge-{n}" for n in range(1, daemons + 1)]
         self.processes: dict[str, subprocess.Popen] = {}
         self.fronts: dict[str, str] = {}
@@ -139,8 +151,21 @@
             )
             for n in range(plain)
         ]
+        # A service of its own for the route `/stock/`, if there is one.
+        self.desk = [
+            Server(
+                self.store,
+                self.record,
+                f"i-d{n}",
+                "stock-desk",
+                ZONES[n % 3],
+                slots=6,
+            )
+            for n in range(desk)
+        ]
+        for server in self.engines:
+            server.other_models = (OTHER_MODEL,)
         self._version = 0
-        self.single_version = False
 
     def record(self, event: str, **fields) -> None:
         """Writes a line of the record."""
@@ -154,10 +179,10 @@
         if not (ROOT / "target" / "deps").is_dir():
             raise CannotRunError("target/deps is missing: build first")
         self.write_manifest({TENANT: [KEY]})
-        for server in (*self.engines, *self.plain):
+        for server in (*self.engines, *self.plain, *self.desk):
             await server.start()
-        controls = {name: free_port() for name in self.daemons}
-        seeds = [f"127.0.0.1:{controls[n]}" for n in self.daemons[:3]]
+        controls = {name: free_port(self.ip) for name in self.daemons}
+        seeds = [f"{self.ip}:{controls[n]}" for n in self.daemons[:3]]
         for number, name in enumerate(self.daemons):
             await self._prepare(name, number, controls[name], seeds)
         for name in self.daemons:
@@ -167,17 +192,17 @@
 
     async def _prepare(self, name, number, control, seeds) -> None:
         store = await self.store.listen(name)
-        front, ready, first, second = (free_port() for _ in range(4))
-        self.fronts[name] = f"127.0.0.1:{front}"
-        self.ready[name] = f"127.0.0.1:{ready}"
-        self.metrics[name] = f"127.0.0.1:{first}"
+        front, ready, first, second = (free_port(self.ip) for _ in range(4))
+        self.fronts[name] = f"{self.ip}:{front}"
+        self.ready[name] = f"{self.ip}:{ready}"
+        self.metrics[name] = f"{self.ip}:{first}"
         fields = {
             "node-name": name,
             "zone": ZONES[number % 3],
             "listen": {
                 "front": self.fronts[name],
                 "ready": self.ready[name],
-                "control": f"127.0.0.1:{control}",
+                "control": f"{self.ip}:{control}",
             },
             "internal-ports": [first, second],
             "seeds": seeds,
@@ -308,7 +333,7 @@
                 "host": HOST,
                 "path-prefix": "/stock/",
                 "route-type": "safe",
-                "service": "yard-records",
+                "service": "stock-desk" if self.desk else "yard-records",
                 "timeout-ms": 1500,
                 "target-latency-ms": 200,
                 "priority": 2,
@@ -328,7 +353,6 @@
                 "due-ms": 7500,
                 "max-wait-s": 40,
                 "sticky": True,
-                "single-version": self.single_version,
             },
             *extra,
         ]
@@ -340,7 +364,14 @@
                     "name": "assessor-lm",
                     "max-conns": 140,
                     "health-path": "/health",
-                    "engine": {"models": [{"name": MODEL}]},
+                    "engine": {
+                        "models": [{"name": MODEL}, {"name": OTHER_MODEL}]
+                    },
+                },
+                {
+                    "name": "stock-desk",
+                    "max-conns": 110,
+                    "health-path": "/health",
                 },
                 {
                     "name": "yard-records",
@@ -448,17 +479,17 @@
     return f"{zlib.crc32(name.encode()):08x}"
 
 
-def make_item(item_id: str, group: str, tokens=40, hint=None) -> dict:
+def make_item(
+    item_id: str, group: str, tokens=160, model=MODEL, scorer="/stock/"
+) -> dict:
     """Returns an item with its reward call."""
     headers = {
-        "Daisyhub-Model": MODEL,
+        "Daisyhub-Model": model,
         "Daisyhub-Token-Count": f"271,{tokens}",
         "Daisyhub-Prompt-Prefix": (
             f"{_part_id(group)}:255,{_part_id(item_id)}:16"
         ),
     }
-    if hint is not None:
-        headers["Daisyhub-Length-Hint"] = str(hint)
     return {
         "id": item_id,
         "path": f"/gen/{item_id}",
@@ -469,18 +500,18 @@
         "scorer": {
             "id": f"r{item_id}",
             "host": HOST,
-            "path": f"/stock/{item_id}",
+            "path": f"{scorer}{item_id}",
             "body": base64.b64encode(b"check").decode(),
         },
     }
 
 
-def make_lot(lot_id, step, min_version, items, wanted) -> dict:
+def make_lot(lot_id, step, min_version, items, wanted, model=MODEL) -> dict:
     """Returns a lot as a trainer submits it."""
     return {
         "id": lot_id,
         "step": step,
-        "model": MODEL,
+        "model": model,
         "min-version": min_version,
         "desired-count": wanted,
         "items": items,
