Review: case 12 checks that no item began in the last 3 s

Case: the rule excuses steps of several models if any item began in the last 3 s; the check of the two-trainer form lacked it, and looked up to a second past the deadline.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -29,6 +29,7 @@
 RESTART_S = 0.5
 CONTACT_S = 3.0
 STEADY_S = 5.0
+QUIET_S = 3.0
 
 
 def make_lot(lot_id: str, count: int, size: int, model: str) -> dict:
@@ -85,7 +86,8 @@
             listed += len(page["results"])
         await asyncio.sleep(0.3)
     watch.cancel()
-    return judge(deployment, calm_s + CONTACT_S, loads, listed)
+    over_s = min(time.monotonic(), began_s + DEADLINE_S)
+    return judge(deployment, calm_s + CONTACT_S, over_s, loads, listed)
 
 
 async def submit(deployment, daemon: str, lot: dict) -> bool:
@@ -93,9 +95,10 @@
     return await deployment.submit(daemon, lot, 10.0) != wire.ACCEPTED
 
 
-def judge(deployment, steady_s: float, loads: list, listed: int) -> int:
+def judge(
+    deployment, steady_s: float, over_s: float, loads: list, listed: int
+) -> int:
     """Checks the items of the step when it runs out of time."""
-    over_s = time.monotonic()
     runs = [
         run
         for server in deployment.engines
@@ -110,6 +113,10 @@
     # Since when no server has had an unfinished item of the step.
     left_s = max((run["ended_s"] or over_s) for run in runs)
     unfinished = STEP_ITEMS - len(finished)
+    # The rule's bound where several models are trained: any item's start.
+    quiet_s = over_s - max(
+        run["began_s"] for server in deployment.engines for run in server.runs
+    )
     slots = sum(server.slots for server in deployment.engines)
     from_s = max(steady_s, left_s)
     most = max((count for at_s, count in loads if at_s >= from_s), default=0)
@@ -121,10 +128,11 @@
         unfinished=unfinished,
         steady_s_at_no_server=round(waited_s, 2),
         most_runs_meanwhile=most,
+        s_since_any_item_began=round(quiet_s, 2),
         slots=slots,
     )
-    is_broken = unfinished and waited_s >= STEADY_S and 2 * most < slots
-    return 1 if is_broken else 0
+    is_left = unfinished and waited_s >= STEADY_S and quiet_s >= QUIET_S
+    return 1 if is_left and 2 * most < slots else 0
 
 
 async def main() -> int:
